--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Checks the format of all sources and runs clang-tidy on them; any finding is an error.
+# Usage: lint.sh BUILD_DIR [PATH_PATTERN]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+pattern=${2:-.}
+scripts/format.sh --check
+git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '^fuzz/' | grep -E "$pattern" |
+  xargs -r -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/tmp/chicorylink_lint.$$ ||
+  { cat /tmp/chicorylink_lint.$$ >&2; rm -f /tmp/chicorylink_lint.$$; exit 1; }
+rm -f /tmp/chicorylink_lint.$$
--- /dev/null
+++ b/src/chicorylink/rules/rulebook_test.cpp
@@ -0,0 +1,75 @@
+#include "chicorylink/rules/rulebook.hpp"
+#include "chicorylink/rules/rulebook_builder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::rules {
+namespace {
+
+using base::id_of;
+using base::region_id;
+using base::team_id;
+
+team make_team(const std::string& name, const std::vector<std::string>& regions)
+{
+    team who{.id = id_of<team_id>(name), .name = name};
+    for (const auto& region_name : regions) {
+        who.regions.push_back(id_of<region_id>(region_name));
+    }
+    who.rate = base::tokens_per_second{100};
+    who.burst = base::tokens{1000};
+    return who;
+}
+
+region make_region(const std::string& name)
+{
+    return {.id = id_of<region_id>(name), .name = name};
+}
+
+bool builds(rulebook_builder& builder)
+{
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_CHECK(builder.build());
+            return true;
+        },
+        [](const base::error&) { return false; }, [] { return false; });
+}
+
+TEST(rulebook, finds_what_was_added)
+{
+    rulebook_builder builder{base::config_version{7}};
+    builder.add(make_region("north")).add(make_region("south")).add(make_team("a", {"south"}));
+    const auto book = builder.build().value();
+    EXPECT_EQ(book->version(), base::config_version{7});
+    const auto* who = book->find(id_of<team_id>("a"));
+    ASSERT_NE(who, nullptr);
+    EXPECT_TRUE(may_run_in(*who, id_of<region_id>("south")));
+    EXPECT_FALSE(may_run_in(*who, id_of<region_id>("north")));
+    EXPECT_EQ(book->find(id_of<team_id>("b")), nullptr);
+}
+
+TEST(rulebook, refuses_unknown_region_and_repeated_name)
+{
+    rulebook_builder unknown{base::config_version{1}};
+    unknown.add(make_region("north")).add(make_team("a", {"south"}));
+    EXPECT_FALSE(builds(unknown));
+    rulebook_builder repeated{base::config_version{1}};
+    repeated.add(make_region("north")).add(make_region("north"));
+    EXPECT_FALSE(builds(repeated));
+}
+
+TEST(rulebook, home_must_be_allowed_and_binds)
+{
+    auto who = make_team("a", {"north", "south"});
+    who.home = id_of<region_id>("north");
+    EXPECT_TRUE(may_run_in(who, id_of<region_id>("north")));
+    EXPECT_FALSE(may_run_in(who, id_of<region_id>("south")));
+    who.home = id_of<region_id>("west");
+    rulebook_builder builder{base::config_version{1}};
+    builder.add(make_region("north")).add(make_region("south")).add(make_region("west")).add(who);
+    EXPECT_FALSE(builds(builder));
+}
+
+} // namespace
+} // namespace chicorylink::rules
