platform, gateway: HTTP client and listener

The client runs many calls on one libcurl thread and tells whether a byte of the request may have left: the library's pre-request callback runs between connecting and the first write.

The listener decides on the headers before the body is read, holds no thread for a stream, and ends a broken stream without its end mark.

--- /dev/null
+++ b/include/chicorylink/gateway/http_answer.hpp
@@ -0,0 +1,19 @@
+#ifndef CHICORYLINK_GATEWAY_HTTP_ANSWER_HPP
+#define CHICORYLINK_GATEWAY_HTTP_ANSWER_HPP
+
+#include "chicorylink/platform/http_request.hpp"
+
+#include <string>
+
+namespace chicorylink::gateway {
+
+/// @brief A whole answer to a caller, sent with its length.
+struct http_answer {
+    int status = 200;
+    platform::header_list headers;
+    std::string body;
+};
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_HTTP_ANSWER_HPP
--- /dev/null
+++ b/include/chicorylink/platform/http_end.hpp
@@ -0,0 +1,38 @@
+#ifndef CHICORYLINK_PLATFORM_HTTP_END_HPP
+#define CHICORYLINK_PLATFORM_HTTP_END_HPP
+
+#include <string>
+#include <string_view>
+
+namespace chicorylink::platform {
+
+/// @brief How an HTTP call ended.
+enum class http_end_kind {
+    /// The whole answer arrived.
+    complete,
+    /// The address refused the connection: no process listens there.
+    refused,
+    /// No connection was made for another reason.
+    not_connected,
+    /// The connection broke before the whole answer arrived.
+    broken,
+    timed_out,
+    /// `http_client::cancel` was called, or a handler stopped the call.
+    cancelled,
+};
+
+/// @brief The stable name of a kind, for logs.
+[[nodiscard]] std::string_view to_string(http_end_kind kind);
+
+/// @brief The end of a call.
+struct http_end {
+    http_end_kind kind = http_end_kind::complete;
+    /// Whether any byte of the request may have left. When false, the call did not run.
+    bool possibly_sent = false;
+    /// The library's account, for logs.
+    std::string detail;
+};
+
+} // namespace chicorylink::platform
+
+#endif // CHICORYLINK_PLATFORM_HTTP_END_HPP
--- /dev/null
+++ b/src/chicorylink/gateway/credentials.cpp
@@ -0,0 +1,133 @@
+#include "chicorylink/gateway/credentials.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace chicorylink::gateway {
+namespace {
+
+constexpr std::string_view key_parameter = "api_key";
+constexpr std::string_view bearer_scheme = "bearer ";
+
+/// The header fields that mean something to a target and can't carry a credential by design.
+constexpr std::array<std::string_view, 5> passed_fields{"accept", "accept-language", "content-type",
+                                                        "idempotency-key", "traceparent"};
+
+std::string lower_case(std::string_view text)
+{
+    std::string lowered(text);
+    std::transform(lowered.begin(), lowered.end(), lowered.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lowered;
+}
+
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && text.back() == ' ') {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+void add_key(std::vector<std::string>& keys, std::string_view key)
+{
+    if (!key.empty() && std::find(keys.begin(), keys.end(), key) == keys.end()) {
+        keys.emplace_back(key);
+    }
+}
+
+/// Calls `use(name, value)` for each item of a list such as `a=1&b=2` or `a=1; b=2`.
+template <class Use>
+void for_each_item(std::string_view list, char separator, Use use)
+{
+    while (!list.empty()) {
+        const auto item = list.substr(0, list.find(separator));
+        const auto trimmed = trim(item);
+        const auto equals = trimmed.find('=');
+        const auto value =
+            equals == std::string_view::npos ? std::string_view{} : trimmed.substr(equals + 1);
+        use(trimmed.substr(0, equals), value, item);
+        list.remove_prefix(std::min(list.size(), item.size() + 1));
+    }
+}
+
+bool is_key_parameter(std::string_view name)
+{
+    return lower_case(decode_url(name)) == key_parameter;
+}
+
+void add_keys_of_header(std::vector<std::string>& keys, std::string_view name,
+                        std::string_view value)
+{
+    if (name == "authorization" && lower_case(value).starts_with(bearer_scheme)) {
+        add_key(keys, trim(value.substr(bearer_scheme.size())));
+    }
+    if (name == "x-api-key") {
+        add_key(keys, trim(value));
+    }
+    if (name == "cookie") {
+        for_each_item(value, ';', [&](auto item_name, auto item_value, auto) {
+            if (is_key_parameter(item_name)) {
+                add_key(keys, decode_url(item_value));
+            }
+        });
+    }
+}
+
+} // namespace
+
+std::vector<std::string> presented_keys(const caller_request& request)
+{
+    std::vector<std::string> keys;
+    for (const auto& [name, value] : request.headers) {
+        add_keys_of_header(keys, name, value);
+    }
+    for_each_item(request.query, '&', [&](auto name, auto value, auto) {
+        if (is_key_parameter(name)) {
+            add_key(keys, decode_url(value));
+        }
+    });
+    return keys;
+}
+
+header_list target_headers(const header_list& headers, const std::vector<std::string>& keys)
+{
+    header_list passed;
+    for (const auto& field : headers) {
+        const bool known = std::find(passed_fields.begin(), passed_fields.end(), field.first) !=
+                           passed_fields.end();
+        if (known && !holds_key(field.second, keys)) {
+            passed.push_back(field);
+        }
+    }
+    return passed;
+}
+
+std::string target_query(std::string_view query, const std::vector<std::string>& keys)
+{
+    std::string passed;
+    for_each_item(query, '&', [&](auto name, auto, auto item) {
+        if (is_key_parameter(name) || holds_key(item, keys)) {
+            return;
+        }
+        if (!passed.empty()) {
+            passed.push_back('&');
+        }
+        passed.append(item);
+    });
+    return passed;
+}
+
+bool holds_key(std::string_view text, const std::vector<std::string>& keys)
+{
+    const std::string decoded = decode_url(text);
+    return std::any_of(keys.begin(), keys.end(), [&](const std::string& key) {
+        return text.find(key) != std::string_view::npos || decoded.find(key) != std::string::npos;
+    });
+}
+
+} // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/http_call.cpp
@@ -0,0 +1,47 @@
+#include "chicorylink/gateway/http_call.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+namespace chicorylink::gateway {
+namespace {
+
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+MHD_Result add_field(void* fields, MHD_ValueKind /*kind*/, const char* name, const char* value)
+{
+    static_cast<header_list*>(fields)->emplace_back(lower_case(name), value ? value : "");
+    return MHD_YES;
+}
+
+} // namespace
+
+void read_head(http_call& call, const char* method)
+{
+    auto& request = call.request->request();
+    request.method = method;
+    MHD_get_connection_values(call.connection, MHD_HEADER_KIND, &add_field, &request.headers);
+}
+
+MHD_Result queue_answer(MHD_Connection* connection, const http_answer& answer)
+{
+    // The library copies the body; it takes a pointer to non-const bytes all the same.
+    void* body = const_cast<char*>(answer.body.data());
+    MHD_Response* response =
+        MHD_create_response_from_buffer(answer.body.size(), body, MHD_RESPMEM_MUST_COPY);
+    for (const auto& [name, value] : answer.headers) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    const auto queued =
+        MHD_queue_response(connection, static_cast<unsigned>(answer.status), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+} // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/http_call.hpp
@@ -0,0 +1,33 @@
+#ifndef CHICORYLINK_GATEWAY_HTTP_CALL_HPP
+#define CHICORYLINK_GATEWAY_HTTP_CALL_HPP
+
+#include "chicorylink/gateway/exchange.hpp"
+
+#include <chrono>
+#include <memory>
+
+#include <microhttpd.h>
+
+namespace chicorylink::gateway {
+
+/// @brief One request as the HTTP library sees it: its connection and how far it was read.
+struct http_call {
+    std::shared_ptr<exchange> request;
+    MHD_Connection* connection = nullptr;
+    std::chrono::steady_clock::time_point started;
+    bool head_checked = false;
+    bool submitted = false;
+    bool body_too_large = false;
+    /// Guarded by the server's mutex.
+    bool suspended = false;
+};
+
+/// @brief Copies method and header fields from the library into the request.
+void read_head(http_call& call, const char* method);
+
+/// @brief Queues a whole answer on the call's connection.
+MHD_Result queue_answer(MHD_Connection* connection, const http_answer& answer);
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_HTTP_CALL_HPP
--- /dev/null
+++ b/src/chicorylink/platform/http_transfer.hpp
@@ -0,0 +1,57 @@
+#ifndef CHICORYLINK_PLATFORM_HTTP_TRANSFER_HPP
+#define CHICORYLINK_PLATFORM_HTTP_TRANSFER_HPP
+
+#include "chicorylink/platform/http_client.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <curl/curl.h>
+
+namespace chicorylink::platform {
+
+/// @brief One call in progress: the libcurl handle and what its callbacks need.
+class http_transfer {
+public:
+    http_transfer(transfer_id id, http_request request, http_handlers handlers);
+    ~http_transfer();
+    http_transfer(const http_transfer&) = delete;
+    http_transfer& operator=(const http_transfer&) = delete;
+    http_transfer(http_transfer&&) = delete;
+    http_transfer& operator=(http_transfer&&) = delete;
+
+    [[nodiscard]] transfer_id id() const { return m_id; }
+    [[nodiscard]] CURL* handle() const { return m_handle; }
+
+    /// @brief Reports the end of the call to its handlers.
+    void finish(CURLcode code);
+
+    /// @brief Reports that the call was cancelled.
+    void finish_cancelled();
+
+private:
+    static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
+    static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
+    static int on_prerequest(void* self, char* remote, char* local, int remote_port,
+                             int local_port);
+
+    void set_options();
+    void add_header_line(std::string_view line);
+    void report_head();
+    [[nodiscard]] http_end_kind end_kind(CURLcode code) const;
+
+    transfer_id m_id;
+    http_request m_request;
+    http_handlers m_handlers;
+    CURL* m_handle;
+    curl_slist* m_header_lines = nullptr;
+    header_list m_answer_headers;
+    bool m_head_reported = false;
+    bool m_possibly_sent = false;
+    bool m_stopped = false;
+};
+
+} // namespace chicorylink::platform
+
+#endif // CHICORYLINK_PLATFORM_HTTP_TRANSFER_HPP
--- /dev/null
+++ b/src/chicorylink/platform/vm_list.cpp
@@ -0,0 +1,42 @@
+#include "chicorylink/platform/vm_list.hpp"
+
+#include "chicorylink/platform/json_reading.hpp"
+
+#include <string>
+
+namespace chicorylink::platform {
+namespace {
+
+membership::member read_vm(const nlohmann::json& row)
+{
+    membership::member vm;
+    vm.name = row.at("name").get<std::string>();
+    vm.id = base::id_of<base::vm_id>(vm.name);
+    vm.region = base::id_of<base::region_id>(row.at("region").get<std::string>());
+    vm.data_center = base::id_of<base::data_center_id>(row.at("data_center").get<std::string>());
+    vm.caller_address = row.at("callers").get<std::string>();
+    vm.peer_address = row.at("peers").get<std::string>();
+    const bool leaving = row.at("state").get<std::string>() == "leaving";
+    vm.state = leaving ? membership::member_state::leaving : membership::member_state::live;
+    return vm;
+}
+
+vm_list read_list(const nlohmann::json& answer)
+{
+    vm_list list;
+    list.sequence = answer.at("sequence").get<std::uint64_t>();
+    list.age = base::milliseconds{answer.value("age_ms", std::int64_t{0})};
+    for (const auto& row : answer.at("vms")) {
+        list.vms.push_back(read_vm(row));
+    }
+    return list;
+}
+
+} // namespace
+
+base::result<vm_list> parse_vm_list(std::string_view text)
+{
+    return read_json(text, "the VM list", read_list);
+}
+
+} // namespace chicorylink::platform
