--- /dev/null
+++ b/src/chicorylink/gateway/refusal_test.cpp
@@ -0,0 +1,77 @@
+#include "chicorylink/gateway/refusal.hpp"
+#include "chicorylink/gateway/settings.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::gateway {
+namespace {
+
+using ::testing::Contains;
+using ::testing::HasSubstr;
+using ::testing::Pair;
+
+TEST(refusal, says_outcome_remedy_and_when_to_retry)
+{
+    const auto answer = answer_of({refusal_kind::rate_exceeded, "too fast", "wait",
+                                   run_outcome::not_run, base::milliseconds{1'200}});
+    EXPECT_EQ(answer.status, 429);
+    EXPECT_THAT(answer.headers, Contains(Pair("Retry-After", "2")));
+    EXPECT_THAT(answer.headers, Contains(Pair("X-Chicorylink-Outcome", "not-run")));
+    EXPECT_THAT(answer.body, HasSubstr("\"remedy\":\"wait\""));
+}
+
+settings valid_settings()
+{
+    settings value;
+    value.vm = "v";
+    value.region = "r";
+    value.data_center = "d";
+    value.listen = "127.0.0.1:0";
+    value.peer_listen = "127.0.0.1:0";
+    value.platform_url = "http://127.0.0.1:1";
+    value.peer_plaintext = true;
+    value.ticket_keys = {"0123456789abcdef"};
+    return value;
+}
+
+std::string problem_of(const settings& value)
+{
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<std::string> {
+            BOOST_LEAF_CHECK(check(value));
+            return std::string{};
+        },
+        [](const base::error& failure) { return base::describe(failure); },
+        [] { return std::string("untyped"); });
+}
+
+TEST(settings, valid_ones_pass)
+{
+    EXPECT_EQ(problem_of(valid_settings()), "");
+}
+
+TEST(settings, errors_name_flag_variable_and_remedy)
+{
+    auto value = valid_settings();
+    value.peer_listen = "10.0.0.1";
+    EXPECT_THAT(problem_of(value), HasSubstr("--peer-listen (CHICORYLINK_PEER_LISTEN)"));
+    EXPECT_THAT(problem_of(value), HasSubstr("IP:port"));
+}
+
+TEST(settings, peer_links_need_tls_unless_told_otherwise)
+{
+    auto value = valid_settings();
+    value.peer_plaintext = false;
+    EXPECT_THAT(problem_of(value), HasSubstr("--peer-plaintext"));
+}
+
+TEST(settings, one_of_a_pair_is_refused)
+{
+    auto value = valid_settings();
+    value.callers_key_file = "key.pem";
+    EXPECT_THAT(problem_of(value), HasSubstr("--callers-certificate"));
+}
+
+} // namespace
+} // namespace chicorylink::gateway
