--- /dev/null
+++ b/include/chicorylink/gateway/answer_head.hpp
@@ -0,0 +1,24 @@
+#ifndef CHICORYLINK_GATEWAY_ANSWER_HEAD_HPP
+#define CHICORYLINK_GATEWAY_ANSWER_HEAD_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/refusal.hpp"
+#include "chicorylink/platform/http_request.hpp"
+
+#include <cstdint>
+
+namespace chicorylink::gateway {
+
+/// @brief The head of a forwarded request's answer; the body follows on the stream.
+struct answer_head {
+    int status = 0;
+    platform::header_list headers;
+    /// Whether the body is passed on as it comes; otherwise it has `body_bytes` bytes.
+    bool stream = false;
+    run_outcome outcome = run_outcome::ran;
+    std::uint32_t body_bytes = 0;
+};
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_ANSWER_HEAD_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/work.hpp
@@ -0,0 +1,102 @@
+#ifndef CHICORYLINK_GATEWAY_WORK_HPP
+#define CHICORYLINK_GATEWAY_WORK_HPP
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/secret.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/answer_sink.hpp"
+#include "chicorylink/gateway/caller_request.hpp"
+#include "chicorylink/gateway/sse_splitter.hpp"
+#include "chicorylink/gateway/stream_writer.hpp"
+#include "chicorylink/platform/http_client.hpp"
+#include "chicorylink/routing/request.hpp"
+#include "chicorylink/rules/route.hpp"
+
+namespace chicorylink::gateway {
+
+/// @brief Where a request stands at this VM.
+enum class work_phase {
+    /// Waits for tokens of its team's budget.
+    reserving,
+    /// Waits for a target, in the router's queue.
+    queued,
+    /// An attempt is being made; no byte of it has left.
+    connecting,
+    /// The request may have reached a target.
+    possibly_sent,
+    /// A part of the answer was passed on.
+    answering,
+    /// The answer was given; late events are ignored.
+    done,
+};
+
+/// @brief One request in progress at this VM. All fields but the constant ones are guarded by
+/// `mutex`, which is never held while another work is touched.
+struct work {
+    explicit work(routing::request_id given) : id(given) {}
+
+    const routing::request_id id;
+    std::mutex mutex;
+
+    /// What the request is; set before it is shared between threads.
+    base::team_id team;
+    std::optional<base::digest> key_digest;
+    rules::route route;
+    base::config_version version;
+    std::string correlation;
+    caller_request content;
+    bool stream = false;
+    std::string ticket;
+    base::time_point arrived{};
+    base::time_point deadline{};
+    std::uint8_t hop = 0;
+    base::tokens prompt_bound;
+    base::tokens answer_bound;
+    answer_sink sink;
+
+    /// The routing request, kept for further attempts.
+    routing::request asked;
+    work_phase phase = work_phase::reserving;
+
+    /// Budget.
+    std::uint64_t reservation = 0;
+    base::tokens counted_answer;
+    base::tokens reported_usage;
+
+    /// The present attempt. Events that carry another number are of an abandoned one.
+    std::uint32_t attempt = 0;
+    std::uint32_t attempts_allowed = 3;
+    /// Whether any attempt may have reached a target.
+    bool may_have_run = false;
+    base::target_id target;
+    std::optional<platform::transfer_id> transfer;
+    base::region_id forward_region;
+    std::unique_ptr<stream_writer> forward;
+    base::time_point attempt_started{};
+
+    /// The answer of the present attempt.
+    int status = 0;
+    header_list answer_headers;
+    std::string answer_body;
+    bool crossed = false;
+    bool end_mark = false;
+    bool answer_is_stream = false;
+    run_outcome forwarded_outcome = run_outcome::unknown;
+    std::size_t expected_body = 0;
+    sse_splitter events;
+    /// Streamed tokens that were passed on, over all attempts.
+    std::uint64_t passed_tokens = 0;
+};
+
+using work_ptr = std::shared_ptr<work>;
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_WORK_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/work_table.hpp
@@ -0,0 +1,43 @@
+#ifndef CHICORYLINK_GATEWAY_WORK_TABLE_HPP
+#define CHICORYLINK_GATEWAY_WORK_TABLE_HPP
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "chicorylink/gateway/work.hpp"
+
+namespace chicorylink::gateway {
+
+/// @brief All requests in progress at this VM, in shards by id, each under its own lock.
+class work_table {
+public:
+    /// @brief Makes a request with a new id; it is found until `remove`.
+    [[nodiscard]] work_ptr make();
+
+    /// @brief The request with an id; null when it is over.
+    [[nodiscard]] work_ptr find(routing::request_id id) const;
+
+    void remove(routing::request_id id);
+
+    [[nodiscard]] std::vector<work_ptr> all() const;
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    static constexpr std::size_t shard_count = 16;
+
+    struct shard {
+        mutable std::mutex mutex;
+        std::unordered_map<routing::request_id, work_ptr> works;
+    };
+
+    std::atomic<std::uint64_t> m_last_id{0};
+    std::array<shard, shard_count> m_shards;
+};
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_WORK_TABLE_HPP
--- /dev/null
+++ b/src/chicorylink/gateway/work_table.cpp
@@ -0,0 +1,52 @@
+#include "chicorylink/gateway/work_table.hpp"
+
+namespace chicorylink::gateway {
+
+work_ptr work_table::make()
+{
+    const routing::request_id id{++m_last_id};
+    auto made = std::make_shared<work>(id);
+    auto& part = m_shards.at(id.value() % shard_count);
+    const std::lock_guard lock(part.mutex);
+    part.works.emplace(id, made);
+    return made;
+}
+
+work_ptr work_table::find(routing::request_id id) const
+{
+    const auto& part = m_shards.at(id.value() % shard_count);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.works.find(id);
+    return found == part.works.end() ? nullptr : found->second;
+}
+
+void work_table::remove(routing::request_id id)
+{
+    auto& part = m_shards.at(id.value() % shard_count);
+    const std::lock_guard lock(part.mutex);
+    part.works.erase(id);
+}
+
+std::vector<work_ptr> work_table::all() const
+{
+    std::vector<work_ptr> works;
+    for (const auto& part : m_shards) {
+        const std::lock_guard lock(part.mutex);
+        for (const auto& [id, entry] : part.works) {
+            works.push_back(entry);
+        }
+    }
+    return works;
+}
+
+std::size_t work_table::size() const
+{
+    std::size_t count = 0;
+    for (const auto& part : m_shards) {
+        const std::lock_guard lock(part.mutex);
+        count += part.works.size();
+    }
+    return count;
+}
+
+}  // namespace chicorylink::gateway
