--- /dev/null
+++ b/include/chicorylink/rules/address.hpp
@@ -0,0 +1,19 @@
+#ifndef CHICORYLINK_RULES_ADDRESS_HPP
+#define CHICORYLINK_RULES_ADDRESS_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chicorylink::rules {
+
+/// @brief The one spelling of an `IP:port` address, so that equal addresses compare equal.
+///
+/// IPv6 addresses stand in brackets; an IPv4 address mapped into IPv6 becomes the IPv4 address.
+/// @return Empty when the text is no address of one host and port: a host name, port 0, the
+/// unspecified address or a multicast address.
+[[nodiscard]] std::optional<std::string> canonical_address(std::string_view text);
+
+} // namespace chicorylink::rules
+
+#endif // CHICORYLINK_RULES_ADDRESS_HPP
--- /dev/null
+++ b/src/chicorylink/rules/parse_test.cpp
@@ -0,0 +1,169 @@
+#include "chicorylink/rules/parse.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::rules {
+namespace {
+
+using base::id_of;
+
+constexpr std::string_view digest_text =
+    "sha256:00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+std::string small_book()
+{
+    return std::string("# rules of the test\n"
+                       "region north # lena: first\n"
+                       "region south # lena: first\n"
+                       "\n"
+                       "link north south delay=55ms rate=140Mbit price=3ms # omar: contract\n"
+                       "team shop regions=north,south home=north rate=2000/s burst=40000 weight=2 "
+                       "# lena: new\n"
+                       "key shop ") +
+           std::string(digest_text) +
+           " # lena: new\n"
+           "route chat kind=model deadline=20s priority=high # lena: new\n"
+           "route bookings kind=service idempotent=no # lena: new\n"
+           "target engine-1 region=north address=10.0.0.1:8000 routes=chat slots=8 "
+           "checks_fencing=yes # omar: rack 4\n"
+           "policy tail_weight=200 stay_home=250ms # omar: quarter\n";
+}
+
+/// Parses a text after the lines of two regions (1, 2), a team (3) and a route (4).
+std::vector<rule_error> errors_after_prelude(const std::string& text)
+{
+    const std::string prelude = "region north # a\nregion south # a\n"
+                                "team shop regions=north rate=1/s burst=1 # a\n"
+                                "route chat kind=model # a\n";
+    return parse_rules(
+               prelude + text,
+               {.file = "f", .version = {}, .key_salt = {}, .vm_addresses = {"10.0.0.9:81"}})
+        .errors;
+}
+
+TEST(parse, reads_every_kind_of_rule)
+{
+    const auto outcome =
+        parse_rules(small_book(), {.version = base::config_version{4}, .key_salt = "salt"});
+    ASSERT_TRUE(outcome.errors.empty()) << to_string(outcome.errors.front());
+    const auto& book = *outcome.book;
+    EXPECT_EQ(book.version(), base::config_version{4});
+    EXPECT_EQ(book.key_salt(), "salt");
+    const auto north = id_of<base::region_id>("north");
+    const auto south = id_of<base::region_id>("south");
+    const auto* joined = book.find_link(south, north);
+    ASSERT_NE(joined, nullptr);
+    EXPECT_EQ(joined->rate, base::bytes_per_second{17'500'000});
+    EXPECT_EQ(joined->price_per_megabyte, base::milliseconds{3});
+    const auto* shop = book.find(id_of<base::team_id>("shop"));
+    ASSERT_NE(shop, nullptr);
+    EXPECT_EQ(shop->home, north);
+    EXPECT_EQ(shop->rate, base::tokens_per_second{2000});
+    EXPECT_EQ(shop->source.line, 6U);
+    EXPECT_EQ(shop->source.asked_by, "lena: new");
+    ASSERT_EQ(book.keys().size(), 1U);
+    EXPECT_EQ(book.find_key(book.keys()[0].digest)->team, shop->id);
+    EXPECT_FALSE(book.find(id_of<base::route_id>("bookings"))->idempotent);
+    EXPECT_EQ(book.find(id_of<base::route_id>("chat"))->deadline, base::milliseconds{20'000});
+    EXPECT_TRUE(book.find(id_of<base::target_id>("engine-1"))->checks_fencing);
+    EXPECT_EQ(book.routing_policy().tail_weight, 200U);
+    EXPECT_EQ(book.routing_policy().stay_home, base::milliseconds{250});
+}
+
+struct fault_case {
+    std::string text;
+    std::uint32_t column;
+    std::string message;
+};
+
+class single_fault : public testing::TestWithParam<fault_case> {};
+
+TEST_P(single_fault, is_reported_at_its_column_with_a_remedy)
+{
+    const auto errors = errors_after_prelude(GetParam().text);
+    ASSERT_EQ(errors.size(), 1U);
+    EXPECT_EQ(errors[0].line, 5U);
+    EXPECT_EQ(errors[0].column, GetParam().column) << to_string(errors[0]);
+    EXPECT_THAT(errors[0].message, testing::HasSubstr(GetParam().message));
+    EXPECT_FALSE(errors[0].remedy.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, single_fault,
+    testing::Values(
+        fault_case{"region west", 12, "who asked"}, fault_case{"region west #  ", 13, "who asked"},
+        fault_case{"regino west # a", 1, "no kind"}, fault_case{"region # a", 7, "missing"},
+        fault_case{"w=1 # a", 1, "no kind"}, fault_case{"region w =x # a", 10, "without a name"},
+        fault_case{"region w e # a", 10, "too many"}, fault_case{"region north # a", 8, "line 1"},
+        fault_case{"region -w # a", 8, "no name"}, fault_case{"region w x=1 # a", 10, "no option"},
+        fault_case{"link north north delay=1ms rate=1Gbit # a", 12, "itself"},
+        fault_case{"link north west delay=1ms rate=1Gbit # a", 12, "no line defines"},
+        fault_case{"link north south delay=1 rate=1Gbit # a", 24, "unit"},
+        fault_case{"link north south delay=1ms rate=99999999999999999999Gbit # a", 33, "between"},
+        fault_case{"link north south delay=1ms rate=9000000000000000000Gbit # a", 33, "between"},
+        fault_case{"team t regions=north,west rate=1/s burst=1 # a", 22, "no line defines"},
+        fault_case{"team t regions=north,,south rate=1/s burst=1 # a", 22, "missing"},
+        fault_case{"team t regions=north,north rate=1/s burst=1 # a", 22, "twice"},
+        fault_case{"team t regions=north home=south rate=1/s burst=1 # a", 27, "not allowed"},
+        fault_case{"team t regions=north rate=1/s rate=2/s burst=1 # a", 31, "given twice"},
+        fault_case{"team t regions=north rate=0/s burst=1 # a", 27, "between"},
+        fault_case{"team t regions=north rate= burst=1 # a", 27, "no value"},
+        fault_case{"team t regions=north burst=1 # a", 29, "no rate="},
+        fault_case{"team t rate=1/s burst=1 regions=north south # a", 39, "after an option"},
+        fault_case{"key shop sha256:12 # a", 10, "digest"},
+        fault_case{"key west " + std::string(digest_text) + " # a", 5, "no line defines"},
+        fault_case{"route r kind=engine # a", 14, "no value of"},
+        fault_case{"route r kind=service # a", 21, "no idempotent="},
+        fault_case{"route r kind=model deadline=0s # a", 29, "between"},
+        fault_case{"target t region=north address=host:80 routes=chat # a", 31, "no address"},
+        fault_case{"target t region=north address=0.0.0.0:80 routes=chat # a", 31, "no address"},
+        fault_case{"target t region=north address=10.0.0.9:81 routes=chat # a", 31, "loop"},
+        fault_case{"target t region=north address=[::ffff:10.0.0.9]:81 routes=chat # a", 31,
+                   "loop"},
+        fault_case{"target t region=north address=10.0.0.1:80 routes=talk # a", 50,
+                   "no line defines"},
+        fault_case{"policy tail_weight=-1 # a", 20, "between"},
+        fault_case{"policy tail=1 # a", 8, "no option"}, fault_case{"policy # a", 7, "nothing"},
+        fault_case{std::string("region w\0 # a", 13), 9, "control"},
+        fault_case{"region w # a\r", 13, "control"}, fault_case{"region w # \xC3(", 12, "UTF-8"},
+        fault_case{"region w # \xED\xA0\x80", 12, "UTF-8"},
+        fault_case{"region w # " + std::string(5000, 'a'), 4097, "longer"}));
+
+TEST(parse, reports_all_errors_in_the_order_of_lines)
+{
+    const auto errors = errors_after_prelude("team t regions=west rate=x burst=1\nregion y\n"
+                                             "key nobody sha256:00 # a\n");
+    std::vector<std::string> places;
+    places.reserve(errors.size());
+    for (const auto& each : errors) {
+        places.push_back(to_string(each).substr(0, to_string(each).find(": ")));
+    }
+    EXPECT_THAT(places,
+                testing::ElementsAre("f:5:16", "f:5:26", "f:5:35", "f:6:9", "f:7:5", "f:7:12"));
+}
+
+TEST(parse, refuses_a_key_or_target_address_given_twice)
+{
+    const std::string key_line = "key shop " + std::string(digest_text) + " # a\n";
+    const auto keys = errors_after_prelude(key_line + key_line);
+    ASSERT_EQ(keys.size(), 1U);
+    EXPECT_EQ(keys[0].line, 6U);
+    const auto targets =
+        errors_after_prelude("target t region=north address=10.0.0.1:80 routes=chat # a\n"
+                             "target u region=north address=10.0.0.1:80 routes=chat # a\n");
+    ASSERT_EQ(targets.size(), 1U);
+    EXPECT_EQ(targets[0].line, 6U);
+}
+
+TEST(parse, takes_names_before_their_definition)
+{
+    const auto outcome =
+        parse_rules("team t regions=west rate=1/s burst=1 # a\nregion west # a", {});
+    EXPECT_TRUE(outcome.errors.empty());
+    EXPECT_NE(outcome.book, nullptr);
+}
+
+} // namespace
+} // namespace chicorylink::rules
--- a/src/chicorylink/rules/rulebook_builder.cpp
+++ b/src/chicorylink/rules/rulebook_builder.cpp
@@ -38,6 +38,36 @@
                   "choose another name");
 }
 
+/// Each key belongs to one team.
+base::result<void> check_keys_unique(const std::vector<key>& sorted)
+{
+    const auto twice =
+        std::adjacent_find(sorted.begin(), sorted.end(), [](const key& left, const key& right) {
+            return left.digest == right.digest;
+        });
+    if (twice == sorted.end()) {
+        return {};
+    }
+    return reject(std::next(twice)->source,
+                  fmt::format("line {} already has this key", twice->source.line),
+                  "give each key to one team, once");
+}
+
+/// Two regions have one link at most.
+base::result<void> check_links_unique(const std::vector<link>& sorted)
+{
+    const auto twice =
+        std::adjacent_find(sorted.begin(), sorted.end(), [](const link& left, const link& right) {
+            return left.a == right.a && left.b == right.b;
+        });
+    if (twice == sorted.end()) {
+        return {};
+    }
+    return reject(std::next(twice)->source,
+                  fmt::format("line {} already joins these regions", twice->source.line),
+                  "keep one of the lines");
+}
+
 base::result<void> check_team(const rulebook& book, const team& who)
 {
     if (who.regions.empty()) {
@@ -118,7 +148,7 @@
 
 rulebook_builder& rulebook_builder::routing_policy(policy value)
 {
-    m_book->m_policy = value;
+    m_book->m_policy = std::move(value);
     return *this;
 }
 
@@ -179,6 +209,8 @@
     BOOST_LEAF_CHECK(check_unique(book.m_teams));
     BOOST_LEAF_CHECK(check_unique(book.m_routes));
     BOOST_LEAF_CHECK(check_unique(book.m_targets));
+    BOOST_LEAF_CHECK(check_keys_unique(book.m_keys));
+    BOOST_LEAF_CHECK(check_links_unique(book.m_links));
     for (const auto& entry : book.m_teams) {
         BOOST_LEAF_CHECK(check_team(book, entry));
     }
--- a/src/chicorylink/rules/rulebook_test.cpp
+++ b/src/chicorylink/rules/rulebook_test.cpp
@@ -59,6 +59,18 @@
     EXPECT_FALSE(builds(repeated));
 }
 
+TEST(rulebook, refuses_a_key_or_link_given_twice)
+{
+    rulebook_builder keys{base::config_version{1}};
+    keys.add(make_region("north")).add(make_team("a", {"north"})).add(make_team("b", {"north"}));
+    keys.add(key{.team = id_of<team_id>("a")}).add(key{.team = id_of<team_id>("b")});
+    EXPECT_FALSE(builds(keys));
+    const link joined{.a = id_of<region_id>("north"), .b = id_of<region_id>("south")};
+    rulebook_builder links{base::config_version{1}};
+    links.add(make_region("north")).add(make_region("south")).add(joined).add(joined);
+    EXPECT_FALSE(builds(links));
+}
+
 TEST(rulebook, home_must_be_allowed_and_binds)
 {
     auto who = make_team("a", {"north", "south"});
