scenario: runner for Lua scripts in virtual time

Cause: the modules that decide need one way to be driven through crashes, pauses, parts and late messages in a schedule that a script states. Change: a world of simulated VMs with a virtual clock and a queue of messages in flight, common verbs, a program that runs one script, and one ctest for each script below scenarios/. Modules add verbs in a file of their own; the files of modules without verbs are empty for now. Conclusion: a failing check names file, line and virtual time; a script without a check fails.

--- /dev/null
+++ b/include/chicorylink/scenario/envelope.hpp
@@ -0,0 +1,43 @@
+#ifndef CHICORYLINK_SCENARIO_ENVELOPE_HPP
+#define CHICORYLINK_SCENARIO_ENVELOPE_HPP
+
+#include "chicorylink/base/ids.hpp"
+
+#include <any>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace chicorylink::scenario {
+
+/// @brief One message in flight between two VMs.
+struct envelope {
+    /// Its number, by which a script can name it; a duplicate gets a number of its own.
+    std::uint64_t number = 0;
+    std::string from;
+    std::string to;
+    /// The sending process.
+    base::incarnation sender;
+    /// The module, then a dot, then the kind of message: `budget.loan`.
+    std::string kind;
+    /// The message itself, usually the encoded bytes.
+    std::any body;
+    /// Its encoded size, for counting.
+    std::size_t size_bytes = 0;
+};
+
+/// @brief Chooses messages in flight; empty fields match all.
+struct envelope_filter {
+    std::uint64_t number = 0;
+    std::string from;
+    std::string to;
+    /// Matches the whole kind or its module.
+    std::string kind;
+};
+
+/// @brief Whether a filter chooses a message.
+[[nodiscard]] bool matches(const envelope_filter& filter, const envelope& message);
+
+} // namespace chicorylink::scenario
+
+#endif // CHICORYLINK_SCENARIO_ENVELOPE_HPP
--- /dev/null
+++ b/scenarios/scenario/clock_and_incarnations.lua
@@ -0,0 +1,10 @@
+-- The verbs of the runner itself: the clock moves by ticks, a restart makes a new incarnation.
+seed(7)
+vm("a", {region = "north"})
+vm("b", {region = "south", data_center = "south-2"})
+local before = incarnation("a")
+advance(1000)
+check_equal(now(), 1000, "the clock moved")
+restart("a")
+check(incarnation("a") ~= before, "a restart makes a new incarnation")
+check_equal(#in_flight(), 0, "nothing was sent")
--- /dev/null
+++ b/src/chicorylink/scenario/config_verbs.cpp
@@ -0,0 +1,7 @@
+#include "chicorylink/scenario/verbs.hpp"
+
+namespace chicorylink::scenario {
+
+void register_config_verbs(lua_State* /*state*/) {}
+
+} // namespace chicorylink::scenario
