--- /dev/null
+++ b/include/chicorylink/gateway/peer_side.hpp
@@ -0,0 +1,24 @@
+#ifndef CHICORYLINK_GATEWAY_PEER_SIDE_HPP
+#define CHICORYLINK_GATEWAY_PEER_SIDE_HPP
+
+#include <cstdint>
+#include <span>
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/wire/stream_handler.hpp"
+#include "chicorylink/wire/stream_id.hpp"
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// @brief Takes a request that another VM forwards: checks all rules again, runs it in this region
+/// and answers on the stream. It is never forwarded again.
+/// @return What to call for the stream.
+[[nodiscard]] wire::stream_handler accept_forwarded(services& all, base::vm_id from,
+                                                    wire::stream_id stream,
+                                                    std::span<const std::uint8_t> header);
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_PEER_SIDE_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/services.hpp
@@ -0,0 +1,77 @@
+#ifndef CHICORYLINK_GATEWAY_SERVICES_HPP
+#define CHICORYLINK_GATEWAY_SERVICES_HPP
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/settings.hpp"
+#include "chicorylink/gateway/work.hpp"
+
+namespace chicorylink::base {
+class metrics;
+}  // namespace chicorylink::base
+
+namespace chicorylink::membership {
+struct view;
+}  // namespace chicorylink::membership
+
+namespace chicorylink::platform {
+class http_client;
+}  // namespace chicorylink::platform
+
+namespace chicorylink::routing {
+class router;
+}  // namespace chicorylink::routing
+
+namespace chicorylink::rules {
+class rulebook;
+}  // namespace chicorylink::rules
+
+namespace chicorylink::wire {
+class peer_network;
+}  // namespace chicorylink::wire
+
+namespace chicorylink::gateway {
+
+class budget_gate;
+class ticket_desk;
+class retry_guard;
+class work_table;
+
+/// @brief What the functions of the request path work with; one for a daemon. The daemon owns
+/// what is pointed to, and sets all fields before the first request.
+struct services {
+    settings config;
+    base::vm_id self;
+    base::region_id region;
+    base::incarnation process;
+    /// Salt of prefix hashes; the same on all VMs, by the settings.
+    std::uint64_t prefix_salt = 0;
+
+    base::metrics* metrics = nullptr;
+    platform::http_client* http = nullptr;
+    wire::peer_network* network = nullptr;
+    routing::router* router = nullptr;
+    budget_gate* budget = nullptr;
+    ticket_desk* tickets = nullptr;
+    retry_guard* retries = nullptr;
+    work_table* works = nullptr;
+
+    /// The present time. The only clock of the request path.
+    std::function<base::time_point()> now;
+    /// The rules in force; null until the first version.
+    std::function<std::shared_ptr<const rules::rulebook>()> rulebook;
+    std::function<std::shared_ptr<const membership::view>()> view;
+
+    std::atomic<bool> leaving{false};
+    std::atomic<std::uint64_t> last_correlation{0};
+};
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_SERVICES_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/steps.hpp
@@ -0,0 +1,38 @@
+#ifndef CHICORYLINK_GATEWAY_STEPS_HPP
+#define CHICORYLINK_GATEWAY_STEPS_HPP
+
+#include <vector>
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/gateway/work.hpp"
+#include "chicorylink/routing/decision.hpp"
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// The steps of a request between its admission and its answer. Each may be called from any
+/// thread, with no lock held.
+
+/// @brief Asks the router where the request goes and does it.
+void submit(services& all, const work_ptr& entry);
+
+/// @brief Carries out decisions of the router.
+void apply(services& all, const std::vector<routing::decision>& decisions);
+
+/// @brief Sends the request to a target of this region.
+void start_target_attempt(services& all, const work_ptr& entry, base::target_id target);
+
+/// @brief Sends the request to a VM of another region.
+void start_forward(services& all, const work_ptr& entry, base::region_id region);
+
+/// @brief Sends the request to one VM, such as the executor of its ticket.
+void start_forward_to(services& all, const work_ptr& entry, base::vm_id vm);
+
+/// @brief Tries a request again after a failed attempt, where that is allowed and safe.
+/// @param otherwise The answer when it isn't.
+void retry_or_refuse(services& all, const work_ptr& entry, refusal otherwise);
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_STEPS_HPP
--- a/include/chicorylink/gateway/work.hpp
+++ b/include/chicorylink/gateway/work.hpp
@@ -11,6 +11,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/secret.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/answer_head.hpp"
 #include "chicorylink/gateway/answer_sink.hpp"
 #include "chicorylink/gateway/caller_request.hpp"
 #include "chicorylink/gateway/sse_splitter.hpp"
@@ -73,14 +74,20 @@
     /// The present attempt. Events that carry another number are of an abandoned one.
     std::uint32_t attempt = 0;
     std::uint32_t attempts_allowed = 3;
-    /// Whether any attempt may have reached a target.
+    /// Whether any attempt may have reached a target, and whether one before the present did.
     bool may_have_run = false;
+    bool may_have_run_before = false;
     base::target_id target;
     std::optional<platform::transfer_id> transfer;
     base::region_id forward_region;
     std::unique_ptr<stream_writer> forward;
     base::time_point attempt_started{};
 
+    /// The answer's receiver asked to wait; bytes that came over a peer link and were not given
+    /// credit for yet.
+    bool paused = false;
+    std::size_t unconsumed = 0;
+
     /// The answer of the present attempt.
     int status = 0;
     header_list answer_headers;
@@ -88,8 +95,9 @@
     bool crossed = false;
     bool end_mark = false;
     bool answer_is_stream = false;
-    run_outcome forwarded_outcome = run_outcome::unknown;
-    std::size_t expected_body = 0;
+    /// Bytes of a forwarded answer's head that have arrived, until it is whole.
+    std::vector<std::uint8_t> partial_head;
+    std::optional<answer_head> forwarded_head;
     sse_splitter events;
     /// Streamed tokens that were passed on, over all attempts.
     std::uint64_t passed_tokens = 0;
--- /dev/null
+++ b/src/chicorylink/gateway/finish.cpp
@@ -0,0 +1,188 @@
+#include "chicorylink/gateway/finish.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/gateway/budget_gate.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/work_table.hpp"
+#include "chicorylink/platform/http_client.hpp"
+#include "chicorylink/routing/router.hpp"
+#include "chicorylink/wire/peer_network.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+/// What a request's end needs of its state, copied under its lock.
+struct ending {
+    bool first = false;
+    bool stream_begun = false;
+    work_phase phase = work_phase::done;
+    bool may_have_run = false;
+    std::optional<platform::transfer_id> transfer;
+    std::optional<wire::stream_id> forward;
+    std::uint64_t reservation = 0;
+    base::tokens spent;
+};
+
+/// The tokens that a request counts: what the target reports, or else the bound of its prompt and
+/// the tokens that were passed on; nothing when it did not run.
+base::tokens spent_tokens(const work& entry)
+{
+    if (!entry.may_have_run) {
+        return base::tokens{0};
+    }
+    if (entry.reported_usage.value() > 0) {
+        return entry.reported_usage;
+    }
+    return entry.prompt_bound + entry.counted_answer;
+}
+
+/// Marks a request as answered. Only the first call for it returns `first`.
+ending begin_ending(work& entry)
+{
+    const std::lock_guard lock(entry.mutex);
+    ending state;
+    state.first = entry.phase != work_phase::done;
+    state.stream_begun = entry.phase == work_phase::answering;
+    state.phase = std::exchange(entry.phase, work_phase::done);
+    state.may_have_run = entry.may_have_run;
+    state.transfer = std::exchange(entry.transfer, std::nullopt);
+    if (entry.forward) {
+        state.forward = entry.forward->stream();
+    }
+    state.reservation = std::exchange(entry.reservation, 0);
+    state.spent = spent_tokens(entry);
+    return state;
+}
+
+void settle_and_forget(services& all, const work_ptr& entry, const ending& state)
+{
+    if (state.reservation != 0) {
+        all.budget->settle(state.reservation, state.spent);
+    }
+    all.works->remove(entry->id);
+    const std::chrono::duration<double> age = all.now() - entry->arrived;
+    all.metrics->observe("chicorylink_request_seconds", age.count());
+}
+
+void count_end(services& all, std::string_view result)
+{
+    all.metrics->add(fmt::format("chicorylink_requests_total{{result=\"{}\"}}", result));
+}
+
+void count_refusal(services& all, refusal_kind kind)
+{
+    all.metrics->add(
+        fmt::format("chicorylink_refusals_total{{kind=\"{}\"}}", to_string(kind)));
+}
+
+/// Takes a request out of the router's queue, or gives back the slot that it was just given.
+void leave_queue(services& all, const work& entry)
+{
+    if (all.router->cancel(entry.id, entry.route.id)) {
+        return;
+    }
+    apply(all, all.router->on_attempt_finished({entry.id, entry.route.id,
+                                                routing::attempt_outcome::cancelled,
+                                                base::nanoseconds{0}},
+                                               all.now()));
+}
+
+/// Ends the attempt that still runs, if any, without waiting for its answer.
+void abandon_attempt(services& all, const work_ptr& entry, const ending& state)
+{
+    if (state.transfer) {
+        all.http->cancel(*state.transfer);
+    }
+    if (state.forward) {
+        all.network->reset(*state.forward, wire::reset_reason::cancelled);
+    }
+    if (state.phase == work_phase::queued) {
+        leave_queue(all, *entry);
+    }
+    if (state.phase == work_phase::reserving) {
+        all.budget->cancel(entry);
+    }
+}
+
+}  // namespace
+
+void finish_whole(services& all, const work_ptr& entry, http_answer answer, run_outcome outcome)
+{
+    const auto state = begin_ending(*entry);
+    if (!state.first) {
+        return;
+    }
+    settle_and_forget(all, entry, state);
+    if (state.stream_begun) {
+        entry->sink.break_off();
+        count_end(all, "broken");
+        return;
+    }
+    count_end(all, "answered");
+    entry->sink.whole(std::move(answer), outcome);
+}
+
+void finish_refused(services& all, const work_ptr& entry, refusal why)
+{
+    const auto state = begin_ending(*entry);
+    if (!state.first) {
+        return;
+    }
+    abandon_attempt(all, entry, state);
+    settle_and_forget(all, entry, state);
+    count_refusal(all, why.kind);
+    if (state.stream_begun) {
+        entry->sink.append("event: error\ndata: " + body_of(why) + "\n\n");
+        entry->sink.break_off();
+        count_end(all, "broken");
+        return;
+    }
+    if (state.may_have_run && why.outcome == run_outcome::not_run) {
+        why.outcome = run_outcome::unknown;
+    }
+    count_end(all, "refused");
+    const auto outcome = why.outcome;
+    entry->sink.whole(answer_of(why), outcome);
+}
+
+void finish_stream(services& all, const work_ptr& entry)
+{
+    const auto state = begin_ending(*entry);
+    if (!state.first) {
+        return;
+    }
+    settle_and_forget(all, entry, state);
+    count_end(all, "streamed");
+    entry->sink.finish();
+}
+
+void break_off(services& all, const work_ptr& entry)
+{
+    const auto state = begin_ending(*entry);
+    if (!state.first) {
+        return;
+    }
+    abandon_attempt(all, entry, state);
+    settle_and_forget(all, entry, state);
+    count_end(all, "broken");
+    entry->sink.break_off();
+}
+
+void cancel(services& all, const work_ptr& entry)
+{
+    const auto state = begin_ending(*entry);
+    if (!state.first) {
+        return;
+    }
+    abandon_attempt(all, entry, state);
+    settle_and_forget(all, entry, state);
+    count_end(all, "cancelled");
+    entry->sink.break_off();
+}
+
+}  // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/forward_attempt.cpp
@@ -0,0 +1,265 @@
+#include <algorithm>
+#include <utility>
+
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/gateway/codec.hpp"
+#include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/forwarded_answer.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/target_answer.hpp"
+#include "chicorylink/membership/view.hpp"
+#include "chicorylink/routing/router.hpp"
+#include "chicorylink/wire/peer_network.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+/// The VM of a region that takes a forwarded request: the first by rendezvous hash of the session,
+/// so that the turns of one conversation meet the same hints, among those that can be reached.
+std::optional<base::vm_id> choose_vm(const services& all, const work& entry,
+                                     base::region_id region)
+{
+    const auto view = all.view();
+    std::optional<base::vm_id> best;
+    std::uint64_t best_rank = 0;
+    const auto session = entry.asked.prefix.session.value();
+    const auto seed = session != 0 ? session : entry.id.value();
+    for (const auto& vm : view->members) {
+        if (vm.region != region || vm.state != membership::member_state::live ||
+            !all.network->is_connected(vm.id)) {
+            continue;
+        }
+        const auto rank = base::hash_pair(seed, vm.id.value());
+        if (!best || rank > best_rank) {
+            best = vm.id;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+forwarded_request make_message(const services& all, const work& entry, base::time_point now)
+{
+    forwarded_request message;
+    message.team = entry.team;
+    message.key_digest = entry.key_digest;
+    message.route = entry.route.id;
+    message.version = entry.version;
+    message.request_id = entry.correlation;
+    message.method = entry.content.method;
+    message.path = entry.content.path;
+    message.query = entry.content.query;
+    message.headers = entry.content.headers;
+    message.stream = entry.stream;
+    message.body_bytes = static_cast<std::uint32_t>(entry.content.body.size());
+    message.deadline = std::chrono::duration_cast<base::milliseconds>(entry.deadline - now);
+    message.prompt_tokens = entry.prompt_bound;
+    message.answer_tokens = entry.answer_bound;
+    message.attempt = static_cast<std::uint8_t>(entry.attempt);
+    message.ticket = entry.ticket;
+    message.session = entry.asked.prefix.session.value();
+    for (const auto block : entry.asked.prefix.blocks) {
+        message.blocks.push_back(block.value());
+    }
+    message.origin = all.self;
+    return message;
+}
+
+refusal lost_link_refusal()
+{
+    return {refusal_kind::lost_link, "the link to the VM that handled the request was lost",
+            "repeat the request if it may run twice, or ask with its ticket",
+            run_outcome::unknown};
+}
+
+bool is_current(const work& entry, std::uint32_t attempt)
+{
+    return entry.attempt == attempt && entry.phase != work_phase::done;
+}
+
+/// Tells the router how a forward ended.
+void report_forward(services& all, const work& entry, bool reached, base::bytes moved)
+{
+    all.router->on_forward_finished(entry.id, entry.route.id, reached, moved, all.now());
+}
+
+void on_bytes(services& all, const work_ptr& entry, std::uint32_t attempt,
+              std::span<const std::uint8_t> bytes)
+{
+    bool good = true;
+    {
+        const std::lock_guard lock(entry->mutex);
+        if (!is_current(*entry, attempt)) {
+            return;
+        }
+        good = take_forwarded_bytes(*entry, bytes, all.config.max_answer_bytes);
+        entry->unconsumed += bytes.size();
+        if (!entry->paused) {
+            all.network->consume(entry->forward->stream(), std::exchange(entry->unconsumed, 0));
+        }
+    }
+    if (!good) {
+        finish_refused(all, entry,
+                       {refusal_kind::target_failed, "the forwarded answer can't be read",
+                        "run the same version of the daemon on all VMs", run_outcome::unknown});
+    }
+}
+
+/// Whether the other VM only declined: another region may still take the request.
+bool was_declined(const work& entry)
+{
+    const auto& head = entry.forwarded_head;
+    return head && !head->stream && head->outcome == run_outcome::not_run &&
+           (head->status == status_of(refusal_kind::overloaded) ||
+            head->status == status_of(refusal_kind::region_not_allowed));
+}
+
+void finish_forward(services& all, const work_ptr& entry, std::uint32_t attempt, bool clean)
+{
+    bool declined = false;
+    bool whole = false;
+    bool stream = false;
+    answer_head head;
+    std::string body;
+    {
+        const std::lock_guard lock(entry->mutex);
+        if (!is_current(*entry, attempt)) {
+            return;
+        }
+        entry->forward.reset();
+        declined = clean && was_declined(*entry);
+        if (declined) {
+            entry->may_have_run = entry->may_have_run_before;
+        }
+        whole = clean && forwarded_answer_is_whole(*entry);
+        stream = entry->answer_is_stream;
+        head = entry->forwarded_head.value_or(answer_head{});
+        body = std::exchange(entry->answer_body, {});
+        if (whole && !stream && head.outcome == run_outcome::not_run) {
+            entry->may_have_run = entry->may_have_run_before;
+        }
+    }
+    report_forward(all, *entry, clean && !declined, base::bytes{static_cast<std::int64_t>(
+                                                         body.size() + entry->content.body.size())});
+    if (declined) {
+        retry_or_refuse(all, entry,
+                        {refusal_kind::overloaded, "no allowed region takes the request now",
+                         "ask again after Retry-After", run_outcome::not_run,
+                         base::milliseconds{1'000}});
+        return;
+    }
+    if (whole && stream) {
+        finish_stream(all, entry);
+        return;
+    }
+    if (whole) {
+        finish_whole(all, entry, {head.status, std::move(head.headers), std::move(body)},
+                     head.outcome);
+        return;
+    }
+    retry_or_refuse(all, entry, lost_link_refusal());
+}
+
+wire::stream_handler make_handler(services& all, const work_ptr& entry, std::uint32_t attempt)
+{
+    wire::stream_handler handler;
+    handler.on_data = [&all, entry, attempt](std::span<const std::uint8_t> bytes) {
+        on_bytes(all, entry, attempt, bytes);
+    };
+    handler.on_window = [entry, attempt] {
+        const std::lock_guard lock(entry->mutex);
+        if (is_current(*entry, attempt) && entry->forward) {
+            entry->forward->flush();
+        }
+    };
+    handler.on_end = [&all, entry, attempt] { finish_forward(all, entry, attempt, true); };
+    handler.on_reset = [&all, entry, attempt](wire::reset_reason) {
+        finish_forward(all, entry, attempt, false);
+    };
+    handler.on_lost = [&all, entry, attempt] { finish_forward(all, entry, attempt, false); };
+    return handler;
+}
+
+/// Gives credit for bytes that were held back while the answer's receiver was slow.
+void consume_when_room(services& all, const work_ptr& entry)
+{
+    const std::weak_ptr<work> watched = entry;
+    entry->sink.set_on_room([&all, watched] {
+        const auto found = watched.lock();
+        if (!found) {
+            return;
+        }
+        const std::lock_guard lock(found->mutex);
+        found->paused = false;
+        if (found->forward && found->unconsumed > 0) {
+            all.network->consume(found->forward->stream(), std::exchange(found->unconsumed, 0));
+        }
+    });
+}
+
+/// Opens the stream and sends the body. Handlers wait for the work's lock, which is held here.
+/// @return False when nothing was sent.
+bool open_forward(services& all, const work_ptr& entry, base::vm_id vm)
+{
+    const auto now = all.now();
+    const std::lock_guard lock(entry->mutex);
+    if (entry->phase == work_phase::done) {
+        return true;
+    }
+    reset_answer(*entry);
+    ++entry->attempt;
+    entry->attempt_started = now;
+    const auto header = encode(make_message(all, *entry, now));
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_AUTO(stream, all.network->open_stream(
+                                        vm, header, make_handler(all, entry, entry->attempt)));
+            entry->may_have_run_before = std::exchange(entry->may_have_run, true);
+            if (entry->phase != work_phase::answering) {
+                entry->phase = work_phase::possibly_sent;
+            }
+            entry->forward = std::make_unique<stream_writer>(*all.network, stream);
+            const auto& body = entry->content.body;
+            entry->forward->write(
+                {reinterpret_cast<const std::uint8_t*>(body.data()), body.size()});
+            entry->forward->finish();
+            return true;
+        },
+        [] { return false; });
+}
+
+}  // namespace
+
+void start_forward(services& all, const work_ptr& entry, base::region_id region)
+{
+    {
+        const std::lock_guard lock(entry->mutex);
+        entry->forward_region = region;
+    }
+    const auto vm = choose_vm(all, *entry, region);
+    if (!vm || !open_forward(all, entry, *vm)) {
+        report_forward(all, *entry, false, base::bytes{0});
+        retry_or_refuse(all, entry,
+                        {refusal_kind::no_target, "no VM of an allowed region can be reached",
+                         "ask again after Retry-After", run_outcome::not_run,
+                         base::milliseconds{1'000}});
+        return;
+    }
+    consume_when_room(all, entry);
+    all.metrics->add("chicorylink_forwards_total");
+}
+
+void start_forward_to(services& all, const work_ptr& entry, base::vm_id vm)
+{
+    if (!open_forward(all, entry, vm)) {
+        finish_refused(all, entry,
+                       {refusal_kind::lost_link, "the VM of the ticket can't be reached now",
+                        "repeat the request with the same ticket", run_outcome::not_run,
+                        base::milliseconds{1'000}});
+        return;
+    }
+    consume_when_room(all, entry);
+}
+
+}  // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/loop_guard.cpp
@@ -0,0 +1,21 @@
+#include "chicorylink/gateway/loop_guard.hpp"
+
+#include <algorithm>
+
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/membership/view.hpp"
+
+namespace chicorylink::gateway {
+
+bool is_own_address(const services& all, std::string_view address)
+{
+    const auto view = all.view();
+    if (!view) {
+        return false;
+    }
+    return std::any_of(view->members.begin(), view->members.end(), [&](const auto& vm) {
+        return vm.caller_address == address || vm.peer_address == address;
+    });
+}
+
+}  // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/peer_side.cpp
@@ -0,0 +1,140 @@
+#include "chicorylink/gateway/peer_side.hpp"
+
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/gateway/admission.hpp"
+#include "chicorylink/gateway/codec.hpp"
+#include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/stream_writer.hpp"
+#include "chicorylink/gateway/work_table.hpp"
+#include "chicorylink/wire/peer_network.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+std::span<const std::uint8_t> as_bytes(std::string_view text)
+{
+    return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+/// A forwarded request on its way in; used on the network thread only.
+struct incoming {
+    forwarded_request message;
+    std::shared_ptr<stream_writer> writer;
+    std::string body;
+    std::weak_ptr<work> running;
+    bool answered = false;
+};
+
+void send_whole(stream_writer& writer, const http_answer& answer, run_outcome outcome)
+{
+    const answer_head head{answer.status, answer.headers, false, outcome,
+                           static_cast<std::uint32_t>(answer.body.size())};
+    writer.write(encode(head));
+    writer.write(as_bytes(answer.body));
+    writer.finish();
+}
+
+answer_sink make_sink(services& all, const std::shared_ptr<stream_writer>& writer)
+{
+    answer_sink sink;
+    sink.whole = [writer](const http_answer& answer, run_outcome outcome) {
+        send_whole(*writer, answer, outcome);
+    };
+    sink.begin = [writer](int status, platform::header_list headers) {
+        writer->write(encode(answer_head{status, std::move(headers), true, run_outcome::ran, 0}));
+    };
+    sink.append = [writer](std::string_view piece) { return writer->write(as_bytes(piece)); };
+    sink.finish = [writer] { writer->finish(); };
+    sink.break_off = [&all, writer] {
+        all.network->reset(writer->stream(), wire::reset_reason::broken);
+    };
+    sink.set_on_room = [writer](std::function<void()> on_room) {
+        writer->set_on_room(std::move(on_room));
+    };
+    return sink;
+}
+
+void run(services& all, incoming& request)
+{
+    request.answered = true;
+    const auto why = check_forwarded(all, request.message);
+    if (why) {
+        send_whole(*request.writer, answer_of(*why), why->outcome);
+        return;
+    }
+    const auto entry = make_forwarded_work(all, request.message, std::move(request.body),
+                                           make_sink(all, request.writer));
+    request.running = entry;
+    all.metrics->add("chicorylink_forwarded_in_total");
+    run_forwarded(all, entry, request.message.purpose);
+}
+
+void stop(services& all, incoming& request)
+{
+    request.answered = true;
+    if (const auto entry = request.running.lock()) {
+        cancel(all, entry);
+    }
+}
+
+wire::stream_handler make_handler(services& all, const std::shared_ptr<incoming>& request)
+{
+    wire::stream_handler handler;
+    handler.on_data = [&all, request](std::span<const std::uint8_t> bytes) {
+        all.network->consume(request->writer->stream(), bytes.size());
+        if (request->answered) {
+            return;
+        }
+        request->body.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+        if (request->body.size() > request->message.body_bytes) {
+            request->answered = true;
+            all.network->reset(request->writer->stream(), wire::reset_reason::broken);
+        }
+    };
+    handler.on_end = [&all, request] {
+        if (request->answered) {
+            return;
+        }
+        if (request->body.size() != request->message.body_bytes) {
+            all.network->reset(request->writer->stream(), wire::reset_reason::broken);
+            return;
+        }
+        run(all, *request);
+    };
+    handler.on_window = [request] { request->writer->flush(); };
+    handler.on_reset = [&all, request](wire::reset_reason) { stop(all, *request); };
+    handler.on_lost = [&all, request] { stop(all, *request); };
+    return handler;
+}
+
+}  // namespace
+
+wire::stream_handler accept_forwarded(services& all, base::vm_id /*from*/, wire::stream_id stream,
+                                      std::span<const std::uint8_t> header)
+{
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<wire::stream_handler> {
+            BOOST_LEAF_AUTO(message, decode_forwarded_request(header));
+            auto request = std::make_shared<incoming>();
+            request->message = std::move(message);
+            request->writer = std::make_shared<stream_writer>(*all.network, stream);
+            if (request->message.body_bytes > all.config.max_body_bytes) {
+                request->answered = true;
+                all.network->reset(stream, wire::reset_reason::refused);
+            }
+            return make_handler(all, request);
+        },
+        [&] {
+            all.metrics->add("chicorylink_bad_input_total{reason=\"forwarded_request\"}");
+            all.network->reset(stream, wire::reset_reason::refused);
+            return wire::stream_handler{};
+        });
+}
+
+}  // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/target_attempt.cpp
@@ -0,0 +1,306 @@
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "chicorylink/base/log.hpp"
+#include "chicorylink/gateway/chat_request.hpp"
+#include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/loop_guard.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/target_answer.hpp"
+#include "chicorylink/platform/http_client.hpp"
+#include "chicorylink/platform/load_report.hpp"
+#include "chicorylink/routing/router.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+/// The longest time that a streamed answer may take in all.
+constexpr base::milliseconds longest_stream{600'000};
+
+std::string_view priority_name(rules::priority order)
+{
+    switch (order) {
+    case rules::priority::high:
+        return "high";
+    case rules::priority::normal:
+        return "normal";
+    case rules::priority::low:
+        return "low";
+    }
+    return "normal";
+}
+
+base::milliseconds time_left(const work& entry, base::time_point now)
+{
+    return std::chrono::duration_cast<base::milliseconds>(entry.deadline - now);
+}
+
+platform::http_request make_request(const services& all, const work& entry,
+                                    const rules::target& target, base::time_point now)
+{
+    platform::http_request request;
+    request.method = entry.content.method;
+    request.url = "http://" + target.address + entry.content.path;
+    if (!entry.content.query.empty()) {
+        request.url += "?" + entry.content.query;
+    }
+    request.headers = entry.content.headers;
+    request.headers.emplace_back("X-Request-Id", entry.correlation);
+    request.headers.emplace_back("X-Priority", std::string(priority_name(entry.route.order)));
+    request.headers.emplace_back(std::string(via_header), all.config.vm);
+    if (entry.passed_tokens > 0) {
+        request.headers.emplace_back("X-Resume-From", std::to_string(entry.passed_tokens));
+    }
+    request.body = entry.content.body;
+    request.timeout = entry.stream ? longest_stream : time_left(entry, now);
+    request.repeatable = entry.route.idempotent;
+    return request;
+}
+
+/// Whether a key was withdrawn since the request was admitted.
+bool is_withdrawn(const services& all, const work& entry)
+{
+    const auto book = all.rulebook();
+    return entry.key_digest && book && book->find_key(*entry.key_digest) == nullptr;
+}
+
+/// The last check before the first byte leaves, on the sending thread.
+bool may_send(services& all, work& entry, std::uint32_t attempt)
+{
+    const auto now = all.now();
+    const std::lock_guard lock(entry.mutex);
+    if (entry.attempt != attempt || entry.phase == work_phase::done || now >= entry.deadline ||
+        is_withdrawn(all, entry)) {
+        return false;
+    }
+    if (entry.phase != work_phase::answering) {
+        entry.phase = work_phase::possibly_sent;
+    }
+    entry.may_have_run = true;
+    return true;
+}
+
+void report_load(services& all, base::target_id target, const header_list& headers)
+{
+    const auto report = platform::parse_load_header(find_header(headers, "x-load"));
+    if (!report) {
+        return;
+    }
+    const routing::load_report load{report->running, report->waiting, report->slots, false,
+                                    base::milliseconds{0}};
+    apply(all, all.router->on_target_report(target, load, all.now()));
+}
+
+void on_head(services& all, const work_ptr& entry, std::uint32_t attempt, int status,
+             const header_list& headers)
+{
+    base::target_id target;
+    {
+        const std::lock_guard lock(entry->mutex);
+        if (entry->attempt != attempt || entry->phase == work_phase::done) {
+            return;
+        }
+        take_head(*entry, status, headers);
+        target = entry->target;
+    }
+    report_load(all, target, headers);
+}
+
+bool on_data(services& all, const work_ptr& entry, std::uint32_t attempt, std::string_view piece)
+{
+    bool first_token = false;
+    bool too_large = false;
+    {
+        const std::lock_guard lock(entry->mutex);
+        if (entry->attempt != attempt || entry->phase == work_phase::done) {
+            return true;
+        }
+        if (entry->paused) {
+            return false;
+        }
+        const bool begun = entry->passed_tokens > 0;
+        too_large = !take_piece(*entry, piece, all.config.max_answer_bytes);
+        first_token = !begun && entry->passed_tokens > 0;
+    }
+    if (first_token) {
+        const auto now = all.now();
+        all.router->on_first_token(entry->id, entry->route.id, now - entry->attempt_started, now);
+    }
+    if (too_large) {
+        finish_refused(all, entry,
+                       {refusal_kind::target_failed, "the target's answer is too large",
+                        "ask for less, or raise --max-answer-bytes", run_outcome::unknown});
+    }
+    return true;
+}
+
+routing::attempt_outcome outcome_for_router(const platform::http_end& end, int status,
+                                            bool answer_is_whole)
+{
+    constexpr int first_server_error = 500;
+    constexpr int service_unavailable = 503;
+    if (end.kind == platform::http_end_kind::cancelled) {
+        return routing::attempt_outcome::cancelled;
+    }
+    if (end.kind == platform::http_end_kind::timed_out) {
+        return routing::attempt_outcome::timed_out;
+    }
+    if (status == service_unavailable) {
+        return routing::attempt_outcome::declined;
+    }
+    const bool failed = end.kind != platform::http_end_kind::complete || !answer_is_whole ||
+                        status >= first_server_error;
+    return failed ? routing::attempt_outcome::failed : routing::attempt_outcome::succeeded;
+}
+
+refusal failure_of(const platform::http_end& end)
+{
+    refusal why{refusal_kind::target_failed, "the target failed: " + end.detail,
+                "repeat the request if it may run twice", run_outcome::unknown};
+    if (!end.possibly_sent) {
+        why.outcome = run_outcome::not_run;
+        why.remedy = "repeat the request";
+    }
+    if (end.kind == platform::http_end_kind::timed_out) {
+        why.kind = refusal_kind::deadline_exceeded;
+        why.message = "the target did not answer in time";
+    }
+    return why;
+}
+
+void on_end(services& all, const work_ptr& entry, std::uint32_t attempt,
+            const platform::http_end& end)
+{
+    const auto now = all.now();
+    answer_verdict verdict;
+    routing::finished_attempt finished{entry->id, entry->route.id};
+    bool current = false;
+    {
+        const std::lock_guard lock(entry->mutex);
+        verdict = judge_answer(*entry, end);
+        current = entry->attempt == attempt && entry->phase != work_phase::done;
+        finished.outcome = outcome_for_router(end, entry->status, verdict.whole);
+        finished.latency = now - entry->attempt_started;
+        if (current) {
+            entry->transfer.reset();
+        }
+    }
+    if (!current) {
+        finished.outcome = routing::attempt_outcome::cancelled;
+    }
+    apply(all, all.router->on_attempt_finished(finished, now));
+    if (!current) {
+        return;
+    }
+    if (verdict.pass_on && entry->answer_is_stream) {
+        finish_stream(all, entry);
+        return;
+    }
+    if (verdict.pass_on) {
+        finish_whole(all, entry, std::move(verdict.answer), verdict.outcome);
+        return;
+    }
+    base::log(base::log_level::warning, "attempt_failed",
+              {{"request", entry->correlation},
+               {"kind", to_string(end.kind)},
+               {"status", entry->status},
+               {"crossed", entry->crossed},
+               {"detail", end.detail}});
+    retry_or_refuse(all, entry, failure_of(end));
+}
+
+platform::http_handlers make_handlers(services& all, const work_ptr& entry, std::uint32_t attempt)
+{
+    platform::http_handlers handlers;
+    handlers.on_sending = [&all, entry, attempt] { return may_send(all, *entry, attempt); };
+    handlers.on_head = [&all, entry, attempt](int status, const header_list& headers) {
+        on_head(all, entry, attempt, status, headers);
+    };
+    handlers.on_data = [&all, entry, attempt](std::string_view piece) {
+        return on_data(all, entry, attempt, piece);
+    };
+    handlers.on_end = [&all, entry, attempt](const platform::http_end& end) {
+        on_end(all, entry, attempt, end);
+    };
+    return handlers;
+}
+
+/// Lets the target send on once the answer's receiver has room.
+void resume_when_room(services& all, const work_ptr& entry)
+{
+    const std::weak_ptr<work> watched = entry;
+    entry->sink.set_on_room([&all, watched] {
+        const auto found = watched.lock();
+        if (!found) {
+            return;
+        }
+        std::optional<platform::transfer_id> transfer;
+        {
+            const std::lock_guard lock(found->mutex);
+            found->paused = false;
+            transfer = found->transfer;
+        }
+        if (transfer) {
+            all.http->resume(*transfer);
+        }
+    });
+}
+
+/// Prepares the state for a new attempt; returns its number, or zero when the request is over.
+std::uint32_t begin_attempt(work& entry, base::target_id target, base::time_point now)
+{
+    const std::lock_guard lock(entry.mutex);
+    if (entry.phase == work_phase::done) {
+        return 0;
+    }
+    reset_answer(entry);
+    if (entry.phase != work_phase::answering) {
+        entry.phase = work_phase::connecting;
+    }
+    entry.target = target;
+    entry.attempt_started = now;
+    return ++entry.attempt;
+}
+
+void give_up_dispatch(services& all, const work_ptr& entry, routing::attempt_outcome outcome)
+{
+    apply(all, all.router->on_attempt_finished(
+                   {entry->id, entry->route.id, outcome, base::nanoseconds{0}}, all.now()));
+}
+
+}  // namespace
+
+void start_target_attempt(services& all, const work_ptr& entry, base::target_id target_id)
+{
+    const auto now = all.now();
+    const auto book = all.rulebook();
+    const auto* target = book ? book->find(target_id) : nullptr;
+    if (target == nullptr || is_own_address(all, target->address)) {
+        give_up_dispatch(all, entry, routing::attempt_outcome::declined);
+        finish_refused(all, entry,
+                       {target == nullptr ? refusal_kind::no_target : refusal_kind::loop_refused,
+                        "the target is gone from the rules or is a VM of the system",
+                        "correct the target's line in the rules", run_outcome::not_run});
+        return;
+    }
+    const auto attempt = begin_attempt(*entry, target_id, now);
+    if (attempt == 0) {
+        give_up_dispatch(all, entry, routing::attempt_outcome::cancelled);
+        return;
+    }
+    resume_when_room(all, entry);
+    const auto transfer = all.http->start(make_request(all, *entry, *target, now),
+                                          make_handlers(all, entry, attempt));
+    const std::lock_guard lock(entry->mutex);
+    if (entry->attempt == attempt && entry->phase != work_phase::done) {
+        entry->transfer = transfer;
+    }
+    else {
+        all.http->cancel(transfer);
+    }
+}
+
+}  // namespace chicorylink::gateway
