wire: peer links with framed control messages and streams

The gateway forwards requests and the decision modules exchange messages between VMs; nothing carried them.

One network thread drives non-blocking links.

--- /dev/null
+++ b/src/chicorylink/wire/wake_up.hpp
@@ -0,0 +1,38 @@
+#ifndef CHICORYLINK_WIRE_WAKE_UP_HPP
+#define CHICORYLINK_WIRE_WAKE_UP_HPP
+
+#include "chicorylink/wire/file_descriptor.hpp"
+#include "chicorylink/wire/stream_id.hpp"
+
+#include <mutex>
+#include <vector>
+
+namespace chicorylink::wire {
+
+/// @brief Tells the network thread which connections have something to send. Thread-safe.
+class wake_up {
+public:
+    wake_up();
+
+    /// @brief Readable when there is something to take.
+    [[nodiscard]] int descriptor() const { return m_event.get(); }
+
+    void notify(link_number number);
+
+    /// @brief Wakes the network thread without naming a connection.
+    void notify();
+
+    /// @brief The connections named since the last call; a connection may stand in it repeatedly.
+    [[nodiscard]] std::vector<link_number> take();
+
+private:
+    void signal() const;
+
+    file_descriptor m_event;
+    std::mutex m_mutex;
+    std::vector<link_number> m_links;
+};
+
+} // namespace chicorylink::wire
+
+#endif // CHICORYLINK_WIRE_WAKE_UP_HPP
