--- a/src/chicorylink/wire/tls_context.cpp
+++ b/src/chicorylink/wire/tls_context.cpp
@@ -34,8 +34,7 @@
         return base::fail(base::error_kind::unavailable, "OpenSSL gives no TLS context",
                           "check the installation of OpenSSL");
     }
-    std::shared_ptr<const tls_context> context{
-        new tls_context{raw, settings.require_vm_name}};
+    std::shared_ptr<const tls_context> context{new tls_context{raw, settings.require_vm_name}};
     SSL_CTX_set_min_proto_version(raw, TLS1_3_VERSION);
     SSL_CTX_set_verify(raw, SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT, nullptr);
     SSL_CTX_set_verify_depth(raw, chain_depth);
