--- /dev/null
+++ b/include/chicorylink/gateway/admission.hpp
@@ -0,0 +1,39 @@
+#ifndef CHICORYLINK_GATEWAY_ADMISSION_HPP
+#define CHICORYLINK_GATEWAY_ADMISSION_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "chicorylink/gateway/exchange.hpp"
+#include "chicorylink/gateway/forwarded_request.hpp"
+#include "chicorylink/gateway/refusal.hpp"
+#include "chicorylink/gateway/work.hpp"
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// @brief Decides on a caller's request by its headers, before its body is read: key, region and
+/// whether this VM takes work at all.
+/// @return The answer that ends the request, or empty to read on.
+[[nodiscard]] std::optional<http_answer> check_head(services& all, const caller_request& head);
+
+/// @brief Takes a caller's whole request and sees to its answer.
+void accept(services& all, const std::shared_ptr<exchange>& request);
+
+/// @brief Checks a forwarded request against the rules in force here.
+/// @return Why it is refused, or empty.
+[[nodiscard]] std::optional<refusal> check_forwarded(services& all,
+                                                     const forwarded_request& message);
+
+/// @brief Makes the work of a forwarded request that passed its check.
+[[nodiscard]] work_ptr make_forwarded_work(services& all, const forwarded_request& message,
+                                           std::string body, answer_sink sink);
+
+/// @brief Runs a forwarded request in this region.
+void run_forwarded(services& all, const work_ptr& entry, forward_purpose purpose);
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_ADMISSION_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/budget_gate.hpp
@@ -0,0 +1,103 @@
+#ifndef CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
+#define CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/work.hpp"
+
+namespace chicorylink::budget {
+class engine;
+struct effects;
+}  // namespace chicorylink::budget
+
+namespace chicorylink::membership {
+struct view;
+}  // namespace chicorylink::membership
+
+namespace chicorylink::rules {
+class rulebook;
+}  // namespace chicorylink::rules
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// @brief Carries out what the budget engine decides: sends its messages, keeps requests that wait
+/// for a loan, and passes granted ones on. Thread-safe.
+class budget_gate {
+public:
+    budget_gate(services& all, base::time_point now);
+    ~budget_gate();
+    budget_gate(const budget_gate&) = delete;
+    budget_gate& operator=(const budget_gate&) = delete;
+    budget_gate(budget_gate&&) = delete;
+    budget_gate& operator=(budget_gate&&) = delete;
+
+    /// @brief Reserves the tokens of a new request, then runs or refuses it, now or when a loan
+    /// came or failed.
+    void reserve(const work_ptr& entry);
+
+    /// @brief Ends a reservation with the tokens that were used; zero when the request did not run.
+    void settle(std::uint64_t reservation, base::tokens used);
+
+    /// @brief Whether a reservation may still be used; asked right before a request is sent.
+    [[nodiscard]] bool confirm(std::uint64_t reservation) const;
+
+    /// @brief Forgets a request that waits for a loan.
+    void cancel(const work_ptr& entry);
+
+    void on_rules(std::shared_ptr<const rules::rulebook> book);
+    void on_view(const membership::view& members);
+    void on_message(base::vm_id from, base::incarnation process,
+                    std::span<const std::uint8_t> bytes);
+
+    /// @brief To be called every 100 ms.
+    void tick();
+
+    /// @brief Starts to hand the shares of this VM over.
+    void drain();
+    [[nodiscard]] bool drained() const;
+
+    /// @brief Starts again with nothing, as a new process run.
+    void renew(base::time_point now);
+
+    [[nodiscard]] std::size_t waiting() const;
+    /// @brief Whole tokens of a team that can be spent here now.
+    [[nodiscard]] base::tokens spendable(base::team_id team) const;
+
+private:
+    void try_reserve(const work_ptr& entry);
+    void perform(const budget::effects& effects);
+    void keep_waiting(const work_ptr& entry, base::time_point until);
+    [[nodiscard]] std::vector<work_ptr> take_waiting(base::team_id team);
+    [[nodiscard]] std::vector<work_ptr> take_overdue(base::time_point now);
+    [[nodiscard]] std::unique_ptr<budget::engine> make_engine(base::time_point now) const;
+
+    struct waiter {
+        work_ptr entry;
+        base::time_point until;
+    };
+
+    services& m_all;
+    /// Guards the pointer only; the engine is thread-safe.
+    mutable std::shared_mutex m_engine_mutex;
+    std::shared_ptr<budget::engine> m_engine;
+    mutable std::mutex m_mutex;
+    std::unordered_map<base::team_id, std::vector<waiter>> m_waiting;
+    std::shared_ptr<const rules::rulebook> m_book;
+
+    [[nodiscard]] std::shared_ptr<budget::engine> engine() const;
+};
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/identity.hpp
@@ -0,0 +1,38 @@
+#ifndef CHICORYLINK_GATEWAY_IDENTITY_HPP
+#define CHICORYLINK_GATEWAY_IDENTITY_HPP
+
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/secret.hpp"
+#include "chicorylink/gateway/caller_request.hpp"
+#include "chicorylink/gateway/refusal.hpp"
+
+namespace chicorylink::rules {
+class rulebook;
+struct team;
+}  // namespace chicorylink::rules
+
+namespace chicorylink::gateway {
+
+/// The team to which requests without a key are counted, on routes that are open to all.
+inline constexpr std::string_view public_team_name = "public";
+
+/// @brief For whom a request runs.
+struct identity {
+    base::team_id team;
+    /// Empty for a request without a key.
+    std::optional<base::digest> key_digest;
+};
+
+/// @brief Finds the team of a request by the key that came with it.
+/// @return The identity, or why there is none.
+[[nodiscard]] std::variant<identity, refusal> identify(const rules::rulebook& book,
+                                                       const std::vector<std::string>& keys);
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_IDENTITY_HPP
--- /dev/null
+++ b/src/chicorylink/gateway/budget_gate.cpp
@@ -0,0 +1,269 @@
+#include "chicorylink/gateway/budget_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "chicorylink/base/log.hpp"
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/budget/codec.hpp"
+#include "chicorylink/budget/engine.hpp"
+#include "chicorylink/gateway/control_channel.hpp"
+#include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/single_run.hpp"
+#include "chicorylink/wire/peer_network.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+refusal refusal_of(const budget::refused& why)
+{
+    refusal answer{refusal_kind::rate_exceeded,
+                   "the team's rate and burst are used up",
+                   "ask again after Retry-After",
+                   run_outcome::not_run};
+    if (why.retry_after) {
+        answer.retry_after = std::chrono::duration_cast<base::milliseconds>(*why.retry_after);
+    }
+    switch (why.reason) {
+    case budget::refusal::over_budget:
+        break;
+    case budget::refusal::larger_than_burst:
+        answer.message = "the request is larger than the team's burst";
+        answer.remedy = "send a shorter prompt or a smaller 'max_tokens'";
+        break;
+    case budget::refusal::unknown_team:
+        answer.kind = refusal_kind::region_not_allowed;
+        answer.message = "the team has no budget in this region";
+        answer.remedy = "ask a VM of an allowed region";
+        break;
+    case budget::refusal::not_a_member:
+        answer.kind = refusal_kind::not_ready;
+        answer.message = "this VM holds no part of the budgets now";
+        answer.remedy = "ask another VM, or ask again after Retry-After";
+        break;
+    }
+    return answer;
+}
+
+}  // namespace
+
+budget_gate::budget_gate(services& all, base::time_point now)
+    : m_all(all), m_engine(make_engine(now))
+{
+}
+
+budget_gate::~budget_gate() = default;
+
+std::unique_ptr<budget::engine> budget_gate::make_engine(base::time_point now) const
+{
+    const budget::identity self{m_all.self, m_all.region, m_all.process};
+    return std::make_unique<budget::engine>(self, budget::settings{}, now);
+}
+
+std::shared_ptr<budget::engine> budget_gate::engine() const
+{
+    const std::shared_lock lock(m_engine_mutex);
+    return m_engine;
+}
+
+void budget_gate::reserve(const work_ptr& entry)
+{
+    try_reserve(entry);
+}
+
+void budget_gate::try_reserve(const work_ptr& entry)
+{
+    const auto now = m_all.now();
+    const budget::ask wanted{entry->team, entry->prompt_bound + entry->answer_bound,
+                             entry->arrived};
+    budget::effects effects;
+    const auto admitted = engine()->reserve(wanted, now, effects);
+    perform(effects);
+    if (const auto* why = std::get_if<budget::refused>(&admitted)) {
+        finish_refused(m_all, entry, refusal_of(*why));
+        return;
+    }
+    if (const auto* later = std::get_if<budget::wait_for_loan>(&admitted)) {
+        keep_waiting(entry, later->until);
+        return;
+    }
+    const auto id = std::get<budget::granted>(admitted).id.value();
+    bool over = false;
+    {
+        const std::lock_guard lock(entry->mutex);
+        over = entry->phase == work_phase::done;
+        if (!over) {
+            entry->reservation = id;
+        }
+    }
+    if (over) {
+        settle(id, base::tokens{0});
+        return;
+    }
+    run(m_all, entry);
+}
+
+void budget_gate::settle(std::uint64_t reservation, base::tokens used)
+{
+    const budget::reservation_id id{reservation};
+    const auto now = m_all.now();
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            if (used.value() == 0) {
+                return engine()->release(id, now);
+            }
+            return engine()->settle(id, used, now);
+        },
+        [&](const base::error& failure) {
+            m_all.metrics->add("chicorylink_settle_errors_total");
+            base::log(base::log_level::warning, "settle_failed",
+                      {{"message", failure.message}, {"used", used.value()}});
+        },
+        [] {});
+}
+
+bool budget_gate::confirm(std::uint64_t reservation) const
+{
+    return engine()->confirm(budget::reservation_id{reservation}, m_all.now());
+}
+
+void budget_gate::cancel(const work_ptr& entry)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_waiting.find(entry->team);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    std::erase_if(found->second, [&](const waiter& one) { return one.entry == entry; });
+    if (found->second.empty()) {
+        m_waiting.erase(found);
+    }
+}
+
+void budget_gate::on_rules(std::shared_ptr<const rules::rulebook> book)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_book = book;
+    }
+    perform(engine()->on_rules(std::move(book), m_all.now()));
+}
+
+void budget_gate::on_view(const membership::view& members)
+{
+    perform(engine()->on_view(members, m_all.now()));
+}
+
+void budget_gate::on_message(base::vm_id from, base::incarnation process,
+                             std::span<const std::uint8_t> bytes)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(message, budget::decode(bytes));
+            perform(engine()->on_message(from, process, message, m_all.now()));
+            return {};
+        },
+        [&] { m_all.metrics->add("chicorylink_bad_input_total{reason=\"budget_message\"}"); });
+}
+
+void budget_gate::tick()
+{
+    const auto now = m_all.now();
+    perform(engine()->tick(now));
+    for (const auto& entry : take_overdue(now)) {
+        try_reserve(entry);
+    }
+}
+
+void budget_gate::drain()
+{
+    perform(engine()->drain(m_all.now()));
+}
+
+bool budget_gate::drained() const
+{
+    return engine()->drained();
+}
+
+void budget_gate::renew(base::time_point now)
+{
+    std::shared_ptr<budget::engine> made = make_engine(now);
+    std::shared_ptr<const rules::rulebook> book;
+    {
+        const std::lock_guard lock(m_mutex);
+        book = m_book;
+    }
+    if (book) {
+        perform(made->on_rules(std::move(book), now));
+    }
+    const std::unique_lock lock(m_engine_mutex);
+    m_engine = std::move(made);
+}
+
+std::size_t budget_gate::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto& [team, waiters] : m_waiting) {
+        count += waiters.size();
+    }
+    return count;
+}
+
+base::tokens budget_gate::spendable(base::team_id team) const
+{
+    return budget::whole_tokens(engine()->spendable(team, m_all.now()));
+}
+
+void budget_gate::perform(const budget::effects& effects)
+{
+    for (const auto& message : effects.messages) {
+        m_all.network->send_control(message.to, budget_channel,
+                                    wrap_control(m_all.process, budget::encode(message.body)));
+    }
+    for (const auto team : effects.ready) {
+        for (const auto& entry : take_waiting(team)) {
+            try_reserve(entry);
+        }
+    }
+}
+
+void budget_gate::keep_waiting(const work_ptr& entry, base::time_point until)
+{
+    const std::lock_guard lock(m_mutex);
+    m_waiting[entry->team].push_back({entry, until});
+}
+
+std::vector<work_ptr> budget_gate::take_waiting(base::team_id team)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<work_ptr> ready;
+    const auto found = m_waiting.find(team);
+    if (found != m_waiting.end()) {
+        for (auto& one : found->second) {
+            ready.push_back(std::move(one.entry));
+        }
+        m_waiting.erase(found);
+    }
+    return ready;
+}
+
+std::vector<work_ptr> budget_gate::take_overdue(base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<work_ptr> overdue;
+    for (auto& [team, waiters] : m_waiting) {
+        std::erase_if(waiters, [&](const waiter& one) {
+            if (one.until > now) {
+                return false;
+            }
+            overdue.push_back(one.entry);
+            return true;
+        });
+    }
+    std::erase_if(m_waiting, [](const auto& row) { return row.second.empty(); });
+    return overdue;
+}
+
+}  // namespace chicorylink::gateway
