--- /dev/null
+++ b/src/chicorylink/routing/ejection.cpp
@@ -0,0 +1,140 @@
+#include "chicorylink/routing/ejection.hpp"
+
+#include "chicorylink/routing/target_state.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace chicorylink::routing {
+namespace {
+
+/// Samples that are needed for a verdict on a target's speed in its present health.
+std::uint32_t needed_samples(const ejection_state& state)
+{
+    return state.now == health::half_open ? 1 : samples_to_judge;
+}
+
+double median_pace(std::span<const target_state> pool)
+{
+    std::vector<double> paces;
+    paces.reserve(pool.size());
+    for (const auto& other : pool) {
+        if (other.samples > 0 && other.ejection.now == health::closed) {
+            paces.push_back(other.first_token_pace);
+        }
+    }
+    if (paces.empty()) {
+        return 0;
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+bool is_slow(std::span<const target_state> pool, const target_state& judged)
+{
+    if (judged.samples < needed_samples(judged.ejection)) {
+        return false;
+    }
+    const auto median = median_pace(pool);
+    return median > 0 && judged.first_token_pace > median * slow_outlier_ratio;
+}
+
+base::milliseconds ejection_time(std::uint32_t times_ejected)
+{
+    constexpr std::uint32_t most_doublings = 8;
+    const auto doublings = std::min(times_ejected, most_doublings);
+    return std::min(first_ejection * (1U << doublings), longest_ejection);
+}
+
+void open(ejection_state& state, base::time_point now)
+{
+    state.now = health::open;
+    state.open_until = now + ejection_time(state.times_ejected);
+    ++state.times_ejected;
+    state.failures_in_a_row = 0;
+    state.probes_in_flight = 0;
+}
+
+bool may_eject_one_more(std::span<const target_state> pool)
+{
+    return (count_ejected(pool) + 1) * 2 <= pool.size();
+}
+
+bool tells_of_health(attempt_outcome outcome)
+{
+    return outcome != attempt_outcome::cancelled && outcome != attempt_outcome::declined;
+}
+
+} // namespace
+
+bool admits(const ejection_state& state)
+{
+    return state.now == health::closed ||
+           (state.now == health::half_open && state.probes_in_flight == 0);
+}
+
+std::size_t count_ejected(std::span<const target_state> pool)
+{
+    return static_cast<std::size_t>(
+        std::count_if(pool.begin(), pool.end(), [](const target_state& state) {
+            return state.ejection.now != health::closed;
+        }));
+}
+
+void judge_outcome(std::span<target_state> pool, std::size_t index, attempt_outcome outcome,
+                   base::time_point now)
+{
+    auto& judged = pool[index];
+    auto& state = judged.ejection;
+    const auto was_probe = state.now == health::half_open;
+    if (was_probe && state.probes_in_flight > 0) {
+        --state.probes_in_flight;
+    }
+    if (!tells_of_health(outcome)) {
+        return;
+    }
+    const auto succeeded = outcome == attempt_outcome::succeeded;
+    state.failures_in_a_row = succeeded ? 0 : state.failures_in_a_row + 1;
+    const auto failing = was_probe ? !succeeded : state.failures_in_a_row >= failures_to_eject;
+    const auto bad = failing || is_slow(pool, judged);
+    if (state.now == health::open) {
+        return;
+    }
+    if (bad) {
+        if (was_probe || may_eject_one_more(pool)) {
+            open(state, now);
+        }
+        return;
+    }
+    if (was_probe) {
+        state = ejection_state{};
+        judged.warm_since = now;
+    }
+}
+
+void judge_speed(std::span<target_state> pool, std::size_t index, base::time_point now)
+{
+    auto& state = pool[index].ejection;
+    if (state.now == health::open || !is_slow(pool, pool[index])) {
+        return;
+    }
+    if (state.now == health::half_open || may_eject_one_more(pool)) {
+        open(state, now);
+    }
+}
+
+void end_ejections(std::span<target_state> pool, base::time_point now)
+{
+    for (auto& target : pool) {
+        auto& state = target.ejection;
+        if (state.now == health::open && now >= state.open_until) {
+            state.now = health::half_open;
+            state.probes_in_flight = 0;
+            target.samples = 0;
+            target.first_token_pace = 0;
+        }
+    }
+}
+
+} // namespace chicorylink::routing
