--- /dev/null
+++ b/src/chicorylink/routing/pool.cpp
@@ -0,0 +1,507 @@
+#include "pool.hpp"
+
+#include "chicorylink/routing/brown_out.hpp"
+#include "chicorylink/routing/rendezvous.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace chicorylink::routing {
+namespace {
+
+constexpr double first_service_ms = 2000.0;
+constexpr double smoothing = 0.05;
+
+/// Weights are in hundredths.
+constexpr double neutral_weight = 100.0;
+
+/// The part of the slots that a team beyond its share leaves to the others.
+constexpr double reserved_part = 0.05;
+
+/// The part of the slots that is not offered to other regions.
+constexpr double kept_from_others = 0.1;
+
+/// When to come back while no target takes work: after the first ejection has ended.
+constexpr base::milliseconds retry_without_target = first_ejection;
+
+/// The least time that a refusal names.
+constexpr base::milliseconds least_retry{50};
+
+/// Requests that leave the queue for other regions at one tick.
+constexpr std::size_t forwards_per_tick = 8;
+
+constexpr double microseconds_per_millisecond = 1e3;
+
+/// The step of the pseudo-random sequence (SplitMix64).
+constexpr std::uint64_t random_step = 0x9e3779b97f4a7c15U;
+
+base::milliseconds whole_milliseconds(base::nanoseconds span)
+{
+    return std::chrono::ceil<base::milliseconds>(span);
+}
+
+} // namespace
+
+pool::pool(const router_settings& settings, base::route_id route)
+    : m_settings(settings), m_service_ms(first_service_ms), m_random(settings.seed ^ route.value())
+{
+    m_state.region = settings.region;
+    m_state.route = route;
+    m_anyone.regions = {settings.region};
+}
+
+std::vector<decision> pool::on_rules(const std::shared_ptr<const rules::rulebook>& book,
+                                     std::uint32_t sharers, base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_book = book;
+    m_state.sharers = sharers;
+    const auto* route = m_book->find(m_state.route);
+    m_open_to_all = route != nullptr && route->open_to_all;
+    std::vector<target_state> targets;
+    for (const auto* rule : m_book->targets_of(m_state.route, m_state.region)) {
+        const auto* known = find(rule->id);
+        targets.push_back(known != nullptr ? *known : target_state{.id = rule->id});
+        targets.back().slots = rule->slots;
+    }
+    m_state.targets = std::move(targets);
+    std::vector<other_region> others;
+    for (const auto& rule : m_book->regions()) {
+        if (rule.id == m_state.region || m_book->targets_of(m_state.route, rule.id).empty()) {
+            continue;
+        }
+        const auto known = std::find_if(m_state.others.begin(), m_state.others.end(),
+                                        [&](const auto& one) { return one.region == rule.id; });
+        auto entry = known != m_state.others.end() ? *known : other_region{.region = rule.id};
+        if (const auto* link = m_book->find_link(m_state.region, rule.id)) {
+            entry.link_delay = link->delay;
+            entry.link_rate = link->rate;
+            entry.price_per_megabyte = link->price_per_megabyte;
+        }
+        others.push_back(entry);
+    }
+    m_state.others = std::move(others);
+    std::vector<decision> made;
+    const auto forbidden = m_queue.take_if(
+        [&](const request& waiting) {
+            const auto* who = team_of(waiting);
+            return who == nullptr || !rules::may_run_in(*who, m_state.region);
+        },
+        m_queue.size());
+    made.reserve(forbidden.size());
+    for (const auto& waiting : forbidden) {
+        made.push_back(refuse(waiting, refusal_reason::region_not_allowed, least_retry));
+    }
+    drain(made, now);
+    return made;
+}
+
+void pool::on_region_vms(std::uint32_t sharers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state.sharers = std::max(sharers, 1U);
+}
+
+std::vector<decision> pool::on_target_report(base::target_id target, const load_report& report,
+                                             base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<decision> made;
+    if (auto* state = find(target)) {
+        routing::on_report(*state, report, now);
+        drain(made, now);
+    }
+    return made;
+}
+
+void pool::on_target_state(base::target_id target, target_availability state, base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto* known = find(target);
+    if (known == nullptr || known->availability == state) {
+        return;
+    }
+    on_availability(*known, state, now);
+    if (state == target_availability::live) {
+        m_state.hints.forget(target);
+    }
+}
+
+void pool::on_cache_hint(base::target_id target, std::span<const prefix_hash> blocks,
+                         base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (find(target) != nullptr) {
+        m_state.hints.remember(blocks, target, now);
+    }
+}
+
+void pool::on_region_summary(base::region_id region, const route_summary& entry,
+                             base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& other : m_state.others) {
+        if (other.region == region) {
+            other.slots = entry.slots;
+            other.free_slots = entry.free_slots;
+            other.queue_delay = entry.queue_delay;
+            other.reported_at = now;
+            other.sent_since_report = 0;
+        }
+    }
+}
+
+route_summary pool::summary(base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto capacity = capacity_of(m_state, now);
+    const auto kept = static_cast<std::uint32_t>(
+        std::ceil(static_cast<double>(capacity.usable) * kept_from_others));
+    const auto regions = std::max<std::size_t>(m_state.others.size(), 1);
+    const auto waiting = !m_queue.empty();
+    const auto free = waiting || capacity.free <= kept ? 0U : capacity.free - kept;
+    return {m_state.route, capacity.usable, static_cast<std::uint32_t>(free / regions),
+            m_queue.expected_delay({}, 1, fallback_rate(capacity))};
+}
+
+decision pool::submit(const request& asked, base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto* who = team_of(asked);
+    if (who == nullptr || !rules::may_run_in(*who, m_state.region)) {
+        return refuse(asked, refusal_reason::region_not_allowed, base::milliseconds{0});
+    }
+    if (now >= asked.deadline) {
+        return refuse(asked, refusal_reason::deadline, least_retry);
+    }
+    const auto capacity = capacity_of(m_state, now);
+    m_state.mean_use = capacity.mean_use;
+    m_state.must_wait = must_wait(asked, capacity);
+    m_state.queue_delay = m_queue.expected_delay(asked.team, who->weight, fallback_rate(capacity));
+    ++m_state.turn;
+    const auto made =
+        m_settings.policy(m_state, asked, *who, m_book->routing_policy(), now, random_bits());
+    switch (made.kind) {
+    case choice_kind::target:
+        return dispatch(asked, made, now);
+    case choice_kind::queue:
+        return enqueue(asked, *who, now);
+    case choice_kind::other_region:
+        return forward(asked, made.region, now);
+    case choice_kind::refuse:
+        break;
+    }
+    return refuse(asked, refusal_reason::no_target, retry_without_target);
+}
+
+void pool::on_first_token(request_id id, base::nanoseconds latency, base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_flights.find(id);
+    if (found == m_flights.end() || found->second.answered) {
+        return;
+    }
+    found->second.answered = true;
+    const auto index = index_of(found->second.target);
+    if (index == m_state.targets.size()) {
+        return;
+    }
+    auto& target = m_state.targets[index];
+    routing::on_first_token(target, found->second.cold_prompt, latency);
+    if (target.ejection.now == health::closed) {
+        m_state.prefill_pace += smoothing * (target.first_token_pace - m_state.prefill_pace);
+    }
+    judge_speed(m_state.targets, index, now);
+}
+
+std::vector<decision> pool::on_attempt_finished(const finished_attempt& attempt,
+                                                base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<decision> made;
+    const auto found = m_flights.find(attempt.id);
+    if (found == m_flights.end()) {
+        return made;
+    }
+    const auto done = found->second;
+    end_flight(attempt.id);
+    const auto index = index_of(done.target);
+    if (index < m_state.targets.size()) {
+        on_finished(m_state.targets[index], done.work, attempt.outcome, attempt.latency, now);
+        judge_outcome(m_state.targets, index, attempt.outcome, now);
+    }
+    if (attempt.outcome == attempt_outcome::succeeded) {
+        const std::chrono::duration<double, std::milli> taken = attempt.latency;
+        m_service_ms += smoothing * (taken.count() - m_service_ms);
+    }
+    drain(made, now);
+    return made;
+}
+
+void pool::on_forward_finished(request_id id, bool reached, base::bytes transferred,
+                               base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_forwards.find(id);
+    if (found == m_forwards.end()) {
+        return;
+    }
+    for (auto& other : m_state.others) {
+        if (other.region != found->second) {
+            continue;
+        }
+        other.in_flight -= std::min(other.in_flight, 1U);
+        on_link_bytes(other, transferred, now);
+        if (!reached) {
+            other.failed_at = now;
+        }
+    }
+    m_forwards.erase(found);
+}
+
+std::vector<decision> pool::tick(base::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<decision> made;
+    end_ejections(m_state.targets, now);
+    if (m_queue.empty()) {
+        return made;
+    }
+    take_expired(made, now);
+    drain(made, now);
+    take_forwards(made, now);
+    return made;
+}
+
+bool pool::cancel(request_id id)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.remove(id);
+}
+
+std::size_t pool::queued() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_queue.size();
+}
+
+target_state* pool::find(base::target_id id)
+{
+    const auto index = index_of(id);
+    return index == m_state.targets.size() ? nullptr : &m_state.targets[index];
+}
+
+std::size_t pool::index_of(base::target_id id) const
+{
+    const auto& targets = m_state.targets;
+    const auto place = std::lower_bound(
+        targets.begin(), targets.end(), id,
+        [](const target_state& entry, base::target_id wanted) { return entry.id < wanted; });
+    if (place == targets.end() || place->id != id) {
+        return targets.size();
+    }
+    return static_cast<std::size_t>(place - targets.begin());
+}
+
+const rules::team* pool::team_of(const request& asked) const
+{
+    if (!m_book) {
+        return nullptr;
+    }
+    const auto* who = m_book->find(asked.team);
+    if (who == nullptr && m_open_to_all && asked.team == base::team_id{}) {
+        return &m_anyone;
+    }
+    return who;
+}
+
+bool pool::over_share(base::team_id who, std::uint32_t weight, const pool_capacity& capacity) const
+{
+    const auto found = m_teams.find(who);
+    if (found == m_teams.end()) {
+        return false;
+    }
+    std::uint64_t weights = 0;
+    for (const auto& [id, use] : m_teams) {
+        weights += use.weight;
+    }
+    const auto own_slots = static_cast<double>(capacity.usable) / m_state.sharers;
+    const auto fair = own_slots * weight / static_cast<double>(std::max<std::uint64_t>(weights, 1));
+    return found->second.in_flight > fair;
+}
+
+bool pool::may_begin(const request& asked, const pool_capacity& capacity) const
+{
+    if (capacity.free == 0) {
+        return false;
+    }
+    const auto* who = team_of(asked);
+    const auto weight = who == nullptr ? 1U : who->weight;
+    const auto part = reserved_part * m_book->routing_policy().worst_team_weight / neutral_weight;
+    const auto reserve = static_cast<double>(capacity.usable) * part;
+    return capacity.free > reserve || !over_share(asked.team, weight, capacity);
+}
+
+double pool::fallback_rate(const pool_capacity& capacity) const
+{
+    constexpr double milliseconds_per_second = 1e3;
+    const auto slots = static_cast<double>(capacity.usable) / m_state.sharers;
+    return slots / m_service_ms * milliseconds_per_second * m_queue.mean_work();
+}
+
+base::milliseconds pool::needed_time(const request& asked) const
+{
+    const auto prompt = static_cast<double>(asked.prompt_tokens.value());
+    return base::milliseconds{
+        std::llround(prompt * m_state.prefill_pace / microseconds_per_millisecond)};
+}
+
+bool pool::must_wait(const request& asked, const pool_capacity& capacity) const
+{
+    if (!may_begin(asked, capacity) || m_queue.size_of(asked.team) > 0) {
+        return true;
+    }
+    const auto ahead =
+        m_queue.front_if([&](const request& head) { return may_begin(head, capacity); });
+    return ahead != nullptr;
+}
+
+decision pool::refuse(const request& asked, refusal_reason reason,
+                      base::milliseconds retry_after) const
+{
+    return {.id = asked.id,
+            .kind = decision_kind::refused,
+            .reason = reason,
+            .retry_after = retry_after};
+}
+
+decision pool::dispatch(const request& asked, const choice& made, base::time_point now)
+{
+    auto& target = m_state.targets[made.target];
+    const base::tokens work{work_tokens(asked)};
+    const auto warm = static_cast<std::int64_t>(made.warm_blocks) * prefix_block_tokens;
+    const auto cold = std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0);
+    on_sent(target, work, now);
+    m_state.hints.remember(asked.prefix.blocks, target.id, now);
+    m_flights[asked.id] = flight{target.id, asked.team, work, base::tokens{cold}};
+    const auto* who = team_of(asked);
+    auto& use = m_teams[asked.team];
+    ++use.in_flight;
+    use.weight = who == nullptr ? 1U : who->weight;
+    return {.id = asked.id, .kind = decision_kind::dispatched, .target = target.id};
+}
+
+decision pool::enqueue(const request& asked, const rules::team& who, base::time_point now)
+{
+    const auto delay = m_state.queue_delay;
+    const auto left = whole_milliseconds(asked.deadline - now);
+    const auto late = delay + needed_time(asked) - left;
+    if (late > base::milliseconds{0}) {
+        return refuse(asked, refusal_reason::deadline, std::max(late, least_retry));
+    }
+    if (sheds(level_of(delay, left, m_book->routing_policy()), asked)) {
+        return refuse(asked, refusal_reason::brown_out, std::max(delay, least_retry));
+    }
+    const auto reason = m_queue.push(asked, who.weight, now);
+    if (reason != refusal_reason::none) {
+        return refuse(asked, reason, std::max(delay, least_retry));
+    }
+    return {.id = asked.id, .kind = decision_kind::queued};
+}
+
+decision pool::forward(const request& asked, base::region_id where, base::time_point now)
+{
+    for (auto& other : m_state.others) {
+        if (other.region == where) {
+            ++other.sent_since_report;
+            ++other.in_flight;
+            other.spilling = true;
+            on_link_bytes(other, asked.body, now);
+        }
+    }
+    m_forwards[asked.id] = where;
+    return {.id = asked.id, .kind = decision_kind::forward, .region = where};
+}
+
+void pool::take_expired(std::vector<decision>& made, base::time_point now)
+{
+    for (const auto& waiting : m_queue.take_expired(base::milliseconds{0}, now)) {
+        const auto delay = m_queue.expected_delay(waiting.team, 1, 0);
+        made.push_back(refuse(waiting, refusal_reason::deadline, std::max(delay, least_retry)));
+    }
+}
+
+void pool::take_forwards(std::vector<decision>& made, base::time_point now)
+{
+    const auto capacity = capacity_of(m_state, now);
+    const auto rate = fallback_rate(capacity);
+    const choice waits{.kind = choice_kind::queue};
+    base::team_id last;
+    std::size_t place = 0;
+    std::vector<base::region_id> where;
+    const auto leaves = [&](const request& waiting) {
+        place = waiting.team == last ? place + 1 : 0;
+        last = waiting.team;
+        const auto* who = team_of(waiting);
+        if (who == nullptr) {
+            return false;
+        }
+        const auto whole = m_queue.expected_delay(waiting.team, who->weight, rate);
+        const auto size = static_cast<std::int64_t>(m_queue.size_of(waiting.team));
+        m_state.queue_delay =
+            whole * static_cast<std::int64_t>(place) / std::max(size, std::int64_t{1});
+        const auto away =
+            choose_region(m_state, waiting, *who, m_book->routing_policy(), waits, now);
+        if (away) {
+            where.push_back(*away);
+        }
+        return away.has_value();
+    };
+    const auto leaving = m_queue.take_if(leaves, forwards_per_tick);
+    for (std::size_t index = 0; index < leaving.size(); ++index) {
+        made.push_back(forward(leaving[index], where[index], now));
+    }
+}
+
+void pool::drain(std::vector<decision>& made, base::time_point now)
+{
+    while (!m_queue.empty()) {
+        const auto capacity = capacity_of(m_state, now);
+        m_state.mean_use = capacity.mean_use;
+        const auto* next =
+            m_queue.front_if([&](const request& head) { return may_begin(head, capacity); });
+        if (next == nullptr) {
+            return;
+        }
+        const auto found =
+            choose_target(m_state, *next, m_book->routing_policy(), now, random_bits());
+        if (found.kind != choice_kind::target) {
+            return;
+        }
+        const auto taken = m_queue.take(next->team, now);
+        made.push_back(dispatch(taken, found, now));
+    }
+}
+
+void pool::end_flight(request_id id)
+{
+    const auto found = m_flights.find(id);
+    const auto team = m_teams.find(found->second.team);
+    if (team != m_teams.end()) {
+        --team->second.in_flight;
+        if (team->second.in_flight == 0) {
+            m_teams.erase(team);
+        }
+    }
+    m_flights.erase(found);
+}
+
+std::uint64_t pool::random_bits()
+{
+    m_random += random_step;
+    return rendezvous_weight(m_random, 0);
+}
+
+} // namespace chicorylink::routing
