--- a/include/chicorylink/gateway/admission.hpp
+++ b/include/chicorylink/gateway/admission.hpp
@@ -1,15 +1,15 @@
 #ifndef CHICORYLINK_GATEWAY_ADMISSION_HPP
 #define CHICORYLINK_GATEWAY_ADMISSION_HPP
 
-#include <memory>
-#include <optional>
-#include <string>
-
 #include "chicorylink/gateway/exchange.hpp"
 #include "chicorylink/gateway/forwarded_request.hpp"
 #include "chicorylink/gateway/refusal.hpp"
 #include "chicorylink/gateway/work.hpp"
 
+#include <memory>
+#include <optional>
+#include <string>
+
 namespace chicorylink::gateway {
 
 struct services;
@@ -34,6 +34,6 @@
 /// @brief Runs a forwarded request in this region.
 void run_forwarded(services& all, const work_ptr& entry, forward_purpose purpose);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_ADMISSION_HPP
+#endif // CHICORYLINK_GATEWAY_ADMISSION_HPP
--- a/include/chicorylink/gateway/answer_sink.hpp
+++ b/include/chicorylink/gateway/answer_sink.hpp
@@ -1,12 +1,12 @@
 #ifndef CHICORYLINK_GATEWAY_ANSWER_SINK_HPP
 #define CHICORYLINK_GATEWAY_ANSWER_SINK_HPP
 
-#include <functional>
-#include <string_view>
-
 #include "chicorylink/gateway/http_answer.hpp"
 #include "chicorylink/gateway/refusal.hpp"
 
+#include <functional>
+#include <string_view>
+
 namespace chicorylink::gateway {
 
 /// @brief Where the answer of a request goes: to the caller's connection, or over a peer link to
@@ -29,6 +29,6 @@
     std::function<void(std::function<void()> on_room)> set_on_room;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_ANSWER_SINK_HPP
+#endif // CHICORYLINK_GATEWAY_ANSWER_SINK_HPP
--- a/include/chicorylink/gateway/budget_gate.hpp
+++ b/include/chicorylink/gateway/budget_gate.hpp
@@ -1,6 +1,10 @@
 #ifndef CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
 #define CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/work.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -10,22 +14,18 @@
 #include <unordered_map>
 #include <vector>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/base/units.hpp"
-#include "chicorylink/gateway/work.hpp"
-
 namespace chicorylink::budget {
 class engine;
 struct effects;
-}  // namespace chicorylink::budget
+} // namespace chicorylink::budget
 
 namespace chicorylink::membership {
 struct view;
-}  // namespace chicorylink::membership
+} // namespace chicorylink::membership
 
 namespace chicorylink::rules {
 class rulebook;
-}  // namespace chicorylink::rules
+} // namespace chicorylink::rules
 
 namespace chicorylink::gateway {
 
@@ -98,6 +98,6 @@
     [[nodiscard]] std::shared_ptr<budget::engine> engine() const;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
+#endif // CHICORYLINK_GATEWAY_BUDGET_GATE_HPP
--- a/include/chicorylink/gateway/control_channel.hpp
+++ b/include/chicorylink/gateway/control_channel.hpp
@@ -1,14 +1,14 @@
 #ifndef CHICORYLINK_GATEWAY_CONTROL_CHANNEL_HPP
 #define CHICORYLINK_GATEWAY_CONTROL_CHANNEL_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/wire/frame.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/wire/frame.hpp"
-
 namespace chicorylink::gateway {
 
 /// The channels of control messages on the peer links, one for each module.
@@ -30,9 +30,8 @@
                                                      std::span<const std::uint8_t> content);
 
 /// @brief Reads a control message; empty when it is too short.
-[[nodiscard]] std::optional<control_message>
-unwrap_control(std::span<const std::uint8_t> bytes);
+[[nodiscard]] std::optional<control_message> unwrap_control(std::span<const std::uint8_t> bytes);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_CONTROL_CHANNEL_HPP
+#endif // CHICORYLINK_GATEWAY_CONTROL_CHANNEL_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/daemon.hpp
@@ -0,0 +1,44 @@
+#ifndef CHICORYLINK_GATEWAY_DAEMON_HPP
+#define CHICORYLINK_GATEWAY_DAEMON_HPP
+
+#include <memory>
+#include <string>
+
+#include "chicorylink/base/error.hpp"
+#include "chicorylink/gateway/settings.hpp"
+
+namespace chicorylink::gateway {
+
+/// @brief One running gateway: listeners, peer links, control loop and request path.
+class daemon {
+public:
+    /// @brief Opens the listeners and begins to take part.
+    /// @return An `invalid_setting` error when an address or file can't be used.
+    [[nodiscard]] static base::result<std::unique_ptr<daemon>> start(const settings& config);
+
+    ~daemon();
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+    daemon(daemon&&) = delete;
+    daemon& operator=(daemon&&) = delete;
+
+    /// @brief One JSON line with the addresses that are in use: `callers`, `peers`, `operators`.
+    [[nodiscard]] std::string addresses() const;
+
+    /// @brief Loads the TLS files of callers' listener and peer links again.
+    void reload_tls();
+
+    /// @brief Leaves gracefully: takes no new requests, finishes those in progress, hands its
+    /// budget over, and returns. Requests that outlast the drain limit are broken off.
+    void stop();
+
+private:
+    class implementation;
+    explicit daemon(std::unique_ptr<implementation> made);
+
+    std::unique_ptr<implementation> m_implementation;
+};
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_DAEMON_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/directory_answer.hpp
@@ -0,0 +1,29 @@
+#ifndef CHICORYLINK_GATEWAY_DIRECTORY_ANSWER_HPP
+#define CHICORYLINK_GATEWAY_DIRECTORY_ANSWER_HPP
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/gateway/http_answer.hpp"
+#include "chicorylink/gateway/identity.hpp"
+
+#include <string>
+#include <vector>
+
+namespace chicorylink::rules {
+class rulebook;
+} // namespace chicorylink::rules
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// @brief Callers' addresses of live VMs other than this one in some regions.
+[[nodiscard]] std::vector<std::string> other_vms(const services& all,
+                                                 const std::vector<base::region_id>& regions);
+
+/// @brief The answer of `GET /v1/vms`: which VMs a team's callers should use, best first.
+[[nodiscard]] http_answer answer_directory(const services& all, const rules::rulebook& book,
+                                           const identity& who);
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_DIRECTORY_ANSWER_HPP
--- a/include/chicorylink/gateway/exchange.hpp
+++ b/include/chicorylink/gateway/exchange.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/gateway/caller_request.hpp"
 #include "chicorylink/gateway/http_answer.hpp"
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -36,6 +37,10 @@
     [[nodiscard]] caller_request& request() { return m_request; }
     [[nodiscard]] const caller_request& request() const { return m_request; }
 
+    /// @brief The number of the work that handles the request; zero before it is known.
+    [[nodiscard]] std::uint64_t owner() const { return m_owner; }
+    void set_owner(std::uint64_t owner) { m_owner = owner; }
+
     /// @brief Answers as a whole. Ignored when an answer has begun.
     /// @return Whether this call gave the answer.
     bool answer(http_answer whole);
@@ -79,6 +84,7 @@
     void wake_locked();
 
     const std::uint64_t m_id;
+    std::atomic<std::uint64_t> m_owner{0};
     caller_request m_request;
     mutable std::mutex m_mutex;
     std::optional<http_answer> m_whole;
--- a/include/chicorylink/gateway/finish.hpp
+++ b/include/chicorylink/gateway/finish.hpp
@@ -22,9 +22,12 @@
 /// @brief Ends a request whose answer can't be completed: a stream is broken off.
 void break_off(services& all, const work_ptr& entry);
 
+/// @brief Counts a refusal in the metrics.
+void count_refusal(services& all, refusal_kind kind);
+
 /// @brief Stops a request whose receiver went away: the target is told by closing the connection.
 void cancel(services& all, const work_ptr& entry);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_FINISH_HPP
+#endif // CHICORYLINK_GATEWAY_FINISH_HPP
--- a/include/chicorylink/gateway/identity.hpp
+++ b/include/chicorylink/gateway/identity.hpp
@@ -1,20 +1,20 @@
 #ifndef CHICORYLINK_GATEWAY_IDENTITY_HPP
 #define CHICORYLINK_GATEWAY_IDENTITY_HPP
 
-#include <optional>
-#include <string_view>
-#include <variant>
-#include <vector>
-
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/secret.hpp"
 #include "chicorylink/gateway/caller_request.hpp"
 #include "chicorylink/gateway/refusal.hpp"
 
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
 namespace chicorylink::rules {
 class rulebook;
 struct team;
-}  // namespace chicorylink::rules
+} // namespace chicorylink::rules
 
 namespace chicorylink::gateway {
 
@@ -33,6 +33,6 @@
 [[nodiscard]] std::variant<identity, refusal> identify(const rules::rulebook& book,
                                                        const std::vector<std::string>& keys);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_IDENTITY_HPP
+#endif // CHICORYLINK_GATEWAY_IDENTITY_HPP
--- a/include/chicorylink/gateway/peer_side.hpp
+++ b/include/chicorylink/gateway/peer_side.hpp
@@ -1,13 +1,13 @@
 #ifndef CHICORYLINK_GATEWAY_PEER_SIDE_HPP
 #define CHICORYLINK_GATEWAY_PEER_SIDE_HPP
 
-#include <cstdint>
-#include <span>
-
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/wire/stream_handler.hpp"
 #include "chicorylink/wire/stream_id.hpp"
 
+#include <cstdint>
+#include <span>
+
 namespace chicorylink::gateway {
 
 struct services;
@@ -19,6 +19,6 @@
                                                     wire::stream_id stream,
                                                     std::span<const std::uint8_t> header);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_PEER_SIDE_HPP
+#endif // CHICORYLINK_GATEWAY_PEER_SIDE_HPP
--- /dev/null
+++ b/include/chicorylink/gateway/platform_poller.hpp
@@ -0,0 +1,48 @@
+#ifndef CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
+#define CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "chicorylink/base/units.hpp"
+
+namespace chicorylink::platform {
+class http_client;
+}  // namespace chicorylink::platform
+
+namespace chicorylink::gateway {
+
+class control_loop;
+
+/// @brief One answer of a GET call to an outside system, delivered on the control loop.
+struct fetched {
+    /// Zero when no whole answer came.
+    int status = 0;
+    std::string body;
+    base::time_point requested_at{};
+};
+
+/// @brief Makes GET calls whose answers are handled on the control loop.
+class platform_poller {
+public:
+    /// The largest answer that is taken in.
+    static constexpr std::size_t max_answer_bytes = 2 * 1024 * 1024;
+
+    platform_poller(platform::http_client& http, control_loop& loop,
+                    std::function<base::time_point()> now);
+
+    /// @brief Starts one call.
+    /// @param done Called once, on the control loop.
+    void get(const std::string& url, base::milliseconds timeout,
+             std::function<void(const fetched&)> done);
+
+private:
+    platform::http_client& m_http;
+    control_loop& m_loop;
+    std::function<base::time_point()> m_now;
+};
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
--- a/include/chicorylink/gateway/retry_guard.hpp
+++ b/include/chicorylink/gateway/retry_guard.hpp
@@ -23,6 +23,6 @@
     double m_rights = reserve;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_RETRY_GUARD_HPP
+#endif // CHICORYLINK_GATEWAY_RETRY_GUARD_HPP
--- a/include/chicorylink/gateway/services.hpp
+++ b/include/chicorylink/gateway/services.hpp
@@ -1,40 +1,40 @@
 #ifndef CHICORYLINK_GATEWAY_SERVICES_HPP
 #define CHICORYLINK_GATEWAY_SERVICES_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/gateway/settings.hpp"
+#include "chicorylink/gateway/work.hpp"
+
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/base/units.hpp"
-#include "chicorylink/gateway/settings.hpp"
-#include "chicorylink/gateway/work.hpp"
-
 namespace chicorylink::base {
 class metrics;
-}  // namespace chicorylink::base
+} // namespace chicorylink::base
 
 namespace chicorylink::membership {
 struct view;
-}  // namespace chicorylink::membership
+} // namespace chicorylink::membership
 
 namespace chicorylink::platform {
 class http_client;
-}  // namespace chicorylink::platform
+} // namespace chicorylink::platform
 
 namespace chicorylink::routing {
 class router;
-}  // namespace chicorylink::routing
+} // namespace chicorylink::routing
 
 namespace chicorylink::rules {
 class rulebook;
-}  // namespace chicorylink::rules
+} // namespace chicorylink::rules
 
 namespace chicorylink::wire {
 class peer_network;
-}  // namespace chicorylink::wire
+} // namespace chicorylink::wire
 
 namespace chicorylink::gateway {
 
@@ -49,7 +49,8 @@
     settings config;
     base::vm_id self;
     base::region_id region;
-    base::incarnation process;
+    /// Changes when the process goes on under a new incarnation.
+    std::atomic<base::incarnation> process{};
     /// Salt of prefix hashes; the same on all VMs, by the settings.
     std::uint64_t prefix_salt = 0;
 
@@ -72,6 +73,6 @@
     std::atomic<std::uint64_t> last_correlation{0};
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_SERVICES_HPP
+#endif // CHICORYLINK_GATEWAY_SERVICES_HPP
--- a/include/chicorylink/gateway/steps.hpp
+++ b/include/chicorylink/gateway/steps.hpp
@@ -1,12 +1,12 @@
 #ifndef CHICORYLINK_GATEWAY_STEPS_HPP
 #define CHICORYLINK_GATEWAY_STEPS_HPP
 
-#include <vector>
-
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/gateway/work.hpp"
 #include "chicorylink/routing/decision.hpp"
 
+#include <vector>
+
 namespace chicorylink::gateway {
 
 struct services;
@@ -18,7 +18,7 @@
 void submit(services& all, const work_ptr& entry);
 
 /// @brief Carries out decisions of the router.
-void apply(services& all, const std::vector<routing::decision>& decisions);
+void apply_decisions(services& all, const std::vector<routing::decision>& decisions);
 
 /// @brief Sends the request to a target of this region.
 void start_target_attempt(services& all, const work_ptr& entry, base::target_id target);
@@ -33,6 +33,6 @@
 /// @param otherwise The answer when it isn't.
 void retry_or_refuse(services& all, const work_ptr& entry, refusal otherwise);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_STEPS_HPP
+#endif // CHICORYLINK_GATEWAY_STEPS_HPP
--- a/include/chicorylink/gateway/stream_writer.hpp
+++ b/include/chicorylink/gateway/stream_writer.hpp
@@ -1,6 +1,8 @@
 #ifndef CHICORYLINK_GATEWAY_STREAM_WRITER_HPP
 #define CHICORYLINK_GATEWAY_STREAM_WRITER_HPP
 
+#include "chicorylink/wire/stream_id.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -8,11 +10,9 @@
 #include <span>
 #include <vector>
 
-#include "chicorylink/wire/stream_id.hpp"
-
 namespace chicorylink::wire {
 class peer_network;
-}  // namespace chicorylink::wire
+} // namespace chicorylink::wire
 
 namespace chicorylink::gateway {
 
@@ -58,6 +58,6 @@
     std::function<void()> m_on_room;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_STREAM_WRITER_HPP
+#endif // CHICORYLINK_GATEWAY_STREAM_WRITER_HPP
--- a/include/chicorylink/gateway/work.hpp
+++ b/include/chicorylink/gateway/work.hpp
@@ -1,13 +1,6 @@
 #ifndef CHICORYLINK_GATEWAY_WORK_HPP
 #define CHICORYLINK_GATEWAY_WORK_HPP
 
-#include <cstdint>
-#include <memory>
-#include <mutex>
-#include <optional>
-#include <string>
-#include <vector>
-
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/secret.hpp"
 #include "chicorylink/base/units.hpp"
@@ -20,6 +13,13 @@
 #include "chicorylink/routing/request.hpp"
 #include "chicorylink/rules/route.hpp"
 
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace chicorylink::gateway {
 
 /// @brief Where a request stands at this VM.
@@ -105,6 +105,6 @@
 
 using work_ptr = std::shared_ptr<work>;
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_WORK_HPP
+#endif // CHICORYLINK_GATEWAY_WORK_HPP
--- a/include/chicorylink/gateway/work_table.hpp
+++ b/include/chicorylink/gateway/work_table.hpp
@@ -1,6 +1,8 @@
 #ifndef CHICORYLINK_GATEWAY_WORK_TABLE_HPP
 #define CHICORYLINK_GATEWAY_WORK_TABLE_HPP
 
+#include "chicorylink/gateway/work.hpp"
+
 #include <array>
 #include <atomic>
 #include <cstddef>
@@ -8,8 +10,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "chicorylink/gateway/work.hpp"
-
 namespace chicorylink::gateway {
 
 /// @brief All requests in progress at this VM, in shards by id, each under its own lock.
@@ -38,6 +38,6 @@
     std::array<shard, shard_count> m_shards;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_WORK_TABLE_HPP
+#endif // CHICORYLINK_GATEWAY_WORK_TABLE_HPP
--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -1,10 +1,5 @@
 #include "chicorylink/gateway/admission.hpp"
 
-#include <algorithm>
-#include <utility>
-
-#include <fmt/format.h>
-
 #include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/chat_request.hpp"
 #include "chicorylink/gateway/credentials.hpp"
@@ -20,6 +15,11 @@
 #include "chicorylink/routing/prefix.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -42,23 +42,19 @@
 
 refusal leaving(const services& all)
 {
-    return {refusal_kind::leaving,
-            "this VM is leaving",
-            "ask one of the VMs listed",
-            run_outcome::not_run,
-            base::milliseconds{1'000},
-            other_vms(all, {all.region})};
+    return {refusal_kind::leaving, "this VM is leaving",      "ask one of the VMs listed",
+            run_outcome::not_run,  base::milliseconds{1'000}, other_vms(all, {all.region})};
 }
 
 refusal region_refusal(const services& all, const rules::team& who)
 {
-    return {refusal_kind::region_not_allowed,
-            fmt::format("the rules do not let team '{}' use region '{}'", who.name,
-                        all.config.region),
-            "ask one of the VMs listed",
-            run_outcome::not_run,
-            std::nullopt,
-            other_vms(all, rules::allowed_regions(who))};
+    return {
+        refusal_kind::region_not_allowed,
+        fmt::format("the rules do not let team '{}' use region '{}'", who.name, all.config.region),
+        "ask one of the VMs listed",
+        run_outcome::not_run,
+        std::nullopt,
+        other_vms(all, rules::allowed_regions(who))};
 }
 
 refusal bad_request(std::string message, std::string remedy)
@@ -181,7 +177,7 @@
 
 std::string next_correlation(services& all)
 {
-    return fmt::format("{:016x}-{}", all.process.value(), ++all.last_correlation);
+    return fmt::format("{:016x}-{}", all.process.load().value(), ++all.last_correlation);
 }
 
 /// Sets what all requests have in common, once route and content are known.
@@ -209,8 +205,8 @@
     std::optional<refusal> why;
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(chat,
-                            parse_chat_request(body, base::tokens{all.config.default_answer_tokens}));
+            BOOST_LEAF_AUTO(
+                chat, parse_chat_request(body, base::tokens{all.config.default_answer_tokens}));
             route = find_route(book, chat.model, rules::route_kind::model);
             if (route == nullptr) {
                 why = unknown_route(chat.model);
@@ -221,13 +217,10 @@
             entry.answer_bound = chat.answer_bound;
             entry.content.body = std::move(chat.body);
             const std::string_view prompt = chat.prompt;
-            entry.asked.prefix =
-                routing::make_prefix(all.prefix_salt, entry.team, {&prompt, 1}, 1);
+            entry.asked.prefix = routing::make_prefix(all.prefix_salt, entry.team, {&prompt, 1}, 1);
             return {};
         },
-        [&](const base::error& failure) {
-            why = bad_request(failure.message, failure.remedy);
-        },
+        [&](const base::error& failure) { why = bad_request(failure.message, failure.remedy); },
         [&] { why = bad_request("the body can't be read", "send a chat request"); });
     return why;
 }
@@ -261,9 +254,8 @@
     entry.ticket = find_header(request.headers, ticket_header);
     entry.content.path = request.path;
     const rules::route* route = nullptr;
-    const auto why = request.path == chat_path
-                         ? read_chat(all, book, entry, request.body, route)
-                         : read_service_call(book, entry, request, route);
+    const auto why = request.path == chat_path ? read_chat(all, book, entry, request.body, route)
+                                               : read_service_call(book, entry, request, route);
     if (why) {
         return why;
     }
@@ -295,7 +287,7 @@
     all.budget->reserve(entry);
 }
 
-}  // namespace
+} // namespace
 
 std::optional<http_answer> check_head(services& all, const caller_request& head)
 {
@@ -397,4 +389,4 @@
     run(all, entry);
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/budget_gate.cpp
+++ b/src/chicorylink/gateway/budget_gate.cpp
@@ -1,8 +1,5 @@
 #include "chicorylink/gateway/budget_gate.hpp"
 
-#include <algorithm>
-#include <utility>
-
 #include "chicorylink/base/log.hpp"
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/budget/codec.hpp"
@@ -13,15 +10,18 @@
 #include "chicorylink/gateway/single_run.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
 namespace chicorylink::gateway {
 namespace {
 
 refusal refusal_of(const budget::refused& why)
 {
-    refusal answer{refusal_kind::rate_exceeded,
-                   "the team's rate and burst are used up",
-                   "ask again after Retry-After",
-                   run_outcome::not_run};
+    refusal answer{refusal_kind::rate_exceeded, "the team's rate and burst are used up",
+                   "ask again after Retry-After", run_outcome::not_run};
     if (why.retry_after) {
         answer.retry_after = std::chrono::duration_cast<base::milliseconds>(*why.retry_after);
     }
@@ -46,7 +46,7 @@
     return answer;
 }
 
-}  // namespace
+} // namespace
 
 budget_gate::budget_gate(services& all, base::time_point now)
     : m_all(all), m_engine(make_engine(now))
@@ -57,7 +57,7 @@
 
 std::unique_ptr<budget::engine> budget_gate::make_engine(base::time_point now) const
 {
-    const budget::identity self{m_all.self, m_all.region, m_all.process};
+    const budget::identity self{m_all.self, m_all.region, m_all.process.load()};
     return std::make_unique<budget::engine>(self, budget::settings{}, now);
 }
 
@@ -266,4 +266,4 @@
     return overdue;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/control_channel.cpp
+++ b/src/chicorylink/gateway/control_channel.cpp
@@ -6,7 +6,7 @@
 constexpr std::size_t prefix_bytes = sizeof(std::uint64_t);
 constexpr unsigned bits_per_byte = 8;
 
-}  // namespace
+} // namespace
 
 std::vector<std::uint8_t> wrap_control(base::incarnation process,
                                        std::span<const std::uint8_t> content)
@@ -32,4 +32,4 @@
     return control_message{base::incarnation{process}, bytes.subspan(prefix_bytes)};
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/finish.cpp
+++ b/src/chicorylink/gateway/finish.cpp
@@ -1,9 +1,5 @@
 #include "chicorylink/gateway/finish.hpp"
 
-#include <utility>
-
-#include <fmt/format.h>
-
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/services.hpp"
@@ -13,6 +9,10 @@
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <utility>
+
+#include <fmt/format.h>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -74,22 +74,16 @@
     all.metrics->add(fmt::format("chicorylink_requests_total{{result=\"{}\"}}", result));
 }
 
-void count_refusal(services& all, refusal_kind kind)
-{
-    all.metrics->add(
-        fmt::format("chicorylink_refusals_total{{kind=\"{}\"}}", to_string(kind)));
-}
-
 /// Takes a request out of the router's queue, or gives back the slot that it was just given.
 void leave_queue(services& all, const work& entry)
 {
     if (all.router->cancel(entry.id, entry.route.id)) {
         return;
     }
-    apply(all, all.router->on_attempt_finished({entry.id, entry.route.id,
-                                                routing::attempt_outcome::cancelled,
-                                                base::nanoseconds{0}},
-                                               all.now()));
+    apply_decisions(all, all.router->on_attempt_finished({entry.id, entry.route.id,
+                                                          routing::attempt_outcome::cancelled,
+                                                          base::nanoseconds{0}},
+                                                         all.now()));
 }
 
 /// Ends the attempt that still runs, if any, without waiting for its answer.
@@ -109,7 +103,12 @@
     }
 }
 
-}  // namespace
+} // namespace
+
+void count_refusal(services& all, refusal_kind kind)
+{
+    all.metrics->add(fmt::format("chicorylink_refusals_total{{kind=\"{}\"}}", to_string(kind)));
+}
 
 void finish_whole(services& all, const work_ptr& entry, http_answer answer, run_outcome outcome)
 {
@@ -185,4 +184,4 @@
     entry->sink.break_off();
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/forward_attempt.cpp
+++ b/src/chicorylink/gateway/forward_attempt.cpp
@@ -1,6 +1,3 @@
-#include <algorithm>
-#include <utility>
-
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/gateway/codec.hpp"
 #include "chicorylink/gateway/finish.hpp"
@@ -12,13 +9,15 @@
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace chicorylink::gateway {
 namespace {
 
 /// The VM of a region that takes a forwarded request: the first by rendezvous hash of the session,
 /// so that the turns of one conversation meet the same hints, among those that can be reached.
-std::optional<base::vm_id> choose_vm(const services& all, const work& entry,
-                                     base::region_id region)
+std::optional<base::vm_id> choose_vm(const services& all, const work& entry, base::region_id region)
 {
     const auto view = all.view();
     std::optional<base::vm_id> best;
@@ -69,8 +68,7 @@
 refusal lost_link_refusal()
 {
     return {refusal_kind::lost_link, "the link to the VM that handled the request was lost",
-            "repeat the request if it may run twice, or ask with its ticket",
-            run_outcome::unknown};
+            "repeat the request if it may run twice, or ask with its ticket", run_outcome::unknown};
 }
 
 bool is_current(const work& entry, std::uint32_t attempt)
@@ -140,8 +138,9 @@
             entry->may_have_run = entry->may_have_run_before;
         }
     }
-    report_forward(all, *entry, clean && !declined, base::bytes{static_cast<std::int64_t>(
-                                                         body.size() + entry->content.body.size())});
+    report_forward(
+        all, *entry, clean && !declined,
+        base::bytes{static_cast<std::int64_t>(body.size() + entry->content.body.size())});
     if (declined) {
         retry_or_refuse(all, entry,
                         {refusal_kind::overloaded, "no allowed region takes the request now",
@@ -229,7 +228,7 @@
         [] { return false; });
 }
 
-}  // namespace
+} // namespace
 
 void start_forward(services& all, const work_ptr& entry, base::region_id region)
 {
@@ -262,4 +261,4 @@
     consume_when_room(all, entry);
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/forwarded_answer.cpp
+++ b/src/chicorylink/gateway/forwarded_answer.cpp
@@ -1,11 +1,11 @@
 #include "chicorylink/gateway/forwarded_answer.hpp"
 
-#include <string_view>
-#include <utility>
-
 #include "chicorylink/gateway/codec.hpp"
 #include "chicorylink/gateway/target_answer.hpp"
 
+#include <string_view>
+#include <utility>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -45,7 +45,7 @@
     return take_piece(entry, text, max_bytes);
 }
 
-}  // namespace
+} // namespace
 
 bool take_forwarded_bytes(work& entry, std::span<const std::uint8_t> bytes, std::size_t max_bytes)
 {
@@ -83,4 +83,4 @@
     return entry.answer_body.size() == entry.forwarded_head->body_bytes;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/forwarded_answer.hpp
+++ b/src/chicorylink/gateway/forwarded_answer.hpp
@@ -1,12 +1,12 @@
 #ifndef CHICORYLINK_GATEWAY_FORWARDED_ANSWER_HPP
 #define CHICORYLINK_GATEWAY_FORWARDED_ANSWER_HPP
 
+#include "chicorylink/gateway/work.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <span>
 
-#include "chicorylink/gateway/work.hpp"
-
 namespace chicorylink::gateway {
 
 /// Functions on the answer that another VM sends over a peer link: the length of the head, the
@@ -20,6 +20,6 @@
 /// @brief Whether head and body have arrived completely.
 [[nodiscard]] bool forwarded_answer_is_whole(const work& entry);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_FORWARDED_ANSWER_HPP
+#endif // CHICORYLINK_GATEWAY_FORWARDED_ANSWER_HPP
--- a/src/chicorylink/gateway/identity.cpp
+++ b/src/chicorylink/gateway/identity.cpp
@@ -28,4 +28,4 @@
     return identity{key->team, digest};
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/loop_guard.cpp
+++ b/src/chicorylink/gateway/loop_guard.cpp
@@ -1,10 +1,10 @@
 #include "chicorylink/gateway/loop_guard.hpp"
 
-#include <algorithm>
-
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/membership/view.hpp"
 
+#include <algorithm>
+
 namespace chicorylink::gateway {
 
 bool is_own_address(const services& all, std::string_view address)
@@ -18,4 +18,4 @@
     });
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/loop_guard.hpp
+++ b/src/chicorylink/gateway/loop_guard.hpp
@@ -15,6 +15,6 @@
 /// @brief Whether an address belongs to a VM of the system, as far as is known here.
 [[nodiscard]] bool is_own_address(const services& all, std::string_view address);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_LOOP_GUARD_HPP
+#endif // CHICORYLINK_GATEWAY_LOOP_GUARD_HPP
--- a/src/chicorylink/gateway/peer_side.cpp
+++ b/src/chicorylink/gateway/peer_side.cpp
@@ -1,9 +1,5 @@
 #include "chicorylink/gateway/peer_side.hpp"
 
-#include <memory>
-#include <mutex>
-#include <utility>
-
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/gateway/admission.hpp"
 #include "chicorylink/gateway/codec.hpp"
@@ -14,6 +10,10 @@
 #include "chicorylink/gateway/work_table.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <memory>
+#include <mutex>
+#include <utility>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -113,7 +113,7 @@
     return handler;
 }
 
-}  // namespace
+} // namespace
 
 wire::stream_handler accept_forwarded(services& all, base::vm_id /*from*/, wire::stream_id stream,
                                       std::span<const std::uint8_t> header)
@@ -137,4 +137,4 @@
         });
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/retry_guard.cpp
+++ b/src/chicorylink/gateway/retry_guard.cpp
@@ -20,4 +20,4 @@
     return true;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/steps.cpp
+++ b/src/chicorylink/gateway/steps.cpp
@@ -1,21 +1,20 @@
 #include "chicorylink/gateway/steps.hpp"
 
-#include <deque>
-#include <utility>
-
 #include "chicorylink/gateway/finish.hpp"
 #include "chicorylink/gateway/retry_guard.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/work_table.hpp"
 #include "chicorylink/routing/router.hpp"
 
+#include <deque>
+#include <utility>
+
 namespace chicorylink::gateway {
 namespace {
 
 refusal refusal_of(const routing::decision& decided)
 {
-    refusal why{refusal_kind::overloaded, "", "ask again after Retry-After",
-                run_outcome::not_run};
+    refusal why{refusal_kind::overloaded, "", "ask again after Retry-After", run_outcome::not_run};
     if (decided.retry_after.count() > 0) {
         why.retry_after = decided.retry_after;
     }
@@ -114,15 +113,14 @@
         entry.asked.tried.push_back(std::exchange(entry.target, base::target_id{}));
     }
     if (entry.forward_region != base::region_id{}) {
-        entry.asked.tried_regions.push_back(
-            std::exchange(entry.forward_region, base::region_id{}));
+        entry.asked.tried_regions.push_back(std::exchange(entry.forward_region, base::region_id{}));
     }
     entry.transfer.reset();
     entry.forward.reset();
     return true;
 }
 
-}  // namespace
+} // namespace
 
 void submit(services& all, const work_ptr& entry)
 {
@@ -135,10 +133,10 @@
         asked = entry->asked;
     }
     const auto decided = all.router->submit(asked, all.now());
-    apply(all, carry_out(all, entry, decided));
+    apply_decisions(all, carry_out(all, entry, decided));
 }
 
-void apply(services& all, const std::vector<routing::decision>& decisions)
+void apply_decisions(services& all, const std::vector<routing::decision>& decisions)
 {
     std::deque<routing::decision> todo(decisions.begin(), decisions.end());
     while (!todo.empty()) {
@@ -160,4 +158,4 @@
     finish_refused(all, entry, std::move(otherwise));
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/stream_writer.cpp
+++ b/src/chicorylink/gateway/stream_writer.cpp
@@ -1,16 +1,16 @@
 #include "chicorylink/gateway/stream_writer.hpp"
 
+#include "chicorylink/wire/peer_network.hpp"
+
 #include <algorithm>
 #include <utility>
 
-#include "chicorylink/wire/peer_network.hpp"
-
 namespace chicorylink::gateway {
 namespace {
 
 constexpr std::size_t piece_bytes = 64 * 1024;
 
-}  // namespace
+} // namespace
 
 bool stream_writer::write(std::span<const std::uint8_t> bytes)
 {
@@ -77,4 +77,4 @@
     return true;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/target_answer.cpp
+++ b/src/chicorylink/gateway/target_answer.cpp
@@ -1,12 +1,12 @@
 #include "chicorylink/gateway/target_answer.hpp"
 
+#include "chicorylink/gateway/chat_request.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
-#include "chicorylink/gateway/chat_request.hpp"
-
 namespace chicorylink::gateway {
 namespace {
 
@@ -71,7 +71,7 @@
     return run_outcome::unknown;
 }
 
-}  // namespace
+} // namespace
 
 void reset_answer(work& entry)
 {
@@ -141,4 +141,4 @@
     return verdict;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/target_answer.hpp
+++ b/src/chicorylink/gateway/target_answer.hpp
@@ -1,13 +1,13 @@
 #ifndef CHICORYLINK_GATEWAY_TARGET_ANSWER_HPP
 #define CHICORYLINK_GATEWAY_TARGET_ANSWER_HPP
 
-#include <cstddef>
-#include <string_view>
-
 #include "chicorylink/gateway/http_answer.hpp"
 #include "chicorylink/gateway/work.hpp"
 #include "chicorylink/platform/http_end.hpp"
 
+#include <cstddef>
+#include <string_view>
+
 namespace chicorylink::gateway {
 
 /// Functions on the answer that a target gives to the present attempt. The work's lock is held by
@@ -37,6 +37,6 @@
 /// @brief Judges the answer at the end of its call.
 [[nodiscard]] answer_verdict judge_answer(work& entry, const platform::http_end& end);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_TARGET_ANSWER_HPP
+#endif // CHICORYLINK_GATEWAY_TARGET_ANSWER_HPP
--- a/src/chicorylink/gateway/target_attempt.cpp
+++ b/src/chicorylink/gateway/target_attempt.cpp
@@ -1,7 +1,3 @@
-#include <utility>
-
-#include <fmt/format.h>
-
 #include "chicorylink/base/log.hpp"
 #include "chicorylink/gateway/chat_request.hpp"
 #include "chicorylink/gateway/finish.hpp"
@@ -14,6 +10,10 @@
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -91,7 +91,7 @@
     }
     const routing::load_report load{report->running, report->waiting, report->slots, false,
                                     base::milliseconds{0}};
-    apply(all, all.router->on_target_report(target, load, all.now()));
+    apply_decisions(all, all.router->on_target_report(target, load, all.now()));
 }
 
 void on_head(services& all, const work_ptr& entry, std::uint32_t attempt, int status,
@@ -191,7 +191,7 @@
     if (!current) {
         finished.outcome = routing::attempt_outcome::cancelled;
     }
-    apply(all, all.router->on_attempt_finished(finished, now));
+    apply_decisions(all, all.router->on_attempt_finished(finished, now));
     if (!current) {
         return;
     }
@@ -267,11 +267,12 @@
 
 void give_up_dispatch(services& all, const work_ptr& entry, routing::attempt_outcome outcome)
 {
-    apply(all, all.router->on_attempt_finished(
-                   {entry->id, entry->route.id, outcome, base::nanoseconds{0}}, all.now()));
+    apply_decisions(all,
+                    all.router->on_attempt_finished(
+                        {entry->id, entry->route.id, outcome, base::nanoseconds{0}}, all.now()));
 }
 
-}  // namespace
+} // namespace
 
 void start_target_attempt(services& all, const work_ptr& entry, base::target_id target_id)
 {
@@ -303,4 +304,4 @@
     }
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/work_table.cpp
+++ b/src/chicorylink/gateway/work_table.cpp
@@ -49,4 +49,4 @@
     return count;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
