--- a/include/chicorylink/gateway/services.hpp
+++ b/include/chicorylink/gateway/services.hpp
@@ -41,6 +41,7 @@
 class budget_gate;
 class ticket_desk;
 class retry_guard;
+class team_stats;
 class work_table;
 
 /// @brief What the functions of the request path work with; one for a daemon. The daemon owns
@@ -62,6 +63,7 @@
     ticket_desk* tickets = nullptr;
     retry_guard* retries = nullptr;
     work_table* works = nullptr;
+    team_stats* teams = nullptr;
 
     /// The present time. The only clock of the request path.
     std::function<base::time_point()> now;
--- a/src/chicorylink/gateway/finish.cpp
+++ b/src/chicorylink/gateway/finish.cpp
@@ -4,6 +4,7 @@
 #include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/team_stats.hpp"
 #include "chicorylink/gateway/work_table.hpp"
 #include "chicorylink/platform/http_client.hpp"
 #include "chicorylink/routing/router.hpp"
@@ -123,6 +124,7 @@
         return;
     }
     count_end(all, "answered");
+    all.teams->add_answered(entry->team, all.now() - entry->arrived, state.spent);
     entry->sink.whole(std::move(answer), outcome);
 }
 
@@ -135,6 +137,7 @@
     abandon_attempt(all, entry, state);
     settle_and_forget(all, entry, state);
     count_refusal(all, why.kind);
+    all.teams->add_refused(entry->team, why.kind == refusal_kind::rate_exceeded);
     if (state.stream_begun) {
         entry->sink.append("event: error\ndata: " + body_of(why) + "\n\n");
         entry->sink.break_off();
@@ -157,6 +160,7 @@
     }
     settle_and_forget(all, entry, state);
     count_end(all, "streamed");
+    all.teams->add_answered(entry->team, all.now() - entry->arrived, state.spent);
     entry->sink.finish();
 }
 
@@ -169,6 +173,7 @@
     abandon_attempt(all, entry, state);
     settle_and_forget(all, entry, state);
     count_end(all, "broken");
+    all.teams->add_broken(entry->team, state.spent);
     entry->sink.break_off();
 }
 
--- /dev/null
+++ b/src/chicorylink/gateway/operators_api.cpp
@@ -0,0 +1,75 @@
+#include "chicorylink/gateway/operators_api.hpp"
+
+#include "chicorylink/gateway/caller_request.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+constexpr int status_not_found = 404;
+constexpr int status_method_not_allowed = 405;
+constexpr int status_unavailable = 503;
+
+http_answer json_answer(int status, const nlohmann::ordered_json& body)
+{
+    return {status,
+            {{"Content-Type", "application/json"}},
+            body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n"};
+}
+
+http_answer text_answer(int status, std::string body)
+{
+    return {status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
+}
+
+http_answer rows_answer(const nlohmann::ordered_json& rows)
+{
+    return json_answer(status_ok, {{"rows", rows}});
+}
+
+http_answer answer_drain(const operators_sources& sources, const caller_request& request)
+{
+    if (request.method != "POST") {
+        return json_answer(status_method_not_allowed, {{"error", "use POST"}});
+    }
+    sources.drain();
+    return json_answer(status_accepted, {{"leaving", true}});
+}
+
+}  // namespace
+
+http_answer answer_operator(const operators_sources& sources, const caller_request& request)
+{
+    if (request.path == "/healthz") {
+        return text_answer(status_ok, "ok\n");
+    }
+    if (request.path == "/readyz") {
+        const bool ready = sources.ready();
+        return text_answer(ready ? status_ok : status_unavailable, ready ? "ready\n" : "not ready\n");
+    }
+    if (request.path == "/metrics") {
+        return text_answer(status_ok, sources.metrics());
+    }
+    if (request.path == "/v1/status") {
+        return json_answer(status_ok, sources.status());
+    }
+    if (request.path == "/v1/vms") {
+        return rows_answer(sources.vms());
+    }
+    if (request.path == "/v1/targets") {
+        return rows_answer(sources.targets());
+    }
+    if (request.path == "/v1/teams") {
+        return rows_answer(sources.teams());
+    }
+    if (request.path == "/v1/audit") {
+        return rows_answer(sources.audit());
+    }
+    if (request.path == "/v1/drain") {
+        return answer_drain(sources, request);
+    }
+    return json_answer(status_not_found, {{"error", "there is no such page"}});
+}
+
+}  // namespace chicorylink::gateway
