--- /dev/null
+++ b/process_tests/support/child_process.hpp
@@ -0,0 +1,52 @@
+#ifndef CHICORYLINK_PROCESS_TESTS_SUPPORT_CHILD_PROCESS_HPP
+#define CHICORYLINK_PROCESS_TESTS_SUPPORT_CHILD_PROCESS_HPP
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+#include <nlohmann/json.hpp>
+
+namespace chicorylink::process_tests {
+
+/// @brief A program started by a test; it is killed when the object ends.
+class child_process {
+public:
+    /// @brief Starts a program and waits for the one JSON line that it prints when it is ready.
+    /// @param log_file Receives its standard error.
+    /// @throw std::runtime_error when it ends before it is ready.
+    child_process(const std::vector<std::string>& arguments, const std::string& log_file);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&& other) noexcept;
+
+    /// @brief What the program printed when it was ready.
+    [[nodiscard]] const nlohmann::json& ready_line() const { return m_ready; }
+
+    void signal(int number) const;
+
+    /// @brief Waits for the program's end.
+    /// @return The exit code, or 128 plus the signal; empty when it still runs after the time.
+    std::optional<int> wait(std::chrono::milliseconds longest);
+
+    /// @brief Kills the program and waits for its end.
+    void kill();
+
+    [[nodiscard]] bool running() const { return m_id > 0; }
+
+private:
+    [[nodiscard]] nlohmann::json read_ready_line() const;
+
+    pid_t m_id = -1;
+    int m_output = -1;
+    nlohmann::json m_ready;
+};
+
+}  // namespace chicorylink::process_tests
+
+#endif  // CHICORYLINK_PROCESS_TESTS_SUPPORT_CHILD_PROCESS_HPP
--- /dev/null
+++ b/process_tests/support/http_call.cpp
@@ -0,0 +1,117 @@
+#include "http_call.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+#include <curl/curl.h>
+
+namespace chicorylink::process_tests {
+namespace {
+
+struct receiver {
+    reply* answer = nullptr;
+    const call* wanted = nullptr;
+};
+
+std::size_t take_header(char* data, std::size_t size, std::size_t count, void* self)
+{
+    std::string line(data, size * count);
+    while (!line.empty() && std::isspace(static_cast<unsigned char>(line.back())) != 0) {
+        line.pop_back();
+    }
+    const auto colon = line.find(": ");
+    if (colon != std::string::npos) {
+        std::string name = line.substr(0, colon);
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        static_cast<receiver*>(self)->answer->headers.emplace_back(name, line.substr(colon + 2));
+    }
+    return size * count;
+}
+
+std::size_t take_body(char* data, std::size_t size, std::size_t count, void* self)
+{
+    auto& to = *static_cast<receiver*>(self);
+    const std::string piece(data, size * count);
+    to.answer->body += piece;
+    if (to.wanted->on_data && !to.wanted->on_data(piece)) {
+        return 0;
+    }
+    return size * count;
+}
+
+}  // namespace
+
+std::string reply::header(const std::string& lower_case_name) const
+{
+    for (const auto& [name, value] : headers) {
+        if (name == lower_case_name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+nlohmann::json reply::json() const
+{
+    return nlohmann::json::parse(body, nullptr, false);
+}
+
+std::string reply::refusal() const
+{
+    const auto parsed = json();
+    if (!parsed.is_object() || !parsed.contains("error") || !parsed["error"].is_object()) {
+        return {};
+    }
+    return parsed["error"].value("kind", "");
+}
+
+reply perform(const call& wanted)
+{
+    connection once;
+    return once.perform(wanted);
+}
+
+connection::connection() : m_handle(curl_easy_init()) {}
+
+connection::~connection()
+{
+    curl_easy_cleanup(m_handle);
+}
+
+reply connection::perform(const call& wanted)
+{
+    reply answer;
+    receiver to{&answer, &wanted};
+    curl_easy_reset(m_handle);
+    curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_handle, CURLOPT_URL, wanted.url.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_CUSTOMREQUEST, wanted.method.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, wanted.timeout_ms);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &take_header);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, &to);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &take_body);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, &to);
+    if (wanted.method == "POST") {
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(wanted.body.size()));
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, wanted.body.c_str());
+    }
+    curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+    for (const auto& header : wanted.headers) {
+        headers = curl_slist_append(headers, header.c_str());
+    }
+    curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, headers);
+    const CURLcode code = curl_easy_perform(m_handle);
+    long status = 0;
+    long opened = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(m_handle, CURLINFO_NUM_CONNECTS, &opened);
+    curl_slist_free_all(headers);
+    m_opened += opened;
+    answer.status = static_cast<int>(status);
+    answer.whole = code == CURLE_OK;
+    return answer;
+}
+
+}  // namespace chicorylink::process_tests
