--- a/include/chicorylink/gateway/work.hpp
+++ b/include/chicorylink/gateway/work.hpp
@@ -82,6 +82,8 @@
     base::region_id forward_region;
     std::unique_ptr<stream_writer> forward;
     base::time_point attempt_started{};
+    /// When the last bytes of the answer came.
+    base::time_point last_progress{};
 
     /// The answer's receiver asked to wait; bytes that came over a peer link and were not given
     /// credit for yet.
--- /dev/null
+++ b/include/chicorylink/gateway/work_watch.hpp
@@ -0,0 +1,22 @@
+#ifndef CHICORYLINK_GATEWAY_WORK_WATCH_HPP
+#define CHICORYLINK_GATEWAY_WORK_WATCH_HPP
+
+namespace chicorylink::rules {
+class rulebook;
+}  // namespace chicorylink::rules
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// @brief Ends requests whose key was withdrawn or whose team may not use this region any more.
+/// To be called when a version of the rules comes in force.
+void end_forbidden(services& all, const rules::rulebook& book);
+
+/// @brief Ends requests whose answer did not begin before their deadline, and streams on which
+/// nothing moved for too long. To be called several times a second.
+void end_overdue(services& all);
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_WORK_WATCH_HPP
--- /dev/null
+++ b/src/chicorylink/gateway/cluster.cpp
@@ -0,0 +1,198 @@
+#include "chicorylink/gateway/cluster.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "chicorylink/base/log.hpp"
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/base/secret.hpp"
+#include "chicorylink/gateway/control_channel.hpp"
+#include "chicorylink/gateway/platform_poller.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/work_table.hpp"
+#include "chicorylink/membership/codec.hpp"
+#include "chicorylink/platform/vm_list.hpp"
+#include "chicorylink/wire/peer_network.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+constexpr base::milliseconds list_timeout{3'000};
+
+/// A refused connection proves the end of a process only when that process was known for longer
+/// than the news of the refusal can be old.
+constexpr base::milliseconds refusal_age{2'000};
+
+membership::platform_list to_platform_list(const platform::vm_list& list)
+{
+    membership::platform_list converted{list.sequence, list.age, {}};
+    for (const auto& vm : list.vms) {
+        converted.vms.push_back({vm.name, vm.region, vm.data_center, vm.caller_address,
+                                 vm.peer_address,
+                                 vm.state == membership::member_state::leaving});
+    }
+    return converted;
+}
+
+std::uint64_t calendar_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+}  // namespace
+
+cluster::cluster(services& all, membership::identity self, hooks calls)
+    : m_all(all), m_hooks(std::move(calls)),
+      m_table(std::move(self), membership::timing{}, all.now()),
+      m_view(std::make_shared<const membership::view>(m_table.current(all.now())))
+{
+}
+
+void cluster::tick()
+{
+    m_table.set_load({static_cast<std::uint32_t>(m_all.works->size()), 0});
+    perform(m_table.tick(m_all.now()));
+    renew_if_needed();
+    publish();
+}
+
+void cluster::poll_list(platform_poller& platform)
+{
+    platform.get(m_all.config.platform_url + "/v1/vms", list_timeout, [this](const fetched& answer) {
+        constexpr int status_ok = 200;
+        if (answer.status != status_ok) {
+            m_all.metrics->add("chicorylink_platform_errors_total{call=\"vms\"}");
+            return;
+        }
+        take_list(answer.body, answer.requested_at);
+    });
+}
+
+void cluster::take_list(const std::string& body, base::time_point requested_at)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(list, platform::parse_vm_list(body));
+            perform(m_table.on_list(to_platform_list(list), requested_at, m_all.now()));
+            return {};
+        },
+        [&](const base::error& failure) {
+            m_all.metrics->add("chicorylink_platform_errors_total{call=\"vms\"}");
+            base::log(base::log_level::warning, "vm_list_unreadable",
+                      {{"message", base::describe(failure)}});
+        },
+        [] {});
+    publish();
+}
+
+void cluster::on_message(std::span<const std::uint8_t> bytes)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(message, membership::decode(bytes));
+            perform(m_table.receive(message, m_all.now()));
+            return {};
+        },
+        [&] { m_all.metrics->add("chicorylink_bad_input_total{reason=\"membership_message\"}"); });
+    renew_if_needed();
+    publish();
+}
+
+void cluster::on_refused(base::vm_id vm)
+{
+    const auto now = m_all.now();
+    const auto found = m_processes.find(vm);
+    if (found == m_processes.end() || now - found->second.since < refusal_age) {
+        return;
+    }
+    perform(m_table.connection_refused(vm, found->second.process, now));
+    publish();
+}
+
+void cluster::set_leaving()
+{
+    perform(m_table.set_leaving(m_all.now()));
+    publish();
+}
+
+void cluster::set_config_known(base::config_version version)
+{
+    m_table.set_config_known(version);
+}
+
+std::shared_ptr<const membership::view> cluster::view() const
+{
+    return std::atomic_load(&m_view);
+}
+
+bool cluster::list_is_fresh() const
+{
+    return view()->list_is_fresh;
+}
+
+void cluster::perform(const membership::effects& effects)
+{
+    for (const auto& message : effects.send) {
+        m_all.network->send_control(
+            message.to, membership_channel,
+            wrap_control(m_all.process.load(), membership::encode(message.content)));
+    }
+    for (const auto& event : effects.events) {
+        const auto* member = membership::find(*view(), event.vm);
+        base::log(base::log_level::info, membership::to_string(event.kind),
+                  {{"peer", member != nullptr ? member->name : ""},
+                   {"process", event.process.value()}});
+    }
+}
+
+void cluster::renew_if_needed()
+{
+    if (!m_table.must_renew()) {
+        return;
+    }
+    const base::incarnation process{base::random_bits()};
+    base::log(base::log_level::warning, "process_renewed",
+              {{"reason", "other VMs take this process as gone"}});
+    m_all.process = process;
+    m_table.renew(process, calendar_ms(), m_all.now());
+    m_hooks.on_renewed();
+}
+
+void cluster::remember_processes()
+{
+    for (const auto& vm : view()->members) {
+        auto& known = m_processes[vm.id];
+        if (known.process != vm.process) {
+            known = {vm.process, m_all.now()};
+        }
+    }
+}
+
+void cluster::publish()
+{
+    auto now_known = std::make_shared<const membership::view>(m_table.current(m_all.now()));
+    std::atomic_store(&m_view, now_known);
+    remember_processes();
+    std::map<base::vm_id, std::string> peers;
+    for (const auto& vm : now_known->members) {
+        if (vm.id != m_all.self) {
+            peers[vm.id] = vm.peer_address;
+        }
+    }
+    if (peers != m_peers) {
+        m_peers = peers;
+        std::vector<wire::peer_address> addresses;
+        for (const auto& [vm, address] : peers) {
+            addresses.push_back({vm, address});
+        }
+        m_all.network->set_peers(addresses);
+    }
+    m_hooks.on_view(*now_known);
+}
+
+}  // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/forward_attempt.cpp
+++ b/src/chicorylink/gateway/forward_attempt.cpp
@@ -91,6 +91,7 @@
         if (!is_current(*entry, attempt)) {
             return;
         }
+        entry->last_progress = all.now();
         good = take_forwarded_bytes(*entry, bytes, all.config.max_answer_bytes);
         entry->unconsumed += bytes.size();
         if (!entry->paused) {
--- a/src/chicorylink/gateway/target_attempt.cpp
+++ b/src/chicorylink/gateway/target_attempt.cpp
@@ -121,6 +121,7 @@
         if (entry->paused) {
             return false;
         }
+        entry->last_progress = all.now();
         const bool begun = entry->passed_tokens > 0;
         too_large = !take_piece(*entry, piece, all.config.max_answer_bytes);
         first_token = !begun && entry->passed_tokens > 0;
--- /dev/null
+++ b/src/chicorylink/gateway/work_watch.cpp
@@ -0,0 +1,69 @@
+#include "chicorylink/gateway/work_watch.hpp"
+
+#include <optional>
+
+#include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/work_table.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+namespace chicorylink::gateway {
+namespace {
+
+constexpr base::milliseconds longest_silence{60'000};
+
+std::optional<refusal> why_forbidden(const services& all, const rules::rulebook& book,
+                                     const work& entry)
+{
+    const auto* team = book.find(entry.team);
+    const auto* key = entry.key_digest ? book.find_key(*entry.key_digest) : nullptr;
+    if (entry.key_digest && (key == nullptr || key->team != entry.team)) {
+        return refusal{refusal_kind::key_withdrawn, "the key was withdrawn",
+                       "ask the operators for a key"};
+    }
+    if (team == nullptr || !rules::may_run_in(*team, all.region)) {
+        return refusal{refusal_kind::region_not_allowed,
+                       "the rules do not let the team use this region any more",
+                       "ask GET /v1/vms for a VM"};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> why_overdue(work& entry, base::time_point now)
+{
+    const std::lock_guard lock(entry.mutex);
+    const bool waiting = entry.phase != work_phase::answering && entry.phase != work_phase::done;
+    if (waiting && now >= entry.deadline) {
+        return refusal{refusal_kind::deadline_exceeded, "no answer began before the deadline",
+                       "ask again, or ask for less"};
+    }
+    if (entry.phase == work_phase::answering && !entry.paused &&
+        now - entry.last_progress > longest_silence) {
+        return refusal{refusal_kind::target_failed, "the target stopped sending",
+                       "repeat the request", run_outcome::ran};
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+void end_forbidden(services& all, const rules::rulebook& book)
+{
+    for (const auto& entry : all.works->all()) {
+        if (const auto why = why_forbidden(all, book, *entry)) {
+            finish_refused(all, entry, *why);
+        }
+    }
+}
+
+void end_overdue(services& all)
+{
+    const auto now = all.now();
+    for (const auto& entry : all.works->all()) {
+        if (const auto why = why_overdue(*entry, now)) {
+            finish_refused(all, entry, *why);
+        }
+    }
+}
+
+}  // namespace chicorylink::gateway
