--- a/include/chicorylink/gateway/daemon.hpp
+++ b/include/chicorylink/gateway/daemon.hpp
@@ -9,6 +9,8 @@
 
 namespace chicorylink::gateway {
 
+class daemon_core;
+
 /// @brief One running gateway: listeners, peer links, control loop and request path.
 class daemon {
 public:
@@ -33,10 +35,9 @@
     void stop();
 
 private:
-    class implementation;
-    explicit daemon(std::unique_ptr<implementation> made);
+    explicit daemon(std::unique_ptr<daemon_core> core);
 
-    std::unique_ptr<implementation> m_implementation;
+    std::unique_ptr<daemon_core> m_core;
 };
 
 }  // namespace chicorylink::gateway
--- /dev/null
+++ b/include/chicorylink/gateway/daemon_core.hpp
@@ -0,0 +1,89 @@
+#ifndef CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
+#define CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
+
+#include <memory>
+#include <string>
+
+#include "chicorylink/base/error.hpp"
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/gateway/audit_trail.hpp"
+#include "chicorylink/gateway/cluster.hpp"
+#include "chicorylink/gateway/config_driver.hpp"
+#include "chicorylink/gateway/control_loop.hpp"
+#include "chicorylink/gateway/http_server.hpp"
+#include "chicorylink/gateway/operators_api.hpp"
+#include "chicorylink/gateway/platform_poller.hpp"
+#include "chicorylink/gateway/retry_guard.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/target_watch.hpp"
+#include "chicorylink/gateway/team_stats.hpp"
+#include "chicorylink/gateway/work_table.hpp"
+#include "chicorylink/platform/http_client.hpp"
+#include "chicorylink/routing/router.hpp"
+#include "chicorylink/wire/peer_network.hpp"
+
+namespace chicorylink::gateway {
+
+class budget_gate;
+
+/// @brief All parts of one daemon, wired together. Members are destroyed in reverse order: the
+/// threads end before what they use.
+class daemon_core {
+public:
+    explicit daemon_core(const settings& config);
+    ~daemon_core();
+    daemon_core(const daemon_core&) = delete;
+    daemon_core& operator=(const daemon_core&) = delete;
+    daemon_core(daemon_core&&) = delete;
+    daemon_core& operator=(daemon_core&&) = delete;
+
+    [[nodiscard]] base::result<void> start();
+    [[nodiscard]] std::string addresses() const;
+    void reload_tls();
+    void stop();
+
+private:
+    [[nodiscard]] base::result<void> start_network();
+    [[nodiscard]] base::result<void> start_callers();
+    [[nodiscard]] base::result<void> start_operators();
+    void start_loop();
+    void on_control(base::vm_id from, wire::channel_id channel,
+                    std::span<const std::uint8_t> bytes);
+    void on_rules(const std::shared_ptr<const rules::rulebook>& book);
+    void on_renewed();
+    void on_caller_gone(const exchange& request);
+    void send_region_summary();
+    void wait_for_requests();
+    void wait_for_budget();
+
+    [[nodiscard]] operators_sources make_sources();
+    [[nodiscard]] nlohmann::ordered_json status() const;
+    [[nodiscard]] nlohmann::ordered_json vm_rows() const;
+    [[nodiscard]] nlohmann::ordered_json team_rows() const;
+    [[nodiscard]] bool is_ready() const;
+
+    settings m_config;
+    base::metrics m_metrics;
+    audit_trail m_audit;
+    services m_services;
+    work_table m_works;
+    retry_guard m_retries;
+    team_stats m_teams;
+    std::unique_ptr<routing::router> m_router;
+    std::unique_ptr<budget_gate> m_budget;
+    std::unique_ptr<ticket_desk> m_tickets;
+    control_loop m_loop;
+    std::unique_ptr<cluster> m_cluster;
+    std::unique_ptr<config_driver> m_rules;
+    std::unique_ptr<target_watch> m_targets;
+    std::unique_ptr<wire::peer_network> m_network;
+    std::unique_ptr<platform::http_client> m_platform_http;
+    std::unique_ptr<platform::http_client> m_target_http;
+    std::unique_ptr<platform_poller> m_platform;
+    std::unique_ptr<http_server> m_callers;
+    std::unique_ptr<http_server> m_operators;
+};
+
+}  // namespace chicorylink::gateway
+
+#endif  // CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
