budget: slots with one owner, token loans, reservations

Cause: a team's rate and burst hold over all VMs, which share no state. Owners mint; other VMs borrow tokens for a bounded term. Reservations take an upper bound, settlement refunds no more than the room that stayed below the cap. Rules that cut a team in another way hold its growth back until all VMs concerned have them.

--- /dev/null
+++ b/include/chicorylink/budget/context.hpp
@@ -0,0 +1,55 @@
+#ifndef CHICORYLINK_BUDGET_CONTEXT_HPP
+#define CHICORYLINK_BUDGET_CONTEXT_HPP
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/budget/amount.hpp"
+#include "chicorylink/budget/message.hpp"
+#include "chicorylink/budget/placement.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace chicorylink::budget {
+
+/// @brief When an owned slot began to mint from empty, and until when loans of a former owner in
+/// other regions may still exist.
+struct slot_origin {
+    base::time_point born;
+    base::time_point quarantined_until;
+};
+
+/// @brief What all shards of a ledger decide by; immutable and replaced as a whole.
+struct context {
+    std::uint64_t number = 0;
+    base::vm_id self;
+    base::region_id region;
+    std::shared_ptr<const rules::rulebook> book;
+    slot_set owned;
+    std::array<slot_origin, slot_count> origins{};
+    /// The intended owners of the slots in each region.
+    std::map<base::region_id, slot_owners> owners;
+    std::map<base::team_id, std::vector<split>> held;
+};
+
+/// @brief What one slot of this region gives of a team's cap and rate.
+[[nodiscard]] limits slot_limits(const context& now_known, const rules::team& who,
+                                 std::size_t slot);
+
+/// @brief The sum over the owned slots.
+[[nodiscard]] limits owned_limits(const context& now_known, const rules::team& who);
+
+/// @brief The balance that an owned slot has for a team that has not spent since the slot began.
+[[nodiscard]] micro_tokens idle_balance(const limits& of_slot, const slot_origin& origin,
+                                        base::time_point now);
+
+/// @brief The part of a slot's cap that may be lent to other regions.
+[[nodiscard]] micro_tokens lendable_abroad(const limits& of_slot);
+
+} // namespace chicorylink::budget
+
+#endif // CHICORYLINK_BUDGET_CONTEXT_HPP
--- /dev/null
+++ b/src/chicorylink/budget/engine.cpp
@@ -0,0 +1,417 @@
+#include "chicorylink/budget/engine.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace chicorylink::budget {
+
+engine::engine(identity self, const settings& terms, base::time_point start)
+    : m_self(self), m_terms(terms), m_slots(self, terms, start), m_versions(terms),
+      m_member_until(start.time_since_epoch().count())
+{
+    for (auto& each : m_shards) {
+        each = std::make_unique<shard>(terms);
+    }
+    publish(start);
+}
+
+engine::shard& engine::shard_of(base::team_id team)
+{
+    return *m_shards[base::hash_pair(team.value(), 0) % shard_count];
+}
+
+engine::shard& engine::shard_of(reservation_id id) const
+{
+    return *m_shards[id.value() % shard_count];
+}
+
+bool engine::may_spend(base::time_point now) const
+{
+    return m_rules_are_known && now.time_since_epoch().count() < m_member_until;
+}
+
+std::shared_ptr<context> engine::next_context() const
+{
+    auto next = std::make_shared<context>();
+    next->number = m_last_context;
+    next->self = m_self.vm;
+    next->region = m_self.region;
+    next->book = m_book;
+    next->owned = m_slots.owned();
+    next->origins = m_slots.origins();
+    next->owners = m_owners;
+    for (const auto& each : m_versions.held()) {
+        next->held[each.team].push_back(each.how);
+    }
+    return next;
+}
+
+void engine::publish(base::time_point now)
+{
+    m_last_context += 2;
+    const std::shared_ptr<const context> next = next_context();
+    for (auto& each : m_shards) {
+        const std::lock_guard guard(each->lock);
+        each->accounts.refresh_all(*next, now);
+        each->known = next;
+    }
+}
+
+void engine::open_recut_accounts(const rules::rulebook& before, const rules::rulebook& after,
+                                 base::time_point now)
+{
+    for (const auto& who : after.teams()) {
+        const auto* old = before.find(who.id);
+        const auto how = split_of(who);
+        const bool recut = old == nullptr || split_of(*old) != how;
+        if (!recut || (slots_of(who.id, how.parts) & m_slots.owned()).none()) {
+            continue;
+        }
+        auto& home = shard_of(who.id);
+        const std::lock_guard guard(home.lock);
+        home.accounts.open_recut(who, *home.known, now);
+    }
+}
+
+void engine::gain(const slot_set& slots, const std::vector<moved_balance>& balances,
+                  base::time_point now)
+{
+    if (slots.none()) {
+        return;
+    }
+    m_last_context += 2;
+    const std::shared_ptr<const context> next = next_context();
+    for (auto& each : m_shards) {
+        const std::lock_guard guard(each->lock);
+        std::vector<moved_balance> here;
+        std::ranges::copy_if(balances, std::back_inserter(here), [&](const moved_balance& one) {
+            return &shard_of(one.team) == each.get();
+        });
+        each->accounts.attach(slots, here, *next, now);
+        each->accounts.refresh_all(*next, now);
+        each->known = next;
+    }
+}
+
+void engine::learn(const std::vector<held_split>& held, base::config_version version)
+{
+    m_versions.learn(held);
+    // Another VM of the region already acts on newer rules: nothing is spent before they are here.
+    if (m_book == nullptr || m_book->version() < version) {
+        m_needed_version = std::max(m_needed_version, version);
+        m_rules_are_known = false;
+    }
+}
+
+effects engine::on_rules(std::shared_ptr<const rules::rulebook> book, base::time_point now)
+{
+    effects result;
+    const std::lock_guard guard(m_lock);
+    if (book == nullptr || (m_book != nullptr && book->version() <= m_book->version())) {
+        return result;
+    }
+    m_versions.on_rules(m_book.get(), *book);
+    if (m_book != nullptr) {
+        open_recut_accounts(*m_book, *book, now);
+    }
+    m_book = std::move(book);
+    m_rules_are_known = m_book->version() >= m_needed_version;
+    m_versions.drop_settled();
+    publish(now);
+    result.messages = m_versions.queries(now);
+    return result;
+}
+
+void engine::lapse(base::time_point now)
+{
+    m_slots.clear(now);
+    m_last_context += 2;
+    const std::shared_ptr<const context> next = next_context();
+    for (auto& each : m_shards) {
+        const std::lock_guard guard(each->lock);
+        each->accounts.clear();
+        each->known = next;
+    }
+}
+
+bool engine::update_owners(const membership::view& members)
+{
+    std::uint64_t digest = 0;
+    for (const auto& each : members.members) {
+        if (each.state == membership::member_state::live) {
+            digest = base::hash_pair(digest ^ each.region.value(), each.id.value());
+        }
+    }
+    if (digest == m_members_digest) {
+        return false;
+    }
+    m_members_digest = digest;
+    m_owners.clear();
+    for (const auto& each : members.members) {
+        if (!m_owners.contains(each.region)) {
+            m_owners.emplace(each.region, owners_of(each.region, members));
+        }
+    }
+    return true;
+}
+
+effects engine::on_view(const membership::view& members, base::time_point now)
+{
+    effects result;
+    const std::lock_guard guard(m_lock);
+    if (now.time_since_epoch().count() >= m_member_until) {
+        // Others may have taken over while the permission had run out.
+        lapse(now);
+    }
+    std::vector<borrower> gone;
+    const bool moved = update_owners(members);
+    m_slots.on_view(members, m_owners[m_self.region], now, gone);
+    m_versions.on_view(members);
+    const bool released = m_versions.drop_settled();
+    m_member_until = members.member_until.time_since_epoch().count();
+    if (moved || released) {
+        publish(now);
+    }
+    for (auto& each : m_shards) {
+        const std::lock_guard shard_guard(each->lock);
+        for (const auto& who : gone) {
+            each->accounts.forget_borrower(who, now);
+        }
+    }
+    try_claim(now, result);
+    return result;
+}
+
+void engine::try_claim(base::time_point now, effects& result)
+{
+    const auto request = m_slots.begin_claim(now, may_spend(now));
+    if (!request) {
+        return;
+    }
+    for (const auto to : m_slots.claim_recipients()) {
+        result.messages.push_back({to, *request});
+    }
+    gain(m_slots.finish_claim(now), {}, now);
+}
+
+effects engine::tick(base::time_point now)
+{
+    effects result;
+    const std::lock_guard guard(m_lock);
+    try_claim(now, result);
+    if (m_versions.drop_settled()) {
+        publish(now);
+    }
+    auto resent = m_slots.resend(now);
+    auto queries = m_versions.queries(now);
+    std::ranges::move(resent, std::back_inserter(result.messages));
+    std::ranges::move(queries, std::back_inserter(result.messages));
+    for (auto& each : m_shards) {
+        const std::lock_guard shard_guard(each->lock);
+        each->accounts.tick(*each->known, now, result);
+    }
+    return result;
+}
+
+effects engine::on_message(base::vm_id from, base::incarnation process, const message& body,
+                           base::time_point now)
+{
+    effects result;
+    std::visit([&](const auto& each) { handle({from, process}, each, now, result); }, body);
+    return result;
+}
+
+void engine::handle(const borrower& from, const claim& body, base::time_point now, effects& result)
+{
+    const std::lock_guard guard(m_lock);
+    auto answer = m_slots.answer_claim(from, body, now);
+    answer.version = m_book ? m_book->version() : base::config_version{};
+    answer.held = m_versions.held();
+    const auto promised = body.slots & ~answer.denied;
+    for (auto& each : m_shards) {
+        const std::lock_guard shard_guard(each->lock);
+        each->accounts.void_loans(promised, *each->known);
+    }
+    result.messages.push_back({from.vm, answer});
+    give(from, body, now, result);
+}
+
+void engine::give(const borrower& to, const claim& request, base::time_point now, effects& result)
+{
+    const auto slots = m_slots.slots_to_give(to, request, now);
+    if (slots.none()) {
+        return;
+    }
+    auto& transfer = m_slots.begin_transfer(to, request.round, slots, now);
+    transfer.version = m_book ? m_book->version() : base::config_version{};
+    transfer.held = m_versions.held();
+    m_last_context += 2;
+    const std::shared_ptr<const context> next = next_context();
+    for (auto& each : m_shards) {
+        const std::lock_guard guard(each->lock);
+        each->accounts.detach(slots, *each->known, now, transfer.balances);
+        each->known = next;
+    }
+    result.messages.push_back({to.vm, transfer});
+}
+
+void engine::handle(const borrower& from, const claim_answer& body, base::time_point now,
+                    effects& /*result*/)
+{
+    const std::lock_guard guard(m_lock);
+    const auto own_version = m_book ? m_book->version() : base::config_version{};
+    const auto taken = m_slots.on_claim_answer(from.vm, body, own_version, now);
+    learn(body.held, body.version);
+    if (!body.held.empty()) {
+        publish(now);
+    }
+    gain(taken, {}, now);
+}
+
+void engine::handle(const borrower& from, const slot_transfer& body, base::time_point now,
+                    effects& result)
+{
+    const std::lock_guard guard(m_lock);
+    const auto own_version = m_book ? m_book->version() : base::config_version{};
+    const bool permitted = may_spend(now) && body.version >= own_version;
+    const auto before = m_slots.owned();
+    const auto answer = m_slots.on_transfer(from, body, permitted, now);
+    const auto gained = m_slots.owned() & ~before;
+    if (gained.any()) {
+        learn(body.held, body.version);
+        gain(gained, body.balances, now);
+    }
+    result.messages.push_back({from.vm, answer});
+}
+
+void engine::handle(const borrower& from, const transfer_answer& body, base::time_point now,
+                    effects& /*result*/)
+{
+    const std::lock_guard guard(m_lock);
+    const auto before = m_slots.owned();
+    const auto returned = m_slots.on_transfer_answer(from, body, now);
+    if (returned) {
+        gain(m_slots.owned() & ~before, returned->balances, now);
+    }
+}
+
+void engine::handle(const borrower& from, const loan_request& body, base::time_point now,
+                    effects& result)
+{
+    if (!may_spend(now)) {
+        return;
+    }
+    auto& home = shard_of(body.team);
+    const std::lock_guard guard(home.lock);
+    home.accounts.on_request(from, body, *home.known, now, result);
+}
+
+void engine::handle(const borrower& from, const loan_grant& body, base::time_point now,
+                    effects& result)
+{
+    auto& home = shard_of(body.team);
+    const std::lock_guard guard(home.lock);
+    home.accounts.on_grant(from, body, *home.known, now, result);
+}
+
+void engine::handle(const borrower& from, const version_query& /*body*/, base::time_point /*now*/,
+                    effects& result)
+{
+    const std::lock_guard guard(m_lock);
+    const auto version = m_book ? m_book->version() : base::config_version{};
+    result.messages.push_back({from.vm, version_answer{version}});
+}
+
+void engine::handle(const borrower& from, const version_answer& body, base::time_point now,
+                    effects& /*result*/)
+{
+    const std::lock_guard guard(m_lock);
+    m_versions.on_answer(from, body.version);
+    if (m_versions.drop_settled()) {
+        publish(now);
+    }
+}
+
+admission engine::reserve(const ask& request, base::time_point now, effects& result)
+{
+    if (!may_spend(now)) {
+        return refused{refusal::not_a_member, std::nullopt};
+    }
+    auto& home = shard_of(request.team);
+    const std::lock_guard guard(home.lock);
+    const auto index = base::hash_pair(request.team.value(), 0) % shard_count;
+    const reservation_id id{++home.last_reservation * shard_count + index};
+    return home.accounts.reserve(request, id, *home.known, now, result);
+}
+
+bool engine::confirm(reservation_id id, base::time_point now) const
+{
+    if (!may_spend(now)) {
+        return false;
+    }
+    auto& home = shard_of(id);
+    const std::lock_guard guard(home.lock);
+    return home.accounts.holds(id);
+}
+
+base::result<void> engine::settle(reservation_id id, base::tokens used, base::time_point now)
+{
+    auto& home = shard_of(id);
+    const std::lock_guard guard(home.lock);
+    return home.accounts.settle(id, used, *home.known, now);
+}
+
+base::result<void> engine::release(reservation_id id, base::time_point now)
+{
+    return settle(id, base::tokens{0}, now);
+}
+
+effects engine::drain(base::time_point now)
+{
+    effects result;
+    const std::lock_guard guard(m_lock);
+    m_slots.start_draining();
+    for (auto& each : m_shards) {
+        const std::lock_guard shard_guard(each->lock);
+        each->accounts.return_loans(now, result);
+    }
+    return result;
+}
+
+bool engine::drained() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_slots.drained();
+}
+
+std::size_t engine::owned_slot_count() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_slots.owned().count();
+}
+
+std::size_t engine::account_count() const
+{
+    std::size_t count = 0;
+    for (const auto& each : m_shards) {
+        const std::lock_guard guard(each->lock);
+        count += each->accounts.account_count();
+    }
+    return count;
+}
+
+micro_tokens engine::spendable(base::team_id team, base::time_point now)
+{
+    auto& home = shard_of(team);
+    const std::lock_guard guard(home.lock);
+    return home.accounts.spendable(team, *home.known, now);
+}
+
+bool engine::shares_held_back() const
+{
+    const std::lock_guard guard(m_lock);
+    return !m_versions.held().empty();
+}
+
+} // namespace chicorylink::budget
