stand_ins: platform, engine and service for tests

Process tests and the quickstart need the outside systems of docs/PLATFORM.md on this machine. Three programs on one small HTTP library speak those protocols; control calls publish rules, change lists, and bring about faults: down, stale, corrupt, slow, cut midway, wrong id, unread bodies. Targets count runs, cancels and record what they received, so that a test can assert that no caller key arrived.

The process tests that use them are the check to come.

--- /dev/null
+++ b/stand_ins/generation.cpp
@@ -0,0 +1,110 @@
+#include "stand_ins/generation.hpp"
+
+#include "chicorylink/base/ids.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace chicorylink::stand_ins {
+namespace {
+
+constexpr std::uint64_t most_tokens = 100'000;
+
+std::uint64_t count_words(const std::string& text)
+{
+    std::istringstream words(text);
+    std::string word;
+    std::uint64_t count = 0;
+    while (words >> word) {
+        ++count;
+    }
+    return count;
+}
+
+nlohmann::json usage_of(const generation& of)
+{
+    return {{"prompt_tokens", of.prompt_tokens},
+            {"completion_tokens", of.total_tokens},
+            {"total_tokens", of.prompt_tokens + of.total_tokens}};
+}
+
+nlohmann::json chunk_of(const generation& of, nlohmann::json delta, bool is_last)
+{
+    nlohmann::json chunk{{"id", of.request_id},
+                         {"object", "chat.completion.chunk"},
+                         {"model", of.model},
+                         {"choices", nlohmann::json::array()}};
+    nlohmann::json choice{{"index", 0}, {"delta", std::move(delta)}, {"finish_reason", nullptr}};
+    if (is_last) {
+        choice["finish_reason"] = "stop";
+        chunk["usage"] = usage_of(of);
+    }
+    chunk["choices"].push_back(std::move(choice));
+    return chunk;
+}
+
+std::string event_of(const nlohmann::json& chunk)
+{
+    return fmt::format("data: {}\n\n", chunk.dump());
+}
+
+} // namespace
+
+std::optional<generation> read_generation(const std::string& body, std::uint64_t default_tokens)
+{
+    try {
+        const auto json = nlohmann::json::parse(body);
+        generation read;
+        read.model = json.at("model").get<std::string>();
+        for (const auto& message : json.at("messages")) {
+            read.prompt += message.at("content").get<std::string>();
+            read.prompt += '\n';
+        }
+        read.prompt_tokens = count_words(read.prompt);
+        read.total_tokens = std::min(json.value("max_tokens", default_tokens), most_tokens);
+        read.stream = json.value("stream", false);
+        return read;
+    }
+    catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string token_text(const std::string& request_id, std::uint64_t index)
+{
+    constexpr std::uint64_t shown_bits = 0xFFFF;
+    const auto hash = base::hash_pair(base::hash_name(request_id), index) & shown_bits;
+    return fmt::format("{}:{:04x} ", index, hash);
+}
+
+std::string token_event(const generation& of, std::uint64_t index)
+{
+    const bool is_last = index + 1 >= of.total_tokens;
+    return event_of(chunk_of(of, {{"content", token_text(of.request_id, index)}}, is_last));
+}
+
+std::string empty_event(const generation& of)
+{
+    return event_of(chunk_of(of, nlohmann::json::object(), true));
+}
+
+std::string plain_answer(const generation& of)
+{
+    std::string content;
+    for (auto index = of.first_token; index < of.total_tokens; ++index) {
+        content += token_text(of.request_id, index);
+    }
+    const nlohmann::json message{{"role", "assistant"}, {"content", content}};
+    nlohmann::json answer{{"id", of.request_id},
+                          {"object", "chat.completion"},
+                          {"model", of.model},
+                          {"choices", nlohmann::json::array()},
+                          {"usage", usage_of(of)}};
+    answer["choices"].push_back({{"index", 0}, {"message", message}, {"finish_reason", "stop"}});
+    return answer.dump();
+}
+
+} // namespace chicorylink::stand_ins
--- /dev/null
+++ b/stand_ins/token_bucket.hpp
@@ -0,0 +1,40 @@
+#ifndef CHICORYLINK_STAND_INS_TOKEN_BUCKET_HPP
+#define CHICORYLINK_STAND_INS_TOKEN_BUCKET_HPP
+
+#include <algorithm>
+#include <chrono>
+
+namespace chicorylink::stand_ins {
+
+/// @brief Admits calls at a rate, with a burst of one second's calls. Not thread-safe.
+class token_bucket {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    explicit token_bucket(double calls_per_second)
+        : m_rate(calls_per_second), m_level(calls_per_second)
+    {
+    }
+
+    /// @brief Takes one call; false when the rate is used up.
+    [[nodiscard]] bool take(time_point now)
+    {
+        const std::chrono::duration<double> passed = now - m_filled;
+        m_level = std::min(m_rate, m_level + passed.count() * m_rate);
+        m_filled = now;
+        if (m_level < 1.0) {
+            return false;
+        }
+        m_level -= 1.0;
+        return true;
+    }
+
+private:
+    double m_rate;
+    double m_level;
+    time_point m_filled{};
+};
+
+} // namespace chicorylink::stand_ins
+
+#endif // CHICORYLINK_STAND_INS_TOKEN_BUCKET_HPP
