--- a/include/chicorylink/gateway/budget_gate.hpp
+++ b/include/chicorylink/gateway/budget_gate.hpp
@@ -71,6 +71,8 @@
     void renew(base::time_point now);
 
     [[nodiscard]] std::size_t waiting() const;
+    /// @brief Parts of the region's right to mint tokens that this VM owns.
+    [[nodiscard]] std::size_t owned_slots() const;
     /// @brief Whole tokens of a team that can be spent here now.
     [[nodiscard]] base::tokens spendable(base::team_id team) const;
 
--- a/process_tests/support/http_call.cpp
+++ b/process_tests/support/http_call.cpp
@@ -2,12 +2,17 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
+#include <thread>
 
 #include <curl/curl.h>
 
 namespace chicorylink::process_tests {
 namespace {
 
+constexpr int max_tries = 300;
+constexpr std::chrono::milliseconds try_interval{100};
+
 struct receiver {
     reply* answer = nullptr;
     const call* wanted = nullptr;
@@ -72,6 +77,20 @@
     return once.perform(wanted);
 }
 
+reply perform_when_admitted(const call& wanted)
+{
+    auto answer = perform(wanted);
+    for (int tries = 0; tries < max_tries; ++tries) {
+        const auto why = answer.refusal();
+        if (why != "rate_exceeded" && why != "not_ready") {
+            break;
+        }
+        std::this_thread::sleep_for(try_interval);
+        answer = perform(wanted);
+    }
+    return answer;
+}
+
 connection::connection() : m_handle(curl_easy_init()) {}
 
 connection::~connection()
--- a/process_tests/support/http_call.hpp
+++ b/process_tests/support/http_call.hpp
@@ -39,6 +39,10 @@
 /// @brief Makes a call and waits for its end.
 [[nodiscard]] reply perform(const call& wanted);
 
+/// @brief Makes a call, again while the answer is that the team's rate is used up or that the VM
+/// is not ready, for a bounded number of tries.
+[[nodiscard]] reply perform_when_admitted(const call& wanted);
+
 /// @brief A connection that several calls share, one after the other.
 class connection {
 public:
--- a/src/chicorylink/gateway/budget_gate.cpp
+++ b/src/chicorylink/gateway/budget_gate.cpp
@@ -211,6 +211,11 @@
     return count;
 }
 
+std::size_t budget_gate::owned_slots() const
+{
+    return engine()->owned_slot_count();
+}
+
 base::tokens budget_gate::spendable(base::team_id team) const
 {
     return budget::whole_tokens(engine()->spendable(team, m_all.now()));
--- a/src/chicorylink/gateway/daemon_rows.cpp
+++ b/src/chicorylink/gateway/daemon_rows.cpp
@@ -56,8 +56,15 @@
 
 bool daemon_core::is_ready() const
 {
+    const auto view = m_cluster->view();
+    const bool has_peers =
+        std::any_of(view->members.begin(), view->members.end(), [&](const auto& vm) {
+            return vm.region == m_services.region && vm.id != m_services.self &&
+                   membership::takes_work(vm);
+        });
     return m_services.rulebook() != nullptr && !m_services.leaving &&
-           m_cluster->view()->member_until > m_services.now();
+           view->member_until > m_services.now() &&
+           (m_budget->owned_slots() > 0 || has_peers);
 }
 
 nlohmann::ordered_json daemon_core::status() const
@@ -75,6 +82,7 @@
         {"vm_list_is_fresh", view->list_is_fresh},
         {"requests", m_works.size()},
         {"queued", m_router->queued()},
+        {"budget_slots", m_budget->owned_slots()},
         {"waiting_for_budget", m_budget->waiting()},
     };
     if (m_rules) {
--- a/src/chicorylink/gateway/directory_answer.cpp
+++ b/src/chicorylink/gateway/directory_answer.cpp
@@ -23,4 +23,11 @@
     return addresses;
 }
 
+http_answer answer_directory(const services& all, const rules::rulebook& book, const identity& who)
+{
+    const auto* team = book.find(who.team);
+    const nlohmann::ordered_json body{{"vms", other_vms(all, rules::allowed_regions(*team))}};
+    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
 } // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/refusal.cpp
+++ b/src/chicorylink/gateway/refusal.cpp
@@ -91,6 +91,9 @@
     error["message"] = why.message;
     error["remedy"] = why.remedy;
     error["outcome"] = to_string(why.outcome);
+    if (why.retry_after) {
+        error["retry_after_ms"] = why.retry_after->count();
+    }
     if (!why.vms.empty()) {
         error["vms"] = why.vms;
     }
