--- a/include/chicorylink/gateway/daemon_core.hpp
+++ b/include/chicorylink/gateway/daemon_core.hpp
@@ -76,10 +76,10 @@
     std::unique_ptr<cluster> m_cluster;
     std::unique_ptr<config_driver> m_rules;
     std::unique_ptr<target_watch> m_targets;
+    std::unique_ptr<platform_poller> m_platform;
     std::unique_ptr<wire::peer_network> m_network;
     std::unique_ptr<platform::http_client> m_platform_http;
     std::unique_ptr<platform::http_client> m_target_http;
-    std::unique_ptr<platform_poller> m_platform;
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_operators;
 };
--- a/src/chicorylink/gateway/http_server.cpp
+++ b/src/chicorylink/gateway/http_server.cpp
@@ -294,15 +294,15 @@
     call.head_checked = true;
     read_head(call, method);
     const auto& request = call.request->request();
-    if (content_length(request) > m_settings.max_body_bytes) {
-        bad_input("body_too_large");
-        return queue_answer(call.connection, too_large_answer(m_settings.max_body_bytes));
-    }
     if (m_handlers.on_head) {
         if (const auto refusal = m_handlers.on_head(request)) {
             return queue_answer(call.connection, *refusal);
         }
     }
+    if (content_length(request) > m_settings.max_body_bytes) {
+        bad_input("body_too_large");
+        return queue_answer(call.connection, too_large_answer(m_settings.max_body_bytes));
+    }
     return MHD_YES;
 }
 
--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -218,6 +218,14 @@
            stay * (where.spilling ? hysteresis : 1.0);
 }
 
+/// Whether the request was at every target of this region that takes work.
+bool tried_all(const region_state& state, const request& asked)
+{
+    return std::none_of(state.targets.begin(), state.targets.end(), [&](const auto& target) {
+        return takes_work(target) && !was_tried(asked, target.id);
+    });
+}
+
 } // namespace
 
 pool_capacity capacity_of(const region_state& state, base::time_point now)
@@ -305,7 +313,9 @@
     if (home.kind == choice_kind::target) {
         return home;
     }
-    if (const auto away = choose_region(state, asked, who, weights, home, now)) {
+    const auto hopeless = home.kind == choice_kind::queue && tried_all(state, asked);
+    const auto stay = hopeless ? choice{} : home;
+    if (const auto away = choose_region(state, asked, who, weights, stay, now)) {
         return {choice_kind::other_region, 0, *away, 0};
     }
     return home;
