--- a/include/chicorylink/wire/wire_generated.h
+++ b/include/chicorylink/wire/wire_generated.h
@@ -21,29 +21,29 @@
 struct frame;
 struct frameBuilder;
 
-enum frame_kind : uint8_t {
-  frame_kind_hello = 0,
-  frame_kind_control = 1,
-  frame_kind_open = 2,
-  frame_kind_data = 3,
-  frame_kind_window = 4,
-  frame_kind_end = 5,
-  frame_kind_reset = 6,
-  frame_kind_ping = 7,
-  frame_kind_MIN = frame_kind_hello,
-  frame_kind_MAX = frame_kind_ping
+enum class frame_kind : uint8_t {
+  hello = 0,
+  control = 1,
+  open = 2,
+  data = 3,
+  window = 4,
+  end = 5,
+  reset = 6,
+  ping = 7,
+  MIN = hello,
+  MAX = ping
 };
 
 inline const frame_kind (&EnumValuesframe_kind())[8] {
   static const frame_kind values[] = {
-    frame_kind_hello,
-    frame_kind_control,
-    frame_kind_open,
-    frame_kind_data,
-    frame_kind_window,
-    frame_kind_end,
-    frame_kind_reset,
-    frame_kind_ping
+    frame_kind::hello,
+    frame_kind::control,
+    frame_kind::open,
+    frame_kind::data,
+    frame_kind::window,
+    frame_kind::end,
+    frame_kind::reset,
+    frame_kind::ping
   };
   return values;
 }
@@ -64,7 +64,7 @@
 }
 
 inline const char *EnumNameframe_kind(frame_kind e) {
-  if (flatbuffers::IsOutRange(e, frame_kind_hello, frame_kind_ping)) return "";
+  if (flatbuffers::IsOutRange(e, frame_kind::hello, frame_kind::ping)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesframe_kind()[index];
 }
@@ -169,7 +169,7 @@
 
 inline flatbuffers::Offset<frame> Createframe(
     flatbuffers::FlatBufferBuilder &_fbb,
-    chicorylink::wire::schema::frame_kind kind = chicorylink::wire::schema::frame_kind_hello,
+    chicorylink::wire::schema::frame_kind kind = chicorylink::wire::schema::frame_kind::hello,
     uint64_t incarnation = 0,
     uint64_t stream = 0,
     uint16_t channel = 0,
@@ -193,7 +193,7 @@
 
 inline flatbuffers::Offset<frame> CreateframeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    chicorylink::wire::schema::frame_kind kind = chicorylink::wire::schema::frame_kind_hello,
+    chicorylink::wire::schema::frame_kind kind = chicorylink::wire::schema::frame_kind::hello,
     uint64_t incarnation = 0,
     uint64_t stream = 0,
     uint16_t channel = 0,
--- a/src/chicorylink/wire/frame_codec.cpp
+++ b/src/chicorylink/wire/frame_codec.cpp
@@ -51,7 +51,7 @@
                           "check that only VMs of this system connect to the peer address");
     }
     const auto* raw = schema::Getframe(body.data());
-    if (raw->kind() > schema::frame_kind_MAX ||
+    if (raw->kind() > schema::frame_kind::MAX ||
         raw->reason() > static_cast<std::uint8_t>(reset_reason::timed_out)) {
         return base::fail(base::error_kind::invalid_message,
                           "a peer frame is of an unknown kind or reason",
--- a/src/chicorylink/wire/peer_network_test.cpp
+++ b/src/chicorylink/wire/peer_network_test.cpp
@@ -27,8 +27,7 @@
     stream_id accepted(const std::string& label)
     {
         EXPECT_TRUE(m_b.wait([&] { return m_b.opened.contains(label); }));
-        const std::lock_guard lock{m_b.mutex};
-        return m_b.opened[label];
+        return m_b.see([&] { return m_b.opened[label]; });
     }
 
     test_peer m_a{"a", 1};
@@ -63,12 +62,12 @@
     m_a.network->finish(stream);
     EXPECT_EQ(m_a.network->send_data(stream, bytes_of("more")), send_result::closed);
     ASSERT_TRUE(m_b.wait([&] { return m_b.ended["s"]; }));
-    EXPECT_EQ(m_b.received["s"], "question");
+    EXPECT_EQ(m_b.see([&] { return m_b.received["s"]; }), "question");
     const auto answer = accepted("s");
     EXPECT_EQ(m_b.network->send_data(answer, bytes_of("answer")), send_result::taken);
     m_b.network->finish(answer);
     ASSERT_TRUE(m_a.wait([&] { return m_a.ended["s"]; }));
-    EXPECT_EQ(m_a.received["s"], "answer");
+    EXPECT_EQ(m_a.see([&] { return m_a.received["s"]; }), "answer");
 }
 
 TEST_F(peer_network_test, reset_reaches_the_other_side)
@@ -96,8 +95,8 @@
     EXPECT_EQ(m_a.network->send_data(quick, bytes_of("short")), send_result::taken);
     m_a.network->finish(quick);
     EXPECT_TRUE(m_b.wait([&] { return m_b.ended["quick"]; }));
-    EXPECT_EQ(m_b.received["bulk"].size(), window);
-    EXPECT_FALSE(m_b.ended["bulk"]);
+    EXPECT_EQ(m_b.see([&] { return m_b.received["bulk"].size(); }), window);
+    EXPECT_FALSE(m_b.see([&] { return m_b.ended["bulk"]; }));
     m_b.network->consume(accepted("bulk"), window);
     EXPECT_TRUE(m_a.wait([&] { return m_a.windows["bulk"] > 0; }));
     m_a.network->finish(bulk);
@@ -156,7 +155,7 @@
     ASSERT_TRUE(m_b.wait([&] { return m_b.ended["s"]; }));
     m_b.network->finish(answer);
     EXPECT_TRUE(m_a.wait([&] { return m_a.ended["s"]; }));
-    EXPECT_FALSE(m_a.lost["s"]);
+    EXPECT_FALSE(m_a.see([&] { return m_a.lost["s"]; }));
 }
 
 TEST(peer_network_builder, needs_one_of_tls_and_plain_text)
--- a/src/chicorylink/wire/test_peers.hpp
+++ b/src/chicorylink/wire/test_peers.hpp
@@ -54,6 +54,14 @@
         return true;
     }
 
+    /// @brief Looks at the recorded things.
+    template <class Look>
+    auto see(Look look)
+    {
+        const std::lock_guard lock{mutex};
+        return look();
+    }
+
     /// @brief Waits until a counter of the metrics is above zero.
     bool wait_counter(const std::string& counter_name)
     {
--- a/src/chicorylink/wire/tls_session.cpp
+++ b/src/chicorylink/wire/tls_session.cpp
@@ -16,13 +16,15 @@
 constexpr std::size_t read_bytes = 16U << 10U;
 constexpr std::size_t name_bytes = 256;
 
-base::leaf::error_id failed()
+base::leaf::error_id failed(const ssl_st* session)
 {
     std::array<char, name_bytes> text{};
     ERR_error_string_n(ERR_get_error(), text.data(), text.size());
     ERR_clear_error();
+    const auto verified = SSL_get_verify_result(session);
     return base::fail(base::error_kind::not_allowed,
-                      fmt::format("TLS with a peer failed: {}", text.data()),
+                      fmt::format("TLS with a peer failed: {}, certificate: {}", text.data(),
+                                  X509_verify_cert_error_string(verified)),
                       "give all VMs valid certificates of the same authority");
 }
 
@@ -50,7 +52,7 @@
                                         std::vector<std::uint8_t>& plain)
 {
     if (BIO_write(m_input, encrypted.data(), static_cast<int>(encrypted.size())) <= 0) {
-        return failed();
+        return failed(m_ssl);
     }
     return go_on(plain);
 }
@@ -65,7 +67,7 @@
             if (reason == SSL_ERROR_WANT_READ || reason == SSL_ERROR_WANT_WRITE) {
                 return {};
             }
-            return failed();
+            return failed(m_ssl);
         }
         m_handshake_done = true;
     }
@@ -80,7 +82,7 @@
         if (reason == SSL_ERROR_WANT_READ || reason == SSL_ERROR_WANT_WRITE) {
             return {};
         }
-        return failed();
+        return failed(m_ssl);
     }
 }
 
@@ -91,7 +93,7 @@
     }
     ERR_clear_error();
     if (SSL_write(m_ssl, plain.data(), static_cast<int>(plain.size())) <= 0) {
-        return failed();
+        return failed(m_ssl);
     }
     return {};
 }
