--- /dev/null
+++ b/src/chicorylink/dispatch/ticket_rules.cpp
@@ -0,0 +1,82 @@
+#include "chicorylink/dispatch/ticket_rules.hpp"
+
+#include <utility>
+
+namespace chicorylink::dispatch {
+namespace {
+
+ticket_decision decide_on(const ticket_record& record, const base::digest& request)
+{
+    if (record.state == ticket_state::voided) {
+        return {ticket_verdict::voided, outcome::not_run, nullptr};
+    }
+    if (!base::equal_constant_time(record.request_digest, request)) {
+        return {ticket_verdict::mismatch, outcome::unknown, nullptr};
+    }
+    switch (record.state) {
+    case ticket_state::in_progress:
+        return {ticket_verdict::in_progress, outcome::unknown, nullptr};
+    case ticket_state::done:
+        return {ticket_verdict::answered, outcome::ran, record.answer};
+    case ticket_state::uncertain:
+    case ticket_state::voided:
+        break;
+    }
+    return {ticket_verdict::uncertain, outcome::unknown, nullptr};
+}
+
+} // namespace
+
+ticket_decision begin_request(ticket_slot& slot, const ticket_times& times,
+                              const base::digest& request, const attempt_id& holder,
+                              base::time_point now)
+{
+    if (now >= times.forget_at) {
+        return {ticket_verdict::forgotten, outcome::unknown, nullptr};
+    }
+    if (slot) {
+        return decide_on(*slot, request);
+    }
+    if (now >= times.begin_before) {
+        return {ticket_verdict::expired, outcome::not_run, nullptr};
+    }
+    slot = ticket_record{.state = ticket_state::in_progress,
+                         .request_digest = request,
+                         .holder = holder,
+                         .forget_at = times.forget_at,
+                         .answer = nullptr};
+    return {ticket_verdict::run, outcome::unknown, nullptr};
+}
+
+bool end_request(ticket_slot& slot, const attempt_id& holder, outcome result,
+                 std::shared_ptr<const stored_answer> answer)
+{
+    if (!slot || slot->state != ticket_state::in_progress || slot->holder != holder) {
+        return false;
+    }
+    if (result == outcome::not_run) {
+        slot->state = ticket_state::voided;
+    }
+    else if (result == outcome::ran && answer != nullptr) {
+        slot->state = ticket_state::done;
+        slot->answer = std::move(answer);
+    }
+    else {
+        slot->state = ticket_state::uncertain;
+    }
+    return true;
+}
+
+void bar(ticket_slot& slot, const ticket_times& times)
+{
+    if (!slot) {
+        slot = ticket_record{.state = ticket_state::voided, .forget_at = times.forget_at};
+    }
+}
+
+outcome outcome_of_entry_refusal(bool has_ticket, bool is_first_attempt)
+{
+    return has_ticket && !is_first_attempt ? outcome::unknown : outcome::not_run;
+}
+
+} // namespace chicorylink::dispatch
