--- a/include/chicorylink/membership/peer_record.hpp
+++ b/include/chicorylink/membership/peer_record.hpp
@@ -34,8 +34,10 @@
     /// Whether it may act without acknowledgements of others, as in a region of two.
     bool may_act_alone = true;
 
-    /// By delegates of other data centers.
+    /// By delegates of its data center, while they speak to this VM.
     member_state reported = member_state::live;
+    /// By delegates of this data center.
+    member_state relayed = member_state::live;
     bool reported_at_all = false;
 
     /// Its process is never acknowledged again: it was said to be silent, or it is gone.
--- a/include/chicorylink/membership/rendezvous.hpp
+++ b/include/chicorylink/membership/rendezvous.hpp
@@ -17,8 +17,9 @@
 ///
 /// When a VM goes, only its own place is filled anew; all other places stay.
 /// @param candidates In any order; all callers with the same set get the same answer.
-[[nodiscard]] std::vector<base::vm_id> first_by_rendezvous(
-    const std::vector<base::vm_id>& candidates, std::uint64_t key, std::size_t count);
+[[nodiscard]] std::vector<base::vm_id>
+first_by_rendezvous(const std::vector<base::vm_id>& candidates, std::uint64_t key,
+                    std::size_t count);
 
 /// @brief The VMs of a data center that speak for it, best first; leaving VMs only when no live
 /// ones are there.
--- a/include/chicorylink/membership/table.hpp
+++ b/include/chicorylink/membership/table.hpp
@@ -93,6 +93,8 @@
     void hear(peer_record& peer, base::time_point now, effects& out);
     void adopt_process(peer_record& peer, base::incarnation process, std::uint64_t started_ms,
                        base::time_point now, effects& out);
+    [[nodiscard]] peer_record* learn_process(const summary_row& row, base::time_point now,
+                                             effects& out);
     void apply_row(const summary_row& row, base::time_point now, effects& out);
     void apply_notes(const std::vector<gone_note>& notes, base::time_point now, effects& out);
     void mark_gone(peer_record& peer, gone_proof proof, base::time_point now, effects& out);
@@ -115,8 +117,9 @@
     void judge(peer_record& peer, base::time_point now, effects& out);
     void forget_old(base::time_point now);
     [[nodiscard]] heartbeat heartbeat_for(const peer_record& peer, base::time_point now) const;
+    [[nodiscard]] std::vector<base::vm_id> summary_receivers(const view& seen) const;
     [[nodiscard]] summary own_summary(const view& seen) const;
-    [[nodiscard]] relay own_relay(const view& seen, base::time_point now) const;
+    [[nodiscard]] relay own_relay(base::time_point now) const;
     [[nodiscard]] std::vector<gone_note> recent_gone(base::time_point now) const;
 
     /// State.
@@ -127,6 +130,8 @@
     [[nodiscard]] bool same_region(const peer_record& peer) const;
     [[nodiscard]] sender myself() const;
     [[nodiscard]] peer_record* find(base::vm_id vm);
+    /// Whether delegates of a data center speak to this VM itself.
+    [[nodiscard]] bool hears(base::data_center_id center, base::time_point now) const;
     [[nodiscard]] std::vector<region_summary> region_summaries() const;
 
     identity m_self;
@@ -166,7 +171,7 @@
     int m_own_trouble = 0;
     std::uint64_t m_summary_round = 0;
     std::vector<summary_row> m_last_rows;
-    std::vector<summary_row> m_last_exceptions;
+    std::vector<base::vm_id> m_last_receivers;
     std::map<base::data_center_id, remote_data_center> m_data_centers;
     std::map<base::region_id, region_summary> m_relayed;
 };
--- a/src/chicorylink/membership/codec.cpp
+++ b/src/chicorylink/membership/codec.cpp
@@ -116,26 +116,27 @@
                     .started_ms = from.started_ms};
 }
 
-flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fbs::Payload>>> pack(
-    builder& out, const std::vector<payload>& payloads)
+flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fbs::Payload>>>
+pack(builder& out, const std::vector<payload>& payloads)
 {
     if (payloads.empty()) {
         return 0;
     }
     std::vector<flatbuffers::Offset<fbs::Payload>> packed;
+    packed.reserve(payloads.size());
     for (const auto& each : payloads) {
         packed.push_back(fbs::CreatePayload(out, each.slot, out.CreateVector(each.content)));
     }
     return out.CreateVector(packed);
 }
 
-std::vector<payload> unpack(
-    const flatbuffers::Vector<flatbuffers::Offset<fbs::Payload>>* payloads)
+std::vector<payload> unpack(const flatbuffers::Vector<flatbuffers::Offset<fbs::Payload>>* payloads)
 {
     std::vector<payload> values;
     if (payloads == nullptr) {
         return values;
     }
+    values.reserve(payloads->size());
     for (const auto* each : *payloads) {
         const auto* content = each->content();
         values.push_back({.slot = each->slot(), .content = {content->begin(), content->end()}});
@@ -155,10 +156,9 @@
     const auto payloads = pack(out, value.payloads);
     const auto load = pack(value.load);
     return {fbs::Body::Heartbeat,
-            fbs::CreateHeartbeat(out, value.sequence, value.ack_sequence,
-                                 value.ack_process.value(), value.config_known.value(),
-                                 value.list_sequence, value.region_size, value.leaving, &load,
-                                 introduction, gone, payloads)
+            fbs::CreateHeartbeat(out, value.sequence, value.ack_sequence, value.ack_process.value(),
+                                 value.config_known.value(), value.list_sequence, value.region_size,
+                                 value.leaving, &load, introduction, gone, payloads)
                 .Union()};
 }
 
@@ -203,9 +203,9 @@
 
 packed_body pack_body(builder& out, const silence_answer& value)
 {
-    return {fbs::Body::SilenceAnswer, fbs::CreateSilenceAnswer(out, value.about.value(),
-                                                               value.process.value(), value.silent)
-                                          .Union()};
+    return {fbs::Body::SilenceAnswer,
+            fbs::CreateSilenceAnswer(out, value.about.value(), value.process.value(), value.silent)
+                .Union()};
 }
 
 packed_body pack_body(builder& out, const gone_notice& value)
@@ -266,8 +266,7 @@
         return unpack_body(*value.body_as_Relay(), from);
     case fbs::Body::Probe:
         return probe{from, value.body_as_Probe()->sequence(),
-                     value.body_as_Probe()->list_sequence(),
-                     value.body_as_Probe()->region_size()};
+                     value.body_as_Probe()->list_sequence(), value.body_as_Probe()->region_size()};
     case fbs::Body::ProbeAck:
         return probe_ack{from, value.body_as_ProbeAck()->sequence(),
                          base::incarnation{value.body_as_ProbeAck()->acked()}};
--- a/src/chicorylink/membership/rendezvous.cpp
+++ b/src/chicorylink/membership/rendezvous.cpp
@@ -51,8 +51,7 @@
 base::vm_id duty_holder(const view& from, base::data_center_id data_center, std::uint64_t duty)
 {
     const auto key = base::hash_pair(data_center.value(), duty);
-    const auto first =
-        first_by_rendezvous(vms_in(from, data_center, member_state::live), key, 1);
+    const auto first = first_by_rendezvous(vms_in(from, data_center, member_state::live), key, 1);
     return first.empty() ? base::vm_id{} : first.front();
 }
 
--- a/src/chicorylink/membership/table.cpp
+++ b/src/chicorylink/membership/table.cpp
@@ -3,6 +3,7 @@
 #include "chicorylink/membership/permission.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace chicorylink::membership {
 
@@ -67,9 +68,15 @@
 
 void table::drop_unlisted(const platform_list& list, base::time_point now)
 {
+    std::vector<base::vm_id> ids;
+    ids.reserve(list.vms.size());
+    for (const auto& each : list.vms) {
+        ids.push_back(base::id_of<base::vm_id>(each.name));
+    }
+    std::ranges::sort(ids);
     for (auto& [id, peer] : m_peers) {
-        const auto shown = [&](const listed_vm& each) { return each.name == peer.info.name; };
-        if (peer.listed && std::ranges::none_of(list.vms, shown)) {
+        const bool shown = std::ranges::binary_search(ids, id);
+        if (peer.listed && !shown) {
             peer.listed = false;
             peer.unlisted_since = now;
         }
@@ -144,8 +151,7 @@
 
 void table::set_payload(payload content)
 {
-    std::erase_if(m_own_payloads,
-                  [&](const payload& each) { return each.slot == content.slot; });
+    std::erase_if(m_own_payloads, [&](const payload& each) { return each.slot == content.slot; });
     if (!content.content.empty()) {
         m_own_payloads.push_back(std::move(content));
     }
@@ -221,9 +227,12 @@
     if (leaving) {
         return member_state::leaving;
     }
-    if (peer.reported != member_state::live) {
+    if (peer.reported != member_state::live && hears(peer.info.data_center, now)) {
         return peer.reported;
     }
+    if (peer.relayed != member_state::live) {
+        return peer.relayed;
+    }
     return peer.listed || peer.reported_at_all ? member_state::live : member_state::suspect;
 }
 
@@ -259,23 +268,28 @@
     return place == m_peers.end() ? base::incarnation{} : place->second.info.process;
 }
 
+bool table::hears(base::data_center_id center, base::time_point now) const
+{
+    const auto place = m_data_centers.find(center);
+    constexpr int missed_summaries = 3;
+    return place != m_data_centers.end() &&
+           now - place->second.heard_at <= missed_summaries * m_terms.summary;
+}
+
 std::vector<region_summary> table::region_summaries() const
 {
     auto regions = m_relayed;
-    std::map<base::region_id, region_summary> direct;
+    std::set<base::region_id> direct;
     for (const auto& [id, center] : m_data_centers) {
-        auto& sum = direct[center.region];
-        sum.region = center.region;
+        auto& sum = regions[center.region];
+        if (direct.insert(center.region).second) {
+            sum = {.region = center.region};
+        }
         sum.live_vms += center.live_vms;
         sum.load.running += center.load.running;
         sum.load.waiting += center.load.waiting;
         sum.heard_at = std::max(sum.heard_at, center.heard_at);
     }
-    for (const auto& [id, sum] : direct) {
-        if (sum.heard_at >= regions[id].heard_at) {
-            regions[id] = sum;
-        }
-    }
     std::vector<region_summary> all;
     for (const auto& [id, sum] : regions) {
         if (id != m_self.region) {
--- a/src/chicorylink/membership/table_receive.cpp
+++ b/src/chicorylink/membership/table_receive.cpp
@@ -112,9 +112,8 @@
     if (acked != m_self.process) {
         return;
     }
-    const auto sent = std::ranges::find(m_sent, sequence, [](const auto& entry) {
-        return entry.first;
-    });
+    const auto sent =
+        std::ranges::find(m_sent, sequence, [](const auto& entry) { return entry.first; });
     if (sent != m_sent.end()) {
         peer.acked_at = std::max(peer.acked_at, sent->second);
     }
@@ -163,26 +162,35 @@
     apply_notes(received.gone, now, out);
 }
 
-void table::apply_row(const summary_row& row, base::time_point now, effects& out)
+peer_record* table::learn_process(const summary_row& row, base::time_point now, effects& out)
 {
     auto* peer = find(row.vm);
     if (peer == nullptr || same_data_center(*peer)) {
-        return;
+        return nullptr;
     }
-    const bool superseded =
-        std::ranges::find(peer->superseded, row.process) != peer->superseded.end();
-    if (superseded) {
-        return;
+    const auto& earlier = peer->superseded;
+    if (std::ranges::find(earlier, row.process) != earlier.end()) {
+        return nullptr;
     }
     if (row.process != base::incarnation{} && row.process != peer->info.process) {
         adopt_process(*peer, row.process, 0, now, out);
     }
-    if (row.state != peer->reported) {
+    return peer;
+}
+
+void table::apply_row(const summary_row& row, base::time_point now, effects& out)
+{
+    auto* peer = learn_process(row, now, out);
+    if (peer == nullptr) {
+        return;
+    }
+    const auto state = row.state == member_state::gone ? member_state::suspect : row.state;
+    if (state != peer->reported) {
         m_next_relay = std::min(m_next_relay, now);
     }
-    peer->reported = row.state == member_state::gone ? member_state::suspect : row.state;
+    peer->reported = state;
     peer->reported_at_all = true;
-    if (row.state == member_state::live || row.state == member_state::leaving) {
+    if (state == member_state::live || state == member_state::leaving) {
         peer->silent_since = now;
         peer->may_act_alone = peer->may_act_alone && region_size() <= small_region;
     }
@@ -196,18 +204,16 @@
     }
     peer->info.config_known = std::max(peer->info.config_known, received.config_known);
     for (const auto& row : received.regions) {
-        m_relayed[row.region] = {.region = row.region,
-                                 .live_vms = row.live_vms,
-                                 .load = row.load,
-                                 .heard_at = now};
+        m_relayed[row.region] = {
+            .region = row.region, .live_vms = row.live_vms, .load = row.load, .heard_at = now};
     }
     for (auto& [id, other] : m_peers) {
-        if (!same_data_center(other)) {
-            other.reported = member_state::live;
-        }
+        other.relayed = member_state::live;
     }
     for (const auto& row : received.exceptions) {
-        apply_row(row, now, out);
+        if (auto* other = learn_process(row, now, out); other != nullptr) {
+            other->relayed = row.state;
+        }
     }
     apply_notes(received.gone, now, out);
 }
--- a/src/chicorylink/membership/table_rounds.cpp
+++ b/src/chicorylink/membership/table_rounds.cpp
@@ -2,6 +2,7 @@
 #include "chicorylink/membership/table.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace chicorylink::membership {
 namespace {
@@ -11,7 +12,7 @@
 /// A gone VM gets one heartbeat in this many rounds, in case it comes back.
 constexpr std::uint64_t gone_rounds = 5;
 /// A summary in this many holds all rows although they are unchanged.
-constexpr std::uint64_t complete_rounds = 15;
+constexpr std::uint64_t complete_rounds = 8;
 constexpr int greatest_own_trouble = 4;
 constexpr base::milliseconds trouble_decay{10'000};
 
@@ -156,54 +157,68 @@
     return own;
 }
 
-void table::send_summaries(base::time_point now, effects& out)
+std::vector<base::vm_id> table::summary_receivers(const view& seen) const
 {
-    m_next_summary = now + m_terms.summary;
-    const auto seen = current(now);
     const auto delegates = delegates_of(seen, m_self.data_center);
     const auto place = std::ranges::find(delegates, m_self_id);
     if (place == delegates.end()) {
-        return;
+        return {};
     }
-    auto own = own_summary(seen);
-    own.complete = !same_rows(own.rows, m_last_rows) || m_summary_round % complete_rounds == 0;
-    ++m_summary_round;
-    m_last_rows = own.rows;
-    if (!own.complete) {
-        own.rows.clear();
-    }
-    own.gone = recent_gone(now);
-    std::vector<base::data_center_id> centers;
+    std::set<base::data_center_id> centers;
     for (const auto& each : seen.members) {
         if (each.data_center != m_self.data_center) {
-            centers.push_back(each.data_center);
+            centers.insert(each.data_center);
         }
     }
-    std::ranges::sort(centers);
-    const auto repeated = std::ranges::unique(centers);
-    centers.erase(repeated.begin(), repeated.end());
+    // The delegates of two data centers talk in pairs by rank.
     const auto rank = static_cast<std::size_t>(place - delegates.begin());
+    std::vector<base::vm_id> receivers;
     for (const auto center : centers) {
         const auto others = delegates_of(seen, center);
         for (std::size_t i = 0; i < others.size(); ++i) {
-            const bool mine = delegates.size() == 1 || i == std::min(rank, others.size() - 1);
-            if (mine) {
-                out.send.push_back({others[i], find(others[i])->info.peer_address, own});
+            if (delegates.size() == 1 || i == std::min(rank, others.size() - 1)) {
+                receivers.push_back(others[i]);
             }
         }
     }
+    return receivers;
 }
 
-relay table::own_relay(const view& seen, base::time_point now) const
+void table::send_summaries(base::time_point now, effects& out)
+{
+    m_next_summary = now + m_terms.summary;
+    // A newcomer has not heard all of its data center yet and would report it as silent.
+    if (now - m_started < m_terms.suspicion) {
+        return;
+    }
+    const auto seen = current(now);
+    auto receivers = summary_receivers(seen);
+    auto own = own_summary(seen);
+    own.complete = receivers != m_last_receivers || !same_rows(own.rows, m_last_rows) ||
+                   m_summary_round % complete_rounds == 0;
+    ++m_summary_round;
+    m_last_rows = own.rows;
+    if (!own.complete) {
+        own.rows.clear();
+    }
+    own.gone = recent_gone(now);
+    for (const auto id : receivers) {
+        out.send.push_back({id, find(id)->info.peer_address, own});
+    }
+    m_last_receivers = std::move(receivers);
+}
+
+relay table::own_relay(base::time_point now) const
 {
     relay own{.from = myself(), .config_known = m_config_known, .gone = recent_gone(now)};
-    for (const auto& each : seen.regions) {
+    for (const auto& each : region_summaries()) {
         own.regions.push_back({.region = each.region,
                                .live_vms = static_cast<std::uint16_t>(each.live_vms),
                                .load = each.load});
     }
     for (const auto& [id, peer] : m_peers) {
-        if (!same_data_center(peer) && peer.reported != member_state::live && !is_gone(peer)) {
+        const bool troubled = peer.reported != member_state::live && !is_gone(peer);
+        if (!same_data_center(peer) && troubled && hears(peer.info.data_center, now)) {
             own.exceptions.push_back({id, peer.info.process, peer.reported});
         }
     }
@@ -216,12 +231,11 @@
     if (m_data_centers.empty()) {
         return;
     }
-    const auto seen = current(now);
-    const auto delegates = delegates_of(seen, m_self.data_center);
+    const auto delegates = delegates_of(current(now), m_self.data_center);
     if (std::ranges::find(delegates, m_self_id) == delegates.end()) {
         return;
     }
-    const auto own = own_relay(seen, now);
+    const auto own = own_relay(now);
     for (const auto& [id, peer] : m_peers) {
         if (same_data_center(peer) && !is_gone(peer)) {
             out.send.push_back({id, peer.info.peer_address, own});
@@ -249,6 +263,7 @@
 
 void table::forget_old(base::time_point now)
 {
+    std::erase_if(m_data_centers, [&](const auto& entry) { return !hears(entry.first, now); });
     std::erase_if(m_peers, [&](const auto& entry) {
         const auto& peer = entry.second;
         const bool long_gone = is_gone(peer) && now - peer.gone_at > m_terms.gone_memory;
--- a/src/chicorylink/membership/table_silence.cpp
+++ b/src/chicorylink/membership/table_silence.cpp
@@ -82,8 +82,8 @@
     const auto fence = with_margin(m_terms.fence_term);
     bool silent = now - m_started > fence;
     if (auto* peer = find(received.about); peer != nullptr) {
-        const bool same = peer->info.process == received.process ||
-                          peer->info.process == base::incarnation{};
+        const bool same =
+            peer->info.process == received.process || peer->info.process == base::incarnation{};
         const bool known_alone = peer->heard && peer->may_act_alone;
         silent = silent && same && now - peer->silent_since > fence && !known_alone;
         if (silent) {
@@ -94,9 +94,8 @@
     else if (silent) {
         m_fenced_strangers[received.about] = received.process;
     }
-    out.send.push_back(
-        {received.from.vm, asker->info.peer_address,
-         silence_answer{myself(), received.about, received.process, silent}});
+    out.send.push_back({received.from.vm, asker->info.peer_address,
+                        silence_answer{myself(), received.about, received.process, silent}});
 }
 
 void table::handle(const silence_answer& received, base::time_point now, effects& out)
