--- a/include/chicorylink/gateway/audit_trail.hpp
+++ b/include/chicorylink/gateway/audit_trail.hpp
@@ -30,6 +30,6 @@
     std::deque<nlohmann::ordered_json> m_entries;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_AUDIT_TRAIL_HPP
+#endif // CHICORYLINK_GATEWAY_AUDIT_TRAIL_HPP
--- a/include/chicorylink/gateway/cluster.hpp
+++ b/include/chicorylink/gateway/cluster.hpp
@@ -1,17 +1,17 @@
 #ifndef CHICORYLINK_GATEWAY_CLUSTER_HPP
 #define CHICORYLINK_GATEWAY_CLUSTER_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/membership/table.hpp"
+#include "chicorylink/membership/view.hpp"
+
 #include <functional>
 #include <map>
 #include <memory>
 #include <span>
 #include <string>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/base/units.hpp"
-#include "chicorylink/membership/table.hpp"
-#include "chicorylink/membership/view.hpp"
-
 namespace chicorylink::gateway {
 
 class platform_poller;
@@ -65,6 +65,6 @@
     std::shared_ptr<const membership::view> m_view;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_CLUSTER_HPP
+#endif // CHICORYLINK_GATEWAY_CLUSTER_HPP
--- a/include/chicorylink/gateway/config_driver.hpp
+++ b/include/chicorylink/gateway/config_driver.hpp
@@ -1,6 +1,9 @@
 #ifndef CHICORYLINK_GATEWAY_CONFIG_DRIVER_HPP
 #define CHICORYLINK_GATEWAY_CONFIG_DRIVER_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/rules/manifest.hpp"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,12 +13,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/rules/manifest.hpp"
-
 namespace chicorylink::rules {
 class rulebook;
-}  // namespace chicorylink::rules
+} // namespace chicorylink::rules
 
 namespace chicorylink::gateway {
 
@@ -51,6 +51,6 @@
     std::shared_ptr<const rules::rulebook> m_current;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_CONFIG_DRIVER_HPP
+#endif // CHICORYLINK_GATEWAY_CONFIG_DRIVER_HPP
--- a/include/chicorylink/gateway/control_loop.hpp
+++ b/include/chicorylink/gateway/control_loop.hpp
@@ -1,6 +1,8 @@
 #ifndef CHICORYLINK_GATEWAY_CONTROL_LOOP_HPP
 #define CHICORYLINK_GATEWAY_CONTROL_LOOP_HPP
 
+#include "chicorylink/base/units.hpp"
+
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -8,8 +10,6 @@
 #include <thread>
 #include <vector>
 
-#include "chicorylink/base/units.hpp"
-
 namespace chicorylink::gateway {
 
 /// @brief One thread that runs posted tasks in order and repeats others at intervals.
@@ -58,6 +58,6 @@
     std::thread m_thread;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_CONTROL_LOOP_HPP
+#endif // CHICORYLINK_GATEWAY_CONTROL_LOOP_HPP
--- a/include/chicorylink/gateway/daemon.hpp
+++ b/include/chicorylink/gateway/daemon.hpp
@@ -1,12 +1,12 @@
 #ifndef CHICORYLINK_GATEWAY_DAEMON_HPP
 #define CHICORYLINK_GATEWAY_DAEMON_HPP
 
-#include <memory>
-#include <string>
-
 #include "chicorylink/base/error.hpp"
 #include "chicorylink/gateway/settings.hpp"
 
+#include <memory>
+#include <string>
+
 namespace chicorylink::gateway {
 
 class daemon_core;
@@ -40,6 +40,6 @@
     std::unique_ptr<daemon_core> m_core;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_DAEMON_HPP
+#endif // CHICORYLINK_GATEWAY_DAEMON_HPP
--- a/include/chicorylink/gateway/daemon_core.hpp
+++ b/include/chicorylink/gateway/daemon_core.hpp
@@ -1,9 +1,6 @@
 #ifndef CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
 #define CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
 
-#include <memory>
-#include <string>
-
 #include "chicorylink/base/error.hpp"
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/gateway/audit_trail.hpp"
@@ -22,6 +19,9 @@
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <memory>
+#include <string>
+
 namespace chicorylink::gateway {
 
 class budget_gate;
@@ -84,6 +84,6 @@
     std::unique_ptr<http_server> m_operators;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
+#endif // CHICORYLINK_GATEWAY_DAEMON_CORE_HPP
--- a/include/chicorylink/gateway/forwarded_request.hpp
+++ b/include/chicorylink/gateway/forwarded_request.hpp
@@ -51,6 +51,8 @@
     std::uint64_t session = 0;
     std::vector<std::uint64_t> blocks;
     base::vm_id origin;
+    /// Tokens of a streamed answer that were passed on by earlier attempts.
+    std::uint64_t resume_from = 0;
 };
 
 } // namespace chicorylink::gateway
--- a/include/chicorylink/gateway/gateway_generated.h
+++ b/include/chicorylink/gateway/gateway_generated.h
@@ -114,7 +114,8 @@
     VT_HOP = 38,
     VT_SESSION = 40,
     VT_BLOCKS = 42,
-    VT_ORIGIN_VM = 44
+    VT_ORIGIN_VM = 44,
+    VT_RESUME_FROM = 46
   };
   uint8_t purpose() const {
     return GetField<uint8_t>(VT_PURPOSE, 0);
@@ -179,6 +180,9 @@
   uint64_t origin_vm() const {
     return GetField<uint64_t>(VT_ORIGIN_VM, 0);
   }
+  uint64_t resume_from() const {
+    return GetField<uint64_t>(VT_RESUME_FROM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PURPOSE, 1) &&
@@ -211,6 +215,7 @@
            VerifyOffset(verifier, VT_BLOCKS) &&
            verifier.VerifyVector(blocks()) &&
            VerifyField<uint64_t>(verifier, VT_ORIGIN_VM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RESUME_FROM, 8) &&
            verifier.EndTable();
   }
 };
@@ -282,6 +287,9 @@
   void add_origin_vm(uint64_t origin_vm) {
     fbb_.AddElement<uint64_t>(ForwardedRequest::VT_ORIGIN_VM, origin_vm, 0);
   }
+  void add_resume_from(uint64_t resume_from) {
+    fbb_.AddElement<uint64_t>(ForwardedRequest::VT_RESUME_FROM, resume_from, 0);
+  }
   explicit ForwardedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -315,8 +323,10 @@
     uint8_t hop = 0,
     uint64_t session = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> blocks = 0,
-    uint64_t origin_vm = 0) {
+    uint64_t origin_vm = 0,
+    uint64_t resume_from = 0) {
   ForwardedRequestBuilder builder_(_fbb);
+  builder_.add_resume_from(resume_from);
   builder_.add_origin_vm(origin_vm);
   builder_.add_session(session);
   builder_.add_answer_tokens(answer_tokens);
@@ -363,7 +373,8 @@
     uint8_t hop = 0,
     uint64_t session = 0,
     const std::vector<uint64_t> *blocks = nullptr,
-    uint64_t origin_vm = 0) {
+    uint64_t origin_vm = 0,
+    uint64_t resume_from = 0) {
   auto key_digest__ = key_digest ? _fbb.CreateVector<uint8_t>(*key_digest) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -394,7 +405,8 @@
       hop,
       session,
       blocks__,
-      origin_vm);
+      origin_vm,
+      resume_from);
 }
 
 struct AnswerHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/gateway/operators_api.hpp
+++ b/include/chicorylink/gateway/operators_api.hpp
@@ -1,13 +1,13 @@
 #ifndef CHICORYLINK_GATEWAY_OPERATORS_API_HPP
 #define CHICORYLINK_GATEWAY_OPERATORS_API_HPP
 
+#include "chicorylink/gateway/http_answer.hpp"
+
 #include <functional>
 #include <string>
 
 #include <nlohmann/json.hpp>
 
-#include "chicorylink/gateway/http_answer.hpp"
-
 namespace chicorylink::gateway {
 
 struct caller_request;
@@ -34,6 +34,6 @@
 [[nodiscard]] http_answer answer_operator(const operators_sources& sources,
                                           const caller_request& request);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_OPERATORS_API_HPP
+#endif // CHICORYLINK_GATEWAY_OPERATORS_API_HPP
--- a/include/chicorylink/gateway/platform_poller.hpp
+++ b/include/chicorylink/gateway/platform_poller.hpp
@@ -1,15 +1,15 @@
 #ifndef CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
 #define CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
 
+#include "chicorylink/base/units.hpp"
+
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "chicorylink/base/units.hpp"
-
 namespace chicorylink::platform {
 class http_client;
-}  // namespace chicorylink::platform
+} // namespace chicorylink::platform
 
 namespace chicorylink::gateway {
 
@@ -43,6 +43,6 @@
     std::function<base::time_point()> m_now;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
+#endif // CHICORYLINK_GATEWAY_PLATFORM_POLLER_HPP
--- a/include/chicorylink/gateway/refusal.hpp
+++ b/include/chicorylink/gateway/refusal.hpp
@@ -2,6 +2,7 @@
 #define CHICORYLINK_GATEWAY_REFUSAL_HPP
 
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/dispatch/outcome.hpp"
 #include "chicorylink/gateway/http_answer.hpp"
 
 #include <optional>
@@ -35,11 +36,8 @@
     loop_refused,
 };
 
-/// @brief Whether the request took effect.
-enum class run_outcome { not_run, ran, unknown };
-
-/// @brief The value of the header `X-Chicorylink-Outcome`.
-[[nodiscard]] std::string_view to_string(run_outcome outcome);
+/// Whether the request took effect; the value of the header `X-Chicorylink-Outcome`.
+using run_outcome = dispatch::outcome;
 
 /// @brief The stable name of a kind, as in `error.kind` of the body.
 [[nodiscard]] std::string_view to_string(refusal_kind kind);
--- a/include/chicorylink/gateway/retry_guard.hpp
+++ b/include/chicorylink/gateway/retry_guard.hpp
@@ -1,26 +1,44 @@
 #ifndef CHICORYLINK_GATEWAY_RETRY_GUARD_HPP
 #define CHICORYLINK_GATEWAY_RETRY_GUARD_HPP
 
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/dispatch/retry_budget.hpp"
+#include "chicorylink/gateway/work.hpp"
+
 #include <mutex>
+#include <optional>
+#include <vector>
 
 namespace chicorylink::gateway {
 
-/// @brief Keeps retries below a tenth of the first attempts of this VM, plus a small reserve.
+/// @brief Bounds retries to a tenth of the requests of this VM and keeps requests until their next
+/// attempt is due. Thread-safe.
 class retry_guard {
 public:
-    /// @brief Counts a request's first attempt.
-    void on_first_attempt();
+    /// @brief Counts a request that came from a caller.
+    void on_request();
+
+    /// @brief Decides whether a failed attempt is followed by another. The work's lock is held by
+    /// the caller.
+    /// @return When the next attempt begins, or empty when there is none.
+    [[nodiscard]] std::optional<base::time_point> plan(const work& entry, base::time_point now);
+
+    /// @brief Keeps a request until its next attempt.
+    void wait(const work_ptr& entry, base::time_point at);
 
-    /// @brief Takes the right to one retry.
-    /// @return False when the retries are used up.
-    [[nodiscard]] bool take();
+    /// @brief The requests whose next attempt is due.
+    [[nodiscard]] std::vector<work_ptr> take_due(base::time_point now);
 
 private:
-    static constexpr double retries_per_attempt = 0.1;
-    static constexpr double reserve = 10.0;
+    struct waiter {
+        work_ptr entry;
+        base::time_point at;
+    };
 
     std::mutex m_mutex;
-    double m_rights = reserve;
+    /// A new process may retry at once; a low rate of requests would otherwise never allow it.
+    dispatch::retry_budget m_budget{.saved = dispatch::retry_budget::limit};
+    std::vector<waiter> m_waiting;
 };
 
 } // namespace chicorylink::gateway
--- a/include/chicorylink/gateway/single_run.hpp
+++ b/include/chicorylink/gateway/single_run.hpp
@@ -1,16 +1,8 @@
 #ifndef CHICORYLINK_GATEWAY_SINGLE_RUN_HPP
 #define CHICORYLINK_GATEWAY_SINGLE_RUN_HPP
 
-#include "chicorylink/gateway/exchange.hpp"
-#include "chicorylink/gateway/identity.hpp"
 #include "chicorylink/gateway/work.hpp"
 
-#include <memory>
-
-namespace chicorylink::rules {
-class rulebook;
-} // namespace chicorylink::rules
-
 namespace chicorylink::gateway {
 
 struct services;
@@ -19,9 +11,9 @@
 /// the VM that its ticket names, or is attempted once when it has none.
 void run(services& all, const work_ptr& entry);
 
-/// @brief Answers `POST /v1/tickets?route=NAME`.
-void issue_ticket(services& all, const std::shared_ptr<exchange>& request,
-                  const rules::rulebook& book, const identity& who);
+/// @brief Answers a call for a ticket: by one of this VM, or by one of a VM whose region is allowed
+/// and holds the route's targets.
+void issue_ticket(services& all, const work_ptr& entry);
 
 /// @brief Issues a ticket at this VM for a request that another VM forwarded.
 void issue_forwarded_ticket(services& all, const work_ptr& entry);
--- a/include/chicorylink/gateway/target_watch.hpp
+++ b/include/chicorylink/gateway/target_watch.hpp
@@ -1,6 +1,11 @@
 #ifndef CHICORYLINK_GATEWAY_TARGET_WATCH_HPP
 #define CHICORYLINK_GATEWAY_TARGET_WATCH_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/platform/load_report.hpp"
+#include "chicorylink/platform/target_list.hpp"
+
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -9,11 +14,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/base/units.hpp"
-#include "chicorylink/platform/load_report.hpp"
-#include "chicorylink/platform/target_list.hpp"
-
 namespace chicorylink::gateway {
 
 class platform_poller;
@@ -53,6 +53,6 @@
     std::map<base::target_id, known_target> m_known;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_TARGET_WATCH_HPP
+#endif // CHICORYLINK_GATEWAY_TARGET_WATCH_HPP
--- a/include/chicorylink/gateway/team_stats.hpp
+++ b/include/chicorylink/gateway/team_stats.hpp
@@ -1,6 +1,9 @@
 #ifndef CHICORYLINK_GATEWAY_TEAM_STATS_HPP
 #define CHICORYLINK_GATEWAY_TEAM_STATS_HPP
 
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -8,9 +11,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "chicorylink/base/ids.hpp"
-#include "chicorylink/base/units.hpp"
-
 namespace chicorylink::gateway {
 
 /// @brief What one team's callers got from this VM since its start.
@@ -59,6 +59,6 @@
     std::array<shard, shard_count> m_shards;
 };
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_TEAM_STATS_HPP
+#endif // CHICORYLINK_GATEWAY_TEAM_STATS_HPP
--- a/include/chicorylink/gateway/ticket_desk.hpp
+++ b/include/chicorylink/gateway/ticket_desk.hpp
@@ -1,13 +1,81 @@
 #ifndef CHICORYLINK_GATEWAY_TICKET_DESK_HPP
 #define CHICORYLINK_GATEWAY_TICKET_DESK_HPP
+
+#include "chicorylink/base/error.hpp"
+#include "chicorylink/base/secret.hpp"
+#include "chicorylink/dispatch/attempt_id.hpp"
+#include "chicorylink/dispatch/outcome.hpp"
+#include "chicorylink/dispatch/ticket.hpp"
+#include "chicorylink/dispatch/ticket_decision.hpp"
+#include "chicorylink/gateway/http_answer.hpp"
+
+#include <memory>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+
+namespace chicorylink::dispatch {
+class ticket_table;
+} // namespace chicorylink::dispatch
+
 namespace chicorylink::gateway {
+
 struct services;
+
+/// @brief The tickets that this VM issues and honours. Thread-safe.
 class ticket_desk {
 public:
-    explicit ticket_desk(services& all) : m_all(all) {}
-    void renew() { static_cast<void>(m_all); }
+    explicit ticket_desk(services& all);
+    ~ticket_desk();
+    ticket_desk(const ticket_desk&) = delete;
+    ticket_desk& operator=(const ticket_desk&) = delete;
+    ticket_desk(ticket_desk&&) = delete;
+    ticket_desk& operator=(ticket_desk&&) = delete;
+
+    /// @brief Issues a ticket of this VM as text.
+    /// @return `overloaded` when no more can be remembered, `unavailable` while leaving.
+    [[nodiscard]] base::result<std::string> issue(base::team_id team, base::route_id route);
+
+    /// @brief Reads a ticket of any VM and checks its signature.
+    [[nodiscard]] base::result<dispatch::ticket> read(std::string_view text) const;
+
+    /// @brief Decides on a request with a ticket of this VM; see `dispatch::ticket_table`.
+    [[nodiscard]] dispatch::ticket_decision begin(const dispatch::ticket& value,
+                                                  const base::digest& request,
+                                                  const dispatch::attempt_id& holder);
+
+    /// @brief Notes the end of the request that holds a ticket.
+    /// @param answer The whole answer; null when there is none.
+    void end(const dispatch::ticket& value, const dispatch::attempt_id& holder,
+             dispatch::outcome result, const http_answer* answer);
+
+    /// @brief Bars a ticket of this VM whose request is refused before it began.
+    /// @return What is true of the request then.
+    [[nodiscard]] dispatch::outcome refuse(const dispatch::ticket& value);
+
+    /// @brief How long a ticket may be begun after it was issued.
+    [[nodiscard]] base::milliseconds lifetime() const;
+
+    /// @brief Issues no more and lets no unused ticket be begun, for a graceful stop.
+    void close();
+
+    /// @brief Forgets what is over. To be called about once a second.
+    void tick();
+
+    /// @brief Starts again without records, as a new process run.
+    void renew();
+
 private:
+    [[nodiscard]] std::shared_ptr<dispatch::ticket_table> make_table() const;
+    [[nodiscard]] std::shared_ptr<dispatch::ticket_table> table() const;
+    [[nodiscard]] dispatch::ticket_keys keys() const;
+
     services& m_all;
+    /// Guards the pointer only.
+    mutable std::shared_mutex m_mutex;
+    std::shared_ptr<dispatch::ticket_table> m_table;
 };
-}  // namespace chicorylink::gateway
-#endif  // CHICORYLINK_GATEWAY_TICKET_DESK_HPP
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_TICKET_DESK_HPP
--- a/include/chicorylink/gateway/work.hpp
+++ b/include/chicorylink/gateway/work.hpp
@@ -4,9 +4,13 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/secret.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/dispatch/attempt.hpp"
+#include "chicorylink/dispatch/stream_progress.hpp"
+#include "chicorylink/dispatch/ticket.hpp"
 #include "chicorylink/gateway/answer_head.hpp"
 #include "chicorylink/gateway/answer_sink.hpp"
 #include "chicorylink/gateway/caller_request.hpp"
+#include "chicorylink/gateway/forwarded_request.hpp"
 #include "chicorylink/gateway/sse_splitter.hpp"
 #include "chicorylink/gateway/stream_writer.hpp"
 #include "chicorylink/platform/http_client.hpp"
@@ -55,6 +59,7 @@
     caller_request content;
     bool stream = false;
     std::string ticket;
+    forward_purpose purpose = forward_purpose::run;
     base::time_point arrived{};
     base::time_point deadline{};
     std::uint8_t hop = 0;
@@ -71,12 +76,16 @@
     base::tokens counted_answer;
     base::tokens reported_usage;
 
-    /// The present attempt. Events that carry another number are of an abandoned one.
-    std::uint32_t attempt = 0;
-    std::uint32_t attempts_allowed = 3;
-    /// Whether any attempt may have reached a target, and whether one before the present did.
-    bool may_have_run = false;
-    bool may_have_run_before = false;
+    /// The present attempt, and what came of the attempts before it. Events that carry another
+    /// attempt's id are of an abandoned one and are dropped.
+    dispatch::attempt present;
+    dispatch::outcome earlier = dispatch::outcome::not_run;
+    std::uint8_t attempts = 0;
+    /// The ticket that this VM runs the request with.
+    std::optional<dispatch::ticket> held_ticket;
+    base::incarnation ticket_process;
+    /// The caller says that it did not try this ticket before.
+    bool is_first_try = false;
     base::target_id target;
     std::optional<platform::transfer_id> transfer;
     base::region_id forward_region;
@@ -95,16 +104,33 @@
     header_list answer_headers;
     std::string answer_body;
     bool crossed = false;
-    bool end_mark = false;
+    bool whole_stream = false;
     bool answer_is_stream = false;
     /// Bytes of a forwarded answer's head that have arrived, until it is whole.
     std::vector<std::uint8_t> partial_head;
     std::optional<answer_head> forwarded_head;
     sse_splitter events;
-    /// Streamed tokens that were passed on, over all attempts.
-    std::uint64_t passed_tokens = 0;
+    /// Which tokens of the stream were passed on, over all attempts, and the position of the
+    /// present attempt's next one.
+    dispatch::stream_progress progress;
+    std::uint64_t position = 0;
 };
 
+/// @brief What is known of the effect of a request over all its attempts. The lock is held by the
+/// caller.
+[[nodiscard]] dispatch::outcome outcome_so_far(const work& entry);
+
+/// @brief Until when the next attempt may begin: the request's deadline, or a short time for a
+/// stream that goes on. The lock is held by the caller.
+[[nodiscard]] base::time_point attempt_deadline(const work& entry, base::time_point now);
+
+/// @brief Begins a new attempt, ending the one before. The lock is held by the caller.
+/// @return The id that events of the new attempt carry.
+dispatch::attempt_id next_attempt(work& entry, base::incarnation process, base::time_point now);
+
+/// @brief Whether an event of an attempt still counts. The lock is held by the caller.
+[[nodiscard]] bool is_current(const work& entry, const dispatch::attempt_id& attempt);
+
 using work_ptr = std::shared_ptr<work>;
 
 } // namespace chicorylink::gateway
--- a/include/chicorylink/gateway/work_watch.hpp
+++ b/include/chicorylink/gateway/work_watch.hpp
@@ -3,7 +3,7 @@
 
 namespace chicorylink::rules {
 class rulebook;
-}  // namespace chicorylink::rules
+} // namespace chicorylink::rules
 
 namespace chicorylink::gateway {
 
@@ -17,6 +17,6 @@
 /// nothing moved for too long. To be called several times a second.
 void end_overdue(services& all);
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
 
-#endif  // CHICORYLINK_GATEWAY_WORK_WATCH_HPP
+#endif // CHICORYLINK_GATEWAY_WORK_WATCH_HPP
--- a/process_tests/support/child_process.cpp
+++ b/process_tests/support/child_process.cpp
@@ -1,14 +1,13 @@
 #include "child_process.hpp"
 
 #include <csignal>
-#include <stdexcept>
-#include <thread>
-#include <utility>
-
 #include <fcntl.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace chicorylink::process_tests {
 namespace {
@@ -33,10 +32,9 @@
     _exit(signal_exit_base - 1);
 }
 
-}  // namespace
+} // namespace
 
-child_process::child_process(const std::vector<std::string>& arguments,
-                             const std::string& log_file)
+child_process::child_process(const std::vector<std::string>& arguments, const std::string& log_file)
 {
     int ends[2] = {-1, -1};
     if (pipe2(ends, O_CLOEXEC) != 0) {
@@ -128,4 +126,4 @@
     return nlohmann::json::parse("", nullptr, false);
 }
 
-}  // namespace chicorylink::process_tests
+} // namespace chicorylink::process_tests
--- a/process_tests/support/child_process.hpp
+++ b/process_tests/support/child_process.hpp
@@ -4,9 +4,8 @@
 #include <chrono>
 #include <optional>
 #include <string>
-#include <vector>
-
 #include <sys/types.h>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -47,6 +46,6 @@
     nlohmann::json m_ready;
 };
 
-}  // namespace chicorylink::process_tests
+} // namespace chicorylink::process_tests
 
-#endif  // CHICORYLINK_PROCESS_TESTS_SUPPORT_CHILD_PROCESS_HPP
+#endif // CHICORYLINK_PROCESS_TESTS_SUPPORT_CHILD_PROCESS_HPP
--- a/process_tests/support/fleet.cpp
+++ b/process_tests/support/fleet.cpp
@@ -1,11 +1,11 @@
 #include "fleet.hpp"
 
+#include "chicorylink/base/secret.hpp"
+
 #include <stdexcept>
 #include <thread>
 #include <utility>
 
-#include "chicorylink/base/secret.hpp"
-
 namespace chicorylink::process_tests {
 namespace {
 
@@ -14,7 +14,7 @@
 constexpr const char* ticket_key = "0123456789abcdef0123456789abcdef";
 constexpr const char* any_port = "127.0.0.1:0";
 
-}  // namespace
+} // namespace
 
 std::string vm::url(const std::string& path) const
 {
@@ -211,4 +211,4 @@
     return wanted;
 }
 
-}  // namespace chicorylink::process_tests
+} // namespace chicorylink::process_tests
--- a/process_tests/support/fleet.hpp
+++ b/process_tests/support/fleet.hpp
@@ -1,6 +1,9 @@
 #ifndef CHICORYLINK_PROCESS_TESTS_SUPPORT_FLEET_HPP
 #define CHICORYLINK_PROCESS_TESTS_SUPPORT_FLEET_HPP
 
+#include "child_process.hpp"
+#include "http_call.hpp"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -8,9 +11,6 @@
 #include <string>
 #include <vector>
 
-#include "child_process.hpp"
-#include "http_call.hpp"
-
 namespace chicorylink::process_tests {
 
 /// @brief One daemon of a fleet and its addresses.
@@ -99,6 +99,6 @@
                              const std::string& model, const std::string& prompt,
                              bool stream = false, int max_tokens = 8);
 
-}  // namespace chicorylink::process_tests
+} // namespace chicorylink::process_tests
 
-#endif  // CHICORYLINK_PROCESS_TESTS_SUPPORT_FLEET_HPP
+#endif // CHICORYLINK_PROCESS_TESTS_SUPPORT_FLEET_HPP
--- a/process_tests/support/http_call.cpp
+++ b/process_tests/support/http_call.cpp
@@ -45,7 +45,7 @@
     return size * count;
 }
 
-}  // namespace
+} // namespace
 
 std::string reply::header(const std::string& lower_case_name) const
 {
@@ -133,4 +133,4 @@
     return answer;
 }
 
-}  // namespace chicorylink::process_tests
+} // namespace chicorylink::process_tests
--- a/process_tests/support/http_call.hpp
+++ b/process_tests/support/http_call.hpp
@@ -63,6 +63,6 @@
     long m_opened = 0;
 };
 
-}  // namespace chicorylink::process_tests
+} // namespace chicorylink::process_tests
 
-#endif  // CHICORYLINK_PROCESS_TESTS_SUPPORT_HTTP_CALL_HPP
+#endif // CHICORYLINK_PROCESS_TESTS_SUPPORT_HTTP_CALL_HPP
--- a/programs/chicorylinkd/main.cpp
+++ b/programs/chicorylinkd/main.cpp
@@ -1,3 +1,7 @@
+#include "chicorylink/base/log.hpp"
+#include "chicorylink/gateway/daemon.hpp"
+#include "settings_options.hpp"
+
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -5,10 +9,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "chicorylink/base/log.hpp"
-#include "chicorylink/gateway/daemon.hpp"
-#include "settings_options.hpp"
-
 namespace chicorylink::programs {
 namespace {
 
@@ -94,8 +94,8 @@
                                       [] { return exit_failure; });
 }
 
-}  // namespace
-}  // namespace chicorylink::programs
+} // namespace
+} // namespace chicorylink::programs
 
 int main(int argc, char** argv)
 {
--- a/programs/chicorylinkd/settings_options.cpp
+++ b/programs/chicorylinkd/settings_options.cpp
@@ -75,7 +75,7 @@
         "Token limit of an answer whose request names none");
 }
 
-}  // namespace
+} // namespace
 
 void add_options(CLI::App& app, command_line& line)
 {
@@ -83,14 +83,11 @@
     add_addresses(app, line.settings);
     add_security(app, line.settings);
     add_limits(app, line.settings);
-    add(app, other_group, "--log-level", line.settings.log_level,
-        "debug, info, warning or error")
+    add(app, other_group, "--log-level", line.settings.log_level, "debug, info, warning or error")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
     app.add_option_function<unsigned>(
            "--drain-seconds",
-           [&line](unsigned seconds) {
-               line.settings.drain_limit = std::chrono::seconds(seconds);
-           },
+           [&line](unsigned seconds) { line.settings.drain_limit = std::chrono::seconds(seconds); },
            "The longest time that a stop waits for requests in progress (default 600)")
         ->envname(gateway::variable_of("--drain-seconds"))
         ->group(other_group);
@@ -98,4 +95,4 @@
         ->group(other_group);
 }
 
-}  // namespace chicorylink::programs
+} // namespace chicorylink::programs
--- a/programs/chicorylinkd/settings_options.hpp
+++ b/programs/chicorylinkd/settings_options.hpp
@@ -1,10 +1,10 @@
 #ifndef CHICORYLINK_PROGRAMS_CHICORYLINKD_SETTINGS_OPTIONS_HPP
 #define CHICORYLINK_PROGRAMS_CHICORYLINKD_SETTINGS_OPTIONS_HPP
 
-#include <CLI/CLI.hpp>
-
 #include "chicorylink/gateway/settings.hpp"
 
+#include <CLI/CLI.hpp>
+
 namespace chicorylink::programs {
 
 /// @brief What the command line asks for besides the settings.
@@ -17,6 +17,6 @@
 /// @brief Declares all flags, each with its environment variable, in groups.
 void add_options(CLI::App& app, command_line& line);
 
-}  // namespace chicorylink::programs
+} // namespace chicorylink::programs
 
-#endif  // CHICORYLINK_PROGRAMS_CHICORYLINKD_SETTINGS_OPTIONS_HPP
+#endif // CHICORYLINK_PROGRAMS_CHICORYLINKD_SETTINGS_OPTIONS_HPP
--- a/programs/quickstart/main.cpp
+++ b/programs/quickstart/main.cpp
@@ -1,9 +1,9 @@
+#include "show.hpp"
+
 #include <iostream>
 
 #include <CLI/CLI.hpp>
 
-#include "show.hpp"
-
 int main(int argc, char** argv)
 {
     CLI::App app{"Starts a small fleet on loopback addresses and shows what the gateway does."};
--- a/programs/quickstart/show.cpp
+++ b/programs/quickstart/show.cpp
@@ -1,5 +1,7 @@
 #include "show.hpp"
 
+#include "fleet.hpp"
+
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -9,8 +11,6 @@
 
 #include <fmt/format.h>
 
-#include "fleet.hpp"
-
 namespace chicorylink::quickstart {
 namespace {
 
@@ -108,8 +108,8 @@
 {
     const auto answer = perform_when_admitted(
         chat_call(all.at("vm-north-1").url(chat_path), everywhere_key, "chat", "Hello", true));
-    const bool right = answer.status == 200 && answer.whole &&
-                       answer.body.find("[DONE]") != std::string::npos;
+    const bool right =
+        answer.status == 200 && answer.whole && answer.body.find("[DONE]") != std::string::npos;
     lines.line(right, "streamed chat answer in the home region",
                fmt::format("status {}, {} bytes, whole: {}", answer.status, answer.body.size(),
                            answer.whole));
@@ -147,11 +147,11 @@
     repeated.url = all.at("vm-north-2").url("/bookings/appointments");
     const auto second = perform_when_admitted(repeated);
     const auto runs = all.counter("booking", "runs");
-    const bool right = first.status == 200 && second.status == 200 &&
-                       first.body == second.body && runs == 1;
+    const bool right =
+        first.status == 200 && second.status == 200 && first.body == second.body && runs == 1;
     lines.line(right, "booking repeated through another VM",
-               fmt::format("statuses {} and {}, runs: {}, outcome: {}", first.status,
-                           second.status, runs, second.header("x-chicorylink-outcome")));
+               fmt::format("statuses {} and {}, runs: {}, outcome: {}", first.status, second.status,
+                           runs, second.header("x-chicorylink-outcome")));
 }
 
 void show_region_refusal(fleet& all, report& lines)
@@ -229,15 +229,14 @@
     const auto refused = perform(chat_call(leaving.url(chat_path), everywhere_key, "chat", "New"));
     caller.join();
     const auto code = leaving.process.wait(std::chrono::seconds(30));
-    const bool whole =
-        streamed.whole && streamed.body.find("[DONE]") != std::string::npos;
+    const bool whole = streamed.whole && streamed.body.find("[DONE]") != std::string::npos;
     lines.line(started && whole && code == 0 && refused.status != 200,
                "daemon told to stop while it streams",
                fmt::format("stream whole: {}, new request: {}, exit code: {}", whole,
                            refused.refusal(), code.value_or(-1)));
 }
 
-}  // namespace
+} // namespace
 
 bool show_all(const std::string& binaries)
 {
@@ -259,4 +258,4 @@
     return lines.right();
 }
 
-}  // namespace chicorylink::quickstart
+} // namespace chicorylink::quickstart
--- a/programs/quickstart/show.hpp
+++ b/programs/quickstart/show.hpp
@@ -9,6 +9,6 @@
 /// @return Whether every line came out right.
 [[nodiscard]] bool show_all(const std::string& binaries);
 
-}  // namespace chicorylink::quickstart
+} // namespace chicorylink::quickstart
 
-#endif  // CHICORYLINK_PROGRAMS_QUICKSTART_SHOW_HPP
+#endif // CHICORYLINK_PROGRAMS_QUICKSTART_SHOW_HPP
--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/gateway/admission.hpp"
 
+#include "chicorylink/dispatch/ticket_rules.hpp"
 #include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/chat_request.hpp"
 #include "chicorylink/gateway/credentials.hpp"
@@ -11,6 +12,7 @@
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/single_run.hpp"
 #include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/ticket_desk.hpp"
 #include "chicorylink/gateway/work_table.hpp"
 #include "chicorylink/routing/prefix.hpp"
 #include "chicorylink/rules/rulebook.hpp"
@@ -27,13 +29,11 @@
 constexpr std::string_view directory_path = "/v1/vms";
 constexpr std::string_view ticket_path = "/v1/tickets";
 constexpr std::string_view ticket_header = "x-chicorylink-ticket";
+constexpr std::string_view try_header = "x-chicorylink-try";
 
 /// The tokens that a call of a plain service counts.
 constexpr base::tokens service_call_tokens{16};
 
-/// Attempts of one request over all VMs.
-constexpr std::uint32_t max_attempts = 3;
-
 refusal not_ready()
 {
     return {refusal_kind::not_ready, "this VM has no rules yet", "ask another VM or ask again",
@@ -186,7 +186,6 @@
     entry.route = route;
     entry.arrived = all.now();
     entry.deadline = deadline;
-    entry.attempts_allowed = max_attempts;
     entry.asked.id = entry.id;
     entry.asked.team = entry.team;
     entry.asked.route = route.id;
@@ -252,6 +251,7 @@
     entry.content.headers = target_headers(request.headers, keys);
     entry.content.query = target_query(request.query, keys);
     entry.ticket = find_header(request.headers, ticket_header);
+    entry.is_first_try = find_header(request.headers, try_header) == "1";
     entry.content.path = request.path;
     const rules::route* route = nullptr;
     const auto why = request.path == chat_path ? read_chat(all, book, entry, request.body, route)
@@ -283,18 +283,87 @@
         return;
     }
     request->set_owner(entry->id.value());
-    all.retries->on_first_attempt();
+    all.retries->on_request();
     all.budget->reserve(entry);
 }
 
+/// Takes a call for a ticket. It costs no tokens of the team's budget.
+void accept_ticket_call(services& all, const rules::rulebook& book,
+                        const std::shared_ptr<exchange>& request, const identity& who)
+{
+    const auto name = find_parameter(request->request().query, "route");
+    const auto* route = book.find(base::id_of<base::route_id>(name));
+    if (route == nullptr || !who.key_digest) {
+        answer_refused(all, *request, unknown_route(name));
+        return;
+    }
+    const auto entry = all.works->make();
+    entry->sink = make_sink(request);
+    entry->team = who.team;
+    entry->key_digest = who.key_digest;
+    entry->version = book.version();
+    entry->correlation = next_correlation(all);
+    entry->purpose = forward_purpose::issue_ticket;
+    entry->content.method = "POST";
+    prepare(all, *entry, *route, all.now() + route->deadline);
+    request->set_owner(entry->id.value());
+    issue_ticket(all, entry);
+}
+
+/// What may be said of a forwarded request that is refused before it began.
+run_outcome refused_outcome(services& all, const forwarded_request& message)
+{
+    if (message.ticket.empty()) {
+        return run_outcome::not_run;
+    }
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<run_outcome> {
+            BOOST_LEAF_AUTO(ticket, all.tickets->read(message.ticket));
+            return all.tickets->refuse(ticket);
+        },
+        [] { return run_outcome::not_run; });
+}
+
+/// Why a forwarded request is refused by the rules in force here, or empty.
+std::optional<refusal> forwarded_refusal(services& all, const forwarded_request& message)
+{
+    const auto book = all.rulebook();
+    if (!book) {
+        return not_ready();
+    }
+    if (all.leaving) {
+        return leaving(all);
+    }
+    const auto* who = book->find(message.team);
+    const auto* route = book->find(message.route);
+    if (who == nullptr || route == nullptr) {
+        return refusal{refusal_kind::unknown_route, "the team or the route is unknown here",
+                       "ask again in a few seconds", run_outcome::not_run,
+                       base::milliseconds{1'000}};
+    }
+    if (!rules::may_run_in(*who, all.region)) {
+        return region_refusal(all, *who);
+    }
+    const auto* key = message.key_digest ? book->find_key(*message.key_digest) : nullptr;
+    const bool right_key = key != nullptr && key->team == message.team;
+    if (!right_key && !(route->open_to_all && !message.key_digest)) {
+        return refusal{refusal_kind::unknown_key, "the key is unknown or was withdrawn",
+                       "ask the operators for a key"};
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<http_answer> check_head(services& all, const caller_request& head)
 {
-    const auto why = head_refusal(all, head);
+    auto why = head_refusal(all, head);
     if (!why) {
         return std::nullopt;
     }
+    const bool has_ticket = !find_header(head.headers, ticket_header).empty();
+    const bool is_first_try = find_header(head.headers, try_header) == "1";
+    why->outcome = dispatch::outcome_of_entry_refusal(has_ticket, is_first_try);
     count_refusal(all, why->kind);
     return answer_of(*why);
 }
@@ -319,7 +388,7 @@
         return;
     }
     if (content.path == ticket_path) {
-        issue_ticket(all, request, *book, *who);
+        accept_ticket_call(all, *book, request, *who);
         return;
     }
     accept_work(all, *book, request, *who);
@@ -327,30 +396,11 @@
 
 std::optional<refusal> check_forwarded(services& all, const forwarded_request& message)
 {
-    const auto book = all.rulebook();
-    if (!book) {
-        return not_ready();
-    }
-    if (all.leaving) {
-        return leaving(all);
-    }
-    const auto* who = book->find(message.team);
-    const auto* route = book->find(message.route);
-    if (who == nullptr || route == nullptr) {
-        return refusal{refusal_kind::unknown_route, "the team or the route is unknown here",
-                       "ask again in a few seconds", run_outcome::not_run,
-                       base::milliseconds{1'000}};
-    }
-    if (!rules::may_run_in(*who, all.region)) {
-        return region_refusal(all, *who);
-    }
-    const auto* key = message.key_digest ? book->find_key(*message.key_digest) : nullptr;
-    const bool right_key = key != nullptr && key->team == message.team;
-    if (!right_key && !(route->open_to_all && !message.key_digest)) {
-        return refusal{refusal_kind::unknown_key, "the key is unknown or was withdrawn",
-                       "ask the operators for a key"};
+    auto why = forwarded_refusal(all, message);
+    if (why) {
+        why->outcome = refused_outcome(all, message);
     }
-    return std::nullopt;
+    return why;
 }
 
 work_ptr make_forwarded_work(services& all, const forwarded_request& message, std::string body,
@@ -375,8 +425,8 @@
         entry->asked.prefix.blocks.emplace_back(block);
     }
     prepare(all, *entry, *book->find(message.route), all.now() + message.deadline);
-    entry->attempts_allowed = max_attempts - std::min<std::uint32_t>(message.attempt, max_attempts);
-    entry->attempts_allowed = std::max<std::uint32_t>(entry->attempts_allowed, 1);
+    entry->attempts = message.attempt;
+    entry->progress.next_token = message.resume_from;
     return entry;
 }
 
--- a/src/chicorylink/gateway/audit_trail.cpp
+++ b/src/chicorylink/gateway/audit_trail.cpp
@@ -1,13 +1,13 @@
 #include "chicorylink/gateway/audit_trail.hpp"
 
+#include "chicorylink/base/log.hpp"
+
 #include <chrono>
 #include <string>
 #include <utility>
 
 #include <fmt/chrono.h>
 
-#include "chicorylink/base/log.hpp"
-
 namespace chicorylink::gateway {
 namespace {
 
@@ -18,7 +18,7 @@
                        fmt::gmtime(std::chrono::system_clock::to_time_t(now)));
 }
 
-}  // namespace
+} // namespace
 
 void audit_trail::add(std::string_view event, nlohmann::ordered_json fields)
 {
@@ -42,4 +42,4 @@
     return rows;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/cluster.cpp
+++ b/src/chicorylink/gateway/cluster.cpp
@@ -1,11 +1,5 @@
 #include "chicorylink/gateway/cluster.hpp"
 
-#include <atomic>
-#include <chrono>
-#include <utility>
-
-#include <nlohmann/json.hpp>
-
 #include "chicorylink/base/log.hpp"
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/base/secret.hpp"
@@ -17,6 +11,12 @@
 #include "chicorylink/platform/vm_list.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -31,8 +31,7 @@
     membership::platform_list converted{list.sequence, list.age, {}};
     for (const auto& vm : list.vms) {
         converted.vms.push_back({vm.name, vm.region, vm.data_center, vm.caller_address,
-                                 vm.peer_address,
-                                 vm.state == membership::member_state::leaving});
+                                 vm.peer_address, vm.state == membership::member_state::leaving});
     }
     return converted;
 }
@@ -44,7 +43,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-}  // namespace
+} // namespace
 
 cluster::cluster(services& all, membership::identity self, hooks calls)
     : m_all(all), m_hooks(std::move(calls)),
@@ -63,14 +62,15 @@
 
 void cluster::poll_list(platform_poller& platform)
 {
-    platform.get(m_all.config.platform_url + "/v1/vms", list_timeout, [this](const fetched& answer) {
-        constexpr int status_ok = 200;
-        if (answer.status != status_ok) {
-            m_all.metrics->add("chicorylink_platform_errors_total{call=\"vms\"}");
-            return;
-        }
-        take_list(answer.body, answer.requested_at);
-    });
+    platform.get(m_all.config.platform_url + "/v1/vms", list_timeout,
+                 [this](const fetched& answer) {
+                     constexpr int status_ok = 200;
+                     if (answer.status != status_ok) {
+                         m_all.metrics->add("chicorylink_platform_errors_total{call=\"vms\"}");
+                         return;
+                     }
+                     take_list(answer.body, answer.requested_at);
+                 });
 }
 
 void cluster::take_list(const std::string& body, base::time_point requested_at)
@@ -144,9 +144,9 @@
     }
     for (const auto& event : effects.events) {
         const auto* member = membership::find(*view(), event.vm);
-        base::log(base::log_level::info, membership::to_string(event.kind),
-                  {{"peer", member != nullptr ? member->name : ""},
-                   {"process", event.process.value()}});
+        base::log(
+            base::log_level::info, membership::to_string(event.kind),
+            {{"peer", member != nullptr ? member->name : ""}, {"process", event.process.value()}});
     }
 }
 
@@ -195,4 +195,4 @@
     m_hooks.on_view(*now_known);
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/codec.cpp
+++ b/src/chicorylink/gateway/codec.cpp
@@ -92,7 +92,7 @@
         message.route.value(), message.version.value(), request_id, method, path, query, headers,
         message.stream, message.body_bytes, static_cast<std::uint32_t>(message.deadline.count()),
         message.prompt_tokens.value(), message.answer_tokens.value(), message.attempt, ticket,
-        message.hop, message.session, blocks, message.origin.value()));
+        message.hop, message.session, blocks, message.origin.value(), message.resume_from));
     return bytes_of(builder);
 }
 
@@ -129,6 +129,7 @@
         message.blocks.assign(table->blocks()->begin(), table->blocks()->end());
     }
     message.origin = base::vm_id{table->origin_vm()};
+    message.resume_from = table->resume_from();
     return message;
 }
 
--- a/src/chicorylink/gateway/config_driver.cpp
+++ b/src/chicorylink/gateway/config_driver.cpp
@@ -1,8 +1,5 @@
 #include "chicorylink/gateway/config_driver.hpp"
 
-#include <atomic>
-#include <utility>
-
 #include "chicorylink/base/log.hpp"
 #include "chicorylink/gateway/audit_trail.hpp"
 #include "chicorylink/gateway/platform_poller.hpp"
@@ -10,6 +7,9 @@
 #include "chicorylink/rules/parse.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
+#include <atomic>
+#include <utility>
+
 namespace chicorylink::gateway {
 
 config_driver::config_driver(services& all, cluster& /*members*/, platform_poller& platform,
@@ -87,4 +87,4 @@
     m_apply(outcome.book);
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/control_loop.cpp
+++ b/src/chicorylink/gateway/control_loop.cpp
@@ -91,4 +91,4 @@
     return next;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/daemon.cpp
+++ b/src/chicorylink/gateway/daemon.cpp
@@ -1,9 +1,9 @@
 #include "chicorylink/gateway/daemon.hpp"
 
-#include <utility>
-
 #include "chicorylink/gateway/daemon_core.hpp"
 
+#include <utility>
+
 namespace chicorylink::gateway {
 
 daemon::daemon(std::unique_ptr<daemon_core> core) : m_core(std::move(core)) {}
@@ -32,4 +32,4 @@
     m_core->stop();
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/daemon_core.cpp
+++ b/src/chicorylink/gateway/daemon_core.cpp
@@ -1,13 +1,5 @@
 #include "chicorylink/gateway/daemon_core.hpp"
 
-#include <chrono>
-#include <fstream>
-#include <iterator>
-#include <utility>
-
-#include <fmt/format.h>
-#include <nlohmann/json.hpp>
-
 #include "chicorylink/base/log.hpp"
 #include "chicorylink/base/secret.hpp"
 #include "chicorylink/gateway/admission.hpp"
@@ -22,6 +14,14 @@
 #include "chicorylink/rules/rulebook.hpp"
 #include "chicorylink/wire/peer_network_builder.hpp"
 
+#include <chrono>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -51,10 +51,10 @@
 {
     std::ifstream file(name, std::ios::binary);
     if (!file) {
-        return base::fail(base::error_kind::invalid_setting,
-                          fmt::format("{} ({}) is '{}': the file can't be read", flag,
-                                      variable_of(flag), name),
-                          "correct the name or the file's permissions");
+        return base::fail(
+            base::error_kind::invalid_setting,
+            fmt::format("{} ({}) is '{}': the file can't be read", flag, variable_of(flag), name),
+            "correct the name or the file's permissions");
     }
     return std::string(std::istreambuf_iterator<char>(file), {});
 }
@@ -73,7 +73,7 @@
     return self;
 }
 
-}  // namespace
+} // namespace
 
 daemon_core::daemon_core(const settings& config) : m_config(config), m_loop(&present)
 {
@@ -127,8 +127,8 @@
     listener.idle_seconds = m_config.idle_seconds;
     listener.read_seconds = m_config.read_seconds;
     if (!m_config.callers_certificate_file.empty()) {
-        BOOST_LEAF_ASSIGN(listener.certificate, read_file("--callers-certificate",
-                                                          m_config.callers_certificate_file));
+        BOOST_LEAF_ASSIGN(listener.certificate,
+                          read_file("--callers-certificate", m_config.callers_certificate_file));
         BOOST_LEAF_ASSIGN(listener.private_key,
                           read_file("--callers-key", m_config.callers_key_file));
     }
@@ -169,8 +169,8 @@
         builder.plain_text();
     }
     else {
-        builder.tls({m_config.peer_ca_file, m_config.peer_certificate_file,
-                     m_config.peer_key_file});
+        builder.tls(
+            {m_config.peer_ca_file, m_config.peer_certificate_file, m_config.peer_key_file});
     }
     BOOST_LEAF_ASSIGN(m_network, builder.build());
     m_services.network = m_network.get();
@@ -200,8 +200,12 @@
     m_rules = std::make_unique<config_driver>(
         m_services, *m_cluster, *m_platform, m_audit,
         [this](const std::shared_ptr<const rules::rulebook>& book) { on_rules(book); });
-    m_loop.every(router_interval,
-                 [this] { apply_decisions(m_services, m_router->tick(present())); });
+    m_loop.every(router_interval, [this] {
+        apply_decisions(m_services, m_router->tick(present()));
+        for (const auto& entry : m_retries.take_due(present())) {
+            submit(m_services, entry);
+        }
+    });
     m_loop.every(tick_interval, [this] {
         m_cluster->tick();
         m_rules->tick();
@@ -214,6 +218,7 @@
         m_targets->poll_list(*m_platform);
         m_targets->poll_loads(*m_platform);
         send_region_summary();
+        m_tickets->tick();
     });
     m_loop.start();
 }
@@ -283,8 +288,8 @@
     if (m_services.leaving) {
         return;
     }
-    const auto bytes = wrap_control(m_services.process.load(),
-                                    routing::encode(m_router->summary(present())));
+    const auto bytes =
+        wrap_control(m_services.process.load(), routing::encode(m_router->summary(present())));
     for (const auto& vm : view->members) {
         if (vm.region != m_services.region) {
             m_network->send_control(vm.id, routing_channel, bytes);
@@ -324,4 +329,4 @@
         [] {});
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/daemon_rows.cpp
+++ b/src/chicorylink/gateway/daemon_rows.cpp
@@ -1,14 +1,13 @@
-#include <algorithm>
+#include "chicorylink/gateway/budget_gate.hpp"
+#include "chicorylink/gateway/daemon_core.hpp"
+#include "chicorylink/rules/rulebook.hpp"
 
+#include <algorithm>
+#include <csignal>
 #include <unistd.h>
 
-#include <csignal>
 #include <nlohmann/json.hpp>
 
-#include "chicorylink/gateway/budget_gate.hpp"
-#include "chicorylink/gateway/daemon_core.hpp"
-#include "chicorylink/rules/rulebook.hpp"
-
 namespace chicorylink::gateway {
 namespace {
 
@@ -32,7 +31,7 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
-}  // namespace
+} // namespace
 
 operators_sources daemon_core::make_sources()
 {
@@ -63,8 +62,7 @@
                    membership::takes_work(vm);
         });
     return m_services.rulebook() != nullptr && !m_services.leaving &&
-           view->member_until > m_services.now() &&
-           (m_budget->owned_slots() > 0 || has_peers);
+           view->member_until > m_services.now() && (m_budget->owned_slots() > 0 || has_peers);
 }
 
 nlohmann::ordered_json daemon_core::status() const
@@ -102,7 +100,7 @@
                         {"state", state_name(vm.state)},
                         {"callers", vm.caller_address},
                         {"peers", vm.peer_address},
-                        {"link", vm.id == m_services.self ? "self"
+                        {"link", vm.id == m_services.self         ? "self"
                                  : m_network->is_connected(vm.id) ? "up"
                                                                   : "down"}});
     }
@@ -118,10 +116,9 @@
     const auto book = m_services.rulebook();
     for (const auto& row : active) {
         const auto* team = book ? book->find(row.team) : nullptr;
-        const auto mean =
-            row.answered == 0
-                ? 0.0
-                : to_milliseconds(row.total_time) / static_cast<double>(row.answered);
+        const auto mean = row.answered == 0
+                              ? 0.0
+                              : to_milliseconds(row.total_time) / static_cast<double>(row.answered);
         rows.push_back({{"team", team != nullptr ? team->name : "(removed)"},
                         {"answered", row.answered},
                         {"refused_rate", row.refused_by_rate},
@@ -135,4 +132,4 @@
     return rows;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/daemon_stop.cpp
+++ b/src/chicorylink/gateway/daemon_stop.cpp
@@ -1,10 +1,11 @@
-#include <thread>
-
-#include <nlohmann/json.hpp>
-
 #include "chicorylink/base/log.hpp"
 #include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/daemon_core.hpp"
+#include "chicorylink/gateway/ticket_desk.hpp"
+
+#include <thread>
+
+#include <nlohmann/json.hpp>
 
 namespace chicorylink::gateway {
 namespace {
@@ -26,12 +27,13 @@
     return true;
 }
 
-}  // namespace
+} // namespace
 
 void daemon_core::stop()
 {
     m_audit.add("leaving", {{"vm", m_config.vm}, {"requests", m_works.size()}});
     m_services.leaving = true;
+    m_tickets->close();
     m_loop.post([this] { m_cluster->set_leaving(); });
     wait_for_requests();
     wait_for_budget();
@@ -55,4 +57,4 @@
     wait_for(m_services, longest_hand_over, [&] { return m_budget->drained(); });
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/finish.cpp
+++ b/src/chicorylink/gateway/finish.cpp
@@ -1,10 +1,12 @@
 #include "chicorylink/gateway/finish.hpp"
 
 #include "chicorylink/base/metrics.hpp"
+#include "chicorylink/dispatch/ticket_rules.hpp"
 #include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/steps.hpp"
 #include "chicorylink/gateway/team_stats.hpp"
+#include "chicorylink/gateway/ticket_desk.hpp"
 #include "chicorylink/gateway/work_table.hpp"
 #include "chicorylink/platform/http_client.hpp"
 #include "chicorylink/routing/router.hpp"
@@ -22,7 +24,9 @@
     bool first = false;
     bool stream_begun = false;
     work_phase phase = work_phase::done;
-    bool may_have_run = false;
+    run_outcome outcome = run_outcome::not_run;
+    std::optional<dispatch::ticket> ticket;
+    dispatch::attempt_id holder;
     std::optional<platform::transfer_id> transfer;
     std::optional<wire::stream_id> forward;
     std::uint64_t reservation = 0;
@@ -33,7 +37,7 @@
 /// the tokens that were passed on; nothing when it did not run.
 base::tokens spent_tokens(const work& entry)
 {
-    if (!entry.may_have_run) {
+    if (outcome_so_far(entry) == run_outcome::not_run) {
         return base::tokens{0};
     }
     if (entry.reported_usage.value() > 0) {
@@ -50,7 +54,9 @@
     state.first = entry.phase != work_phase::done;
     state.stream_begun = entry.phase == work_phase::answering;
     state.phase = std::exchange(entry.phase, work_phase::done);
-    state.may_have_run = entry.may_have_run;
+    state.outcome = outcome_so_far(entry);
+    state.holder = {entry.ticket_process, entry.id.value()};
+    state.ticket = std::exchange(entry.held_ticket, std::nullopt);
     state.transfer = std::exchange(entry.transfer, std::nullopt);
     if (entry.forward) {
         state.forward = entry.forward->stream();
@@ -70,6 +76,27 @@
     all.metrics->observe("chicorylink_request_seconds", age.count());
 }
 
+/// What may be said of the effect of a refused request.
+run_outcome stated_outcome(const work& entry, const ending& state, const refusal& why)
+{
+    if (state.outcome != run_outcome::not_run) {
+        return state.outcome;
+    }
+    if (why.outcome != run_outcome::not_run || state.ticket || entry.ticket.empty()) {
+        return why.outcome;
+    }
+    // An earlier try with the same ticket may have run at its executor, which was not asked now.
+    return dispatch::outcome_of_entry_refusal(true, entry.is_first_try);
+}
+
+/// Tells the ticket that this VM holds for the request what became of it.
+void end_ticket(services& all, const ending& state, run_outcome outcome, const http_answer* answer)
+{
+    if (state.ticket) {
+        all.tickets->end(*state.ticket, state.holder, outcome, answer);
+    }
+}
+
 void count_end(services& all, std::string_view result)
 {
     all.metrics->add(fmt::format("chicorylink_requests_total{{result=\"{}\"}}", result));
@@ -104,6 +131,14 @@
     }
 }
 
+/// Whether the request runs on a ticket: then it goes on without its caller, so that a repeat gets
+/// its answer.
+bool holds_ticket(work& entry)
+{
+    const std::lock_guard lock(entry.mutex);
+    return entry.held_ticket.has_value();
+}
+
 } // namespace
 
 void count_refusal(services& all, refusal_kind kind)
@@ -124,6 +159,7 @@
         return;
     }
     count_end(all, "answered");
+    end_ticket(all, state, outcome, &answer);
     all.teams->add_answered(entry->team, all.now() - entry->arrived, state.spent);
     entry->sink.whole(std::move(answer), outcome);
 }
@@ -144,9 +180,8 @@
         count_end(all, "broken");
         return;
     }
-    if (state.may_have_run && why.outcome == run_outcome::not_run) {
-        why.outcome = run_outcome::unknown;
-    }
+    why.outcome = stated_outcome(*entry, state, why);
+    end_ticket(all, state, why.outcome, nullptr);
     count_end(all, "refused");
     const auto outcome = why.outcome;
     entry->sink.whole(answer_of(why), outcome);
@@ -173,12 +208,16 @@
     abandon_attempt(all, entry, state);
     settle_and_forget(all, entry, state);
     count_end(all, "broken");
+    end_ticket(all, state, state.outcome, nullptr);
     all.teams->add_broken(entry->team, state.spent);
     entry->sink.break_off();
 }
 
 void cancel(services& all, const work_ptr& entry)
 {
+    if (holds_ticket(*entry)) {
+        return;
+    }
     const auto state = begin_ending(*entry);
     if (!state.first) {
         return;
--- a/src/chicorylink/gateway/forward_attempt.cpp
+++ b/src/chicorylink/gateway/forward_attempt.cpp
@@ -41,6 +41,7 @@
 forwarded_request make_message(const services& all, const work& entry, base::time_point now)
 {
     forwarded_request message;
+    message.purpose = entry.purpose;
     message.team = entry.team;
     message.key_digest = entry.key_digest;
     message.route = entry.route.id;
@@ -55,13 +56,14 @@
     message.deadline = std::chrono::duration_cast<base::milliseconds>(entry.deadline - now);
     message.prompt_tokens = entry.prompt_bound;
     message.answer_tokens = entry.answer_bound;
-    message.attempt = static_cast<std::uint8_t>(entry.attempt);
+    message.attempt = static_cast<std::uint8_t>(entry.attempts - 1);
     message.ticket = entry.ticket;
     message.session = entry.asked.prefix.session.value();
     for (const auto block : entry.asked.prefix.blocks) {
         message.blocks.push_back(block.value());
     }
     message.origin = all.self;
+    message.resume_from = entry.progress.next_token;
     return message;
 }
 
@@ -71,18 +73,13 @@
             "repeat the request if it may run twice, or ask with its ticket", run_outcome::unknown};
 }
 
-bool is_current(const work& entry, std::uint32_t attempt)
-{
-    return entry.attempt == attempt && entry.phase != work_phase::done;
-}
-
 /// Tells the router how a forward ended.
 void report_forward(services& all, const work& entry, bool reached, base::bytes moved)
 {
     all.router->on_forward_finished(entry.id, entry.route.id, reached, moved, all.now());
 }
 
-void on_bytes(services& all, const work_ptr& entry, std::uint32_t attempt,
+void on_bytes(services& all, const work_ptr& entry, const dispatch::attempt_id& attempt,
               std::span<const std::uint8_t> bytes)
 {
     bool good = true;
@@ -114,7 +111,28 @@
             head->status == status_of(refusal_kind::region_not_allowed));
 }
 
-void finish_forward(services& all, const work_ptr& entry, std::uint32_t attempt, bool clean)
+/// What the other VM's answer proves about the attempt.
+dispatch::attempt_event end_event(const work& entry, bool whole)
+{
+    if (!whole) {
+        return dispatch::attempt_event::lost;
+    }
+    if (entry.answer_is_stream) {
+        return dispatch::attempt_event::answer_complete;
+    }
+    switch (entry.forwarded_head->outcome) {
+    case run_outcome::not_run:
+        return dispatch::attempt_event::proved_not_run;
+    case run_outcome::ran:
+        return dispatch::attempt_event::proved_ran;
+    case run_outcome::unknown:
+        break;
+    }
+    return dispatch::attempt_event::lost;
+}
+
+void finish_forward(services& all, const work_ptr& entry, const dispatch::attempt_id& attempt,
+                    bool clean)
 {
     bool declined = false;
     bool whole = false;
@@ -128,16 +146,11 @@
         }
         entry->forward.reset();
         declined = clean && was_declined(*entry);
-        if (declined) {
-            entry->may_have_run = entry->may_have_run_before;
-        }
         whole = clean && forwarded_answer_is_whole(*entry);
+        dispatch::apply(entry->present, end_event(*entry, whole));
         stream = entry->answer_is_stream;
         head = entry->forwarded_head.value_or(answer_head{});
         body = std::exchange(entry->answer_body, {});
-        if (whole && !stream && head.outcome == run_outcome::not_run) {
-            entry->may_have_run = entry->may_have_run_before;
-        }
     }
     report_forward(
         all, *entry, clean && !declined,
@@ -161,7 +174,8 @@
     retry_or_refuse(all, entry, lost_link_refusal());
 }
 
-wire::stream_handler make_handler(services& all, const work_ptr& entry, std::uint32_t attempt)
+wire::stream_handler make_handler(services& all, const work_ptr& entry,
+                                  const dispatch::attempt_id& attempt)
 {
     wire::stream_handler handler;
     handler.on_data = [&all, entry, attempt](std::span<const std::uint8_t> bytes) {
@@ -208,14 +222,15 @@
         return true;
     }
     reset_answer(*entry);
-    ++entry->attempt;
-    entry->attempt_started = now;
+    const auto attempt = next_attempt(*entry, all.process.load(), now);
     const auto header = encode(make_message(all, *entry, now));
+    if (!dispatch::begin_write(entry->present, now)) {
+        return false;
+    }
     return base::leaf::try_handle_all(
         [&]() -> base::result<bool> {
-            BOOST_LEAF_AUTO(stream, all.network->open_stream(
-                                        vm, header, make_handler(all, entry, entry->attempt)));
-            entry->may_have_run_before = std::exchange(entry->may_have_run, true);
+            BOOST_LEAF_AUTO(
+                stream, all.network->open_stream(vm, header, make_handler(all, entry, attempt)));
             if (entry->phase != work_phase::answering) {
                 entry->phase = work_phase::possibly_sent;
             }
@@ -226,7 +241,10 @@
             entry->forward->finish();
             return true;
         },
-        [] { return false; });
+        [&] {
+            dispatch::apply(entry->present, dispatch::attempt_event::proved_not_run);
+            return false;
+        });
 }
 
 } // namespace
--- a/src/chicorylink/gateway/forwarded_answer.cpp
+++ b/src/chicorylink/gateway/forwarded_answer.cpp
@@ -30,6 +30,9 @@
             entry.status = head.status;
             entry.answer_headers = head.headers;
             entry.answer_is_stream = head.stream;
+            if (head.stream) {
+                dispatch::apply(entry.present, dispatch::attempt_event::answer_begun);
+            }
             entry.forwarded_head = std::move(head);
             return true;
         },
@@ -78,7 +81,7 @@
         return false;
     }
     if (entry.answer_is_stream) {
-        return entry.end_mark && !entry.events.has_partial();
+        return entry.whole_stream && !entry.events.has_partial();
     }
     return entry.answer_body.size() == entry.forwarded_head->body_bytes;
 }
--- a/src/chicorylink/gateway/operators_api.cpp
+++ b/src/chicorylink/gateway/operators_api.cpp
@@ -37,7 +37,7 @@
     return json_answer(status_accepted, {{"leaving", true}});
 }
 
-}  // namespace
+} // namespace
 
 http_answer answer_operator(const operators_sources& sources, const caller_request& request)
 {
@@ -46,7 +46,8 @@
     }
     if (request.path == "/readyz") {
         const bool ready = sources.ready();
-        return text_answer(ready ? status_ok : status_unavailable, ready ? "ready\n" : "not ready\n");
+        return text_answer(ready ? status_ok : status_unavailable,
+                           ready ? "ready\n" : "not ready\n");
     }
     if (request.path == "/metrics") {
         return text_answer(status_ok, sources.metrics());
@@ -72,4 +73,4 @@
     return json_answer(status_not_found, {{"error", "there is no such page"}});
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/platform_poller.cpp
+++ b/src/chicorylink/gateway/platform_poller.cpp
@@ -1,10 +1,10 @@
 #include "chicorylink/gateway/platform_poller.hpp"
 
-#include <utility>
-
 #include "chicorylink/gateway/control_loop.hpp"
 #include "chicorylink/platform/http_client.hpp"
 
+#include <utility>
+
 namespace chicorylink::gateway {
 
 platform_poller::platform_poller(platform::http_client& http, control_loop& loop,
@@ -43,4 +43,4 @@
     m_http.start(std::move(request), std::move(handlers));
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/refusal.cpp
+++ b/src/chicorylink/gateway/refusal.cpp
@@ -61,19 +61,6 @@
 
 } // namespace
 
-std::string_view to_string(run_outcome outcome)
-{
-    switch (outcome) {
-    case run_outcome::not_run:
-        return "not-run";
-    case run_outcome::ran:
-        return "ran";
-    case run_outcome::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 std::string_view to_string(refusal_kind kind)
 {
     return row_of(kind).name;
--- a/src/chicorylink/gateway/retry_guard.cpp
+++ b/src/chicorylink/gateway/retry_guard.cpp
@@ -1,23 +1,52 @@
 #include "chicorylink/gateway/retry_guard.hpp"
 
+#include "chicorylink/dispatch/retry.hpp"
+
 #include <algorithm>
 
 namespace chicorylink::gateway {
 
-void retry_guard::on_first_attempt()
+void retry_guard::on_request()
+{
+    const std::lock_guard lock(m_mutex);
+    dispatch::note_request(m_budget);
+}
+
+std::optional<base::time_point> retry_guard::plan(const work& entry, base::time_point now)
+{
+    const bool stream_begun = entry.phase == work_phase::answering;
+    const dispatch::failed_attempt failed{
+        .result = stream_begun ? dispatch::outcome::ran : outcome_so_far(entry),
+        .idempotent = entry.route.idempotent,
+        // A stream goes on at its offset, so that what was passed on is not sent again.
+        .answer_passed_on = false,
+        // A request that is bound to this VM can't be retried by the VM that it came from.
+        .hops = entry.asked.pinned ? std::uint8_t{0} : entry.hop,
+        .attempts = entry.attempts,
+        .deadline = attempt_deadline(entry, now)};
+    const std::lock_guard lock(m_mutex);
+    const auto plan = dispatch::plan_retry(failed, m_budget, now, entry.id.value());
+    return plan ? std::optional(plan->at) : std::nullopt;
+}
+
+void retry_guard::wait(const work_ptr& entry, base::time_point at)
 {
     const std::lock_guard lock(m_mutex);
-    m_rights = std::min(reserve, m_rights + retries_per_attempt);
+    m_waiting.push_back({entry, at});
 }
 
-bool retry_guard::take()
+std::vector<work_ptr> retry_guard::take_due(base::time_point now)
 {
+    std::vector<work_ptr> due;
     const std::lock_guard lock(m_mutex);
-    if (m_rights < 1.0) {
-        return false;
-    }
-    m_rights -= 1.0;
-    return true;
+    std::erase_if(m_waiting, [&](const waiter& one) {
+        if (one.at > now) {
+            return false;
+        }
+        due.push_back(one.entry);
+        return true;
+    });
+    return due;
 }
 
 } // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/single_run.cpp
+++ b/src/chicorylink/gateway/single_run.cpp
@@ -1,23 +1,203 @@
 #include "chicorylink/gateway/single_run.hpp"
 
+#include "chicorylink/dispatch/executor_choice.hpp"
+#include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/gateway/ticket_desk.hpp"
+#include "chicorylink/membership/view.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace chicorylink::gateway {
+namespace {
 
-void run(services& all, const work_ptr& entry)
+constexpr base::milliseconds in_progress_retry{500};
+
+refusal ticket_refusal(std::string message, std::string remedy, run_outcome outcome)
 {
+    return {refusal_kind::ticket_rejected, std::move(message), std::move(remedy), outcome};
+}
+
+/// The digest that tells whether a ticket is used for the same request again.
+base::digest digest_of(const work& entry)
+{
+    const auto& content = entry.content;
+    return base::sha256(fmt::format("{}\n{}\n{}\n", content.method, content.path, content.query),
+                        content.body);
+}
+
+http_answer replayed(const dispatch::stored_answer& stored)
+{
+    http_answer answer{stored.status, {{"X-Chicorylink-Replayed", "yes"}}, stored.body};
+    if (!stored.content_type.empty()) {
+        answer.headers.emplace_back("content-type", stored.content_type);
+    }
+    if (!stored.has_body) {
+        answer.headers.emplace_back("X-Chicorylink-Body-Digest",
+                                    "sha256:" + base::to_hex(stored.body_digest));
+    }
+    return answer;
+}
+
+refusal refusal_of(const dispatch::ticket_decision& decided)
+{
+    switch (decided.verdict) {
+    case dispatch::ticket_verdict::in_progress: {
+        refusal why{refusal_kind::in_progress, "a request with this ticket runs at this moment",
+                    "repeat it after Retry-After to get its answer", decided.result};
+        why.retry_after = in_progress_retry;
+        return why;
+    }
+    case dispatch::ticket_verdict::voided:
+    case dispatch::ticket_verdict::expired:
+        return ticket_refusal("the ticket can't be used any more; its request did not run",
+                              "get a new ticket and send the request with it", decided.result);
+    case dispatch::ticket_verdict::mismatch:
+        return ticket_refusal("the ticket was used for another request",
+                              "get a ticket for each request", decided.result);
+    case dispatch::ticket_verdict::run:
+    case dispatch::ticket_verdict::answered:
+    case dispatch::ticket_verdict::uncertain:
+    case dispatch::ticket_verdict::forgotten:
+        break;
+    }
+    return ticket_refusal("whether the request ran can't be told",
+                          "look up at the service whether it took effect", decided.result);
+}
+
+/// Runs a request at the VM that its ticket names, unless it ran already.
+void run_with_ticket(services& all, const work_ptr& entry, const dispatch::ticket& ticket)
+{
+    const dispatch::attempt_id holder{ticket.process, entry->id.value()};
+    const auto decided = all.tickets->begin(ticket, digest_of(*entry), holder);
+    if (decided.verdict == dispatch::ticket_verdict::answered) {
+        finish_whole(all, entry, replayed(*decided.answer), run_outcome::ran);
+        return;
+    }
+    if (decided.verdict != dispatch::ticket_verdict::run) {
+        finish_refused(all, entry, refusal_of(decided));
+        return;
+    }
+    {
+        const std::lock_guard lock(entry->mutex);
+        entry->held_ticket = ticket;
+        entry->ticket_process = ticket.process;
+        entry->asked.pinned = true;
+    }
     submit(all, entry);
 }
 
-void issue_ticket(services& /*all*/, const std::shared_ptr<exchange>& request,
-                  const rules::rulebook& /*book*/, const identity& /*who*/)
+void use_ticket(services& all, const work_ptr& entry, const dispatch::ticket& ticket)
+{
+    const auto book = all.rulebook();
+    const auto* team = book->find(entry->team);
+    if (team == nullptr || ticket.team != entry->team || ticket.route != entry->route.id) {
+        finish_refused(all, entry,
+                       ticket_refusal("the ticket is for another team or route",
+                                      "get a ticket for this team and route",
+                                      run_outcome::not_run));
+        return;
+    }
+    const auto place = dispatch::place_of(ticket, *team, *all.view(), all.process.load());
+    if (place == dispatch::ticket_place::here) {
+        run_with_ticket(all, entry, ticket);
+        return;
+    }
+    if (place == dispatch::ticket_place::forward && entry->hop == 0) {
+        start_forward_to(all, entry, ticket.executor);
+        return;
+    }
+    finish_refused(all, entry,
+                   ticket_refusal(fmt::format("the VM of the ticket can't be asked: {}",
+                                              dispatch::to_string(place)),
+                                  "look up at the service whether the request took effect",
+                                  run_outcome::unknown));
+}
+
+/// The answer of a ticket call.
+http_answer ticket_answer(services& all, const std::string& text,
+                          const std::vector<std::string>& vms)
+{
+    const nlohmann::ordered_json body{
+        {"ticket", text}, {"vms", vms}, {"expires_in_ms", all.tickets->lifetime().count()}};
+    return {200, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+refusal issue_failure(const base::error& failure)
+{
+    refusal why{refusal_kind::overloaded, failure.message, failure.remedy, run_outcome::not_run};
+    why.retry_after = in_progress_retry;
+    return why;
+}
+
+/// Issues a ticket here and answers the work with it.
+void issue_here(services& all, const work_ptr& entry)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(text, all.tickets->issue(entry->team, entry->route.id));
+            const auto* self = membership::find(*all.view(), all.self);
+            const std::vector<std::string> vms{self != nullptr ? self->caller_address : ""};
+            finish_whole(all, entry, ticket_answer(all, text, vms), run_outcome::not_run);
+            return {};
+        },
+        [&](const base::error& failure) { finish_refused(all, entry, issue_failure(failure)); },
+        [&] { finish_refused(all, entry, issue_failure({})); });
+}
+
+} // namespace
+
+void run(services& all, const work_ptr& entry)
+{
+    if (entry->route.idempotent || entry->ticket.empty()) {
+        submit(all, entry);
+        return;
+    }
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(ticket, all.tickets->read(entry->ticket));
+            use_ticket(all, entry, ticket);
+            return {};
+        },
+        [&](const base::error& failure) {
+            finish_refused(all, entry,
+                           ticket_refusal(failure.message, failure.remedy, run_outcome::not_run));
+        },
+        [&] {
+            finish_refused(all, entry,
+                           ticket_refusal("the ticket can't be read", "get a new ticket",
+                                          run_outcome::not_run));
+        });
+}
+
+void issue_ticket(services& all, const work_ptr& entry)
 {
-    request->answer({501, {}, ""});
+    const auto book = all.rulebook();
+    const auto* team = book->find(entry->team);
+    const auto vms = dispatch::executors_for(*book, *team, entry->route.id, *all.view());
+    if (vms.empty()) {
+        finish_refused(all, entry,
+                       {refusal_kind::no_target,
+                        "no live VM of an allowed region has a target "
+                        "of the route",
+                        "ask again after Retry-After", run_outcome::not_run, in_progress_retry});
+        return;
+    }
+    if (vms.front().id == all.self) {
+        issue_here(all, entry);
+        return;
+    }
+    start_forward_to(all, entry, vms.front().id);
 }
 
-void issue_forwarded_ticket(services& /*all*/, const work_ptr& entry)
+void issue_forwarded_ticket(services& all, const work_ptr& entry)
 {
-    entry->sink.whole({501, {}, ""}, run_outcome::not_run);
+    issue_here(all, entry);
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/steps.cpp
+++ b/src/chicorylink/gateway/steps.cpp
@@ -7,6 +7,7 @@
 #include "chicorylink/routing/router.hpp"
 
 #include <deque>
+#include <optional>
 #include <utility>
 
 namespace chicorylink::gateway {
@@ -97,17 +98,17 @@
     return {};
 }
 
-bool may_try_again(services& all, work& entry)
+/// Plans another attempt and forgets the failed one; returns when, or empty when there is none.
+std::optional<base::time_point> plan_next_attempt(services& all, work& entry)
 {
     const auto now = all.now();
     const std::lock_guard lock(entry.mutex);
-    const bool safe = entry.route.idempotent || !entry.may_have_run;
-    if (!safe || entry.attempt >= entry.attempts_allowed || now >= entry.deadline ||
-        entry.phase == work_phase::done) {
-        return false;
+    if (entry.phase == work_phase::done) {
+        return std::nullopt;
     }
-    if (!all.retries->take()) {
-        return false;
+    const auto plan = all.retries->plan(entry, now);
+    if (!plan) {
+        return std::nullopt;
     }
     if (entry.target != base::target_id{}) {
         entry.asked.tried.push_back(std::exchange(entry.target, base::target_id{}));
@@ -117,7 +118,8 @@
     }
     entry.transfer.reset();
     entry.forward.reset();
-    return true;
+    entry.asked.deadline = attempt_deadline(entry, now);
+    return plan;
 }
 
 } // namespace
@@ -151,8 +153,8 @@
 
 void retry_or_refuse(services& all, const work_ptr& entry, refusal otherwise)
 {
-    if (may_try_again(all, *entry)) {
-        submit(all, entry);
+    if (const auto at = plan_next_attempt(all, *entry)) {
+        all.retries->wait(entry, *at);
         return;
     }
     finish_refused(all, entry, std::move(otherwise));
--- a/src/chicorylink/gateway/target_answer.cpp
+++ b/src/chicorylink/gateway/target_answer.cpp
@@ -50,12 +50,28 @@
     entry.sink.begin(entry.status, std::move(headers));
 }
 
+/// Checks an event against what was passed on; false when it must not be passed on.
+bool takes_event(work& entry, const chat_event& event)
+{
+    auto verdict = dispatch::token_verdict::pass_on;
+    if (event.content.value() > 0) {
+        verdict = dispatch::take_token(entry.progress, entry.present.id, entry.position++);
+    }
+    else if (event.done) {
+        verdict = dispatch::take_end(entry.progress, entry.present.id, entry.position);
+        entry.whole_stream = verdict == dispatch::token_verdict::pass_on;
+    }
+    entry.crossed = entry.crossed || verdict == dispatch::token_verdict::gap;
+    return verdict == dispatch::token_verdict::pass_on;
+}
+
 void pass_event(work& entry, const std::string& text)
 {
     const auto event = read_chat_event(text);
-    entry.end_mark = entry.end_mark || event.done;
+    if (!takes_event(entry, event)) {
+        return;
+    }
     entry.counted_answer += event.content;
-    entry.passed_tokens += static_cast<std::uint64_t>(event.content.value());
     if (event.usage.value() > 0) {
         entry.reported_usage = event.usage;
     }
@@ -79,7 +95,8 @@
     entry.answer_headers.clear();
     entry.answer_body.clear();
     entry.crossed = false;
-    entry.end_mark = false;
+    entry.whole_stream = false;
+    entry.position = entry.progress.next_token;
     entry.answer_is_stream = false;
     entry.paused = false;
     entry.unconsumed = 0;
@@ -90,11 +107,13 @@
 
 void take_head(work& entry, int status, const header_list& headers)
 {
+    dispatch::apply(entry.present, dispatch::attempt_event::answer_begun);
     entry.status = status;
     entry.answer_headers = passed_headers(headers);
     const auto echoed = find_header(headers, "x-request-id");
-    const bool resumed = is_number(find_header(headers, "x-resume-from"), entry.passed_tokens);
-    const bool resume_failed = entry.passed_tokens > 0 && !resumed;
+    const bool resumed =
+        is_number(find_header(headers, "x-resume-from"), entry.progress.next_token);
+    const bool resume_failed = entry.progress.next_token > 0 && !resumed;
     entry.crossed = (!echoed.empty() && echoed != entry.correlation) || resume_failed;
     entry.answer_is_stream = entry.stream && status == status_ok &&
                              find_header(headers, "content-type").starts_with(event_stream_type);
@@ -120,7 +139,7 @@
     answer_verdict verdict;
     const bool ended = end.kind == platform::http_end_kind::complete && !entry.crossed;
     if (entry.answer_is_stream) {
-        verdict.whole = ended && entry.end_mark && !entry.events.has_partial();
+        verdict.whole = ended && entry.whole_stream && !entry.events.has_partial();
         verdict.pass_on = verdict.whole;
         verdict.outcome = run_outcome::ran;
         return verdict;
--- a/src/chicorylink/gateway/target_attempt.cpp
+++ b/src/chicorylink/gateway/target_attempt.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/base/log.hpp"
+#include "chicorylink/gateway/budget_gate.hpp"
 #include "chicorylink/gateway/chat_request.hpp"
 #include "chicorylink/gateway/finish.hpp"
 #include "chicorylink/gateway/loop_guard.hpp"
@@ -51,8 +52,8 @@
     request.headers.emplace_back("X-Request-Id", entry.correlation);
     request.headers.emplace_back("X-Priority", std::string(priority_name(entry.route.order)));
     request.headers.emplace_back(std::string(via_header), all.config.vm);
-    if (entry.passed_tokens > 0) {
-        request.headers.emplace_back("X-Resume-From", std::to_string(entry.passed_tokens));
+    if (entry.progress.next_token > 0) {
+        request.headers.emplace_back("X-Resume-From", std::to_string(entry.progress.next_token));
     }
     request.body = entry.content.body;
     request.timeout = entry.stream ? longest_stream : time_left(entry, now);
@@ -67,19 +68,25 @@
     return entry.key_digest && book && book->find_key(*entry.key_digest) == nullptr;
 }
 
+/// Whether the tokens that were reserved here may still be spent. A forwarded request's are held
+/// by the VM that it came from.
+bool holds_budget(const services& all, const work& entry)
+{
+    return entry.reservation == 0 || all.budget->confirm(entry.reservation);
+}
+
 /// The last check before the first byte leaves, on the sending thread.
-bool may_send(services& all, work& entry, std::uint32_t attempt)
+bool may_send(services& all, work& entry, const dispatch::attempt_id& attempt)
 {
     const auto now = all.now();
     const std::lock_guard lock(entry.mutex);
-    if (entry.attempt != attempt || entry.phase == work_phase::done || now >= entry.deadline ||
-        is_withdrawn(all, entry)) {
+    if (!is_current(entry, attempt) || is_withdrawn(all, entry) || !holds_budget(all, entry) ||
+        !dispatch::begin_write(entry.present, now)) {
         return false;
     }
     if (entry.phase != work_phase::answering) {
         entry.phase = work_phase::possibly_sent;
     }
-    entry.may_have_run = true;
     return true;
 }
 
@@ -94,13 +101,13 @@
     apply_decisions(all, all.router->on_target_report(target, load, all.now()));
 }
 
-void on_head(services& all, const work_ptr& entry, std::uint32_t attempt, int status,
+void on_head(services& all, const work_ptr& entry, const dispatch::attempt_id& attempt, int status,
              const header_list& headers)
 {
     base::target_id target;
     {
         const std::lock_guard lock(entry->mutex);
-        if (entry->attempt != attempt || entry->phase == work_phase::done) {
+        if (!is_current(*entry, attempt)) {
             return;
         }
         take_head(*entry, status, headers);
@@ -109,22 +116,23 @@
     report_load(all, target, headers);
 }
 
-bool on_data(services& all, const work_ptr& entry, std::uint32_t attempt, std::string_view piece)
+bool on_data(services& all, const work_ptr& entry, const dispatch::attempt_id& attempt,
+             std::string_view piece)
 {
     bool first_token = false;
     bool too_large = false;
     {
         const std::lock_guard lock(entry->mutex);
-        if (entry->attempt != attempt || entry->phase == work_phase::done) {
+        if (!is_current(*entry, attempt)) {
             return true;
         }
         if (entry->paused) {
             return false;
         }
         entry->last_progress = all.now();
-        const bool begun = entry->passed_tokens > 0;
+        const bool begun = entry->progress.next_token > 0;
         too_large = !take_piece(*entry, piece, all.config.max_answer_bytes);
-        first_token = !begun && entry->passed_tokens > 0;
+        first_token = !begun && entry->progress.next_token > 0;
     }
     if (first_token) {
         const auto now = all.now();
@@ -172,7 +180,7 @@
     return why;
 }
 
-void on_end(services& all, const work_ptr& entry, std::uint32_t attempt,
+void on_end(services& all, const work_ptr& entry, const dispatch::attempt_id& attempt,
             const platform::http_end& end)
 {
     const auto now = all.now();
@@ -182,7 +190,11 @@
     {
         const std::lock_guard lock(entry->mutex);
         verdict = judge_answer(*entry, end);
-        current = entry->attempt == attempt && entry->phase != work_phase::done;
+        current = is_current(*entry, attempt);
+        if (current) {
+            dispatch::apply(entry->present, verdict.whole ? dispatch::attempt_event::answer_complete
+                                                          : dispatch::attempt_event::lost);
+        }
         finished.outcome = outcome_for_router(end, entry->status, verdict.whole);
         finished.latency = now - entry->attempt_started;
         if (current) {
@@ -213,7 +225,8 @@
     retry_or_refuse(all, entry, failure_of(end));
 }
 
-platform::http_handlers make_handlers(services& all, const work_ptr& entry, std::uint32_t attempt)
+platform::http_handlers make_handlers(services& all, const work_ptr& entry,
+                                      const dispatch::attempt_id& attempt)
 {
     platform::http_handlers handlers;
     handlers.on_sending = [&all, entry, attempt] { return may_send(all, *entry, attempt); };
@@ -250,20 +263,20 @@
     });
 }
 
-/// Prepares the state for a new attempt; returns its number, or zero when the request is over.
-std::uint32_t begin_attempt(work& entry, base::target_id target, base::time_point now)
+/// Prepares the state for a new attempt; empty when the request is over.
+std::optional<dispatch::attempt_id> begin_attempt(const services& all, work& entry,
+                                                  base::target_id target, base::time_point now)
 {
     const std::lock_guard lock(entry.mutex);
     if (entry.phase == work_phase::done) {
-        return 0;
+        return std::nullopt;
     }
     reset_answer(entry);
     if (entry.phase != work_phase::answering) {
         entry.phase = work_phase::connecting;
     }
     entry.target = target;
-    entry.attempt_started = now;
-    return ++entry.attempt;
+    return next_attempt(entry, all.process.load(), now);
 }
 
 void give_up_dispatch(services& all, const work_ptr& entry, routing::attempt_outcome outcome)
@@ -288,16 +301,16 @@
                         "correct the target's line in the rules", run_outcome::not_run});
         return;
     }
-    const auto attempt = begin_attempt(*entry, target_id, now);
-    if (attempt == 0) {
+    const auto attempt = begin_attempt(all, *entry, target_id, now);
+    if (!attempt) {
         give_up_dispatch(all, entry, routing::attempt_outcome::cancelled);
         return;
     }
     resume_when_room(all, entry);
     const auto transfer = all.http->start(make_request(all, *entry, *target, now),
-                                          make_handlers(all, entry, attempt));
+                                          make_handlers(all, entry, *attempt));
     const std::lock_guard lock(entry->mutex);
-    if (entry->attempt == attempt && entry->phase != work_phase::done) {
+    if (is_current(*entry, *attempt)) {
         entry->transfer = transfer;
     }
     else {
--- a/src/chicorylink/gateway/target_watch.cpp
+++ b/src/chicorylink/gateway/target_watch.cpp
@@ -1,7 +1,5 @@
 #include "chicorylink/gateway/target_watch.hpp"
 
-#include <utility>
-
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/gateway/platform_poller.hpp"
 #include "chicorylink/gateway/services.hpp"
@@ -9,6 +7,8 @@
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
+#include <utility>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -20,27 +20,24 @@
     return {report.running, report.waiting, report.slots, report.leaving, report.age};
 }
 
-}  // namespace
+} // namespace
 
 void target_watch::poll_list(platform_poller& platform)
 {
     if (std::exchange(m_list_pending, true)) {
         return;
     }
-    platform.get(m_all.config.platform_url + "/v1/targets", poll_timeout,
-                 [this](const fetched& answer) {
-                     m_list_pending = false;
-                     base::leaf::try_handle_all(
-                         [&]() -> base::result<void> {
-                             BOOST_LEAF_AUTO(list, platform::parse_target_list(answer.body));
-                             take_list(list);
-                             return {};
-                         },
-                         [&] {
-                             m_all.metrics->add(
-                                 "chicorylink_platform_errors_total{call=\"targets\"}");
-                         });
-                 });
+    platform.get(
+        m_all.config.platform_url + "/v1/targets", poll_timeout, [this](const fetched& answer) {
+            m_list_pending = false;
+            base::leaf::try_handle_all(
+                [&]() -> base::result<void> {
+                    BOOST_LEAF_AUTO(list, platform::parse_target_list(answer.body));
+                    take_list(list);
+                    return {};
+                },
+                [&] { m_all.metrics->add("chicorylink_platform_errors_total{call=\"targets\"}"); });
+        });
 }
 
 void target_watch::poll_loads(platform_poller& platform)
@@ -86,10 +83,9 @@
         known.leaving_by_list = leaving;
         leaves = known.leaving_by_list || known.leaving_by_report;
     }
-    m_all.router->on_target_state(target,
-                                  leaves ? routing::target_availability::leaving
-                                         : routing::target_availability::live,
-                                  m_all.now());
+    m_all.router->on_target_state(
+        target, leaves ? routing::target_availability::leaving : routing::target_availability::live,
+        m_all.now());
 }
 
 void target_watch::take_report(base::target_id target, const platform::load_report& report)
@@ -139,4 +135,4 @@
     return rows;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/team_stats.cpp
+++ b/src/chicorylink/gateway/team_stats.cpp
@@ -42,4 +42,4 @@
     return all;
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
--- /dev/null
+++ b/src/chicorylink/gateway/ticket_desk.cpp
@@ -0,0 +1,100 @@
+#include "chicorylink/gateway/ticket_desk.hpp"
+
+#include "chicorylink/dispatch/ticket_table.hpp"
+#include "chicorylink/gateway/caller_request.hpp"
+#include "chicorylink/gateway/services.hpp"
+
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace chicorylink::gateway {
+
+ticket_desk::ticket_desk(services& all) : m_all(all), m_table(make_table()) {}
+
+ticket_desk::~ticket_desk() = default;
+
+base::result<std::string> ticket_desk::issue(base::team_id team, base::route_id route)
+{
+    BOOST_LEAF_AUTO(issued, table()->issue(team, route, m_all.now()));
+    return dispatch::to_text(issued, keys());
+}
+
+base::result<dispatch::ticket> ticket_desk::read(std::string_view text) const
+{
+    return dispatch::ticket_from_text(text, keys());
+}
+
+dispatch::ticket_decision ticket_desk::begin(const dispatch::ticket& value,
+                                             const base::digest& request,
+                                             const dispatch::attempt_id& holder)
+{
+    return table()->begin(value, request, holder, m_all.now());
+}
+
+void ticket_desk::end(const dispatch::ticket& value, const dispatch::attempt_id& holder,
+                      dispatch::outcome result, const http_answer* answer)
+{
+    std::optional<dispatch::stored_answer> stored;
+    if (answer != nullptr) {
+        stored.emplace();
+        stored->status = static_cast<std::uint16_t>(answer->status);
+        stored->content_type = find_header(answer->headers, "content-type");
+        stored->body = answer->body;
+        stored->body_digest = base::sha256({}, answer->body);
+    }
+    table()->end(value, holder, result, std::move(stored));
+}
+
+dispatch::outcome ticket_desk::refuse(const dispatch::ticket& value)
+{
+    if (value.executor != m_all.self) {
+        return dispatch::outcome::unknown;
+    }
+    return table()->refuse(value, m_all.now()).result;
+}
+
+base::milliseconds ticket_desk::lifetime() const
+{
+    return table()->lifetime();
+}
+
+void ticket_desk::close()
+{
+    table()->close();
+}
+
+void ticket_desk::tick()
+{
+    table()->forget_expired(m_all.now());
+}
+
+void ticket_desk::renew()
+{
+    auto made = make_table();
+    const std::unique_lock lock(m_mutex);
+    m_table = std::move(made);
+}
+
+std::shared_ptr<dispatch::ticket_table> ticket_desk::make_table() const
+{
+    dispatch::ticket_settings settings;
+    settings.self = m_all.self;
+    settings.process = m_all.process.load();
+    settings.epoch = m_all.now();
+    return std::make_shared<dispatch::ticket_table>(settings);
+}
+
+std::shared_ptr<dispatch::ticket_table> ticket_desk::table() const
+{
+    const std::shared_lock lock(m_mutex);
+    return m_table;
+}
+
+dispatch::ticket_keys ticket_desk::keys() const
+{
+    const auto& secrets = m_all.config.ticket_keys;
+    return {secrets.front(), secrets.size() > 1 ? secrets.back() : std::string{}};
+}
+
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/work_watch.cpp
+++ b/src/chicorylink/gateway/work_watch.cpp
@@ -1,12 +1,12 @@
 #include "chicorylink/gateway/work_watch.hpp"
 
-#include <optional>
-
 #include "chicorylink/gateway/finish.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/work_table.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
+#include <optional>
+
 namespace chicorylink::gateway {
 namespace {
 
@@ -45,7 +45,7 @@
     return std::nullopt;
 }
 
-}  // namespace
+} // namespace
 
 void end_forbidden(services& all, const rules::rulebook& book)
 {
@@ -66,4 +66,4 @@
     }
 }
 
-}  // namespace chicorylink::gateway
+} // namespace chicorylink::gateway
