--- a/include/chicorylink/rules/parse.hpp
+++ b/include/chicorylink/rules/parse.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/rules/rule_error.hpp"
 
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,10 @@
 /// The outcome depends on the arguments alone, so that all VMs accept or refuse a version alike.
 [[nodiscard]] parse_outcome parse_rules(std::string_view text, const parse_options& options);
 
+/// @brief Reads a rules text that is given in parts, each of whole lines, without joining them.
+[[nodiscard]] parse_outcome parse_parts(std::span<const std::string> parts,
+                                        const parse_options& options);
+
 } // namespace chicorylink::rules
 
 #endif // CHICORYLINK_RULES_PARSE_HPP
--- /dev/null
+++ b/include/chicorylink/rules/print.hpp
@@ -0,0 +1,18 @@
+#ifndef CHICORYLINK_RULES_PRINT_HPP
+#define CHICORYLINK_RULES_PRINT_HPP
+
+#include <string>
+
+namespace chicorylink::rules {
+
+class rulebook;
+
+/// @brief Writes a rulebook as a rules text that reads as the same rules, in the order of lines.
+///
+/// Rules without an origin get the comment `unknown`. Policy settings are written when they have
+/// an origin.
+[[nodiscard]] std::string print_rules(const rulebook& book);
+
+} // namespace chicorylink::rules
+
+#endif // CHICORYLINK_RULES_PRINT_HPP
--- a/src/chicorylink/rules/parse.cpp
+++ b/src/chicorylink/rules/parse.cpp
@@ -8,24 +8,60 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <utility>
 
 namespace chicorylink::rules {
 
+namespace {
+
+/// Reads line after line of texts that belong together.
+class text_reader {
+public:
+    explicit text_reader(const parse_options& options)
+        : m_errors(options.file), m_reader(options, m_errors)
+    {
+    }
+
+    void read(std::string_view text)
+    {
+        for (std::size_t start = 0; start < text.size();) {
+            const auto end = std::min(text.find('\n', start), text.size());
+            if (read_statement(text.substr(start, end - start), ++m_line, m_current, m_errors)) {
+                m_reader.read(m_current);
+            }
+            start = end + 1;
+        }
+    }
+
+    [[nodiscard]] parse_outcome finish()
+    {
+        auto book = m_reader.finish();
+        return {std::move(book), m_errors.take_sorted()};
+    }
+
+private:
+    error_list m_errors;
+    rule_reader m_reader;
+    statement m_current;
+    std::uint32_t m_line = 0;
+};
+
+} // namespace
+
 parse_outcome parse_rules(std::string_view text, const parse_options& options)
 {
-    error_list errors(options.file);
-    rule_reader reader(options, errors);
-    statement current;
-    std::uint32_t line = 0;
-    for (std::size_t start = 0; start < text.size();) {
-        const auto end = std::min(text.find('\n', start), text.size());
-        if (read_statement(text.substr(start, end - start), ++line, current, errors)) {
-            reader.read(current);
-        }
-        start = end + 1;
+    text_reader reader(options);
+    reader.read(text);
+    return reader.finish();
+}
+
+parse_outcome parse_parts(std::span<const std::string> parts, const parse_options& options)
+{
+    text_reader reader(options);
+    for (const auto& part : parts) {
+        reader.read(part);
     }
-    auto book = reader.finish();
-    return {std::move(book), errors.take_sorted()};
+    return reader.finish();
 }
 
 } // namespace chicorylink::rules
--- a/src/chicorylink/rules/rule_reader.cpp
+++ b/src/chicorylink/rules/rule_reader.cpp
@@ -182,9 +182,7 @@
         return;
     }
     value.digest = *digest;
-    const auto [known, added] = m_key_lines.emplace(
-        std::string(reinterpret_cast<const char*>(value.digest.data()), value.digest.size()),
-        from.line);
+    const auto [known, added] = m_key_lines.emplace(value.digest, from.line);
     if (!added) {
         fault(from, text, fmt::format("line {} already has this key", known->second),
               "give each key to one team, once");
--- a/src/chicorylink/rules/rule_reader.hpp
+++ b/src/chicorylink/rules/rule_reader.hpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <cstring>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,16 @@
         word name;
     };
 
+    /// The digests come from the operators, and any of their bits serve as a hash.
+    struct digest_hash {
+        std::size_t operator()(const base::digest& value) const
+        {
+            std::size_t hash = 0;
+            std::memcpy(&hash, value.data(), sizeof(hash));
+            return hash;
+        }
+    };
+
     using line_by_id = std::unordered_map<std::uint64_t, std::uint32_t>;
 
     void read_region(const statement& from);
@@ -79,7 +90,7 @@
     error_list& m_errors;
     rulebook_builder m_builder;
     std::array<line_by_id, named_kind_count> m_defined;
-    std::unordered_map<std::string, std::uint32_t> m_key_lines;
+    std::unordered_map<base::digest, std::uint32_t, digest_hash> m_key_lines;
     std::unordered_map<std::string, std::uint32_t> m_target_address_lines;
     std::unordered_map<std::uint64_t, std::uint32_t> m_link_lines;
     std::unordered_set<std::string> m_vm_addresses;
--- a/src/chicorylink/rules/rulebook_builder.cpp
+++ b/src/chicorylink/rules/rulebook_builder.cpp
@@ -14,9 +14,11 @@
                       fmt::format("line {}: {}", where.line, message), std::move(remedy));
 }
 
+/// Also gives back the memory that the growth of the vector left over.
 template <class Entry>
 void sort_by_id(std::vector<Entry>& entries)
 {
+    entries.shrink_to_fit();
     std::sort(entries.begin(), entries.end(),
               [](const Entry& left, const Entry& right) { return left.id < right.id; });
 }
@@ -200,6 +202,7 @@
     sort_by_id(book.m_teams);
     sort_by_id(book.m_routes);
     sort_by_id(book.m_targets);
+    book.m_keys.shrink_to_fit();
     std::sort(book.m_keys.begin(), book.m_keys.end(),
               [](const key& left, const key& right) { return left.digest < right.digest; });
     std::sort(book.m_links.begin(), book.m_links.end(), [](const link& left, const link& right) {
--- a/src/chicorylink/rules/statement.cpp
+++ b/src/chicorylink/rules/statement.cpp
@@ -15,6 +15,11 @@
 constexpr std::size_t quoted_size_limit = 40;
 constexpr std::string_view blanks = " \t";
 
+bool is_blank(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
 std::uint32_t column_of(std::size_t position)
 {
     return static_cast<std::uint32_t>(position + 1);
@@ -67,10 +72,16 @@
     return (byte < 0x20 && byte != '\t') || byte == 0x7F;
 }
 
+bool is_printable_ascii(char c)
+{
+    return c >= ' ' && c <= '~';
+}
+
 /// Reports the first byte that no rules text may hold.
 bool check_characters(std::string_view line, std::uint32_t number, error_list& errors)
 {
-    for (std::size_t i = 0; i < line.size();) {
+    const auto plain_end = std::find_if_not(line.begin(), line.end(), &is_printable_ascii);
+    for (auto i = static_cast<std::size_t>(plain_end - line.begin()); i < line.size();) {
         const auto byte = static_cast<unsigned char>(line[i]);
         if (is_control(byte)) {
             errors.add(number, column_of(i), fmt::format("the control character 0x{:02x}", byte),
@@ -146,9 +157,11 @@
 void read_words(std::string_view text, statement& result, error_list& errors)
 {
     std::size_t count = 0;
-    auto start = text.find_first_not_of(blanks);
-    while (start != std::string_view::npos) {
-        const auto end = std::min(text.find_first_of(blanks, start), text.size());
+    auto rest = std::find_if_not(text.begin(), text.end(), &is_blank);
+    while (rest != text.end()) {
+        const auto word_end = std::find_if(rest, text.end(), &is_blank);
+        const auto start = static_cast<std::size_t>(rest - text.begin());
+        const auto end = static_cast<std::size_t>(word_end - text.begin());
         if (++count > word_count_limit) {
             errors.add(result.line, column_of(start),
                        fmt::format("more than {} words", word_count_limit),
@@ -156,7 +169,7 @@
             return;
         }
         read_word({text.substr(start, end - start), column_of(start)}, result, errors);
-        start = text.find_first_not_of(blanks, end);
+        rest = std::find_if_not(word_end, text.end(), &is_blank);
     }
 }
 
