chicorylink: the operators' command-line tool

Operators need to check, compare, explain and publish a rules file without a daemon, and to ask a daemon what it sees.

--- /dev/null
+++ b/programs/chicorylink/output.hpp
@@ -0,0 +1,17 @@
+#ifndef CHICORYLINK_PROGRAMS_CHICORYLINK_OUTPUT_HPP
+#define CHICORYLINK_PROGRAMS_CHICORYLINK_OUTPUT_HPP
+
+#include <iosfwd>
+
+namespace chicorylink::cli {
+
+/// @brief Where a command writes, and whether for people or for programs.
+struct output {
+    std::ostream& out;
+    std::ostream& err;
+    bool json = false;
+};
+
+} // namespace chicorylink::cli
+
+#endif // CHICORYLINK_PROGRAMS_CHICORYLINK_OUTPUT_HPP
