--- a/include/chicorylink/gateway/services.hpp
+++ b/include/chicorylink/gateway/services.hpp
@@ -69,6 +69,9 @@
     std::function<base::time_point()> now;
     /// The rules in force; null until the first version.
     std::function<std::shared_ptr<const rules::rulebook>()> rulebook;
+    /// Whether requests may be served by them: a process that has just started or woken up first
+    /// makes sure that it knows the newest version.
+    std::function<bool()> rules_are_current;
     std::function<std::shared_ptr<const membership::view>()> view;
 
     std::atomic<bool> leaving{false};
--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -131,7 +131,7 @@
 std::optional<refusal> head_refusal(services& all, const caller_request& head)
 {
     const auto book = all.rulebook();
-    if (!book) {
+    if (!book || !all.rules_are_current()) {
         return not_ready();
     }
     if (!find_header(head.headers, via_header_lower).empty()) {
@@ -328,7 +328,7 @@
 std::optional<refusal> forwarded_refusal(services& all, const forwarded_request& message)
 {
     const auto book = all.rulebook();
-    if (!book) {
+    if (!book || !all.rules_are_current()) {
         return not_ready();
     }
     if (all.leaving) {
--- a/src/chicorylink/gateway/daemon_core.cpp
+++ b/src/chicorylink/gateway/daemon_core.cpp
@@ -88,6 +88,7 @@
     m_services.teams = &m_teams;
     m_services.now = &present;
     m_services.rulebook = [this] { return m_rules ? m_rules->current() : nullptr; };
+    m_services.rules_are_current = [this] { return m_rules != nullptr; };
     m_services.view = [this] { return m_cluster->view(); };
 }
 
