config: store of the version in force, watchers, pulls from peers, newcomers

Cause: the service is limited in calls, lags, and may be down, stale or corrupt for hours, while an accepted version must be in force everywhere within seconds and never go back. Change: one VM of each data center watches the service (rendezvous among live VMs that reach it); all others learn versions from heartbeats and announcements and pull manifest and parts from the nearest peer by digest. A version comes into force as a whole or not at all. A newcomer, and a process that wakes from a pause, serves only when it has the newest version of its region. Each heartbeat says whether its sender reaches the service, so that one VM that does is enough, and introduces its sender while the receiver does not acknowledge (found by the scenario half_restarts_at_once: a process restarted without the list never learnt of its peers).

--- /dev/null
+++ b/include/chicorylink/config/download.hpp
@@ -0,0 +1,34 @@
+#ifndef CHICORYLINK_CONFIG_DOWNLOAD_HPP
+#define CHICORYLINK_CONFIG_DOWNLOAD_HPP
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/secret.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/rules/manifest.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace chicorylink::config {
+
+/// @brief A newer version on its way here, from one source at a time.
+struct download {
+    /// What is aimed at; the manifest may turn out to be newer.
+    base::config_version version;
+    /// Zero stands for the configuration service.
+    base::vm_id source;
+    std::optional<rules::manifest> manifest;
+    std::string manifest_text;
+    /// Parts asked for, with what has arrived of each.
+    std::map<base::digest, std::string> partial;
+    base::time_point progress_at{};
+    /// Sources that failed during this download.
+    std::set<base::vm_id> failed;
+};
+
+} // namespace chicorylink::config
+
+#endif // CHICORYLINK_CONFIG_DOWNLOAD_HPP
--- a/include/chicorylink/membership/member.hpp
+++ b/include/chicorylink/membership/member.hpp
@@ -47,6 +47,8 @@
     gone_proof proof = gone_proof::none;
     /// The newest configuration that it said to know; zero until it was heard.
     base::config_version config_known;
+    /// Whether the configuration service answered its last call, as far as it said.
+    bool reaches_service = false;
     load_summary load;
 };
 
--- a/include/chicorylink/membership/membership_generated.h
+++ b/include/chicorylink/membership/membership_generated.h
@@ -505,10 +505,11 @@
     VT_LIST_SEQUENCE = 12,
     VT_REGION_SIZE = 14,
     VT_LEAVING = 16,
-    VT_LOAD = 18,
-    VT_INTRODUCTION = 20,
-    VT_GONE = 22,
-    VT_PAYLOADS = 24
+    VT_REACHES_SERVICE = 18,
+    VT_LOAD = 20,
+    VT_INTRODUCTION = 22,
+    VT_GONE = 24,
+    VT_PAYLOADS = 26
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -531,6 +532,9 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  bool reaches_service() const {
+    return GetField<uint8_t>(VT_REACHES_SERVICE, 0) != 0;
+  }
   const chicorylink::membership::fbs::Load *load() const {
     return GetStruct<const chicorylink::membership::fbs::Load *>(VT_LOAD);
   }
@@ -552,6 +556,7 @@
            VerifyField<uint64_t>(verifier, VT_LIST_SEQUENCE, 8) &&
            VerifyField<uint16_t>(verifier, VT_REGION_SIZE, 2) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REACHES_SERVICE, 1) &&
            VerifyField<chicorylink::membership::fbs::Load>(verifier, VT_LOAD, 4) &&
            VerifyOffset(verifier, VT_INTRODUCTION) &&
            verifier.VerifyTable(introduction()) &&
@@ -589,6 +594,9 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_reaches_service(bool reaches_service) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_REACHES_SERVICE, static_cast<uint8_t>(reaches_service), 0);
+  }
   void add_load(const chicorylink::membership::fbs::Load *load) {
     fbb_.AddStruct(Heartbeat::VT_LOAD, load);
   }
@@ -621,6 +629,7 @@
     uint64_t list_sequence = 0,
     uint16_t region_size = 0,
     bool leaving = false,
+    bool reaches_service = false,
     const chicorylink::membership::fbs::Load *load = nullptr,
     flatbuffers::Offset<chicorylink::membership::fbs::Identity> introduction = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::membership::fbs::GoneNote *>> gone = 0,
@@ -636,6 +645,7 @@
   builder_.add_introduction(introduction);
   builder_.add_load(load);
   builder_.add_region_size(region_size);
+  builder_.add_reaches_service(reaches_service);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -649,6 +659,7 @@
     uint64_t list_sequence = 0,
     uint16_t region_size = 0,
     bool leaving = false,
+    bool reaches_service = false,
     const chicorylink::membership::fbs::Load *load = nullptr,
     flatbuffers::Offset<chicorylink::membership::fbs::Identity> introduction = 0,
     const std::vector<chicorylink::membership::fbs::GoneNote> *gone = nullptr,
@@ -664,6 +675,7 @@
       list_sequence,
       region_size,
       leaving,
+      reaches_service,
       load,
       introduction,
       gone__,
--- a/include/chicorylink/membership/message.hpp
+++ b/include/chicorylink/membership/message.hpp
@@ -47,8 +47,10 @@
     /// VMs of the sender's region by its list.
     std::uint16_t region_size = 0;
     bool leaving = false;
+    /// Whether its last call of the configuration service was answered.
+    bool reaches_service = false;
     load_summary load;
-    /// Who the sender is; stands until the receiver has acknowledged a heartbeat.
+    /// Who the sender is; stands while the receiver does not acknowledge.
     std::optional<identity> introduction;
     std::vector<gone_note> gone;
     std::vector<payload> payloads;
--- a/include/chicorylink/membership/table.hpp
+++ b/include/chicorylink/membership/table.hpp
@@ -53,6 +53,7 @@
 
     void set_load(load_summary load) { m_load = load; }
     void set_config_known(base::config_version version) { m_config_known = version; }
+    void set_reaches_service(bool reaches) { m_reaches_service = reaches; }
     /// @brief Bytes that ride on the following heartbeats; empty content takes the slot away.
     void set_payload(payload content);
     /// @brief The last bytes that a VM sent in a slot; empty when there are none.
@@ -145,6 +146,7 @@
     std::map<base::vm_id, base::incarnation> m_fenced_strangers;
     load_summary m_load;
     base::config_version m_config_known;
+    bool m_reaches_service = true;
     bool m_leaving = false;
     bool m_must_renew = false;
 
--- a/scenarios/membership/delegate_dies.lua
+++ b/scenarios/membership/delegate_dies.lua
@@ -1,4 +1,5 @@
 -- Both delegates of a data center end at once; others take their place and news goes on.
+use_membership()
 seed(11)
 local names = {}
 for _, region in ipairs({"a", "b"}) do
--- a/scenarios/membership/differing_lists.lua
+++ b/scenarios/membership/differing_lists.lua
@@ -1,4 +1,5 @@
 -- VMs hold different lists: none counts another as gone while any VM of the region hears it.
+use_membership()
 seed(8)
 for _, name in ipairs({"a1", "a2", "a3", "a4", "a5"}) do vm(name, {region = "a"}); list(name) end
 run(10000)
--- a/scenarios/membership/leaving_reaches_all.lua
+++ b/scenarios/membership/leaving_reaches_all.lua
@@ -1,5 +1,6 @@
 -- A VM that is told to leave is known as leaving in its data center at once and in all regions
 -- within two seconds, although the platform's list does not show it yet.
+use_membership()
 seed(10)
 tick_every(50)
 local names = {}
--- a/scenarios/membership/refused_connection.lua
+++ b/scenarios/membership/refused_connection.lua
@@ -1,4 +1,5 @@
 -- A refused connection at the address proves that the process there has ended.
+use_membership()
 seed(4)
 for _, name in ipairs({"a1", "a2", "a3"}) do vm(name, {region = "a"}); list(name) end
 run(5000)
--- a/scenarios/membership/region_cut_off.lua
+++ b/scenarios/membership/region_cut_off.lua
@@ -1,5 +1,6 @@
 -- A region cut off from the platform and all other regions goes on for an hour, also after one of
 -- its VMs is lost in silence. Nobody takes over what the lost VM had.
+use_membership()
 seed(5)
 tick_every(500)
 for _, name in ipairs({"a1", "a2", "a3", "b1", "b2", "b3"}) do
--- a/scenarios/membership/replacement_at_other_address.lua
+++ b/scenarios/membership/replacement_at_other_address.lua
@@ -1,5 +1,6 @@
 -- A replacement at another address proves nothing about the VM that it replaces, which is paused
 -- and may wake. It counts as gone only when the list has dropped it and all others had silence.
+use_membership()
 seed(3)
 for _, name in ipairs({"a1", "a2", "a3"}) do vm(name, {region = "a"}); list(name) end
 run(10000)
--- a/scenarios/membership/restart_at_same_address.lua
+++ b/scenarios/membership/restart_at_same_address.lua
@@ -1,5 +1,6 @@
 -- A new incarnation at the same address proves that the earlier process is gone; its messages that
 -- arrive late change nothing.
+use_membership()
 seed(2)
 for _, name in ipairs({"a1", "a2", "a3"}) do vm(name, {region = "a"}) end
 for _, name in ipairs({"a1", "a2", "a3"}) do list(name) end
--- a/scenarios/membership/self_doubt.lua
+++ b/scenarios/membership/self_doubt.lua
@@ -1,4 +1,5 @@
 -- A process that was paused does not suspect others for silence that was its own.
+use_membership()
 seed(9)
 for _, name in ipairs({"a1", "a2", "a3"}) do vm(name, {region = "a"}); list(name) end
 run(10000)
--- a/scenarios/membership/steady_fleet.lua
+++ b/scenarios/membership/steady_fleet.lua
@@ -1,4 +1,5 @@
 -- Three regions of three VMs: all see all as live, each may act, delegates are agreed.
+use_membership()
 seed(1)
 local names = {}
 for _, region in ipairs({"a", "b", "c"}) do
--- a/scenarios/membership/two_vm_region.lua
+++ b/scenarios/membership/two_vm_region.lua
@@ -1,5 +1,6 @@
 -- A region of two: with the platform out of reach and the other VM silent, each goes on alone for
 -- the isolation term, and neither counts the other as gone before that term has passed.
+use_membership()
 seed(6)
 tick_every(500)
 for _, name in ipairs({"a1", "a2"}) do vm(name, {region = "a"}); list(name) end
--- a/scenarios/membership/wrong_list.lua
+++ b/scenarios/membership/wrong_list.lua
@@ -1,4 +1,5 @@
 -- The list shows the dead as live and the live not at all: what is heard goes first.
+use_membership()
 seed(7)
 for _, name in ipairs({"a1", "a2", "a3", "a4"}) do vm(name, {region = "a"}) end
 for _, name in ipairs({"a1", "a2", "a4"}) do list(name) end
--- /dev/null
+++ b/src/chicorylink/config/store_download.cpp
@@ -0,0 +1,384 @@
+#include "chicorylink/config/store.hpp"
+#include "chicorylink/membership/rendezvous.hpp"
+#include "chicorylink/rules/diff.hpp"
+#include "chicorylink/rules/parse.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace chicorylink::config {
+namespace {
+
+/// Parts that are asked for at a time.
+constexpr std::size_t parts_in_flight = 32;
+/// Versions that failed the check which are remembered.
+constexpr std::size_t remembered_rejections = 16;
+/// After all sources have failed, a download is tried again after this.
+constexpr base::milliseconds download_pause{1'000};
+
+constexpr base::vm_id service_source{};
+
+template <class Value, class Function>
+std::optional<Value> value_or_none(Function&& function)
+{
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<std::optional<Value>> {
+            BOOST_LEAF_AUTO(value, function());
+            return std::optional<Value>{std::move(value)};
+        },
+        [] { return std::optional<Value>{}; });
+}
+
+bool is_genuine(const rules::part_reference& expected, std::string_view content)
+{
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_CHECK(rules::verify_part(expected, content));
+            return true;
+        },
+        [] { return false; });
+}
+
+/// How near a VM is: its data center, its region, elsewhere.
+int distance(const membership::member& self, const membership::member& other)
+{
+    if (self.data_center == other.data_center) {
+        return 0;
+    }
+    return self.region == other.region ? 1 : 2;
+}
+
+} // namespace
+
+void store::hear(base::vm_id from, base::config_version version)
+{
+    auto& heard = m_heard[from];
+    heard = std::max(heard, version);
+}
+
+void store::hear_view(const membership::view& seen)
+{
+    for (const auto& each : seen.members) {
+        if (each.id != m_own.self && each.config_known != base::config_version{}) {
+            hear(each.id, each.config_known);
+        }
+    }
+    std::erase_if(m_heard, [&](const auto& entry) {
+        const auto* member = membership::find(seen, entry.first);
+        return member == nullptr;
+    });
+}
+
+void store::consider_download(const membership::view& seen, base::time_point now, effects& out)
+{
+    const bool from_service = m_download && m_download->source == service_source;
+    const auto patience = from_service ? m_own.service_stall : m_own.stall;
+    if (m_download && now - m_download->progress_at > patience) {
+        source_failed(now);
+    }
+    base::config_version wanted;
+    for (const auto& [vm, heard] : m_heard) {
+        if (heard > version() && !m_rejected.contains(heard)) {
+            wanted = std::max(wanted, heard);
+        }
+    }
+    const bool newer = !m_download || wanted > m_download->version;
+    const bool sourceless = m_download && !m_download->failed.empty() &&
+                            m_download->failed.contains(m_download->source);
+    if (wanted == base::config_version{} && !sourceless) {
+        return;
+    }
+    if ((newer && now >= m_next_download) || sourceless) {
+        if (newer) {
+            m_download = download{.version = wanted, .progress_at = now};
+        }
+        const auto source = choose_source(seen);
+        if (source) {
+            begin_from(*source, now, out);
+            return;
+        }
+        m_download.reset();
+        m_next_download = now + download_pause;
+        m_next_call = std::max(m_next_call, now + m_own.rate_pause);
+    }
+}
+
+std::optional<base::vm_id> store::choose_source(const membership::view& seen) const
+{
+    const auto* self = membership::find(seen, m_own.self);
+    std::vector<base::vm_id> nearest;
+    int nearest_distance = 0;
+    for (const auto& [vm, heard] : m_heard) {
+        const auto* other = membership::find(seen, vm);
+        const bool usable = self != nullptr && other != nullptr &&
+                            other->state != membership::member_state::gone &&
+                            heard >= m_download->version && !m_download->failed.contains(vm);
+        if (!usable) {
+            continue;
+        }
+        const int away = distance(*self, *other);
+        if (!nearest.empty() && away > nearest_distance) {
+            continue;
+        }
+        if (nearest.empty() || away < nearest_distance) {
+            nearest.clear();
+            nearest_distance = away;
+        }
+        nearest.push_back(vm);
+    }
+    if (!nearest.empty()) {
+        // Each VM prefers another one, so that the first to have a version is not asked by all.
+        return membership::first_by_rendezvous(nearest, m_own.self.value(), 1).front();
+    }
+    const bool service_knows = m_service_version >= m_download->version;
+    if (service_knows && !m_download->failed.contains(service_source)) {
+        return service_source;
+    }
+    return std::nullopt;
+}
+
+void store::begin_from(base::vm_id source, base::time_point now, effects& out)
+{
+    if (!m_download) {
+        m_download = download{.version = m_service_version};
+    }
+    m_download->source = source;
+    m_download->progress_at = now;
+    m_download->partial.clear();
+    if (m_download->manifest) {
+        ask_parts(out);
+        return;
+    }
+    if (source != service_source) {
+        out.post(source, manifest_request{myself(), m_download->version});
+    }
+    else if (!m_call_open) {
+        out.watch = {.after = version(), .wait = base::milliseconds{0}};
+        m_call_open = true;
+    }
+}
+
+void store::source_failed(base::time_point now)
+{
+    m_download->failed.insert(m_download->source);
+    m_download->progress_at = now;
+}
+
+void store::take_manifest(rules::manifest manifest, std::string text, base::time_point now,
+                          effects& out)
+{
+    m_download->version = manifest.version;
+    m_download->manifest = std::move(manifest);
+    m_download->manifest_text = std::move(text);
+    m_download->progress_at = now;
+    ask_parts(out);
+    finish(now, out);
+}
+
+void store::ask_parts(effects& out)
+{
+    auto& current = *m_download;
+    for (const auto& reference : current.manifest->parts) {
+        if (current.partial.size() >= parts_in_flight) {
+            return;
+        }
+        if (m_parts.contains(reference.digest) || current.partial.contains(reference.digest)) {
+            continue;
+        }
+        current.partial[reference.digest] = {};
+        if (current.source == service_source) {
+            out.fetch.push_back(reference.digest);
+        }
+        else {
+            out.post(current.source, part_request{myself(), reference.digest, 0});
+        }
+    }
+}
+
+void store::take_part(const base::digest& digest, std::string content, base::time_point now,
+                      effects& out)
+{
+    const auto& wanted = m_download->manifest->parts;
+    const auto reference = std::ranges::find(wanted, digest, &rules::part_reference::digest);
+    if (reference == wanted.end()) {
+        return;
+    }
+    if (!is_genuine(*reference, content)) {
+        source_failed(now);
+        note_corrupt("a part does not have the digest of the manifest", now, out);
+        return;
+    }
+    m_parts[digest] = std::make_shared<const std::string>(std::move(content));
+    m_download->partial.erase(digest);
+    m_download->progress_at = now;
+    ask_parts(out);
+    finish(now, out);
+}
+
+void store::note_corrupt(std::string detail, base::time_point /*now*/, effects& out)
+{
+    ++m_status.corrupt_contents;
+    out.events.push_back({event_kind::content_corrupt, version(), std::move(detail)});
+}
+
+void store::finish(base::time_point now, effects& out)
+{
+    const auto manifest = *m_download->manifest;
+    const auto present = [&](const auto& reference) { return m_parts.contains(reference.digest); };
+    if (!std::ranges::all_of(manifest.parts, present)) {
+        return;
+    }
+    std::vector<std::string> contents;
+    contents.reserve(manifest.parts.size());
+    for (const auto& reference : manifest.parts) {
+        contents.push_back(*m_parts.at(reference.digest));
+    }
+    const auto text = std::move(m_download->manifest_text);
+    m_download.reset();
+    m_next_download = now;
+    auto parsed =
+        rules::parse_parts(contents, {.version = manifest.version, .key_salt = manifest.key_salt});
+    if (!parsed.book) {
+        const auto why = parsed.errors.empty() ? std::string("unknown error")
+                                               : rules::to_string(parsed.errors.front());
+        reject(manifest.version, why, out);
+        return;
+    }
+    const auto previous = std::exchange(m_manifest, manifest);
+    m_manifest_text = text;
+    std::set<base::digest> kept;
+    for (const auto& reference : previous.parts) {
+        kept.insert(reference.digest);
+    }
+    for (const auto& reference : manifest.parts) {
+        kept.insert(reference.digest);
+    }
+    std::erase_if(m_parts, [&](const auto& entry) { return !kept.contains(entry.first); });
+    m_must_announce = true;
+    accept(std::move(parsed.book), out);
+}
+
+void store::accept(std::shared_ptr<const rules::rulebook> book, effects& out)
+{
+    const auto older = version();
+    if (m_book) {
+        for (auto& change : rules::diff_rules(*m_book, *book)) {
+            out.audit.push_back({older, book->version(), std::move(change)});
+        }
+    }
+    m_book = std::move(book);
+    out.apply = m_book;
+    out.events.push_back({event_kind::version_in_force, version(), "all rules were accepted"});
+    m_status.in_force = version();
+}
+
+void store::reject(base::config_version version, std::string why, effects& out)
+{
+    out.events.push_back({event_kind::version_rejected, version, why});
+    if (version > m_status.rejected) {
+        m_status.rejected = version;
+        m_status.rejection = why;
+    }
+    m_rejected[version] = std::move(why);
+    if (m_rejected.size() > remembered_rejections) {
+        m_rejected.erase(m_rejected.begin());
+    }
+}
+
+void store::handle(const announcement& received, base::time_point /*now*/, effects& /*out*/)
+{
+    hear(received.from.vm, received.version);
+}
+
+void store::handle(const version_query& received, base::time_point /*now*/, effects& out)
+{
+    out.post(received.from.vm, version_answer{myself(), version()});
+}
+
+void store::handle(const version_answer& received, base::time_point /*now*/, effects& /*out*/)
+{
+    m_answered.insert(received.from.vm);
+    if (received.version != base::config_version{}) {
+        hear(received.from.vm, received.version);
+    }
+}
+
+void store::handle(const manifest_request& received, base::time_point /*now*/, effects& out)
+{
+    const bool have = m_book && version() >= received.at_least;
+    out.post(received.from.vm, manifest_reply{myself(), have ? m_manifest_text : std::string()});
+}
+
+void store::handle(const manifest_reply& received, base::time_point now, effects& out)
+{
+    const bool expected =
+        m_download && m_download->source == received.from.vm && !m_download->manifest;
+    if (!expected) {
+        return;
+    }
+    auto manifest =
+        value_or_none<rules::manifest>([&] { return rules::parse_manifest(received.text); });
+    if (!manifest || manifest->version <= version() || m_rejected.contains(manifest->version)) {
+        source_failed(now);
+        return;
+    }
+    take_manifest(std::move(*manifest), received.text, now, out);
+}
+
+void store::handle(const part_request& received, base::time_point /*now*/, effects& out)
+{
+    part_reply reply{.from = myself(), .digest = received.digest, .offset = received.offset};
+    const auto place = m_parts.find(received.digest);
+    if (place != m_parts.end() && received.offset <= place->second->size()) {
+        reply.total = place->second->size();
+        reply.content = place->second->substr(received.offset, chunk_size_bytes);
+    }
+    out.post(received.from.vm, std::move(reply));
+}
+
+void store::handle(const part_reply& received, base::time_point now, effects& out)
+{
+    if (!m_download || m_download->source != received.from.vm) {
+        return;
+    }
+    const auto place = m_download->partial.find(received.digest);
+    if (place == m_download->partial.end() || received.offset != place->second.size()) {
+        return;
+    }
+    const auto limit = static_cast<std::uint64_t>(rules::value_size_limit.value());
+    if (received.total == 0 || received.total > limit) {
+        source_failed(now);
+        return;
+    }
+    place->second += received.content;
+    m_download->progress_at = now;
+    if (place->second.size() >= received.total) {
+        take_part(received.digest, std::move(place->second), now, out);
+        return;
+    }
+    const auto next = place->second.size();
+    out.post(received.from.vm, part_request{myself(), received.digest, next});
+}
+
+effects store::on_part(const base::digest& digest, const std::optional<std::string>& content,
+                       const membership::view& seen, base::time_point now)
+{
+    effects out;
+    ++m_status.service_calls;
+    const bool awaited =
+        m_download && m_download->source == service_source && m_download->partial.contains(digest);
+    if (awaited && content) {
+        take_part(digest, *content, now, out);
+    }
+    else if (awaited) {
+        source_failed(now);
+    }
+    consider_download(seen, now, out);
+    consider_ready(seen, now, out);
+    announce(seen, out);
+    return out;
+}
+
+} // namespace chicorylink::config
--- a/src/chicorylink/membership/codec.cpp
+++ b/src/chicorylink/membership/codec.cpp
@@ -158,7 +158,8 @@
     return {fbs::Body::Heartbeat,
             fbs::CreateHeartbeat(out, value.sequence, value.ack_sequence, value.ack_process.value(),
                                  value.config_known.value(), value.list_sequence, value.region_size,
-                                 value.leaving, &load, introduction, gone, payloads)
+                                 value.leaving, value.reaches_service, &load, introduction, gone,
+                                 payloads)
                 .Union()};
 }
 
@@ -224,6 +225,7 @@
             .list_sequence = value.list_sequence(),
             .region_size = value.region_size(),
             .leaving = value.leaving(),
+            .reaches_service = value.reaches_service(),
             .load = unpack(value.load()),
             .introduction = unpack(value.introduction(), from),
             .gone = unpack_all<gone_note>(value.gone()),
--- a/src/chicorylink/membership/table.cpp
+++ b/src/chicorylink/membership/table.cpp
@@ -205,6 +205,7 @@
                      .process = m_self.process,
                      .state = m_leaving ? member_state::leaving : member_state::live,
                      .config_known = m_config_known,
+                     .reaches_service = m_reaches_service,
                      .load = m_load};
     const auto place = std::ranges::lower_bound(seen.members, m_self_id, {}, &member::id);
     seen.members.insert(place, own);
--- a/src/chicorylink/membership/table_receive.cpp
+++ b/src/chicorylink/membership/table_receive.cpp
@@ -135,6 +135,7 @@
     }
     peer->said_leaving = received.leaving;
     peer->info.config_known = std::max(peer->info.config_known, received.config_known);
+    peer->info.reaches_service = received.reaches_service;
     peer->info.load = received.load;
     if (received.list_sequence >= m_list_sequence) {
         peer->may_act_alone = received.region_size <= small_region;
--- a/src/chicorylink/membership/table_rounds.cpp
+++ b/src/chicorylink/membership/table_rounds.cpp
@@ -110,6 +110,7 @@
                    .list_sequence = m_list_sequence,
                    .region_size = static_cast<std::uint16_t>(region_size()),
                    .leaving = m_leaving,
+                   .reaches_service = m_reaches_service,
                    .load = m_load,
                    .gone = recent_gone(now),
                    .payloads = m_own_payloads};
@@ -117,7 +118,8 @@
         beat.ack_sequence = peer.sequence;
         beat.ack_process = peer.info.process;
     }
-    if (peer.acked_at == base::time_point{}) {
+    // A process that was started anew and can't reach the list learns of this VM by it.
+    if (now - peer.acked_at > m_terms.suspicion) {
         beat.introduction = m_self;
     }
     return beat;
--- a/src/chicorylink/scenario/membership_verbs.cpp
+++ b/src/chicorylink/scenario/membership_verbs.cpp
@@ -39,6 +39,13 @@
     return "unknown";
 }
 
+/// use_membership(): VMs made from now on run the membership protocol.
+int use_membership_verb(lua_State* /*state*/, world& scene)
+{
+    add_membership(scene);
+    return 0;
+}
+
 int list_verb(lua_State* state, world& scene)
 {
     list_vm(scene, text_argument(state, 1));
@@ -164,7 +171,7 @@
 
 void register_membership_verbs(lua_State* state)
 {
-    add_membership(world_of(state));
+    add_verb(state, "use_membership", use_membership_verb);
     add_verb(state, "list", list_verb);
     add_verb(state, "list_leaving", list_leaving_verb);
     add_verb(state, "unlist", unlist_verb);
