gateway: configuration store, process tests under failures

Found on the way: an answer that belongs to another request counted as proof that the request ran; it proves nothing and is unknown now.

--- a/include/chicorylink/gateway/config_driver.hpp
+++ b/include/chicorylink/gateway/config_driver.hpp
@@ -2,14 +2,14 @@
 #define CHICORYLINK_GATEWAY_CONFIG_DRIVER_HPP
 
 #include "chicorylink/base/ids.hpp"
-#include "chicorylink/rules/manifest.hpp"
+#include "chicorylink/config/current.hpp"
+#include "chicorylink/config/effects.hpp"
+#include "chicorylink/config/store.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <mutex>
 #include <span>
-#include <string>
-#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -22,9 +22,12 @@
 class audit_trail;
 class cluster;
 class platform_poller;
+struct fetched;
 struct services;
 
-/// @brief Fetches the rules and puts them in force.
+/// @brief Carries out what the configuration store decides: calls the service, talks to peers,
+/// puts versions in force and writes the audit trail. Used on the control loop only, but for
+/// `current`, `ready` and `status`.
 class config_driver {
 public:
     using apply_function = std::function<void(const std::shared_ptr<const rules::rulebook>&)>;
@@ -33,22 +36,33 @@
                   apply_function apply);
 
     void tick();
-    void on_message(base::vm_id from, std::span<const std::uint8_t> bytes);
+    void on_message(std::span<const std::uint8_t> bytes);
+
+    /// @brief The rulebook in force; null before the first. Thread-safe.
     [[nodiscard]] std::shared_ptr<const rules::rulebook> current() const;
+    /// @brief Whether requests may be served by it. Thread-safe.
+    [[nodiscard]] bool ready() const;
+    /// @brief The state for operators, one JSON object. Thread-safe.
     [[nodiscard]] nlohmann::ordered_json status() const;
 
 private:
-    void take_manifest(const std::string& text);
-    void fetch_next();
+    void perform(const config::effects& effects);
+    void call_service(const config::watch_call& call);
+    void on_service_answer(const fetched& answer);
+    void fetch_part(const base::digest& digest);
+    void write_audit(const config::audit_entry& entry);
+    void log_event(const config::event& event);
+    void publish_status();
 
     services& m_all;
+    cluster& m_members;
     platform_poller& m_platform;
     audit_trail& m_audit;
     apply_function m_apply;
-    bool m_watching = false;
-    rules::manifest m_wanted;
-    std::vector<std::string> m_parts;
-    std::shared_ptr<const rules::rulebook> m_current;
+    config::store m_store;
+    config::current m_current;
+    mutable std::mutex m_status_mutex;
+    config::status m_status;
 };
 
 } // namespace chicorylink::gateway
--- a/include/chicorylink/gateway/daemon_core.hpp
+++ b/include/chicorylink/gateway/daemon_core.hpp
@@ -19,6 +19,7 @@
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/wire/peer_network.hpp"
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -62,6 +63,8 @@
     [[nodiscard]] nlohmann::ordered_json team_rows() const;
     [[nodiscard]] bool is_ready() const;
 
+    /// Set once all parts are there; calls that come earlier are turned away.
+    std::atomic<bool> m_started{false};
     settings m_config;
     base::metrics m_metrics;
     audit_trail m_audit;
--- /dev/null
+++ b/process_tests/failure_test.cpp
@@ -0,0 +1,156 @@
+#include "suite.hpp"
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::process_tests {
+namespace {
+
+class failure : public ::testing::Test {
+protected:
+    static void SetUpTestSuite() { s_fleet = two_regions("failure"); }
+    static void TearDownTestSuite() { s_fleet.reset(); }
+
+    static fleet& all() { return *s_fleet; }
+    static vm& at(const std::string& name) { return all().at(name); }
+
+    /// The text of a streamed answer, token after token.
+    static std::string tokens_of(const std::string& stream)
+    {
+        std::string text;
+        const std::string field = "\"content\":\"";
+        for (auto place = stream.find(field); place != std::string::npos;
+             place = stream.find(field, place + 1)) {
+            const auto begin = place + field.size();
+            text += stream.substr(begin, stream.find('"', begin) - begin);
+        }
+        return text;
+    }
+
+    static std::unique_ptr<fleet> s_fleet;
+};
+
+std::unique_ptr<fleet> failure::s_fleet;
+
+TEST_F(failure, stream_cut_at_the_engine_goes_on_without_loss_or_repeat)
+{
+    constexpr int tokens = 40;
+    const auto wanted =
+        chat_call(at("vm-north-1").url(chat_path), both_key, "chat", "resume me", true, tokens);
+    all().control_target("engine-north", "faults", {{"close_after", 15}, {"count", 1}});
+    const auto streamed = perform(wanted);
+    EXPECT_TRUE(streamed.whole);
+    EXPECT_NE(streamed.body.find("[DONE]"), std::string::npos);
+    std::size_t events = 0;
+    for (auto place = streamed.body.find("\"content\":\""); place != std::string::npos;
+         place = streamed.body.find("\"content\":\"", place + 1)) {
+        ++events;
+    }
+    EXPECT_EQ(events, static_cast<std::size_t>(tokens)) << streamed.body;
+    EXPECT_FALSE(tokens_of(streamed.body).empty());
+}
+
+TEST_F(failure, region_without_its_engine_uses_another_allowed_one_only)
+{
+    all().control_target("engine-north", "faults", {{"status", 500}});
+    const auto before = all().counter("engine-south", "requests");
+    const auto allowed = perform(chat_call(at("vm-north-1").url(chat_path), both_key, "chat", "a"));
+    EXPECT_EQ(allowed.status, 200) << allowed.body;
+    EXPECT_GT(all().counter("engine-south", "requests"), before);
+    const auto after = all().counter("engine-south", "requests");
+    const auto bound = perform(chat_call(at("vm-north-1").url(chat_path), north_key, "chat", "a"));
+    EXPECT_NE(bound.status, 200);
+    EXPECT_EQ(all().counter("engine-south", "requests"), after);
+    all().control_target("engine-north", "faults", nlohmann::json::object());
+    EXPECT_TRUE(wait_until([&] {
+        return perform(chat_call(at("vm-north-1").url(chat_path), north_key, "chat", "a")).status ==
+               200;
+    }));
+}
+
+TEST_F(failure, platform_down_does_not_stop_service)
+{
+    all().control_platform("mode", {{"mode", "drop"}});
+    const auto answer = perform(chat_call(at("vm-north-1").url(chat_path), both_key, "chat", "a"));
+    EXPECT_EQ(answer.status, 200);
+    all().control_platform("mode", {{"mode", "up"}});
+}
+
+TEST_F(failure, older_version_of_the_service_never_comes_back)
+{
+    const auto version = all().publish(two_region_rules(all()));
+    ASSERT_TRUE(all().wait_ready(version));
+    all().control_platform("stale", {{"version", 1}});
+    const auto later = perform({.url = at("vm-north-1").operators_url("/v1/status")}).json();
+    EXPECT_EQ(later["rules_version"].get<std::uint64_t>(), version);
+    auto& restarted = all().restart_vm("vm-north-2");
+    EXPECT_TRUE(wait_until([&] { return fleet::version_at(restarted) >= version; }));
+    EXPECT_EQ(fleet::version_at(restarted), version);
+    all().control_platform("stale", {{"version", version}});
+}
+
+TEST_F(failure, leaving_engine_gets_no_new_work)
+{
+    all().control_target("engine-south", "leaving", {{"leaving", true}});
+    const auto wanted = chat_call(at("vm-south-1").url(chat_path), both_key, "chat", "a");
+    EXPECT_TRUE(wait_until([&] {
+        const auto before = all().counter("engine-south", "requests");
+        return perform(wanted).status == 200 && all().counter("engine-south", "requests") == before;
+    }));
+    const auto before = all().counter("engine-south", "requests");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(perform(wanted).status, 200);
+    }
+    EXPECT_EQ(all().counter("engine-south", "requests"), before);
+    all().control_target("engine-south", "leaving", {{"leaving", false}});
+}
+
+TEST_F(failure, forwarded_stream_outlives_the_stop_of_the_other_vm)
+{
+    all().control_target("engine-south", "leaving", {{"leaving", true}});
+    const auto short_call = chat_call(at("vm-south-1").url(chat_path), both_key, "chat", "a");
+    EXPECT_TRUE(wait_until([&] {
+        const auto before = all().counter("engine-south", "requests");
+        return perform(short_call).status == 200 &&
+               all().counter("engine-south", "requests") == before;
+    }));
+    std::atomic<bool> begun{false};
+    reply streamed;
+    std::thread caller([&] {
+        auto wanted =
+            chat_call(at("vm-south-1").url(chat_path), both_key, "chat", "long", true, 300);
+        wanted.on_data = [&](const std::string&) {
+            begun = true;
+            return true;
+        };
+        streamed = perform(wanted);
+        begun = true;
+    });
+    EXPECT_TRUE(wait_until([&] { return begun.load(); }));
+    at("vm-north-1").process.signal(SIGTERM);
+    at("vm-north-2").process.signal(SIGTERM);
+    caller.join();
+    EXPECT_TRUE(streamed.whole);
+    EXPECT_NE(streamed.body.find("[DONE]"), std::string::npos);
+    EXPECT_EQ(at("vm-north-1").process.wait(std::chrono::seconds(30)), 0);
+    EXPECT_EQ(at("vm-north-2").process.wait(std::chrono::seconds(30)), 0);
+    all().control_target("engine-south", "leaving", {{"leaving", false}});
+}
+
+TEST_F(failure, region_left_alone_serves_its_callers)
+{
+    EXPECT_TRUE(wait_until([&] {
+        return perform(chat_call(at("vm-south-1").url(chat_path), both_key, "chat", "a")).status ==
+               200;
+    }));
+    all().control_platform("mode", {{"mode", "drop"}});
+    const auto answer = perform(chat_call(at("vm-south-1").url(chat_path), both_key, "chat", "b"));
+    EXPECT_EQ(answer.status, 200) << answer.body;
+    all().control_platform("mode", {{"mode", "up"}});
+}
+
+} // namespace
+} // namespace chicorylink::process_tests
--- a/src/chicorylink/gateway/config_driver.cpp
+++ b/src/chicorylink/gateway/config_driver.cpp
@@ -1,90 +1,196 @@
 #include "chicorylink/gateway/config_driver.hpp"
 
 #include "chicorylink/base/log.hpp"
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/base/secret.hpp"
+#include "chicorylink/config/codec.hpp"
 #include "chicorylink/gateway/audit_trail.hpp"
+#include "chicorylink/gateway/cluster.hpp"
+#include "chicorylink/gateway/control_channel.hpp"
 #include "chicorylink/gateway/platform_poller.hpp"
 #include "chicorylink/gateway/services.hpp"
-#include "chicorylink/rules/parse.hpp"
 #include "chicorylink/rules/rulebook.hpp"
+#include "chicorylink/wire/peer_network.hpp"
 
-#include <atomic>
+#include <optional>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace chicorylink::gateway {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
+constexpr int status_too_many_requests = 429;
+
+/// What a call may take beyond the wait that it asks for.
+constexpr base::milliseconds call_margin{3'000};
+
+/// Changes of one version that are written one by one; the rest is counted.
+constexpr std::size_t max_audited_changes = 200;
+
+config::watch_result result_of(int status)
+{
+    if (status == status_ok) {
+        return config::watch_result::newer;
+    }
+    if (status == status_not_modified) {
+        return config::watch_result::unchanged;
+    }
+    return status == status_too_many_requests ? config::watch_result::overloaded
+                                              : config::watch_result::failed;
+}
+
+config::settings settings_of(const services& all)
+{
+    config::settings own;
+    own.self = all.self;
+    own.process = all.process.load();
+    return own;
+}
 
-config_driver::config_driver(services& all, cluster& /*members*/, platform_poller& platform,
+} // namespace
+
+config_driver::config_driver(services& all, cluster& members, platform_poller& platform,
                              audit_trail& audit, apply_function apply)
-    : m_all(all), m_platform(platform), m_audit(audit), m_apply(std::move(apply))
+    : m_all(all), m_members(members), m_platform(platform), m_audit(audit),
+      m_apply(std::move(apply)), m_store(settings_of(all), all.now())
 {
 }
 
 void config_driver::tick()
 {
-    if (std::exchange(m_watching, true)) {
-        return;
-    }
-    const auto book = current();
-    const auto url = m_all.config.platform_url + "/v1/config/manifest?wait_ms=5000&after=" +
-                     std::to_string(book ? book->version().value() : 0);
-    m_platform.get(url, base::milliseconds{8'000}, [this](const fetched& answer) {
-        if (answer.status == 200) {
-            take_manifest(answer.body);
-            return;
-        }
-        m_watching = false;
-    });
+    perform(m_store.tick(*m_members.view(), m_all.now()));
 }
 
-void config_driver::on_message(base::vm_id /*from*/, std::span<const std::uint8_t> /*bytes*/) {}
+void config_driver::on_message(std::span<const std::uint8_t> bytes)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(message, config::decode(bytes));
+            perform(m_store.receive(message, *m_members.view(), m_all.now()));
+            return {};
+        },
+        [&] { m_all.metrics->add("chicorylink_bad_input_total{reason=\"config_message\"}"); });
+}
 
 std::shared_ptr<const rules::rulebook> config_driver::current() const
 {
-    return std::atomic_load(&m_current);
+    return m_current.get();
 }
 
-nlohmann::ordered_json config_driver::status() const
+bool config_driver::ready() const
 {
-    return nlohmann::ordered_json::object();
+    const std::lock_guard lock(m_status_mutex);
+    return m_status.ready;
 }
 
-void config_driver::take_manifest(const std::string& text)
+nlohmann::ordered_json config_driver::status() const
 {
-    m_watching = base::leaf::try_handle_all(
-        [&]() -> base::result<bool> {
-            BOOST_LEAF_ASSIGN(m_wanted, rules::parse_manifest(text));
-            m_parts.clear();
-            fetch_next();
-            return true;
-        },
-        [] { return false; });
+    const std::lock_guard lock(m_status_mutex);
+    nlohmann::ordered_json row{{"in_force", m_status.in_force.value()},
+                               {"newest_heard", m_status.newest_heard.value()},
+                               {"ready", m_status.ready},
+                               {"watches_service", m_status.on_duty},
+                               {"service_reachable", m_status.service_reachable},
+                               {"service_behind", m_status.service_behind},
+                               {"service_calls", m_status.service_calls},
+                               {"service_failures", m_status.service_failures},
+                               {"corrupt_contents", m_status.corrupt_contents}};
+    if (m_status.rejected != base::config_version{}) {
+        row["rejected"] = m_status.rejected.value();
+        row["rejection"] = m_status.rejection;
+    }
+    return row;
 }
 
-void config_driver::fetch_next()
+void config_driver::perform(const config::effects& effects)
 {
-    if (m_parts.size() < m_wanted.parts.size()) {
-        const auto url = m_all.config.platform_url + "/v1/config/parts/" +
-                         base::to_hex(m_wanted.parts[m_parts.size()].digest);
-        m_platform.get(url, base::milliseconds{8'000}, [this](const fetched& answer) {
-            m_parts.push_back(answer.body);
-            fetch_next();
-        });
-        return;
+    for (const auto& message : effects.send) {
+        m_all.network->send_control(
+            message.to, config_channel,
+            wrap_control(m_all.process.load(), config::encode(message.content)));
+    }
+    if (effects.watch) {
+        call_service(*effects.watch);
     }
-    m_watching = false;
-    std::string text;
-    for (const auto& part : m_parts) {
-        text += part;
+    for (const auto& digest : effects.fetch) {
+        fetch_part(digest);
     }
-    const auto outcome = rules::parse_rules(
-        text, {.file = "rules", .version = m_wanted.version, .key_salt = m_wanted.key_salt});
-    if (!outcome.book) {
-        base::log(base::log_level::error, "rules_rejected",
-                  {{"error", to_string(outcome.errors.front())}});
-        return;
+    for (const auto& event : effects.events) {
+        log_event(event);
     }
-    std::atomic_store(&m_current, outcome.book);
-    m_audit.add("rules_in_force", {{"version", m_wanted.version.value()}});
-    m_apply(outcome.book);
+    publish_status();
+    if (effects.apply && m_current.set(effects.apply)) {
+        m_apply(effects.apply);
+    }
+    for (std::size_t i = 0; i < effects.audit.size() && i < max_audited_changes; ++i) {
+        write_audit(effects.audit[i]);
+    }
+    if (effects.audit.size() > max_audited_changes) {
+        m_audit.add("rule_changes_not_listed",
+                    {{"count", effects.audit.size() - max_audited_changes}});
+    }
+}
+
+void config_driver::call_service(const config::watch_call& call)
+{
+    const auto url = fmt::format("{}/v1/config/manifest?after={}&wait_ms={}",
+                                 m_all.config.platform_url, call.after.value(), call.wait.count());
+    m_platform.get(url, call.wait + call_margin,
+                   [this](const fetched& answer) { on_service_answer(answer); });
+}
+
+void config_driver::on_service_answer(const fetched& answer)
+{
+    const auto result = result_of(answer.status);
+    const auto text = result == config::watch_result::newer ? answer.body : std::string{};
+    perform(m_store.on_watch(result, text, *m_members.view(), m_all.now()));
+}
+
+void config_driver::fetch_part(const base::digest& digest)
+{
+    const auto url =
+        fmt::format("{}/v1/config/parts/{}", m_all.config.platform_url, base::to_hex(digest));
+    m_platform.get(url, call_margin, [this, digest](const fetched& answer) {
+        std::optional<std::string> content;
+        if (answer.status == status_ok) {
+            content = answer.body;
+        }
+        perform(m_store.on_part(digest, content, *m_members.view(), m_all.now()));
+    });
+}
+
+void config_driver::write_audit(const config::audit_entry& entry)
+{
+    m_audit.add("rule_changed", {{"version", entry.newer.value()},
+                                 {"older_version", entry.older.value()},
+                                 {"change", rules::to_string(entry.what.what)},
+                                 {"rule", rules::to_string(entry.what.kind)},
+                                 {"name", entry.what.name},
+                                 {"field", entry.what.field},
+                                 {"old", entry.what.old_value},
+                                 {"new", entry.what.new_value},
+                                 {"asked_by", entry.what.source.asked_by},
+                                 {"line", entry.what.source.line}});
+}
+
+void config_driver::log_event(const config::event& event)
+{
+    const auto name = config::to_string(event.kind);
+    m_all.metrics->add(fmt::format("chicorylink_config_events_total{{event=\"{}\"}}", name));
+    base::log(base::log_level::info, name,
+              {{"version", event.version.value()}, {"detail", event.detail}});
+}
+
+void config_driver::publish_status()
+{
+    const auto& report = m_store.report();
+    m_all.metrics->set("chicorylink_config_version", static_cast<double>(report.in_force.value()));
+    m_all.metrics->set("chicorylink_config_service_reachable", report.service_reachable ? 1 : 0);
+    const std::lock_guard lock(m_status_mutex);
+    m_status = report;
 }
 
 } // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/daemon_core.cpp
+++ b/src/chicorylink/gateway/daemon_core.cpp
@@ -87,8 +87,8 @@
     m_services.retries = &m_retries;
     m_services.teams = &m_teams;
     m_services.now = &present;
-    m_services.rulebook = [this] { return m_rules ? m_rules->current() : nullptr; };
-    m_services.rules_are_current = [this] { return m_rules != nullptr; };
+    m_services.rulebook = [this] { return m_started ? m_rules->current() : nullptr; };
+    m_services.rules_are_current = [this] { return m_started && m_rules->ready(); };
     m_services.view = [this] { return m_cluster->view(); };
 }
 
@@ -115,6 +115,7 @@
     BOOST_LEAF_CHECK(start_network());
     BOOST_LEAF_CHECK(start_operators());
     start_loop();
+    m_started = true;
     base::log(base::log_level::info, "started", {{"addresses", addresses()}});
     return {};
 }
@@ -227,6 +228,9 @@
 void daemon_core::on_control(base::vm_id from, wire::channel_id channel,
                              std::span<const std::uint8_t> bytes)
 {
+    if (!m_started) {
+        return;
+    }
     const auto message = unwrap_control(bytes);
     if (!message) {
         m_metrics.add("chicorylink_bad_input_total{reason=\"control_message\"}");
@@ -247,12 +251,12 @@
         return;
     }
     std::vector<std::uint8_t> content(message->content.begin(), message->content.end());
-    m_loop.post([this, from, channel, content = std::move(content)] {
+    m_loop.post([this, channel, content = std::move(content)] {
         if (channel == membership_channel) {
             m_cluster->on_message(content);
         }
         if (channel == config_channel) {
-            m_rules->on_message(from, content);
+            m_rules->on_message(content);
         }
     });
 }
--- a/src/chicorylink/gateway/daemon_rows.cpp
+++ b/src/chicorylink/gateway/daemon_rows.cpp
@@ -61,8 +61,9 @@
             return vm.region == m_services.region && vm.id != m_services.self &&
                    membership::takes_work(vm);
         });
-    return m_services.rulebook() != nullptr && !m_services.leaving &&
-           view->member_until > m_services.now() && (m_budget->owned_slots() > 0 || has_peers);
+    return m_started && m_rules->ready() && m_services.rulebook() != nullptr &&
+           !m_services.leaving && view->member_until > m_services.now() &&
+           (m_budget->owned_slots() > 0 || has_peers);
 }
 
 nlohmann::ordered_json daemon_core::status() const
@@ -83,7 +84,7 @@
         {"budget_slots", m_budget->owned_slots()},
         {"waiting_for_budget", m_budget->waiting()},
     };
-    if (m_rules) {
+    if (m_started) {
         row["config"] = m_rules->status();
     }
     return row;
--- a/src/chicorylink/gateway/target_answer.cpp
+++ b/src/chicorylink/gateway/target_answer.cpp
@@ -107,7 +107,6 @@
 
 void take_head(work& entry, int status, const header_list& headers)
 {
-    dispatch::apply(entry.present, dispatch::attempt_event::answer_begun);
     entry.status = status;
     entry.answer_headers = passed_headers(headers);
     const auto echoed = find_header(headers, "x-request-id");
@@ -115,6 +114,9 @@
         is_number(find_header(headers, "x-resume-from"), entry.progress.next_token);
     const bool resume_failed = entry.progress.next_token > 0 && !resumed;
     entry.crossed = (!echoed.empty() && echoed != entry.correlation) || resume_failed;
+    if (!entry.crossed) {
+        dispatch::apply(entry.present, dispatch::attempt_event::answer_begun);
+    }
     entry.answer_is_stream = entry.stream && status == status_ok &&
                              find_header(headers, "content-type").starts_with(event_stream_type);
 }
