--- a/include/chicorylink/dispatch/executor_choice.hpp
+++ b/include/chicorylink/dispatch/executor_choice.hpp
@@ -27,15 +27,22 @@
     region_not_allowed,
 };
 
+/// @brief Whether this VM issues tickets itself where it can.
+enum class executor_preference {
+    self_first,
+    /// Another VM of this region first, so that this VM can tell the outcome when that one dies,
+    /// and that one when this one dies. Costs a hop within the region.
+    another_vm_first,
+};
+
 /// @brief The VMs that may issue tickets for a team and route, best first.
 ///
 /// They are live, in a region that the team allows and that holds a target of the route, so that
-/// the way from the executor to the target stays in the region. This VM comes first when it is
-/// one of them; the others follow by the delay of the link and then by rendezvous hash of the team.
-[[nodiscard]] std::vector<membership::member> executors_for(const rules::rulebook& book,
-                                                            const rules::team& who,
-                                                            base::route_id route,
-                                                            const membership::view& known);
+/// the way from the executor to the target stays in the region. They follow each other by the
+/// delay of the link, then by the preference, and then by rendezvous hash of the team.
+[[nodiscard]] std::vector<membership::member>
+executors_for(const rules::rulebook& book, const rules::team& who, base::route_id route,
+              const membership::view& known, executor_preference preference);
 
 /// @brief Where to handle a request with a checked ticket.
 /// @param self_process The incarnation of this process.
--- a/include/chicorylink/dispatch/reply_header.hpp
+++ b/include/chicorylink/dispatch/reply_header.hpp
@@ -11,6 +11,10 @@
 
 namespace chicorylink::dispatch {
 
+/// The status by which an executor asks for the body once it has a slot at a target. Until the VM
+/// that hands the request over has written the first byte of the body, nothing can run.
+inline constexpr std::uint16_t send_body_status = 100;
+
 /// @brief What stands before the body of the answer that a VM gives another.
 struct reply_header {
     /// The attempt that it answers.
--- a/src/chicorylink/dispatch/executor_choice.cpp
+++ b/src/chicorylink/dispatch/executor_choice.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 std::vector<membership::member> executors_for(const rules::rulebook& book, const rules::team& who,
-                                              base::route_id route, const membership::view& known)
+                                              base::route_id route, const membership::view& known,
+                                              executor_preference preference)
 {
     const auto* const self = find_member(known, known.self);
     std::vector<membership::member> candidates;
@@ -36,8 +37,9 @@
     const auto rank = [&](const membership::member& vm) {
         const auto delay =
             self == nullptr ? base::milliseconds{0} : delay_between(book, self->region, vm.region);
-        return std::tuple{vm.id != known.self, delay,
-                          base::hash_pair(who.id.value(), vm.id.value())};
+        const bool is_self = vm.id == known.self;
+        const bool preferred = is_self == (preference == executor_preference::self_first);
+        return std::tuple{delay, !preferred, base::hash_pair(who.id.value(), vm.id.value())};
     };
     std::ranges::sort(candidates, {}, rank);
     return candidates;
--- a/src/chicorylink/dispatch/executor_choice_test.cpp
+++ b/src/chicorylink/dispatch/executor_choice_test.cpp
@@ -64,7 +64,7 @@
     std::vector<std::string> names() const
     {
         std::vector<std::string> found;
-        for (const auto& vm : executors_for(*m_book, m_who, booking, m_known)) {
+        for (const auto& vm : executors_for(*m_book, m_who, booking, m_known, m_preference)) {
             found.push_back(vm.name);
         }
         return found;
@@ -73,6 +73,7 @@
     std::shared_ptr<const rules::rulebook> m_book;
     rules::team m_who;
     membership::view m_known;
+    executor_preference m_preference = executor_preference::self_first;
 };
 
 TEST_F(executor_choice_test, takes_live_vms_beside_the_targets_nearest_first)
@@ -81,6 +82,10 @@
     EXPECT_EQ(names(), (std::vector<std::string>{"w1", "s1"}));
     m_known.self = id_of<base::vm_id>("s1");
     EXPECT_EQ(names().front(), "s1");
+    add("s2", south);
+    EXPECT_EQ(names().front(), "s1");
+    m_preference = executor_preference::another_vm_first;
+    EXPECT_EQ(names().front(), "s2");
 }
 
 TEST_F(executor_choice_test, leaves_out_regions_that_the_team_may_not_use)
--- a/src/chicorylink/wire/wire_benchmark.cpp
+++ b/src/chicorylink/wire/wire_benchmark.cpp
@@ -2,11 +2,10 @@
 #include "chicorylink/wire/link_state.hpp"
 #include "chicorylink/wire/test_peers.hpp"
 
-#include <cstdlib>
-#include <new>
+#include <malloc.h>
+#include <memory>
 
 #include <benchmark/benchmark.h>
-#include <malloc.h>
 
 namespace chicorylink::wire {
 namespace {
