--- a/src/chicorylink/dispatch/interleaving_test.cpp
+++ b/src/chicorylink/dispatch/interleaving_test.cpp
@@ -68,8 +68,8 @@
 attempt_id next_id(world& at, int vm)
 {
     auto& owner = at.vms[static_cast<std::size_t>(vm)];
-    const auto process = static_cast<std::uint64_t>(vm * 10 + owner.incarnation);
-    return {base::incarnation{process}, ++owner.counter};
+    const int process = vm * 10 + owner.incarnation;
+    return {base::incarnation{static_cast<std::uint64_t>(process)}, ++owner.counter};
 }
 
 void append(std::string& text, std::uint64_t value)
--- a/src/chicorylink/dispatch/key_memory.cpp
+++ b/src/chicorylink/dispatch/key_memory.cpp
@@ -25,7 +25,7 @@
     }
     auto& slot = m_slots[name];
     const auto forget_at = now + m_retention;
-    const auto decision = begin_request(slot, {forget_at, forget_at}, request, holder, now);
+    auto decision = begin_request(slot, {forget_at, forget_at}, request, holder, now);
     if (decision.verdict == ticket_verdict::run) {
         m_order.emplace_back(forget_at, name);
     }
--- a/src/chicorylink/dispatch/orders_test.cpp
+++ b/src/chicorylink/dispatch/orders_test.cpp
@@ -70,6 +70,7 @@
     const auto result = rc::detail::checkTestable(
         [](const std::vector<std::uint8_t>& choices) {
             std::vector<member_state> states;
+            states.reserve(choices.size());
             for (const auto choice : choices) {
                 states.push_back(static_cast<member_state>(choice % 4));
             }
