--- a/include/chicorylink/gateway/audit_trail.hpp
+++ b/include/chicorylink/gateway/audit_trail.hpp
@@ -20,7 +20,7 @@
     /// @brief Adds a change.
     /// @param event The stable name of what changed.
     /// @param fields A JSON object: who asked, line, old and new values, version.
-    void add(std::string_view event, nlohmann::ordered_json fields);
+    void add(std::string_view event, const nlohmann::ordered_json& fields);
 
     /// @brief The kept entries, oldest first.
     [[nodiscard]] nlohmann::ordered_json rows() const;
--- a/include/chicorylink/gateway/exchange.hpp
+++ b/include/chicorylink/gateway/exchange.hpp
@@ -23,7 +23,7 @@
 class exchange {
 public:
     /// The size at which a stream's buffer counts as full.
-    static constexpr std::size_t stream_buffer_size = 256 * 1024;
+    static constexpr std::size_t stream_buffer_size = 256UL * 1024;
 
     /// @brief What the HTTP server finds when it asks for more of a stream.
     enum class read_state { data, wait, end, broken };
--- a/include/chicorylink/gateway/http_server.hpp
+++ b/include/chicorylink/gateway/http_server.hpp
@@ -18,8 +18,8 @@
 struct http_server_settings {
     /// `IP:port`; port 0 takes a free one.
     std::string listen;
-    std::size_t max_body_bytes = 1024 * 1024;
-    std::size_t max_header_bytes = 32 * 1024;
+    std::size_t max_body_bytes = 1024UL * 1024;
+    std::size_t max_header_bytes = 32UL * 1024;
     unsigned max_connections = 4'000;
     /// Connections on which nothing moves are closed after this time, in seconds.
     unsigned idle_seconds = 30;
--- a/include/chicorylink/gateway/platform_poller.hpp
+++ b/include/chicorylink/gateway/platform_poller.hpp
@@ -27,7 +27,7 @@
 class platform_poller {
 public:
     /// The largest answer that is taken in.
-    static constexpr std::size_t max_answer_bytes = 2 * 1024 * 1024;
+    static constexpr std::size_t max_answer_bytes = 2UL * 1024UL * 1024;
 
     platform_poller(platform::http_client& http, control_loop& loop,
                     std::function<base::time_point()> now);
--- a/include/chicorylink/gateway/settings.hpp
+++ b/include/chicorylink/gateway/settings.hpp
@@ -36,8 +36,8 @@
     /// Secrets that sign tickets; the first signs, all are accepted.
     std::vector<std::string> ticket_keys;
 
-    std::size_t max_body_bytes = 768 * 1024;
-    std::size_t max_answer_bytes = 16 * 1024 * 1024;
+    std::size_t max_body_bytes = 768UL * 1024;
+    std::size_t max_answer_bytes = 16UL * 1024UL * 1024;
     unsigned max_connections = 4'000;
     unsigned idle_seconds = 30;
     unsigned read_seconds = 20;
--- a/include/chicorylink/gateway/sse_splitter.hpp
+++ b/include/chicorylink/gateway/sse_splitter.hpp
@@ -14,7 +14,7 @@
 class sse_splitter {
 public:
     /// The size at which an event without an end is refused.
-    static constexpr std::size_t max_event_bytes = 256 * 1024;
+    static constexpr std::size_t max_event_bytes = 256UL * 1024;
 
     /// @brief Takes the next bytes.
     /// @return The events that are whole now, each with its closing blank line.
--- a/include/chicorylink/gateway/stream_writer.hpp
+++ b/include/chicorylink/gateway/stream_writer.hpp
@@ -22,7 +22,7 @@
 class stream_writer {
 public:
     /// Unsent bytes from which on `write` asks its caller to wait.
-    static constexpr std::size_t full_bytes = 256 * 1024;
+    static constexpr std::size_t full_bytes = 256UL * 1024;
 
     stream_writer(wire::peer_network& network, wire::stream_id stream)
         : m_network(network), m_stream(stream)
--- a/process_tests/support/child_process.cpp
+++ b/process_tests/support/child_process.cpp
@@ -24,6 +24,7 @@
     dup2(output, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (const auto& argument : arguments) {
         pointers.push_back(const_cast<char*>(argument.c_str()));
     }
--- a/programs/quickstart/show.cpp
+++ b/programs/quickstart/show.cpp
@@ -22,7 +22,6 @@
 using process_tests::perform;
 using process_tests::perform_when_admitted;
 using process_tests::reply;
-using process_tests::vm;
 using process_tests::wait_until;
 
 constexpr const char* chat_path = "/v1/chat/completions";
--- a/src/chicorylink/gateway/audit_trail.cpp
+++ b/src/chicorylink/gateway/audit_trail.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void audit_trail::add(std::string_view event, nlohmann::ordered_json fields)
+void audit_trail::add(std::string_view event, const nlohmann::ordered_json& fields)
 {
     base::audit(event, nlohmann::json(fields));
     nlohmann::ordered_json entry{{"time", timestamp()}, {"event", event}};
--- a/src/chicorylink/gateway/cluster.cpp
+++ b/src/chicorylink/gateway/cluster.cpp
@@ -187,6 +187,7 @@
     if (peers != m_peers) {
         m_peers = peers;
         std::vector<wire::peer_address> addresses;
+        addresses.reserve(peers.size());
         for (const auto& [vm, address] : peers) {
             addresses.push_back({vm, address});
         }
--- a/src/chicorylink/gateway/forwarded_answer.cpp
+++ b/src/chicorylink/gateway/forwarded_answer.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
-constexpr std::size_t max_head_bytes = 64 * 1024;
+constexpr std::size_t max_head_bytes = 64UL * 1024;
 constexpr unsigned bits_per_byte = 8;
 
 std::size_t read_length(std::span<const std::uint8_t> bytes)
--- a/src/chicorylink/gateway/http_server.cpp
+++ b/src/chicorylink/gateway/http_server.cpp
@@ -19,8 +19,8 @@
 namespace chicorylink::gateway {
 namespace {
 
-constexpr std::size_t stream_block_bytes = 32 * 1024;
-constexpr std::size_t connection_overhead_bytes = 16 * 1024;
+constexpr std::size_t stream_block_bytes = 32UL * 1024;
+constexpr std::size_t connection_overhead_bytes = 16UL * 1024;
 
 http_answer too_large_answer(std::size_t limit)
 {
--- a/src/chicorylink/gateway/settings.cpp
+++ b/src/chicorylink/gateway/settings.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t min_ticket_key_bytes = 16;
-constexpr std::size_t max_frame_body_bytes = 900 * 1024;
+constexpr std::size_t max_frame_body_bytes = 900UL * 1024;
 
 base::result<void> reject(const std::string& flag, std::string_view value, std::string_view problem,
                           std::string remedy)
--- a/src/chicorylink/gateway/stream_writer.cpp
+++ b/src/chicorylink/gateway/stream_writer.cpp
@@ -8,7 +8,7 @@
 namespace chicorylink::gateway {
 namespace {
 
-constexpr std::size_t piece_bytes = 64 * 1024;
+constexpr std::size_t piece_bytes = 64UL * 1024;
 
 } // namespace
 
--- a/src/chicorylink/platform/http_transfer.cpp
+++ b/src/chicorylink/platform/http_transfer.cpp
@@ -74,7 +74,8 @@
     }
     m_header_lines = curl_slist_append(m_header_lines, "Expect:");
     for (const auto& [name, value] : m_request.headers) {
-        const std::string line = name + ": " + value;
+        std::string line = name;
+        line.append(": ").append(value);
         m_header_lines = curl_slist_append(m_header_lines, line.c_str());
     }
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_header_lines);
