--- a/include/chicorylink/scenario/config_process.hpp
+++ b/include/chicorylink/scenario/config_process.hpp
@@ -21,6 +21,8 @@
     };
 
     std::optional<config::store> store;
+    /// The view as of the last tick.
+    membership::view seen;
     std::optional<open_watch> watch;
     std::vector<base::digest> fetches;
     base::config_version highest;
--- a/src/chicorylink/membership/table.cpp
+++ b/src/chicorylink/membership/table.cpp
@@ -85,13 +85,15 @@
 
 void table::note_small_region(std::size_t size, std::uint64_t lists)
 {
-    // Each step of the sequence changes one VM; a list that was skipped may have shown fewer.
+    // A VM goes by lists that show it. Each step of the sequence changes one VM; a list that was
+    // skipped may have shown fewer VMs than this one, and others.
     const auto skipped = lists == 0 ? 0 : lists - 1;
     if (size > small_region + skipped) {
         return;
     }
     for (auto& [id, peer] : m_peers) {
-        peer.may_act_alone = peer.may_act_alone || same_region(peer);
+        const bool concerned = same_region(peer) && (peer.listed || skipped > 0);
+        peer.may_act_alone = peer.may_act_alone || concerned;
     }
 }
 
--- a/src/chicorylink/scenario/config_process.cpp
+++ b/src/chicorylink/scenario/config_process.cpp
@@ -66,7 +66,7 @@
         return;
     }
     const auto asked = *process.watch;
-    const auto seen = view_of(scene, self.name);
+    const auto& seen = process.seen;
     const auto answer = [&](config::watch_result result, const std::string& text) {
         process.watch.reset();
         carry_out(scene, self, process.store->on_watch(result, text, seen, scene.now()));
@@ -107,8 +107,7 @@
     for (const auto& digest : fetches) {
         ++scene.state<config_service>().calls;
         const auto content = part_of(scene, self, digest);
-        const auto seen = view_of(scene, self.name);
-        carry_out(scene, self, process.store->on_part(digest, content, seen, scene.now()));
+        carry_out(scene, self, process.store->on_part(digest, content, process.seen, scene.now()));
     }
 }
 
@@ -121,9 +120,10 @@
 void tick(world& scene, vm& self)
 {
     auto& process = self.state<config_process>();
+    process.seen = view_of(scene, self.name);
     answer_watch(scene, self);
     answer_fetches(scene, self);
-    carry_out(scene, self, process.store->tick(view_of(scene, self.name), scene.now()));
+    carry_out(scene, self, process.store->tick(process.seen, scene.now()));
 }
 
 void receive(world& scene, vm& self, const envelope& message)
@@ -135,8 +135,7 @@
     if (!decoded) {
         throw std::runtime_error("a configuration message could not be read back");
     }
-    const auto seen = view_of(scene, self.name);
-    carry_out(scene, self, process.store->receive(decoded.value(), seen, scene.now()));
+    carry_out(scene, self, process.store->receive(decoded.value(), process.seen, scene.now()));
 }
 
 } // namespace
