--- a/include/chicorylink/dispatch/executor_choice.hpp
+++ b/include/chicorylink/dispatch/executor_choice.hpp
@@ -42,7 +42,8 @@
 /// delay of the link, then by the preference, and then by rendezvous hash of the team.
 [[nodiscard]] std::vector<membership::member>
 executors_for(const rules::rulebook& book, const rules::team& who, base::route_id route,
-              const membership::view& known, executor_preference preference);
+              const membership::view& known,
+              executor_preference preference = executor_preference::self_first);
 
 /// @brief Where to handle a request with a checked ticket.
 /// @param self_process The incarnation of this process.
