experiments: virtual-time comparison of routing policies

An engine model (batching, serial prefill, prefix cache), the traffic of both users, eight cases and nine measures drive the decision code of all VMs; `make experiment` runs it.

--- /dev/null
+++ b/experiments/workload.cpp
@@ -0,0 +1,319 @@
+#include "workload.hpp"
+
+#include "chicorylink/rules/rulebook_builder.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace chicorylink::experiment {
+namespace {
+
+/// Tokens of the instructions that begin each prompt of a team.
+constexpr std::int64_t instruction_tokens = 2 * routing::prefix_block_tokens;
+
+/// The part of the calls that go to the plain service.
+constexpr double service_share = 0.1;
+
+constexpr std::size_t bound_team = 1;
+constexpr std::size_t bound_home = 1;
+constexpr std::size_t restricted_team = 3;
+constexpr std::size_t closed_region = 2;
+
+constexpr base::milliseconds chat_deadline{20'000};
+
+using generator = std::mt19937_64;
+
+double unit(generator& random)
+{
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+}
+
+double exponential(generator& random, double mean)
+{
+    return std::exponential_distribution<double>(1.0 / mean)(random);
+}
+
+std::size_t pick(generator& random, const std::vector<double>& shares)
+{
+    return static_cast<std::size_t>(
+        std::discrete_distribution<int>(shares.begin(), shares.end())(random));
+}
+
+bool serves_in(std::size_t team, std::size_t region)
+{
+    if (team == bound_team) {
+        return region == bound_home;
+    }
+    return team != restricted_team || region != closed_region;
+}
+
+routing::prompt_prefix prefix_of(std::size_t team, std::uint64_t session, std::int64_t prompt)
+{
+    routing::prompt_prefix made;
+    made.session = routing::prefix_hash{session};
+    const auto whole =
+        std::min<std::int64_t>(prompt / routing::prefix_block_tokens, routing::max_prefix_blocks);
+    for (std::int64_t block = 0; block < whole; ++block) {
+        const auto shared = block < instruction_tokens / routing::prefix_block_tokens;
+        const auto owner = shared ? base::hash_name(team_name(team)) : session;
+        made.blocks.emplace_back(base::hash_pair(owner, static_cast<std::uint64_t>(block)));
+    }
+    return made;
+}
+
+std::int64_t between(generator& random, std::int64_t least, std::int64_t most)
+{
+    return std::uniform_int_distribution<std::int64_t>(least, most)(random);
+}
+
+/// Adds the calls of one conversation.
+void add_session(std::vector<call>& calls, const session_kind& kind, std::size_t region,
+                 std::size_t team, base::time_point begin, generator& random)
+{
+    const auto session = random();
+    auto at = begin;
+    auto prompt = instruction_tokens + between(random, kind.least_opening, kind.most_opening);
+    while (true) {
+        call one{.at = at, .region = region, .team = team, .order = kind.order, .prefix = {}};
+        one.prompt_tokens = prompt;
+        one.answer_tokens = between(random, kind.least_answer, kind.most_answer);
+        one.prefix = prefix_of(team, session, prompt);
+        prompt += one.answer_tokens;
+        one.blocks_after = prefix_of(team, session, prompt).blocks;
+        calls.push_back(std::move(one));
+        if (unit(random) < 1.0 / kind.mean_turns) {
+            return;
+        }
+        prompt += kind.follow_up;
+        const std::chrono::duration<double> pause{2.0 +
+                                                  exponential(random, kind.mean_pause_seconds)};
+        at += std::chrono::duration_cast<base::nanoseconds>(pause);
+    }
+}
+
+double mean_turns(const user& who)
+{
+    double mean = 0;
+    for (const auto& kind : who.kinds) {
+        mean += kind.share * kind.mean_turns;
+    }
+    return mean;
+}
+
+/// Operators weigh teams by the traffic that they bought.
+std::uint32_t weight_of(double team_share)
+{
+    constexpr double weight_of_all = 100.0;
+    return static_cast<std::uint32_t>(std::lround(team_share * weight_of_all));
+}
+
+session_kind pick_kind(const user& who, generator& random)
+{
+    std::vector<double> shares;
+    for (const auto& kind : who.kinds) {
+        shares.push_back(kind.share);
+    }
+    return who.kinds[pick(random, shares)];
+}
+
+/// Adds conversations and service calls of one team in one region.
+void add_team(std::vector<call>& calls, const user& who, std::size_t region, std::size_t team,
+              double calls_per_second, base::milliseconds length, generator& random)
+{
+    const std::chrono::duration<double> span = length;
+    const auto sessions = calls_per_second * (1.0 - service_share) / mean_turns(who);
+    for (auto at = exponential(random, 1.0 / sessions); at < span.count();
+         at += exponential(random, 1.0 / sessions)) {
+        const auto begin = epoch + std::chrono::duration_cast<base::nanoseconds>(
+                                       std::chrono::duration<double>(at));
+        add_session(calls, pick_kind(who, random), region, team, begin, random);
+    }
+    const auto services = calls_per_second * service_share;
+    for (auto at = exponential(random, 1.0 / services); at < span.count();
+         at += exponential(random, 1.0 / services)) {
+        call one{.region = region, .team = team, .is_service = true, .answer_tokens = 4};
+        one.at = epoch +
+                 std::chrono::duration_cast<base::nanoseconds>(std::chrono::duration<double>(at));
+        calls.push_back(std::move(one));
+    }
+}
+
+} // namespace
+
+user make_naipes()
+{
+    user who{.name = "naipes", .engines = {7, 7, 6}};
+    who.kinds = {{.share = 0.3,
+                  .least_opening = 3000,
+                  .most_opening = 9000,
+                  .follow_up = 150,
+                  .least_answer = 150,
+                  .most_answer = 450,
+                  .mean_turns = 4.0,
+                  .order = rules::priority::normal},
+                 {.share = 0.7,
+                  .least_opening = 100,
+                  .most_opening = 500,
+                  .follow_up = 60,
+                  .least_answer = 30,
+                  .most_answer = 120,
+                  .mean_turns = 1.5,
+                  .order = rules::priority::high}};
+    who.team_shares = {0.40, 0.26, 0.19, 0.10, 0.05};
+    who.link_rate = base::bytes_per_second{250'000'000};
+    who.weights.tail_weight = 200;
+    who.weights.worst_team_weight = 200;
+    return who;
+}
+
+user make_rihla()
+{
+    user who{.name = "rihla", .engines = {4, 4, 4}};
+    who.kinds = {{.share = 0.4,
+                  .least_opening = 1000,
+                  .most_opening = 4000,
+                  .follow_up = 200,
+                  .least_answer = 200,
+                  .most_answer = 500,
+                  .mean_turns = 3.0,
+                  .order = rules::priority::normal},
+                 {.share = 0.6,
+                  .least_opening = 80,
+                  .most_opening = 400,
+                  .follow_up = 60,
+                  .least_answer = 40,
+                  .most_answer = 120,
+                  .mean_turns = 2.0,
+                  .order = rules::priority::high}};
+    who.team_shares = {0.38, 0.26, 0.20, 0.11, 0.05};
+    who.link_rate = base::bytes_per_second{17'500'000};
+    who.weights.refusal_weight = 200;
+    who.weights.sent_away_weight = 200;
+    return who;
+}
+
+std::string region_name(std::size_t region)
+{
+    return "region-" + std::to_string(region);
+}
+
+std::string team_name(std::size_t team)
+{
+    return "team-" + std::to_string(team);
+}
+
+base::route_id chat_route()
+{
+    return base::id_of<base::route_id>("chat");
+}
+
+base::route_id service_route()
+{
+    return base::id_of<base::route_id>("service");
+}
+
+std::shared_ptr<const rules::rulebook> make_rules(const user& who)
+{
+    rules::rulebook_builder builder{base::config_version{1}};
+    builder.routing_policy(who.weights);
+    builder.add(rules::route{.id = chat_route(), .name = "chat", .deadline = chat_deadline});
+    builder.add(rules::route{.id = service_route(),
+                             .name = "service",
+                             .kind = rules::route_kind::service,
+                             .deadline = chat_deadline});
+    for (std::size_t region = 0; region < region_count; ++region) {
+        const auto id = base::id_of<base::region_id>(region_name(region));
+        builder.add(rules::region{.id = id, .name = region_name(region)});
+        for (std::uint32_t index = 0; index <= who.engines[region]; ++index) {
+            const auto is_service = index == who.engines[region];
+            const auto name = region_name(region) + "-" + std::to_string(index);
+            builder.add(rules::target{.id = base::id_of<base::target_id>(name),
+                                      .name = name,
+                                      .region = id,
+                                      .routes = {is_service ? service_route() : chat_route()},
+                                      .slots = who.engine.slots});
+        }
+        for (std::size_t other = 0; other < region; ++other) {
+            builder.add(rules::link{.a = id,
+                                    .b = base::id_of<base::region_id>(region_name(other)),
+                                    .rate = who.link_rate});
+        }
+    }
+    for (std::size_t team = 0; team < team_count; ++team) {
+        rules::team entry{.id = base::id_of<base::team_id>(team_name(team)),
+                          .name = team_name(team),
+                          .regions = {},
+                          .rate = base::tokens_per_second{1'000'000},
+                          .burst = base::tokens{1'000'000},
+                          .weight = weight_of(who.team_shares[team])};
+        for (std::size_t region = 0; region < region_count; ++region) {
+            if (team == bound_team || serves_in(team, region)) {
+                entry.regions.push_back(base::id_of<base::region_id>(region_name(region)));
+            }
+        }
+        if (team == bound_team) {
+            entry.home = base::id_of<base::region_id>(region_name(bound_home));
+        }
+        builder.add(std::move(entry));
+    }
+    return builder.build().value();
+}
+
+double engine_capacity(const user& who)
+{
+    constexpr std::uint64_t capacity_seed = 42;
+    constexpr std::size_t sample = 4000;
+    generator random(capacity_seed);
+    std::vector<call> calls;
+    while (calls.size() < sample) {
+        add_session(calls, pick_kind(who, random), 0, 0, epoch, random);
+    }
+    auto traits = who.engine;
+    traits.cache_blocks = sample * routing::max_prefix_blocks;
+    engine_model engine(traits);
+    for (std::size_t index = 0; index < calls.size(); ++index) {
+        engine.submit({.id = index,
+                       .blocks = calls[index].blocks_after,
+                       .prompt_tokens = calls[index].prompt_tokens,
+                       .answer_tokens = calls[index].answer_tokens},
+                      epoch);
+    }
+    auto last = epoch;
+    while (const auto next = engine.next_event()) {
+        last = *next;
+        (void)engine.advance(*next);
+    }
+    const std::chrono::duration<double> taken = last - epoch;
+    return static_cast<double>(calls.size()) / taken.count();
+}
+
+std::vector<call> make_calls(const user& who, const traffic& amount, std::uint64_t seed)
+{
+    generator random(seed);
+    std::vector<call> calls;
+    const auto capacity = engine_capacity(who);
+    for (std::size_t region = 0; region < region_count; ++region) {
+        double shares = 0;
+        for (std::size_t team = 0; team < team_count; ++team) {
+            shares += serves_in(team, region) ? who.team_shares[team] : 0.0;
+        }
+        // The capacity counts calls to engines only; service calls come on top.
+        const auto chat = capacity * who.engines[region] * amount.load[region];
+        const auto all = chat / (1.0 - service_share);
+        for (std::size_t team = 0; team < team_count; ++team) {
+            if (!serves_in(team, region)) {
+                continue;
+            }
+            const auto factor = team == amount.busy_team ? amount.busy_factor : 1.0;
+            const auto rate = all * who.team_shares[team] / shares * factor;
+            add_team(calls, who, region, team, rate, amount.length, random);
+        }
+    }
+    std::erase_if(calls, [&](const call& one) { return one.at >= epoch + amount.length; });
+    std::stable_sort(calls.begin(), calls.end(),
+                     [](const call& left, const call& right) { return left.at < right.at; });
+    return calls;
+}
+
+} // namespace chicorylink::experiment
