routing: round 1, sessions keep their place and prefill counts as waiting

Cause: turns of a session went to different targets when the news of a cached prefix was missing, and targets with long prompts still to compute looked as free as others. Change: a session's place by rendezvous hash is taken to hold half of the unknown part of its prompt; the own prompts without a first token count as waiting.

--- a/include/chicorylink/routing/target_state.hpp
+++ b/include/chicorylink/routing/target_state.hpp
@@ -33,6 +33,8 @@
     /// Requests from here that are not finished, and their tokens.
     std::uint32_t own_in_flight = 0;
     base::tokens own_tokens{};
+    /// Tokens of prompts from here whose first token has not come.
+    base::tokens own_prefill{};
     /// Requests sent minus requests finished from here since `reported_at`.
     std::int32_t own_since_report = 0;
 
@@ -60,10 +62,14 @@
 void on_report(target_state& state, const load_report& report, base::time_point now);
 
 /// @brief Notes that a request was sent from here.
-void on_sent(target_state& state, base::tokens work, base::time_point now);
+/// @param cold The tokens of its prompt that the target is believed not to hold.
+void on_sent(target_state& state, base::tokens work, base::tokens cold, base::time_point now);
+
+/// @brief Notes that a request ended before its first token.
+void on_prefill_dropped(target_state& state, base::tokens cold);
 
 /// @brief Notes the time from the sending of a request to its first token.
-void on_first_token(target_state& state, base::tokens prompt, base::nanoseconds latency);
+void on_first_token(target_state& state, base::tokens cold, base::nanoseconds latency);
 
 /// @brief Notes that a request from here ended. `judge_outcome` follows for its health.
 void on_finished(target_state& state, base::tokens work, attempt_outcome outcome,
--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -41,24 +41,31 @@
 /// what sent the first request away.
 constexpr double hysteresis = 0.5;
 
+/// The part of a prompt that the session's own place is taken to hold when nothing is known: other
+/// VMs send the session's turns there, and the news of it comes late or not at all.
+constexpr double session_place_part = 0.5;
+
 struct candidate {
     std::size_t index = 0;
     std::size_t warm_blocks = 0;
+    bool session_place = false;
 };
 
 /// The candidates of one decision: each target at most once, with its longest known prefix.
 class candidate_list {
 public:
-    void add(std::size_t index, std::size_t warm_blocks)
+    void add(std::size_t index, std::size_t warm_blocks, bool session_place = false)
     {
         for (std::size_t place = 0; place < m_size; ++place) {
             if (m_entries[place].index == index) {
-                m_entries[place].warm_blocks = std::max(m_entries[place].warm_blocks, warm_blocks);
+                auto& known = m_entries[place];
+                known.warm_blocks = std::max(known.warm_blocks, warm_blocks);
+                known.session_place = known.session_place || session_place;
                 return;
             }
         }
         if (m_size < m_entries.size()) {
-            m_entries[m_size] = {index, warm_blocks};
+            m_entries[m_size] = {index, warm_blocks, session_place};
             ++m_size;
         }
     }
@@ -67,7 +74,7 @@
     [[nodiscard]] const candidate* end() const { return m_entries.data() + m_size; }
 
 private:
-    std::array<candidate, small_pool + max_holders> m_entries{};
+    std::array<candidate, small_pool + max_holders + 1> m_entries{};
     std::size_t m_size = 0;
 };
 
@@ -106,6 +113,12 @@
         }
     }
     const auto size = state.targets.size();
+    if (asked.prefix.session != prefix_hash{}) {
+        const auto place = rendezvous_winner(state, asked.prefix.session);
+        if (place < size) {
+            found.add(place, 0, true);
+        }
+    }
     if (size <= small_pool) {
         const auto first = random_bits % size;
         for (std::size_t step = 0; step < size; ++step) {
@@ -113,9 +126,6 @@
         }
         return found;
     }
-    if (asked.prefix.session != prefix_hash{}) {
-        found.add(rendezvous_winner(state, asked.prefix.session), 0);
-    }
     constexpr std::uint64_t half_bits = 32;
     found.add((random_bits & 0xffffffffU) % size, 0);
     found.add((random_bits >> half_bits) % size, 0);
@@ -127,9 +137,12 @@
                double load, double usable)
 {
     const auto warm = static_cast<std::int64_t>(option.warm_blocks) * prefix_block_tokens;
-    const auto cold = std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0);
-    const auto prefill =
-        static_cast<double>(cold) * state.prefill_pace / microseconds_per_millisecond;
+    const auto unknown =
+        static_cast<double>(std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0));
+    const auto cold = option.session_place ? unknown * (1.0 - session_place_part) : unknown;
+    const auto& target = state.targets[option.index];
+    const auto before = static_cast<double>(target.own_prefill.value());
+    const auto prefill = (cold + before) * state.prefill_pace / microseconds_per_millisecond;
     return prefill + crowding_ms * load / usable;
 }
 
--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -229,6 +229,9 @@
     end_flight(attempt.id);
     const auto index = index_of(done.target);
     if (index < m_state.targets.size()) {
+        if (!done.answered) {
+            on_prefill_dropped(m_state.targets[index], done.cold_prompt);
+        }
         on_finished(m_state.targets[index], done.work, attempt.outcome, attempt.latency, now);
         judge_outcome(m_state.targets, index, attempt.outcome, now);
     }
@@ -383,7 +386,7 @@
     const base::tokens work{work_tokens(asked)};
     const auto warm = static_cast<std::int64_t>(made.warm_blocks) * prefix_block_tokens;
     const auto cold = std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0);
-    on_sent(target, work, now);
+    on_sent(target, work, base::tokens{cold}, now);
     m_state.hints.remember(asked.prefix.blocks, target.id, now);
     m_flights[asked.id] = flight{target.id, asked.team, work, base::tokens{cold}};
     const auto* who = team_of(asked);
--- a/src/chicorylink/routing/target_state.cpp
+++ b/src/chicorylink/routing/target_state.cpp
@@ -55,8 +55,9 @@
     }
 }
 
-void on_sent(target_state& state, base::tokens work, base::time_point now)
+void on_sent(target_state& state, base::tokens work, base::tokens cold, base::time_point now)
 {
+    state.own_prefill += cold;
     ++state.own_in_flight;
     state.own_tokens += work;
     note_change(state, 1, now);
@@ -65,10 +66,16 @@
     }
 }
 
-void on_first_token(target_state& state, base::tokens prompt, base::nanoseconds latency)
+void on_prefill_dropped(target_state& state, base::tokens cold)
 {
+    state.own_prefill -= cold;
+}
+
+void on_first_token(target_state& state, base::tokens cold, base::nanoseconds latency)
+{
+    state.own_prefill -= cold;
     const std::chrono::duration<double, std::micro> taken = latency;
-    const auto size = static_cast<double>(prompt.value() + fixed_prompt_part);
+    const auto size = static_cast<double>(cold.value() + fixed_prompt_part);
     smooth(state.first_token_pace, taken.count() / size);
     ++state.samples;
 }
