--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -32,6 +32,9 @@
 /// Pools up to this size are searched whole; of larger ones a few candidates are compared.
 constexpr std::size_t small_pool = 16;
 
+/// Prompts that targets have still to compute, in milliseconds of their time.
+constexpr double prefill_bound_ms = 600.0;
+
 constexpr std::size_t max_holders = 4;
 
 /// A link that is used beyond this part of its rate takes no more requests.
@@ -85,6 +88,14 @@
     return estimated_load(target, state.sharers, unknown, now);
 }
 
+/// Whether the prompts that wait for their first token leave room for another one. Beyond the
+/// bound a request waits here, where the queue is fair, and not at the target.
+bool prefill_has_room(const region_state& state, const target_state& target)
+{
+    const auto tokens = static_cast<double>(target.own_prefill.value()) * state.sharers;
+    return tokens * state.prefill_pace / microseconds_per_millisecond <= prefill_bound_ms;
+}
+
 bool was_tried(const request& asked, base::target_id target)
 {
     return std::find(asked.tried.begin(), asked.tried.end(), target) != asked.tried.end();
@@ -164,7 +175,7 @@
         }
         const auto usable = usable_slots(target.slots, target.warm_since, now);
         const auto load = load_of(state, target, now);
-        if (load + 1 > bound_of(state, usable)) {
+        if (load + 1 > bound_of(state, usable) || !prefill_has_room(state, target)) {
             continue;
         }
         const auto cost = cost_of(state, asked, option, load, usable);
@@ -186,7 +197,7 @@
         const auto& target = state.targets[index];
         const auto usable = usable_slots(target.slots, target.warm_since, now);
         if (takes_work(target) && !was_tried(asked, target.id) &&
-            load_of(state, target, now) + 1 <= usable) {
+            prefill_has_room(state, target) && load_of(state, target, now) + 1 <= usable) {
             return {choice_kind::target, index, {}, 0};
         }
     }
@@ -245,7 +256,9 @@
         const auto load = load_of(state, target, now);
         capacity.usable += usable;
         load_sum += load;
-        capacity.free += static_cast<std::uint32_t>(std::max(usable - load, 0.0));
+        if (prefill_has_room(state, target)) {
+            capacity.free += static_cast<std::uint32_t>(std::max(usable - load, 0.0));
+        }
     }
     capacity.mean_use = capacity.usable == 0 ? 1.0 : load_sum / capacity.usable;
     return capacity;
--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -14,6 +14,13 @@
 constexpr double first_service_ms = 2000.0;
 constexpr double smoothing = 0.05;
 
+/// The time of a prompt that did not wait is what is looked for: faster samples count for more.
+constexpr double pace_fall = 0.2;
+constexpr double pace_rise = 0.01;
+
+/// Shorter prompts say little about the pace.
+constexpr std::int64_t least_pace_sample = 512;
+
 /// Weights are in hundredths.
 constexpr double neutral_weight = 100.0;
 
@@ -210,9 +217,7 @@
     }
     auto& target = m_state.targets[index];
     routing::on_first_token(target, found->second.cold_prompt, latency);
-    if (target.ejection.now == health::closed) {
-        m_state.prefill_pace += smoothing * (target.first_token_pace - m_state.prefill_pace);
-    }
+    learn_prefill_pace(found->second.cold_prompt, latency);
     judge_speed(m_state.targets, index, now);
 }
 
@@ -488,6 +493,17 @@
     }
 }
 
+void pool::learn_prefill_pace(base::tokens cold, base::nanoseconds latency)
+{
+    if (cold.value() < least_pace_sample) {
+        return;
+    }
+    const std::chrono::duration<double, std::micro> taken = latency;
+    const auto sample = taken.count() / static_cast<double>(cold.value());
+    const auto faster = sample < m_state.prefill_pace;
+    m_state.prefill_pace += (faster ? pace_fall : pace_rise) * (sample - m_state.prefill_pace);
+}
+
 void pool::end_flight(request_id id)
 {
     const auto found = m_flights.find(id);
--- a/src/chicorylink/routing/pool.hpp
+++ b/src/chicorylink/routing/pool.hpp
@@ -79,6 +79,7 @@
     void take_expired(std::vector<decision>& made, base::time_point now);
     void take_forwards(std::vector<decision>& made, base::time_point now);
     void drain(std::vector<decision>& made, base::time_point now);
+    void learn_prefill_pace(base::tokens cold, base::nanoseconds latency);
     void end_flight(request_id id);
     std::uint64_t random_bits();
 
