--- a/experiments/routing_experiment.cpp
+++ b/experiments/routing_experiment.cpp
@@ -36,7 +36,7 @@
 }
 
 struct options {
-    std::vector<std::uint64_t> seeds{1, 2, 3};
+    std::vector<std::uint64_t> seeds{1, 2, 3, 4, 5, 6};
     std::string user;
     std::string case_name;
     std::string policy;
--- a/include/chicorylink/routing/region_state.hpp
+++ b/include/chicorylink/routing/region_state.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/routing/other_region.hpp"
 #include "chicorylink/routing/prefix_hints.hpp"
+#include "chicorylink/routing/session_regions.hpp"
 #include "chicorylink/routing/target_state.hpp"
 #include "chicorylink/rules/team.hpp"
 
@@ -26,6 +27,8 @@
     /// Other regions that hold targets of the route, sorted by id.
     std::vector<other_region> others;
     prefix_hints hints{hint_capacity};
+    /// Where sessions were sent that left this region.
+    session_regions sessions;
     /// VMs of this region that send to the same targets, this one included.
     std::uint32_t sharers = 1;
     /// The time that a request of the asking team would wait in the queue here.
--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -40,6 +40,10 @@
 /// A link that is used beyond this part of its rate takes no more requests.
 constexpr double link_limit = 0.8;
 
+/// The part of the slots in use from which on sessions that left before leave again, though a
+/// target here is free.
+constexpr double pressure = 0.8;
+
 /// A region that takes work from here keeps taking it until the wait here falls to this part of
 /// what sent the first request away.
 constexpr double hysteresis = 0.5;
@@ -226,18 +230,49 @@
     return static_cast<double>(above) / static_cast<double>(std::max(below, 1U));
 }
 
+/// The prefill that a number of tokens takes, in milliseconds.
+double prefill_ms(const region_state& state, std::int64_t tokens)
+{
+    return static_cast<double>(tokens) * state.prefill_pace / microseconds_per_millisecond;
+}
+
+/// The tokens of a prompt that a target of this region is believed to hold.
+std::int64_t warm_tokens_here(const region_state& state, const request& asked,
+                              base::time_point now)
+{
+    std::array<prefix_holder, 1> holder;
+    const auto count = state.hints.find(asked.prefix.blocks, now, holder);
+    return count == 0 ? 0 : static_cast<std::int64_t>(holder[0].blocks) * prefix_block_tokens;
+}
+
+/// The prefill that a request needs more elsewhere than here; below zero when its session's prefix
+/// is there.
+double extra_prefill(const region_state& state, const other_region& where, const request& asked,
+                     base::time_point now)
+{
+    const auto warm = warm_tokens_here(state, asked, now);
+    if (state.sessions.find(asked.prefix.session, now) == where.region) {
+        return -prefill_ms(state, std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0));
+    }
+    return prefill_ms(state, warm);
+}
+
+double expected_wait(const region_state& state, const choice& home)
+{
+    return home.kind == choice_kind::target ? 0.0 : static_cast<double>(state.queue_delay.count());
+}
+
 /// What leaving costs, in milliseconds of waiting here.
 double cost_of_leaving(const region_state& state, const other_region& where, const request& asked,
-                       const rules::policy& weights, const choice& home, base::time_point now)
+                       const rules::policy& weights, base::time_point now)
 {
     const auto delay = static_cast<double>(where.link_delay.count()) * 2;
     const auto megabytes = static_cast<double>(asked.body.value()) / bytes_per_megabyte;
     const auto price = megabytes * static_cast<double>(where.price_per_megabyte.count());
-    const auto lost = static_cast<double>(home.warm_blocks) * prefix_block_tokens;
-    const auto cold = lost * state.prefill_pace / microseconds_per_millisecond;
     const auto stay = static_cast<double>(weights.stay_home.count()) *
                       ratio(weights.sent_away_weight, weights.tail_weight);
-    return delay + transfer_ms(where, asked, state.sharers, now) + cold +
+    return delay + transfer_ms(where, asked, state.sharers, now) +
+           extra_prefill(state, where, asked, now) +
            price * weights.sent_away_weight / neutral_weight +
            stay * (where.spilling ? hysteresis : 1.0);
 }
@@ -300,7 +335,7 @@
 {
     const auto no_target = home.kind == choice_kind::refuse;
     auto least = no_target ? std::numeric_limits<double>::infinity()
-                           : static_cast<double>(state.queue_delay.count());
+                           : expected_wait(state, home);
     std::optional<base::region_id> best;
     for (const auto& other : state.others) {
         if (!may_forward(state, asked, who, other.region) || !reachable(other, now) ||
@@ -312,7 +347,7 @@
             continue;
         }
         const auto waiting = has_slot ? 0.0 : static_cast<double>(other.queue_delay.count());
-        const auto cost = cost_of_leaving(state, other, asked, weights, home, now) + waiting;
+        const auto cost = cost_of_leaving(state, other, asked, weights, now) + waiting;
         if (cost < least) {
             least = cost;
             best = other.region;
@@ -328,7 +363,9 @@
     if (home.kind == choice_kind::target && state.must_wait) {
         home.kind = choice_kind::queue;
     }
-    if (home.kind == choice_kind::target) {
+    const auto calm = state.mean_use < pressure;
+    const auto is_away = state.sessions.find(asked.prefix.session, now).has_value();
+    if (home.kind == choice_kind::target && (calm || !is_away)) {
         return home;
     }
     if (const auto away = choose_region(state, asked, who, weights, home, now)) {
--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -36,6 +36,9 @@
 /// The least time that a refusal names.
 constexpr base::milliseconds least_retry{50};
 
+/// Work stops flowing to other regions when less than this part of the slots is in use here.
+constexpr double calm_use = 0.7;
+
 /// Requests that leave the queue for other regions at one tick.
 constexpr std::size_t forwards_per_tick = 8;
 
@@ -275,6 +278,7 @@
     std::vector<decision> made;
     end_ejections(m_state.targets, now);
     if (m_queue.empty()) {
+        end_spilling(now);
         return made;
     }
     take_expired(made, now);
@@ -430,6 +434,7 @@
         }
     }
     m_forwards[asked.id] = where;
+    m_state.sessions.remember(asked.prefix.session, where, now);
     return {.id = asked.id, .kind = decision_kind::forward, .region = where};
 }
 
@@ -473,6 +478,16 @@
     }
 }
 
+void pool::end_spilling(base::time_point now)
+{
+    for (auto& other : m_state.others) {
+        if (other.spilling && other.in_flight == 0 &&
+            capacity_of(m_state, now).mean_use < calm_use) {
+            other.spilling = false;
+        }
+    }
+}
+
 void pool::drain(std::vector<decision>& made, base::time_point now)
 {
     while (!m_queue.empty()) {
--- a/src/chicorylink/routing/pool.hpp
+++ b/src/chicorylink/routing/pool.hpp
@@ -78,6 +78,7 @@
     decision forward(const request& asked, base::region_id where, base::time_point now);
     void take_expired(std::vector<decision>& made, base::time_point now);
     void take_forwards(std::vector<decision>& made, base::time_point now);
+    void end_spilling(base::time_point now);
     void drain(std::vector<decision>& made, base::time_point now);
     void learn_prefill_pace(base::tokens cold, base::nanoseconds latency);
     void end_flight(request_id id);
