--- a/include/chicorylink/routing/ejection.hpp
+++ b/include/chicorylink/routing/ejection.hpp
@@ -36,7 +36,7 @@
 
 /// Time of the first ejection and of the longest one.
 inline constexpr base::milliseconds first_ejection{2000};
-inline constexpr base::milliseconds longest_ejection{30'000};
+inline constexpr base::milliseconds longest_ejection{120'000};
 
 /// How many times slower than the pool's median a target is when it counts as an outlier.
 inline constexpr double slow_outlier_ratio = 3.0;
--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -23,7 +23,7 @@
 constexpr double unknown_use = 0.8;
 
 /// The wait that a full batch adds to a request compared with an empty one.
-constexpr double crowding_ms = 400.0;
+constexpr double crowding_ms = 200.0;
 
 /// A target that holds a prefix is preferred while its load stays within this multiple of the mean.
 constexpr double load_bound = 1.25;
@@ -33,13 +33,16 @@
 constexpr std::size_t small_pool = 16;
 
 /// Prompts that targets have still to compute, in milliseconds of their time.
-constexpr double prefill_bound_ms = 600.0;
+constexpr double prefill_bound_ms = 400.0;
 
 constexpr std::size_t max_holders = 4;
 
 /// A link that is used beyond this part of its rate takes no more requests.
 constexpr double link_limit = 0.8;
 
+/// Failed attempts in this region after which another one is tried first.
+constexpr std::size_t failures_before_leaving = 2;
+
 /// The part of the slots in use from which on sessions that left before leave again, though a
 /// target here is free.
 constexpr double pressure = 0.8;
@@ -200,8 +203,8 @@
         const auto index = (random_bits + step) % size;
         const auto& target = state.targets[index];
         const auto usable = usable_slots(target.slots, target.warm_since, now);
-        if (takes_work(target) && !was_tried(asked, target.id) &&
-            prefill_has_room(state, target) && load_of(state, target, now) + 1 <= usable) {
+        if (takes_work(target) && !was_tried(asked, target.id) && prefill_has_room(state, target) &&
+            load_of(state, target, now) + 1 <= usable) {
             return {choice_kind::target, index, {}, 0};
         }
     }
@@ -237,8 +240,7 @@
 }
 
 /// The tokens of a prompt that a target of this region is believed to hold.
-std::int64_t warm_tokens_here(const region_state& state, const request& asked,
-                              base::time_point now)
+std::int64_t warm_tokens_here(const region_state& state, const request& asked, base::time_point now)
 {
     std::array<prefix_holder, 1> holder;
     const auto count = state.hints.find(asked.prefix.blocks, now, holder);
@@ -313,7 +315,10 @@
     if (best.kind == choice_kind::target) {
         return best;
     }
-    const auto serves = std::any_of(state.targets.begin(), state.targets.end(), takes_work);
+    const auto serves =
+        std::any_of(state.targets.begin(), state.targets.end(), [&](const target_state& target) {
+            return takes_work(target) && !was_tried(asked, target.id);
+        });
     best.kind = serves ? choice_kind::queue : choice_kind::refuse;
     return best;
 }
@@ -334,8 +339,7 @@
                                              const choice& home, base::time_point now)
 {
     const auto no_target = home.kind == choice_kind::refuse;
-    auto least = no_target ? std::numeric_limits<double>::infinity()
-                           : expected_wait(state, home);
+    auto least = no_target ? std::numeric_limits<double>::infinity() : expected_wait(state, home);
     std::optional<base::region_id> best;
     for (const auto& other : state.others) {
         if (!may_forward(state, asked, who, other.region) || !reachable(other, now) ||
@@ -359,6 +363,11 @@
 choice choose(const region_state& state, const request& asked, const rules::team& who,
               const rules::policy& weights, base::time_point now, std::uint64_t random_bits)
 {
+    if (asked.tried.size() >= failures_before_leaving) {
+        if (const auto away = choose_region(state, asked, who, weights, choice{}, now)) {
+            return {choice_kind::other_region, 0, *away, 0};
+        }
+    }
     auto home = choose_target(state, asked, weights, now, random_bits);
     if (home.kind == choice_kind::target && state.must_wait) {
         home.kind = choice_kind::queue;
--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -284,6 +284,9 @@
     take_expired(made, now);
     drain(made, now);
     take_forwards(made, now);
+    if (!serves()) {
+        refuse_all(made);
+    }
     return made;
 }
 
@@ -450,7 +453,8 @@
 {
     const auto capacity = capacity_of(m_state, now);
     const auto rate = fallback_rate(capacity);
-    const choice waits{.kind = choice_kind::queue};
+    const choice waits{.kind = serves() ? choice_kind::queue : choice_kind::refuse};
+    const auto limit = serves() ? forwards_per_tick : m_queue.size();
     base::team_id last;
     std::size_t place = 0;
     std::vector<base::region_id> where;
@@ -472,12 +476,27 @@
         }
         return away.has_value();
     };
-    const auto leaving = m_queue.take_if(leaves, forwards_per_tick);
+    const auto leaving = m_queue.take_if(leaves, limit);
     for (std::size_t index = 0; index < leaving.size(); ++index) {
         made.push_back(forward(leaving[index], where[index], now));
     }
 }
 
+bool pool::serves() const
+{
+    return std::any_of(m_state.targets.begin(), m_state.targets.end(), [](const auto& target) {
+        return target.availability == target_availability::live;
+    });
+}
+
+void pool::refuse_all(std::vector<decision>& made)
+{
+    const auto all = m_queue.take_if([](const request&) { return true; }, m_queue.size());
+    for (const auto& waiting : all) {
+        made.push_back(refuse(waiting, refusal_reason::no_target, retry_without_target));
+    }
+}
+
 void pool::end_spilling(base::time_point now)
 {
     for (auto& other : m_state.others) {
--- a/src/chicorylink/routing/pool.hpp
+++ b/src/chicorylink/routing/pool.hpp
@@ -78,6 +78,8 @@
     decision forward(const request& asked, base::region_id where, base::time_point now);
     void take_expired(std::vector<decision>& made, base::time_point now);
     void take_forwards(std::vector<decision>& made, base::time_point now);
+    [[nodiscard]] bool serves() const;
+    void refuse_all(std::vector<decision>& made);
     void end_spilling(base::time_point now);
     void drain(std::vector<decision>& made, base::time_point now);
     void learn_prefill_pace(base::tokens cold, base::nanoseconds latency);
