--- a/include/chicorylink/routing/admission_queue.hpp
+++ b/include/chicorylink/routing/admission_queue.hpp
@@ -32,8 +32,8 @@
 ///
 /// Weighted fair over teams by tokens: each team has a virtual time that advances by tokens over
 /// weight with each request it is given, and the team with the least virtual time is next. Within a
-/// team higher priorities go first, then earlier arrivals. A team that was idle starts at the
-/// queue's virtual time and gains no credit.
+/// team higher priorities go first, then earlier arrivals. A team that was idle starts a
+/// bounded burst before the queue's virtual time.
 class admission_queue {
 public:
     explicit admission_queue(queue_limits limits = {});
@@ -134,6 +134,7 @@
         }
     }
 
+    [[nodiscard]] double start_of(base::team_id who, std::uint32_t weight) const;
     void measure(std::int64_t amount, base::time_point now);
 
     queue_limits m_limits;
--- a/src/chicorylink/routing/admission_queue.cpp
+++ b/src/chicorylink/routing/admission_queue.cpp
@@ -18,6 +18,15 @@
 
 constexpr double rate_smoothing = 0.5;
 
+/// Work that a team which used less than its share may have done before others. Without it one long
+/// request would hold a small team back for the time that its share needs to pay for it.
+constexpr double burst_work = 60'000;
+
+double burst_of(std::uint32_t weight)
+{
+    return burst_work / weight;
+}
+
 /// Idle teams whose virtual time is remembered.
 constexpr std::size_t max_ahead = 4096;
 
@@ -47,12 +56,9 @@
     const auto who = waiting.team;
     auto& entry = m_teams[who];
     if (entry.size == 0) {
-        const auto ahead = m_ahead.find(who);
-        entry.start = std::max(m_virtual_time, ahead == m_ahead.end() ? 0.0 : ahead->second);
         entry.weight = std::max(weight, 1U);
-        if (ahead != m_ahead.end()) {
-            m_ahead.erase(ahead);
-        }
+        entry.start = start_of(who, entry.weight);
+        m_ahead.erase(who);
         m_order.emplace(entry.start, who);
         m_weights += entry.weight;
     }
@@ -65,6 +71,13 @@
     return refusal_reason::none;
 }
 
+double admission_queue::start_of(base::team_id who, std::uint32_t weight) const
+{
+    const auto ahead = m_ahead.find(who);
+    const auto earliest = m_virtual_time - burst_of(weight);
+    return ahead == m_ahead.end() ? earliest : std::max(earliest, ahead->second);
+}
+
 std::optional<request> admission_queue::pop(base::time_point now)
 {
     if (m_order.empty()) {
@@ -110,7 +123,7 @@
     }
     m_order.erase({entry.start, who});
     m_weights -= entry.weight;
-    if (entry.start > m_virtual_time) {
+    if (entry.start > m_virtual_time - burst_of(entry.weight)) {
         if (m_ahead.size() >= max_ahead) {
             m_ahead.clear();
         }
@@ -166,10 +179,11 @@
     }
     const auto found = m_teams.find(who);
     const auto queued = found == m_teams.end() ? 0.0 : static_cast<double>(found->second.tokens);
-    const auto own = queued + mean_work();
-    const auto others = found == m_teams.end() ? m_weights + weight : m_weights;
-    const auto share = static_cast<double>(std::max(weight, 1U)) / static_cast<double>(others);
-    const auto fair = own / (rate * share);
+    const auto shares = std::max(weight, 1U);
+    const auto start = found == m_teams.end() ? start_of(who, shares) : found->second.start;
+    const auto weights = found == m_teams.end() ? m_weights + shares : m_weights;
+    const auto behind = std::max(start + queued / shares - m_virtual_time, 0.0);
+    const auto fair = (queued + mean_work() + behind * static_cast<double>(weights)) / rate;
     const auto all = static_cast<double>(m_tokens) / rate;
     constexpr double milliseconds_per_second = 1000.0;
     return base::milliseconds{std::llround(std::min(fair, all) * milliseconds_per_second)};
--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -27,6 +27,11 @@
 /// The part of the slots that a team beyond its share leaves to the others.
 constexpr double reserved_part = 0.05;
 
+/// A team is beyond its share of the slots when it has this multiple of it and some more in flight;
+/// the slack keeps small teams from waiting for their own few requests.
+constexpr double share_bound = 1.5;
+constexpr double share_slack = 4.0;
+
 /// The part of the slots that is not offered to other regions.
 constexpr double kept_from_others = 0.1;
 
@@ -344,7 +349,7 @@
     }
     const auto own_slots = static_cast<double>(capacity.usable) / m_state.sharers;
     const auto fair = own_slots * weight / static_cast<double>(std::max<std::uint64_t>(weights, 1));
-    return found->second.in_flight > fair;
+    return found->second.in_flight > fair * share_bound + share_slack;
 }
 
 bool pool::may_begin(const request& asked, const pool_capacity& capacity) const
