--- /dev/null
+++ b/src/chicorylink/routing/admission_queue_test.cpp
@@ -0,0 +1,141 @@
+#include "chicorylink/routing/admission_queue.hpp"
+#include "chicorylink/routing/brown_out.hpp"
+#include "testing.hpp"
+
+#include <map>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::routing {
+namespace {
+
+using base::milliseconds;
+using testing_support::at;
+using testing_support::make_request;
+
+/// Takes a number of requests and counts them by team.
+std::map<base::team_id, int> take(admission_queue& queue, int count)
+{
+    std::map<base::team_id, int> taken;
+    for (int index = 0; index < count; ++index) {
+        if (const auto next = queue.pop(at(index))) {
+            ++taken[next->team];
+        }
+    }
+    return taken;
+}
+
+void fill(admission_queue& queue, const std::string& team, int count, std::uint32_t weight,
+          std::uint64_t first_id)
+{
+    for (int index = 0; index < count; ++index) {
+        ASSERT_EQ(queue.push(make_request(first_id + static_cast<std::uint64_t>(index), team),
+                             weight, at(0)),
+                  refusal_reason::none);
+    }
+}
+
+TEST(admission_queue, teams_share_by_weight)
+{
+    admission_queue queue;
+    fill(queue, "heavy", 400, 3, 0);
+    fill(queue, "light", 400, 1, 1000);
+    // Both begin with the same burst of work; after it the weights count.
+    (void)take(queue, 200);
+    const auto taken = take(queue, 200);
+    EXPECT_NEAR(taken.at(base::id_of<base::team_id>("heavy")), 150, 2);
+}
+
+TEST(admission_queue, a_team_with_a_long_queue_does_not_hold_another_back)
+{
+    admission_queue queue;
+    fill(queue, "busy", 1000, 1, 0);
+    (void)take(queue, 300);
+    fill(queue, "quiet", 5, 1, 5000);
+    EXPECT_EQ(take(queue, 5).at(base::id_of<base::team_id>("quiet")), 5);
+}
+
+TEST(admission_queue, a_team_that_comes_and_goes_gains_nothing_by_it)
+{
+    admission_queue queue;
+    fill(queue, "busy", 1000, 1, 0);
+    int quick = 0;
+    for (std::uint64_t round = 0; round < 400; ++round) {
+        fill(queue, "quick", 1, 1, 5000 + round);
+        const auto taken = take(queue, 1);
+        quick += taken.contains(base::id_of<base::team_id>("quick")) ? 1 : 0;
+    }
+    const auto burst = 60'000 / work_tokens(make_request(1, "quick"));
+    EXPECT_LE(quick, 200 + burst / 2 + 1);
+}
+
+TEST(admission_queue, priorities_go_first_within_a_team)
+{
+    admission_queue queue;
+    for (const auto order :
+         {rules::priority::low, rules::priority::high, rules::priority::normal}) {
+        auto waiting = make_request(static_cast<std::uint64_t>(order), "a");
+        waiting.order = order;
+        (void)queue.push(waiting, 1, at(0));
+    }
+    EXPECT_EQ(queue.pop(at(1))->order, rules::priority::high);
+    EXPECT_EQ(queue.pop(at(1))->order, rules::priority::normal);
+    EXPECT_EQ(queue.pop(at(1))->order, rules::priority::low);
+    EXPECT_FALSE(queue.pop(at(1)));
+}
+
+TEST(admission_queue, is_bounded_in_total_and_for_each_team)
+{
+    admission_queue queue({.total = 5, .per_team = 3});
+    fill(queue, "a", 3, 1, 0);
+    EXPECT_EQ(queue.push(make_request(10, "a"), 1, at(0)), refusal_reason::team_queue_full);
+    fill(queue, "b", 2, 1, 20);
+    EXPECT_EQ(queue.push(make_request(30, "c"), 1, at(0)), refusal_reason::queue_full);
+}
+
+TEST(admission_queue, what_misses_its_deadline_is_taken_at_once_and_the_rest_stays)
+{
+    admission_queue queue;
+    auto early = make_request(1, "a");
+    early.deadline = at(100);
+    (void)queue.push(early, 1, at(0));
+    (void)queue.push(make_request(2, "a"), 1, at(0));
+    EXPECT_TRUE(queue.take_expired(milliseconds{0}, at(99)).empty());
+    const auto expired = queue.take_expired(milliseconds{50}, at(99));
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_EQ(expired[0].id, request_id{1});
+    EXPECT_EQ(queue.size(), 1U);
+    EXPECT_TRUE(queue.remove(request_id{2}));
+    EXPECT_FALSE(queue.remove(request_id{2}));
+    EXPECT_TRUE(queue.empty());
+}
+
+TEST(brown_out, sheds_long_answers_and_low_priority_first_and_high_never)
+{
+    auto asked = make_request(1, "a");
+    asked.answer_tokens = long_answer + base::tokens{1};
+    asked.order = rules::priority::low;
+    EXPECT_TRUE(sheds(brown_out_level::low_long, asked));
+    asked.order = rules::priority::normal;
+    EXPECT_FALSE(sheds(brown_out_level::low, asked));
+    EXPECT_TRUE(sheds(brown_out_level::normal_long, asked));
+    asked.order = rules::priority::high;
+    EXPECT_FALSE(sheds(brown_out_level::normal_long, asked));
+}
+
+TEST(brown_out, begins_later_where_refusals_weigh_more)
+{
+    rules::policy neutral;
+    rules::policy careful;
+    careful.refusal_weight = 200;
+    const milliseconds left{10'000};
+    EXPECT_EQ(level_of(milliseconds{0}, left, neutral), brown_out_level::none);
+    EXPECT_EQ(level_of(milliseconds{4900}, left, neutral), brown_out_level::none);
+    EXPECT_EQ(level_of(milliseconds{5100}, left, neutral), brown_out_level::low_long);
+    EXPECT_EQ(level_of(milliseconds{9000}, left, neutral), brown_out_level::normal_long);
+    EXPECT_EQ(level_of(milliseconds{9000}, left, careful), brown_out_level::none);
+}
+
+} // namespace
+} // namespace chicorylink::routing
