--- a/src/chicorylink/routing/ejection_test.cpp
+++ b/src/chicorylink/routing/ejection_test.cpp
@@ -85,7 +85,7 @@
     RecordProperty("seed", 31);
     const auto property = [] {
         std::vector<target_state> pool(*rc::gen::inRange<std::size_t>(1, 9));
-        for (int step = 0; step < 120; ++step) {
+        for (std::int64_t step = 0; step < 120; ++step) {
             const auto index = *rc::gen::inRange<std::size_t>(0, pool.size());
             const auto outcome = *rc::gen::weightedElement<attempt_outcome>(
                 {{3, attempt_outcome::failed}, {1, attempt_outcome::succeeded}});
