--- a/include/chicorylink/routing/session_regions.hpp
+++ b/include/chicorylink/routing/session_regions.hpp
@@ -29,6 +29,9 @@
     [[nodiscard]] std::optional<base::region_id> find(prefix_hash session,
                                                       base::time_point now) const;
 
+    /// @brief The memory of the table.
+    [[nodiscard]] static constexpr std::size_t memory_bytes() { return capacity * sizeof(entry); }
+
 private:
     struct entry {
         prefix_hash session;
--- a/src/chicorylink/routing/ejection.cpp
+++ b/src/chicorylink/routing/ejection.cpp
@@ -8,6 +8,9 @@
 namespace chicorylink::routing {
 namespace {
 
+/// Targets of a large pool of which the median is taken.
+constexpr std::size_t median_sample = 64;
+
 /// Samples that are needed for a verdict on a target's speed in its present health.
 std::uint32_t needed_samples(const ejection_state& state)
 {
@@ -17,8 +20,10 @@
 double median_pace(std::span<const target_state> pool)
 {
     std::vector<double> paces;
-    paces.reserve(pool.size());
-    for (const auto& other : pool) {
+    const auto stride = pool.size() / median_sample + 1;
+    paces.reserve(pool.size() / stride + 1);
+    for (std::size_t index = 0; index < pool.size(); index += stride) {
+        const auto& other = pool[index];
         if (other.samples > 0 && other.ejection.now == health::closed) {
             paces.push_back(other.first_token_pace);
         }
