--- a/src/chicorylink/rules/parse_test.cpp
+++ b/src/chicorylink/rules/parse_test.cpp
@@ -144,6 +144,15 @@
                 testing::ElementsAre("f:5:16", "f:5:26", "f:5:35", "f:6:9", "f:7:5", "f:7:12"));
 }
 
+TEST(parse, refuses_a_link_given_twice_in_either_direction)
+{
+    const auto errors = errors_after_prelude("link north south delay=1ms rate=1Gbit # a\n"
+                                             "link south north delay=2ms rate=1Gbit # a\n");
+    ASSERT_EQ(errors.size(), 1U);
+    EXPECT_EQ(errors[0].line, 6U);
+    EXPECT_THAT(errors[0].message, testing::HasSubstr("line 5 already joins"));
+}
+
 TEST(parse, refuses_a_key_or_target_address_given_twice)
 {
     const std::string key_line = "key shop " + std::string(digest_text) + " # a\n";
--- a/src/chicorylink/rules/rule_reader.cpp
+++ b/src/chicorylink/rules/rule_reader.cpp
@@ -124,9 +124,9 @@
     if (value.a == value.b) {
         fault(from, from.names[1], "the link joins a region with itself", "name two regions");
     }
-    const auto ends = std::minmax(value.a.value(), value.b.value());
+    const auto ends = std::minmax(value.a, value.b);
     const auto [known, added] =
-        m_link_lines.emplace(base::hash_pair(ends.first, ends.second), from.line);
+        m_link_lines.emplace(base::hash_pair(ends.first.value(), ends.second.value()), from.line);
     if (!added) {
         fault(from, from.names[0],
               fmt::format("line {} already joins these regions", known->second),
