--- a/include/chicorylink/rules/parse.hpp
+++ b/include/chicorylink/rules/parse.hpp
@@ -41,6 +41,8 @@
 /// @brief Reads a rules text that is given in parts, each of whole lines, without joining them.
 [[nodiscard]] parse_outcome parse_parts(std::span<const std::string> parts,
                                         const parse_options& options);
+[[nodiscard]] parse_outcome parse_parts(std::span<const std::string_view> parts,
+                                        const parse_options& options);
 
 } // namespace chicorylink::rules
 
--- /dev/null
+++ b/src/chicorylink/rules/loop_check.cpp
@@ -0,0 +1,26 @@
+#include "chicorylink/rules/loop_check.hpp"
+
+#include "chicorylink/rules/address.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <unordered_set>
+
+namespace chicorylink::rules {
+
+std::vector<base::target_id> targets_at(const rulebook& book,
+                                        std::span<const std::string> vm_addresses)
+{
+    std::unordered_set<std::string> taken;
+    for (const auto& address : vm_addresses) {
+        taken.insert(canonical_address(address).value_or(address));
+    }
+    std::vector<base::target_id> found;
+    for (const auto& each : book.targets()) {
+        if (taken.contains(canonical_address(each.address).value_or(each.address))) {
+            found.push_back(each.id);
+        }
+    }
+    return found;
+}
+
+} // namespace chicorylink::rules
--- a/src/chicorylink/rules/parse.cpp
+++ b/src/chicorylink/rules/parse.cpp
@@ -46,6 +46,16 @@
     std::uint32_t m_line = 0;
 };
 
+template <class Part>
+parse_outcome read_parts(std::span<const Part> parts, const parse_options& options)
+{
+    text_reader reader(options);
+    for (const auto& part : parts) {
+        reader.read(part);
+    }
+    return reader.finish();
+}
+
 } // namespace
 
 parse_outcome parse_rules(std::string_view text, const parse_options& options)
@@ -57,11 +67,12 @@
 
 parse_outcome parse_parts(std::span<const std::string> parts, const parse_options& options)
 {
-    text_reader reader(options);
-    for (const auto& part : parts) {
-        reader.read(part);
-    }
-    return reader.finish();
+    return read_parts(parts, options);
+}
+
+parse_outcome parse_parts(std::span<const std::string_view> parts, const parse_options& options)
+{
+    return read_parts(parts, options);
 }
 
 } // namespace chicorylink::rules
--- a/src/chicorylink/rules/parse_test.cpp
+++ b/src/chicorylink/rules/parse_test.cpp
@@ -1,3 +1,4 @@
+#include "chicorylink/rules/loop_check.hpp"
 #include "chicorylink/rules/parse.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
@@ -166,6 +167,17 @@
     EXPECT_EQ(targets[0].line, 6U);
 }
 
+TEST(parse, a_target_at_the_address_of_a_later_vm_is_found)
+{
+    const auto outcome = parse_rules(small_book(), {});
+    ASSERT_NE(outcome.book, nullptr);
+    const std::vector<std::string> others{"10.0.0.1:8001", "10.0.0.2:8000"};
+    EXPECT_TRUE(targets_at(*outcome.book, others).empty());
+    const std::vector<std::string> same{"[::ffff:10.0.0.1]:8000"};
+    EXPECT_THAT(targets_at(*outcome.book, same),
+                testing::ElementsAre(id_of<base::target_id>("engine-1")));
+}
+
 TEST(parse, takes_names_before_their_definition)
 {
     const auto outcome =
--- a/src/chicorylink/rules/round_trip_test.cpp
+++ b/src/chicorylink/rules/round_trip_test.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <fmt/format.h>
@@ -125,6 +126,8 @@
         const auto from_parts = parse_parts(parts, {});
         RC_ASSERT(from_parts.errors.empty());
         RC_ASSERT(print_rules(*from_parts.book) == print_rules(*read(text)));
+        const std::vector<std::string_view> views(parts.begin(), parts.end());
+        RC_ASSERT(print_rules(*parse_parts(views, {}).book) == print_rules(*from_parts.book));
     });
 }
 
