--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -23,7 +23,7 @@
 constexpr double unknown_use = 0.8;
 
 /// The wait that a full batch adds to a request compared with an empty one.
-constexpr double crowding_ms = 400.0;
+constexpr double crowding_ms = 200.0;
 
 /// A target that holds a prefix is preferred while its load stays within this multiple of the mean.
 constexpr double load_bound = 1.25;
@@ -32,33 +32,50 @@
 /// Pools up to this size are searched whole; of larger ones a few candidates are compared.
 constexpr std::size_t small_pool = 16;
 
+/// Prompts that targets have still to compute, in milliseconds of their time.
+constexpr double prefill_bound_ms = 400.0;
+
 constexpr std::size_t max_holders = 4;
 
 /// A link that is used beyond this part of its rate takes no more requests.
 constexpr double link_limit = 0.8;
 
+/// Failed attempts in this region after which another one is tried first.
+constexpr std::size_t failures_before_leaving = 2;
+
+/// The part of the slots in use from which on sessions that left before leave again, though a
+/// target here is free.
+constexpr double pressure = 0.8;
+
 /// A region that takes work from here keeps taking it until the wait here falls to this part of
 /// what sent the first request away.
 constexpr double hysteresis = 0.5;
 
+/// The part of a prompt that the session's own place is taken to hold when nothing is known: other
+/// VMs send the session's turns there, and the news of it comes late or not at all.
+constexpr double session_place_part = 0.5;
+
 struct candidate {
     std::size_t index = 0;
     std::size_t warm_blocks = 0;
+    bool session_place = false;
 };
 
 /// The candidates of one decision: each target at most once, with its longest known prefix.
 class candidate_list {
 public:
-    void add(std::size_t index, std::size_t warm_blocks)
+    void add(std::size_t index, std::size_t warm_blocks, bool session_place = false)
     {
         for (std::size_t place = 0; place < m_size; ++place) {
             if (m_entries[place].index == index) {
-                m_entries[place].warm_blocks = std::max(m_entries[place].warm_blocks, warm_blocks);
+                auto& known = m_entries[place];
+                known.warm_blocks = std::max(known.warm_blocks, warm_blocks);
+                known.session_place = known.session_place || session_place;
                 return;
             }
         }
         if (m_size < m_entries.size()) {
-            m_entries[m_size] = {index, warm_blocks};
+            m_entries[m_size] = {index, warm_blocks, session_place};
             ++m_size;
         }
     }
@@ -67,7 +84,7 @@
     [[nodiscard]] const candidate* end() const { return m_entries.data() + m_size; }
 
 private:
-    std::array<candidate, small_pool + max_holders> m_entries{};
+    std::array<candidate, small_pool + max_holders + 1> m_entries{};
     std::size_t m_size = 0;
 };
 
@@ -78,6 +95,14 @@
     return estimated_load(target, state.sharers, unknown, now);
 }
 
+/// Whether the prompts that wait for their first token leave room for another one. Beyond the
+/// bound a request waits here, where the queue is fair, and not at the target.
+bool prefill_has_room(const region_state& state, const target_state& target)
+{
+    const auto tokens = static_cast<double>(target.own_prefill.value()) * state.sharers;
+    return tokens * state.prefill_pace / microseconds_per_millisecond <= prefill_bound_ms;
+}
+
 bool was_tried(const request& asked, base::target_id target)
 {
     return std::find(asked.tried.begin(), asked.tried.end(), target) != asked.tried.end();
@@ -106,6 +131,12 @@
         }
     }
     const auto size = state.targets.size();
+    if (asked.prefix.session != prefix_hash{}) {
+        const auto place = rendezvous_winner(state, asked.prefix.session);
+        if (place < size) {
+            found.add(place, 0, true);
+        }
+    }
     if (size <= small_pool) {
         const auto first = random_bits % size;
         for (std::size_t step = 0; step < size; ++step) {
@@ -113,9 +144,6 @@
         }
         return found;
     }
-    if (asked.prefix.session != prefix_hash{}) {
-        found.add(rendezvous_winner(state, asked.prefix.session), 0);
-    }
     constexpr std::uint64_t half_bits = 32;
     found.add((random_bits & 0xffffffffU) % size, 0);
     found.add((random_bits >> half_bits) % size, 0);
@@ -127,9 +155,12 @@
                double load, double usable)
 {
     const auto warm = static_cast<std::int64_t>(option.warm_blocks) * prefix_block_tokens;
-    const auto cold = std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0);
-    const auto prefill =
-        static_cast<double>(cold) * state.prefill_pace / microseconds_per_millisecond;
+    const auto unknown =
+        static_cast<double>(std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0));
+    const auto cold = option.session_place ? unknown * (1.0 - session_place_part) : unknown;
+    const auto& target = state.targets[option.index];
+    const auto before = static_cast<double>(target.own_prefill.value());
+    const auto prefill = (cold + before) * state.prefill_pace / microseconds_per_millisecond;
     return prefill + crowding_ms * load / usable;
 }
 
@@ -151,7 +182,7 @@
         }
         const auto usable = usable_slots(target.slots, target.warm_since, now);
         const auto load = load_of(state, target, now);
-        if (load + 1 > bound_of(state, usable)) {
+        if (load + 1 > bound_of(state, usable) || !prefill_has_room(state, target)) {
             continue;
         }
         const auto cost = cost_of(state, asked, option, load, usable);
@@ -172,7 +203,7 @@
         const auto index = (random_bits + step) % size;
         const auto& target = state.targets[index];
         const auto usable = usable_slots(target.slots, target.warm_since, now);
-        if (takes_work(target) && !was_tried(asked, target.id) &&
+        if (takes_work(target) && !was_tried(asked, target.id) && prefill_has_room(state, target) &&
             load_of(state, target, now) + 1 <= usable) {
             return {choice_kind::target, index, {}, 0};
         }
@@ -202,18 +233,48 @@
     return static_cast<double>(above) / static_cast<double>(std::max(below, 1U));
 }
 
+/// The prefill that a number of tokens takes, in milliseconds.
+double prefill_ms(const region_state& state, std::int64_t tokens)
+{
+    return static_cast<double>(tokens) * state.prefill_pace / microseconds_per_millisecond;
+}
+
+/// The tokens of a prompt that a target of this region is believed to hold.
+std::int64_t warm_tokens_here(const region_state& state, const request& asked, base::time_point now)
+{
+    std::array<prefix_holder, 1> holder;
+    const auto count = state.hints.find(asked.prefix.blocks, now, holder);
+    return count == 0 ? 0 : static_cast<std::int64_t>(holder[0].blocks) * prefix_block_tokens;
+}
+
+/// The prefill that a request needs more elsewhere than here; below zero when its session's prefix
+/// is there.
+double extra_prefill(const region_state& state, const other_region& where, const request& asked,
+                     base::time_point now)
+{
+    const auto warm = warm_tokens_here(state, asked, now);
+    if (state.sessions.find(asked.prefix.session, now) == where.region) {
+        return -prefill_ms(state, std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0));
+    }
+    return prefill_ms(state, warm);
+}
+
+double expected_wait(const region_state& state, const choice& home)
+{
+    return home.kind == choice_kind::target ? 0.0 : static_cast<double>(state.queue_delay.count());
+}
+
 /// What leaving costs, in milliseconds of waiting here.
 double cost_of_leaving(const region_state& state, const other_region& where, const request& asked,
-                       const rules::policy& weights, const choice& home, base::time_point now)
+                       const rules::policy& weights, base::time_point now)
 {
     const auto delay = static_cast<double>(where.link_delay.count()) * 2;
     const auto megabytes = static_cast<double>(asked.body.value()) / bytes_per_megabyte;
     const auto price = megabytes * static_cast<double>(where.price_per_megabyte.count());
-    const auto lost = static_cast<double>(home.warm_blocks) * prefix_block_tokens;
-    const auto cold = lost * state.prefill_pace / microseconds_per_millisecond;
     const auto stay = static_cast<double>(weights.stay_home.count()) *
                       ratio(weights.sent_away_weight, weights.tail_weight);
-    return delay + transfer_ms(where, asked, state.sharers, now) + cold +
+    return delay + transfer_ms(where, asked, state.sharers, now) +
+           extra_prefill(state, where, asked, now) +
            price * weights.sent_away_weight / neutral_weight +
            stay * (where.spilling ? hysteresis : 1.0);
 }
@@ -240,7 +301,9 @@
         const auto load = load_of(state, target, now);
         capacity.usable += usable;
         load_sum += load;
-        capacity.free += static_cast<std::uint32_t>(std::max(usable - load, 0.0));
+        if (prefill_has_room(state, target)) {
+            capacity.free += static_cast<std::uint32_t>(std::max(usable - load, 0.0));
+        }
     }
     capacity.mean_use = capacity.usable == 0 ? 1.0 : load_sum / capacity.usable;
     return capacity;
@@ -260,7 +323,10 @@
     if (best.kind == choice_kind::target) {
         return best;
     }
-    const auto serves = std::any_of(state.targets.begin(), state.targets.end(), takes_work);
+    const auto serves =
+        std::any_of(state.targets.begin(), state.targets.end(), [&](const target_state& target) {
+            return takes_work(target) && !was_tried(asked, target.id);
+        });
     best.kind = serves ? choice_kind::queue : choice_kind::refuse;
     return best;
 }
@@ -281,8 +347,7 @@
                                              const choice& home, base::time_point now)
 {
     const auto no_target = home.kind == choice_kind::refuse;
-    auto least = no_target ? std::numeric_limits<double>::infinity()
-                           : static_cast<double>(state.queue_delay.count());
+    auto least = no_target ? std::numeric_limits<double>::infinity() : expected_wait(state, home);
     std::optional<base::region_id> best;
     for (const auto& other : state.others) {
         if (!may_forward(state, asked, who, other.region) || !reachable(other, now) ||
@@ -294,7 +359,7 @@
             continue;
         }
         const auto waiting = has_slot ? 0.0 : static_cast<double>(other.queue_delay.count());
-        const auto cost = cost_of_leaving(state, other, asked, weights, home, now) + waiting;
+        const auto cost = cost_of_leaving(state, other, asked, weights, now) + waiting;
         if (cost < least) {
             least = cost;
             best = other.region;
@@ -306,11 +371,18 @@
 choice choose(const region_state& state, const request& asked, const rules::team& who,
               const rules::policy& weights, base::time_point now, std::uint64_t random_bits)
 {
+    if (asked.tried.size() >= failures_before_leaving) {
+        if (const auto away = choose_region(state, asked, who, weights, choice{}, now)) {
+            return {choice_kind::other_region, 0, *away, 0};
+        }
+    }
     auto home = choose_target(state, asked, weights, now, random_bits);
     if (home.kind == choice_kind::target && state.must_wait) {
         home.kind = choice_kind::queue;
     }
-    if (home.kind == choice_kind::target) {
+    const auto calm = state.mean_use < pressure;
+    const auto is_away = state.sessions.find(asked.prefix.session, now).has_value();
+    if (home.kind == choice_kind::target && (calm || !is_away)) {
         return home;
     }
     const auto hopeless = home.kind == choice_kind::queue && tried_all(state, asked);
