gateway: callers' directory by homes and place, shared target reports

GET /v1/vms answers by the membership directory: allowed regions only, near ones first, homes of the team first. Each target is polled by one VM of its region, which passes the report on; news that a target leaves is sent at once. The platform lists are read straight into the types that the membership module decides by, in place of a second set of them.

--- a/include/chicorylink/gateway/caller_request.hpp
+++ b/include/chicorylink/gateway/caller_request.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/platform/http_request.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
     /// Names in lower case; a repeated field stands once for each time it came.
     header_list headers;
     std::string body;
+    /// Hash of the caller's IP address.
+    std::uint64_t caller_hash = 0;
 };
 
 /// @brief The first value of a header field; empty when it is absent.
--- a/include/chicorylink/gateway/directory_answer.hpp
+++ b/include/chicorylink/gateway/directory_answer.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/gateway/http_answer.hpp"
 #include "chicorylink/gateway/identity.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,9 @@
                                                  const std::vector<base::region_id>& regions);
 
 /// @brief The answer of `GET /v1/vms`: which VMs a team's callers should use, best first.
+/// @param caller Distinguishes the callers of a team, to spread them.
 [[nodiscard]] http_answer answer_directory(const services& all, const rules::rulebook& book,
-                                           const identity& who);
+                                           const identity& who, std::uint64_t caller);
 
 } // namespace chicorylink::gateway
 
--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -254,8 +254,8 @@
     entry.is_first_try = find_header(request.headers, try_header) == "1";
     entry.content.path = request.path;
     const rules::route* route = nullptr;
-    const auto why = request.path == chat_path ? read_chat(all, book, entry, request.body, route)
-                                               : read_service_call(book, entry, request, route);
+    auto why = request.path == chat_path ? read_chat(all, book, entry, request.body, route)
+                                         : read_service_call(book, entry, request, route);
     if (why) {
         return why;
     }
@@ -384,7 +384,7 @@
         return;
     }
     if (content.path == directory_path) {
-        request->answer(answer_directory(all, *book, *who));
+        request->answer(answer_directory(all, *book, *who, content.caller_hash));
         return;
     }
     if (content.path == ticket_path) {
--- a/src/chicorylink/gateway/cluster.cpp
+++ b/src/chicorylink/gateway/cluster.cpp
@@ -26,16 +26,6 @@
 /// than the news of the refusal can be old.
 constexpr base::milliseconds refusal_age{2'000};
 
-membership::platform_list to_platform_list(const platform::vm_list& list)
-{
-    membership::platform_list converted{list.sequence, list.age, {}};
-    for (const auto& vm : list.vms) {
-        converted.vms.push_back({vm.name, vm.region, vm.data_center, vm.caller_address,
-                                 vm.peer_address, vm.state == membership::member_state::leaving});
-    }
-    return converted;
-}
-
 std::uint64_t calendar_ms()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -78,7 +68,7 @@
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(list, platform::parse_vm_list(body));
-            perform(m_table.on_list(to_platform_list(list), requested_at, m_all.now()));
+            perform(m_table.on_list(list, requested_at, m_all.now()));
             return {};
         },
         [&](const base::error& failure) {
--- a/src/chicorylink/gateway/daemon_core.cpp
+++ b/src/chicorylink/gateway/daemon_core.cpp
@@ -218,10 +218,13 @@
     m_loop.every(poll_interval, [this] {
         m_cluster->poll_list(*m_platform);
         m_targets->poll_list(*m_platform);
-        m_targets->poll_loads(*m_platform);
         send_region_summary();
         m_tickets->tick();
     });
+    m_loop.every(membership::target_table::poll_interval, [this] {
+        m_targets->poll_loads(*m_platform);
+        m_targets->share();
+    });
     m_loop.start();
 }
 
@@ -255,6 +258,9 @@
         if (channel == membership_channel) {
             m_cluster->on_message(content);
         }
+        if (channel == targets_channel) {
+            m_targets->on_message(content);
+        }
         if (channel == config_channel) {
             m_rules->on_message(content);
         }
@@ -264,6 +270,7 @@
 void daemon_core::on_rules(const std::shared_ptr<const rules::rulebook>& book)
 {
     m_cluster->set_config_known(book->version());
+    m_targets->on_rules(*book);
     m_budget->on_rules(book);
     apply_decisions(m_services, m_router->on_rules(book, present()));
     end_forbidden(m_services, *book);
--- a/src/chicorylink/gateway/directory_answer.cpp
+++ b/src/chicorylink/gateway/directory_answer.cpp
@@ -1,6 +1,8 @@
 #include "chicorylink/gateway/directory_answer.hpp"
 
+#include "chicorylink/budget/placement.hpp"
 #include "chicorylink/gateway/services.hpp"
+#include "chicorylink/membership/directory.hpp"
 #include "chicorylink/membership/view.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
@@ -9,6 +11,30 @@
 #include <nlohmann/json.hpp>
 
 namespace chicorylink::gateway {
+namespace {
+
+/// The VMs of a region that a team's callers should ask first.
+constexpr std::size_t homes_per_region = 2;
+
+base::milliseconds delay_to(const rules::rulebook& book, base::region_id from, base::region_id to)
+{
+    if (from == to) {
+        return base::milliseconds{0};
+    }
+    const auto* link = book.find_link(from, to);
+    return link == nullptr ? rules::link{}.delay : link->delay;
+}
+
+std::vector<base::region_id> nearest_first(const rules::rulebook& book, base::region_id here,
+                                           std::vector<base::region_id> regions)
+{
+    std::stable_sort(regions.begin(), regions.end(), [&](auto a, auto b) {
+        return delay_to(book, here, a) < delay_to(book, here, b);
+    });
+    return regions;
+}
+
+} // namespace
 
 std::vector<std::string> other_vms(const services& all, const std::vector<base::region_id>& regions)
 {
@@ -23,10 +49,29 @@
     return addresses;
 }
 
-http_answer answer_directory(const services& all, const rules::rulebook& book, const identity& who)
+http_answer answer_directory(const services& all, const rules::rulebook& book, const identity& who,
+                             std::uint64_t caller)
 {
+    const auto view = all.view();
     const auto* team = book.find(who.team);
-    const nlohmann::ordered_json body{{"vms", other_vms(all, rules::allowed_regions(*team))}};
+    membership::directory_request wanted;
+    wanted.team = who.team;
+    wanted.caller = caller;
+    wanted.allowed_regions = rules::allowed_regions(*team);
+    wanted.region_order = nearest_first(book, all.region, wanted.allowed_regions);
+    for (const auto region : wanted.allowed_regions) {
+        const auto homes = budget::homes_of(*team, region, *view, homes_per_region);
+        wanted.homes.insert(wanted.homes.end(), homes.begin(), homes.end());
+    }
+    const auto listed = membership::list_vms(*view, wanted);
+    auto rows = nlohmann::ordered_json::array();
+    for (const auto& vm : listed.vms) {
+        const auto* region = book.find(vm.region);
+        rows.push_back({{"address", vm.caller_address},
+                        {"vm", vm.name},
+                        {"region", region != nullptr ? region->name : ""}});
+    }
+    const nlohmann::ordered_json body{{"vms", rows}, {"lifetime_ms", listed.lifetime.count()}};
     return {200, {{"Content-Type", "application/json"}}, body.dump()};
 }
 
--- a/src/chicorylink/gateway/http_call.cpp
+++ b/src/chicorylink/gateway/http_call.cpp
@@ -1,8 +1,12 @@
 #include "chicorylink/gateway/http_call.hpp"
 
+#include "chicorylink/base/ids.hpp"
+
 #include <algorithm>
 #include <cctype>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
 
 namespace chicorylink::gateway {
 namespace {
@@ -20,12 +24,30 @@
     return MHD_YES;
 }
 
+/// Hash of the address that a connection comes from, without its port.
+std::uint64_t hash_of_caller(MHD_Connection* connection)
+{
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == nullptr || info->client_addr == nullptr) {
+        return 0;
+    }
+    if (info->client_addr->sa_family == AF_INET6) {
+        const auto* address = reinterpret_cast<const sockaddr_in6*>(info->client_addr);
+        return base::hash_name(
+            {reinterpret_cast<const char*>(&address->sin6_addr), sizeof(address->sin6_addr)});
+    }
+    const auto* address = reinterpret_cast<const sockaddr_in*>(info->client_addr);
+    return base::hash_name(
+        {reinterpret_cast<const char*>(&address->sin_addr), sizeof(address->sin_addr)});
+}
+
 } // namespace
 
 void read_head(http_call& call, const char* method)
 {
     auto& request = call.request->request();
     request.method = method;
+    request.caller_hash = hash_of_caller(call.connection);
     MHD_get_connection_values(call.connection, MHD_HEADER_KIND, &add_field, &request.headers);
 }
 
--- a/src/chicorylink/gateway/target_watch.cpp
+++ b/src/chicorylink/gateway/target_watch.cpp
@@ -1,11 +1,15 @@
 #include "chicorylink/gateway/target_watch.hpp"
 
 #include "chicorylink/base/metrics.hpp"
+#include "chicorylink/gateway/control_channel.hpp"
 #include "chicorylink/gateway/platform_poller.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/steps.hpp"
+#include "chicorylink/platform/load_report.hpp"
+#include "chicorylink/platform/target_list.hpp"
 #include "chicorylink/routing/router.hpp"
 #include "chicorylink/rules/rulebook.hpp"
+#include "chicorylink/wire/peer_network.hpp"
 
 #include <utility>
 
@@ -15,29 +19,55 @@
 constexpr base::milliseconds poll_timeout{2'000};
 constexpr int status_ok = 200;
 
-routing::load_report to_routing(const platform::load_report& report)
+membership::target_report to_report(base::target_id target, const platform::load_report& read)
 {
-    return {report.running, report.waiting, report.slots, report.leaving, report.age};
+    membership::target_report report;
+    report.target = target;
+    report.reachable = true;
+    report.leaving = read.leaving;
+    report.running = read.running;
+    report.waiting = read.waiting;
+    report.slots = read.slots;
+    report.age = read.age;
+    return report;
 }
 
 } // namespace
 
+target_watch::target_watch(services& all) : m_all(all), m_table(all.self, all.process.load()) {}
+
+void target_watch::on_rules(const rules::rulebook& book)
+{
+    std::vector<base::target_id> targets;
+    for (const auto& target : book.targets()) {
+        if (target.region == m_all.region) {
+            targets.push_back(target.id);
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    m_table.set_targets(std::move(targets));
+}
+
 void target_watch::poll_list(platform_poller& platform)
 {
     if (std::exchange(m_list_pending, true)) {
         return;
     }
-    platform.get(
-        m_all.config.platform_url + "/v1/targets", poll_timeout, [this](const fetched& answer) {
-            m_list_pending = false;
-            base::leaf::try_handle_all(
-                [&]() -> base::result<void> {
-                    BOOST_LEAF_AUTO(list, platform::parse_target_list(answer.body));
-                    take_list(list);
-                    return {};
-                },
-                [&] { m_all.metrics->add("chicorylink_platform_errors_total{call=\"targets\"}"); });
-        });
+    const auto url = m_all.config.platform_url + "/v1/targets";
+    platform.get(url, poll_timeout, [this](const fetched& answer) {
+        m_list_pending = false;
+        base::leaf::try_handle_all(
+            [&]() -> base::result<void> {
+                BOOST_LEAF_AUTO(list, platform::parse_target_list(answer.body));
+                {
+                    const std::lock_guard lock(m_mutex);
+                    m_table.on_list(list);
+                }
+                tell_router();
+                return {};
+            },
+            [&] { m_all.metrics->add("chicorylink_platform_errors_total{call=\"targets\"}"); });
+    });
 }
 
 void target_watch::poll_loads(platform_poller& platform)
@@ -46,61 +76,118 @@
     if (!book) {
         return;
     }
-    for (const auto& target : book->targets()) {
-        if (target.region != m_all.region || !m_pending.insert(target.id).second) {
+    std::vector<base::target_id> mine;
+    {
+        const std::lock_guard lock(m_mutex);
+        mine = m_table.polled_here(*m_all.view());
+    }
+    for (const auto id : mine) {
+        const auto* target = book->find(id);
+        if (target == nullptr || !m_pending.insert(id).second) {
             continue;
         }
-        platform.get("http://" + target.address + "/v1/load", poll_timeout,
-                     [this, id = target.id](const fetched& answer) {
-                         m_pending.erase(id);
-                         if (answer.status != status_ok) {
-                             return;
-                         }
-                         base::leaf::try_handle_all(
-                             [&]() -> base::result<void> {
-                                 BOOST_LEAF_AUTO(report, platform::parse_load_report(answer.body));
-                                 take_report(id, report);
-                                 return {};
-                             },
-                             [] {});
-                     });
+        platform.get("http://" + target->address + "/v1/load", poll_timeout,
+                     [this, id](const fetched& answer) { take_answer(id, answer); });
     }
 }
 
-void target_watch::take_list(const platform::target_list& list)
+void target_watch::take_answer(base::target_id target, const fetched& answer)
 {
-    for (const auto& row : list.targets) {
-        set_leaving(row.id, row.leaving);
+    m_pending.erase(target);
+    membership::target_report report;
+    report.target = target;
+    report.reachable = false;
+    if (answer.status == status_ok) {
+        base::leaf::try_handle_all(
+            [&]() -> base::result<void> {
+                BOOST_LEAF_AUTO(read, platform::parse_load_report(answer.body));
+                report = to_report(target, read);
+                return {};
+            },
+            [&] { m_all.metrics->add("chicorylink_bad_input_total{reason=\"load_report\"}"); });
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_table.on_poll(report, m_all.now());
     }
+    tell_router();
+    share();
 }
 
-void target_watch::set_leaving(base::target_id target, bool leaving)
+void target_watch::share()
 {
-    bool leaves = false;
+    const auto peers = region_peers();
+    std::optional<membership::target_reports> reports;
     {
         const std::lock_guard lock(m_mutex);
-        auto& known = m_known[target];
-        known.leaving_by_list = leaving;
-        leaves = known.leaving_by_list || known.leaving_by_report;
+        reports = m_table.take_reports(peers.size(), m_all.now());
     }
-    m_all.router->on_target_state(
-        target, leaves ? routing::target_availability::leaving : routing::target_availability::live,
-        m_all.now());
+    if (!reports) {
+        return;
+    }
+    const auto bytes = wrap_control(m_all.process.load(), membership::encode(*reports));
+    for (const auto vm : peers) {
+        m_all.network->send_control(vm, targets_channel, bytes);
+    }
+}
+
+void target_watch::on_message(std::span<const std::uint8_t> bytes)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(reports, membership::decode_reports(bytes));
+            {
+                const std::lock_guard lock(m_mutex);
+                m_table.receive(reports, m_all.now());
+            }
+            tell_router();
+            return {};
+        },
+        [&] { m_all.metrics->add("chicorylink_bad_input_total{reason=\"target_reports\"}"); });
 }
 
-void target_watch::take_report(base::target_id target, const platform::load_report& report)
+void target_watch::tell_router()
 {
     const auto now = m_all.now();
-    auto told = to_routing(report);
+    std::vector<membership::target_knowledge> known;
     {
         const std::lock_guard lock(m_mutex);
-        auto& known = m_known[target];
-        known.leaving_by_report = report.leaving;
-        known.report = report;
-        known.reported_at = now;
-        told.leaving = known.leaving_by_list || known.leaving_by_report;
+        known = m_table.all(now);
+    }
+    for (const auto& target : known) {
+        m_all.router->on_target_state(target.id,
+                                      target.leaving ? routing::target_availability::leaving
+                                                     : routing::target_availability::live,
+                                      now);
+        if (!target.report || !target.report->reachable) {
+            continue;
+        }
+        const auto made = now - target.report_age;
+        auto& told = m_told[target.id];
+        if (made <= told) {
+            continue;
+        }
+        told = made;
+        const auto& report = *target.report;
+        apply_decisions(
+            m_all, m_all.router->on_target_report(target.id,
+                                                  {report.running, report.waiting, report.slots,
+                                                   target.leaving, target.report_age},
+                                                  now));
     }
-    apply_decisions(m_all, m_all.router->on_target_report(target, told, now));
+}
+
+std::vector<base::vm_id> target_watch::region_peers() const
+{
+    std::vector<base::vm_id> peers;
+    const auto view = m_all.view();
+    for (const auto& vm : view->members) {
+        if (vm.region == m_all.region && vm.id != m_all.self &&
+            vm.state != membership::member_state::gone) {
+            peers.push_back(vm.id);
+        }
+    }
+    return peers;
 }
 
 nlohmann::ordered_json target_watch::rows() const
@@ -110,25 +197,21 @@
     if (!book) {
         return rows;
     }
-    const auto now = m_all.now();
     const std::lock_guard lock(m_mutex);
-    for (const auto& target : book->targets()) {
-        const auto* region = book->find(target.region);
-        nlohmann::ordered_json row{{"target", target.name},
-                                   {"region", region != nullptr ? region->name : ""},
-                                   {"address", target.address},
-                                   {"slots", target.slots}};
-        const auto found = m_known.find(target.id);
-        if (found != m_known.end()) {
-            const auto& known = found->second;
-            const bool leaves = known.leaving_by_list || known.leaving_by_report;
-            row["state"] = leaves ? "leaving" : "live";
-            row["running"] = known.report.running;
-            row["waiting"] = known.report.waiting;
-            if (known.reported_at != base::time_point{}) {
-                row["report_age_ms"] =
-                    std::chrono::duration_cast<base::milliseconds>(now - known.reported_at).count();
-            }
+    for (const auto& known : m_table.all(m_all.now())) {
+        const auto* target = book->find(known.id);
+        if (target == nullptr) {
+            continue;
+        }
+        nlohmann::ordered_json row{{"target", target->name},
+                                   {"address", target->address},
+                                   {"state", known.leaving ? "leaving" : "live"},
+                                   {"slots", target->slots}};
+        row["reachable"] = known.reachable;
+        if (known.report) {
+            row["running"] = known.report->running;
+            row["waiting"] = known.report->waiting;
+            row["report_age_ms"] = known.report_age.count();
         }
         rows.push_back(row);
     }
--- a/src/chicorylink/platform/platform_test.cpp
+++ b/src/chicorylink/platform/platform_test.cpp
@@ -29,8 +29,8 @@
                           .value();
     ASSERT_EQ(list.vms.size(), 1U);
     EXPECT_EQ(list.sequence, 4U);
-    EXPECT_EQ(list.vms[0].id, base::id_of<base::vm_id>("v"));
-    EXPECT_EQ(list.vms[0].state, membership::member_state::leaving);
+    EXPECT_EQ(list.vms[0].name, "v");
+    EXPECT_TRUE(list.vms[0].leaving);
     EXPECT_EQ(list.vms[0].peer_address, "127.0.0.1:2");
 }
 
--- a/src/chicorylink/platform/vm_list.cpp
+++ b/src/chicorylink/platform/vm_list.cpp
@@ -7,23 +7,21 @@
 namespace chicorylink::platform {
 namespace {
 
-membership::member read_vm(const nlohmann::json& row)
+membership::listed_vm read_vm(const nlohmann::json& row)
 {
-    membership::member vm;
+    membership::listed_vm vm;
     vm.name = row.at("name").get<std::string>();
-    vm.id = base::id_of<base::vm_id>(vm.name);
     vm.region = base::id_of<base::region_id>(row.at("region").get<std::string>());
     vm.data_center = base::id_of<base::data_center_id>(row.at("data_center").get<std::string>());
     vm.caller_address = row.at("callers").get<std::string>();
     vm.peer_address = row.at("peers").get<std::string>();
-    const bool leaving = row.at("state").get<std::string>() == "leaving";
-    vm.state = leaving ? membership::member_state::leaving : membership::member_state::live;
+    vm.leaving = row.at("state").get<std::string>() == "leaving";
     return vm;
 }
 
-vm_list read_list(const nlohmann::json& answer)
+membership::platform_list read_list(const nlohmann::json& answer)
 {
-    vm_list list;
+    membership::platform_list list;
     list.sequence = answer.at("sequence").get<std::uint64_t>();
     list.age = base::milliseconds{answer.value("age_ms", std::int64_t{0})};
     for (const auto& row : answer.at("vms")) {
@@ -34,7 +32,7 @@
 
 } // namespace
 
-base::result<vm_list> parse_vm_list(std::string_view text)
+base::result<membership::platform_list> parse_vm_list(std::string_view text)
 {
     return read_json(text, "the VM list", read_list);
 }
