--- a/include/chicorylink/budget/account.hpp
+++ b/include/chicorylink/budget/account.hpp
@@ -43,6 +43,8 @@
     /// The context that the limits were worked out from.
     std::uint64_t context_number = 0;
     base::tokens burst;
+    /// How the team was cut when the limits were worked out.
+    std::uint64_t split_digest = 0;
     std::int64_t fleet_rate = 0;
     std::uint32_t open_reservations = 0;
     /// Requested micro-tokens a second, smoothed.
--- a/include/chicorylink/budget/budget_generated.h
+++ b/include/chicorylink/budget/budget_generated.h
@@ -784,7 +784,8 @@
     VT_AMOUNT = 8,
     VT_HOLDING = 10,
     VT_LEFT = 12,
-    VT_STAMP = 14
+    VT_STAMP = 14,
+    VT_VERSION = 16
   };
   uint64_t team() const {
     return GetField<uint64_t>(VT_TEAM, 0);
@@ -804,6 +805,9 @@
   int64_t stamp() const {
     return GetField<int64_t>(VT_STAMP, 0);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TEAM, 8) &&
@@ -812,6 +816,7 @@
            VerifyField<int64_t>(verifier, VT_HOLDING, 8) &&
            VerifyField<int64_t>(verifier, VT_LEFT, 8) &&
            VerifyField<int64_t>(verifier, VT_STAMP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -838,6 +843,9 @@
   void add_stamp(int64_t stamp) {
     fbb_.AddElement<int64_t>(LoanGrant::VT_STAMP, stamp, 0);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(LoanGrant::VT_VERSION, version, 0);
+  }
   explicit LoanGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -856,8 +864,10 @@
     int64_t amount = 0,
     int64_t holding = 0,
     int64_t left = 0,
-    int64_t stamp = 0) {
+    int64_t stamp = 0,
+    uint64_t version = 0) {
   LoanGrantBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_stamp(stamp);
   builder_.add_left(left);
   builder_.add_holding(holding);
--- a/include/chicorylink/budget/ledger.hpp
+++ b/include/chicorylink/budget/ledger.hpp
@@ -101,6 +101,7 @@
 
     account& open(const rules::team& who, const context& now_known, base::time_point now);
     account* refreshed(base::team_id team, const context& now_known, base::time_point now);
+    static void void_debts(account& which);
     void refresh(account& which, base::team_id team, const context& now_known,
                  base::time_point now);
     reservation take(account& from, const ask& request, base::time_point now);
--- a/include/chicorylink/budget/message.hpp
+++ b/include/chicorylink/budget/message.hpp
@@ -103,6 +103,8 @@
     micro_tokens left;
     /// The lender's clock, for the lender only.
     std::int64_t stamp = 0;
+    /// The rules that the lender acts on.
+    base::config_version version;
 };
 
 /// @brief Asks a VM for the version of the rulebook that it acts on.
--- a/include/chicorylink/budget/placement.hpp
+++ b/include/chicorylink/budget/placement.hpp
@@ -35,6 +35,9 @@
 /// @brief The split that the rules of a team lead to.
 [[nodiscard]] split split_of(const rules::team& who);
 
+/// @brief A digest that differs when the split does.
+[[nodiscard]] std::uint64_t digest_of(const split& how);
+
 /// @brief The slots that hold a team's parts within each of its regions.
 [[nodiscard]] slot_set slots_of(base::team_id team, std::uint32_t parts);
 
--- a/src/chicorylink/budget/codec.cpp
+++ b/src/chicorylink/budget/codec.cpp
@@ -148,7 +148,8 @@
 {
     return {wire::Body::LoanGrant,
             wire::CreateLoanGrant(into, what.team.value(), what.request, what.amount.value(),
-                                  what.holding.value(), what.left.value(), what.stamp)
+                                  what.holding.value(), what.left.value(), what.stamp,
+                                  what.version.value())
                 .Union()};
 }
 
@@ -239,9 +240,13 @@
             return std::nullopt;
         }
     }
-    return loan_grant{base::team_id{from.team()},  from.request(),
-                      micro_tokens{from.amount()}, micro_tokens{from.holding()},
-                      micro_tokens{from.left()},   from.stamp()};
+    return loan_grant{base::team_id{from.team()},
+                      from.request(),
+                      micro_tokens{from.amount()},
+                      micro_tokens{from.holding()},
+                      micro_tokens{from.left()},
+                      from.stamp(),
+                      base::config_version{from.version()}};
 }
 
 std::optional<message> get_body(const wire::VersionQuery& /*from*/)
--- a/src/chicorylink/budget/engine.cpp
+++ b/src/chicorylink/budget/engine.cpp
@@ -289,8 +289,9 @@
                     effects& /*result*/)
 {
     const std::lock_guard guard(m_lock);
+    const auto own_version = m_book ? m_book->version() : base::config_version{};
     const auto before = m_slots.owned();
-    const auto returned = m_slots.on_transfer_answer(from, body, now);
+    const auto returned = m_slots.on_transfer_answer(from, body, own_version, now);
     if (returned) {
         gain(m_slots.owned() & ~before, returned->balances, now);
     }
--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -19,6 +19,15 @@
 
 } // namespace
 
+void ledger::void_debts(account& which)
+{
+    for (auto& each : which.debts) {
+        each.amount = none;
+        each.refund = none;
+        each.open = false;
+    }
+}
+
 void ledger::refresh(account& which, base::team_id team, const context& now_known,
                      base::time_point now)
 {
@@ -27,6 +36,12 @@
     }
     which.context_number = now_known.number;
     const auto* who = now_known.book ? now_known.book->find(team) : nullptr;
+    const auto digest = who != nullptr ? digest_of(split_of(*who)) : 0;
+    if (who == nullptr || who->burst < which.burst || digest != which.split_digest) {
+        // Loans were sized by the older rules.
+        void_debts(which);
+    }
+    which.split_digest = digest;
     if (who == nullptr) {
         which.own.set_limits({}, now);
         return;
--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -126,6 +126,7 @@
     grant.team = request.team;
     grant.request = request.request;
     grant.stamp = to_stamp(now);
+    grant.version = now_known.book ? now_known.book->version() : base::config_version{};
     const auto* who = now_known.book ? now_known.book->find(request.team) : nullptr;
     if (who != nullptr) {
         auto& which = open(*who, now_known, now);
@@ -172,7 +173,9 @@
         owed->process = lender.process;
     }
     const auto until = owed->asked_at + m_terms.loan_term;
-    if (until > now) {
+    // A lender with older rules may lend more than the present ones allow.
+    const bool current = now_known.book && grant.version >= now_known.book->version();
+    if (until > now && current) {
         owed->amount = std::min(owed->amount, grant.holding) + grant.amount;
         owed->reported = owed->amount;
         owed->until = until;
@@ -276,11 +279,7 @@
         if (who != nullptr && (slots_of(team, split_of(*who).parts) & slots).none()) {
             continue;
         }
-        for (auto& each : which.debts) {
-            each.amount = none;
-            each.refund = none;
-            each.open = false;
-        }
+        void_debts(which);
     }
 }
 
--- a/src/chicorylink/budget/placement.cpp
+++ b/src/chicorylink/budget/placement.cpp
@@ -70,6 +70,15 @@
     return how;
 }
 
+std::uint64_t digest_of(const split& how)
+{
+    std::uint64_t digest = how.parts;
+    for (const auto where : how.regions) {
+        digest = base::hash_pair(digest, where.value());
+    }
+    return digest;
+}
+
 slot_set slots_of(base::team_id team, std::uint32_t parts)
 {
     const auto stripe = team.value() % stripe_count;
--- a/src/chicorylink/budget/slot_table.cpp
+++ b/src/chicorylink/budget/slot_table.cpp
@@ -309,6 +309,7 @@
 
 std::optional<slot_transfer> slot_table::on_transfer_answer(const borrower& from,
                                                             const transfer_answer& answer,
+                                                            base::config_version own_version,
                                                             base::time_point now)
 {
     const auto known = m_outgoing.find(answer.id);
@@ -321,8 +322,14 @@
     if (answer.accepted) {
         return std::nullopt;
     }
+    const bool outdated = body.version < own_version;
+    if (outdated) {
+        body.balances.clear();
+    }
     for (const auto& each : body.slots) {
-        m_origins[each.slot] = {now - each.age, now + each.quarantine};
+        const auto born = outdated ? now : now - each.age;
+        const auto quarantine = outdated ? lengthen(m_terms.loan_term) : each.quarantine;
+        m_origins[each.slot] = {born, now + quarantine};
         m_owned.set(each.slot);
     }
     m_intended_since = now;
--- a/src/chicorylink/budget/testing/fleet.hpp
+++ b/src/chicorylink/budget/testing/fleet.hpp
@@ -6,7 +6,7 @@
 #include "chicorylink/budget/testing/checker.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
-#include <cmath>
+
 #include <cstdint>
 #include <functional>
 #include <map>
