--- a/include/chicorylink/budget/account.hpp
+++ b/include/chicorylink/budget/account.hpp
@@ -24,6 +24,9 @@
     bool open = false;
     base::time_point asked_at{};
     base::time_point next_ask{};
+    /// What the newest request needed, and the pause before the next.
+    micro_tokens need;
+    base::nanoseconds pause{};
     /// What the lender had left when it answered last.
     std::optional<micro_tokens> left;
     std::int64_t stamp = 0;
--- a/include/chicorylink/budget/settings.hpp
+++ b/include/chicorylink/budget/settings.hpp
@@ -46,6 +46,8 @@
     base::nanoseconds remote_loan_timeout = std::chrono::milliseconds(500);
     /// The least interval between two loan requests of a team to a lender that could not serve it.
     base::nanoseconds ask_interval = std::chrono::milliseconds(50);
+    /// To which that interval grows while the lender has nothing.
+    base::nanoseconds longest_ask_interval = std::chrono::milliseconds(1600);
     /// Demand for which tokens are borrowed ahead of need, and kept back by a lender.
     base::nanoseconds prefetch = std::chrono::milliseconds(500);
     /// After which unused borrowed tokens are returned.
--- /dev/null
+++ b/src/chicorylink/budget/budget_benchmark.cpp
@@ -0,0 +1,235 @@
+#include "chicorylink/budget/testing/workload.hpp"
+
+#include <malloc.h>
+
+#include <benchmark/benchmark.h>
+
+namespace chicorylink::budget {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::arrivals;
+using testing::fleet_size;
+using testing::workload;
+
+constexpr double steady_load = 0.9;
+
+fleet_size today() { return {}; }
+
+fleet_size in_two_years()
+{
+    fleet_size size;
+    size.vms = 399;
+    size.regions = 7;
+    size.teams = 27'000;
+    size.requests_per_second = 4'100;
+    size.bound = 26;
+    size.callers_use_homes = true;
+    return size;
+}
+
+void report(benchmark::State& state, workload& load, std::uint64_t seed)
+{
+    const auto& counts = load.counts();
+    state.counters["seed"] = static_cast<double>(seed);
+    state.counters["sent"] = static_cast<double>(counts.sent);
+    state.counters["oracle_admitted"] = static_cast<double>(counts.oracle_admitted);
+    state.counters["wrongful"] = counts.share(counts.refused);
+    state.counters["wrongful_static"] = counts.share(counts.refused_static);
+    state.counters["wrongful_holder"] = counts.share(counts.refused_holder);
+    state.counters["worst_excess_tokens"] = load.worst_excess_of_any();
+}
+
+/// Wrongful refusals and control traffic of a steady fleet.
+void steady(benchmark::State& state, const fleet_size& size, arrivals kind,
+            testing::instant duration)
+{
+    constexpr std::uint64_t seed = 11;
+    for (auto _ : state) {
+        workload load(size, kind, seed, steady_load);
+        load.run(20s);
+        load.reset_counts();
+        const auto messages = load.vms().message_count();
+        const auto bytes = load.vms().byte_count();
+        load.run(duration);
+        const auto per_vm = std::chrono::duration<double>(duration).count() *
+                            static_cast<double>(load.vms().size());
+        state.counters["messages_per_vm_s"] =
+            static_cast<double>(load.vms().message_count() - messages) / per_vm;
+        state.counters["bytes_per_vm_s"] =
+            static_cast<double>(load.vms().byte_count() - bytes) / per_vm;
+        report(state, load, seed);
+    }
+}
+
+BENCHMARK_CAPTURE(steady, today_uniform, today(), arrivals::uniform, 600s)->Iterations(1);
+BENCHMARK_CAPTURE(steady, today_skewed, today(), arrivals::skewed, 600s)->Iterations(1);
+BENCHMARK_CAPTURE(steady, today_bursty, today(), arrivals::bursty, 600s)->Iterations(1);
+BENCHMARK_CAPTURE(steady, large_uniform, in_two_years(), arrivals::uniform, 60s)->Iterations(1);
+BENCHMARK_CAPTURE(steady, large_skewed, in_two_years(), arrivals::skewed, 60s)->Iterations(1);
+BENCHMARK_CAPTURE(steady, large_bursty, in_two_years(), arrivals::bursty, 60s)->Iterations(1);
+
+enum class fault { instant_restart, crash, paused_and_replaced, drain, region_parted };
+
+void cause(workload& load, fault what, std::size_t vm)
+{
+    auto& vms = load.vms();
+    switch (what) {
+    case fault::instant_restart:
+        vms.crash(vm);
+        vms.restart(vm);
+        break;
+    case fault::crash:
+        vms.crash(vm);
+        // The platform notices after a while.
+        vms.at(vms.now() + 5s, [&vms, vm] { vms.set_listed(vm, false); });
+        break;
+    case fault::paused_and_replaced:
+        vms.pause(vm);
+        vms.set_listed(vm, false);
+        vms.add_vm(vms.view_of(vm).members.at(0).region);
+        break;
+    case fault::drain:
+        vms.set_leaving(vm);
+        vms.at(vms.now() + 5s, [&vms, vm] {
+            vms.set_listed(vm, false);
+            vms.crash(vm);
+        });
+        break;
+    case fault::region_parted:
+        for (std::size_t other = 0; other < vms.size(); ++other) {
+            if (other % load.size().regions != vm % load.size().regions) {
+                for (auto inside = vm % load.size().regions; inside < vms.size();
+                     inside += load.size().regions) {
+                    vms.part(inside, other, true);
+                }
+            }
+        }
+        break;
+    }
+}
+
+/// Refusals in the 60 s after a fault, and the time until all rights to mint are owned again.
+void recovery(benchmark::State& state, const fleet_size& size, fault what)
+{
+    constexpr std::uint64_t seed = 12;
+    for (auto _ : state) {
+        workload load(size, arrivals::uniform, seed, steady_load);
+        load.run(20s);
+        load.reset_counts();
+        const auto start = load.vms().now();
+        cause(load, what, 4);
+        double lowest = 1;
+        double whole_after = 0;
+        for (int step = 0; step < 600; ++step) {
+            load.run(100ms);
+            const auto share = load.owned_share();
+            lowest = std::min(lowest, share);
+            if (share < 1) {
+                whole_after = std::chrono::duration<double>(load.vms().now() - start).count();
+            }
+        }
+        state.counters["lowest_owned_share"] = lowest;
+        state.counters["full_rate_after_s"] = whole_after;
+        report(state, load, seed);
+    }
+}
+
+BENCHMARK_CAPTURE(recovery, today_instant_restart, today(), fault::instant_restart)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, today_crash, today(), fault::crash)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, today_replaced, today(), fault::paused_and_replaced)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, today_drain, today(), fault::drain)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, today_region_parted, today(), fault::region_parted)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, large_crash, in_two_years(), fault::crash)->Iterations(1);
+
+/// One VM that owns everything, for the cost of a decision.
+struct lone_vm {
+    explicit lone_vm(std::size_t teams)
+        : core({base::id_of<base::vm_id>("vm"), base::id_of<base::region_id>("a"),
+                base::incarnation{1}},
+               {}, now)
+    {
+        rules::rulebook_builder builder{base::config_version{1}};
+        builder.add(rules::region{base::id_of<base::region_id>("a"), "a", {}});
+        for (std::size_t index = 0; index < teams; ++index) {
+            rules::team who;
+            who.name = "team-" + std::to_string(index);
+            who.id = base::id_of<base::team_id>(who.name);
+            who.regions = {base::id_of<base::region_id>("a")};
+            who.rate = base::tokens_per_second{1'000'000'000};
+            who.burst = base::tokens{1'000'000'000};
+            ids.push_back(who.id);
+            builder.add(who);
+        }
+        (void)core.on_rules(builder.build().value(), now);
+        membership::view seen;
+        seen.self = base::id_of<base::vm_id>("vm");
+        membership::member self;
+        self.id = seen.self;
+        self.region = base::id_of<base::region_id>("a");
+        self.state = membership::member_state::live;
+        seen.members.push_back(self);
+        seen.list_is_fresh = true;
+        seen.member_until = now + std::chrono::hours(24);
+        (void)core.on_view(seen, now);
+        now += 11s;
+        (void)core.tick(now);
+        now += 60s;
+    }
+
+    base::time_point now{1h};
+    std::vector<base::team_id> ids;
+    engine core;
+};
+
+void admission_decision(benchmark::State& state)
+{
+    lone_vm one(static_cast<std::size_t>(state.range(0)));
+    std::size_t next = 0;
+    std::uint64_t refusals = 0;
+    effects result;
+    for (auto _ : state) {
+        next = next * 7 + 1 < one.ids.size() ? next * 7 + 1 : (next + 13) % one.ids.size();
+        one.now += 10us;
+        const auto verdict =
+            one.core.reserve({one.ids[next], base::tokens{1000}, one.now}, one.now, result);
+        const auto* yes = std::get_if<granted>(&verdict);
+        refusals += yes == nullptr ? 1 : 0;
+        if (yes != nullptr) {
+            (void)one.core.settle(yes->id, base::tokens{600}, one.now);
+        }
+    }
+    state.counters["refusals"] = static_cast<double>(refusals);
+}
+BENCHMARK(admission_decision)->Arg(5)->Arg(27'000);
+
+void memory_of_teams(benchmark::State& state)
+{
+    for (auto _ : state) {
+        lone_vm one(27'000);
+        effects result;
+        const auto idle = mallinfo2().uordblks;
+        for (const auto team : one.ids) {
+            const auto verdict =
+                one.core.reserve({team, base::tokens{1000}, one.now}, one.now, result);
+            if (const auto* yes = std::get_if<granted>(&verdict)) {
+                (void)one.core.settle(yes->id, base::tokens{1000}, one.now);
+            }
+        }
+        const auto active = mallinfo2().uordblks;
+        one.now += 60s;
+        (void)one.core.tick(one.now);
+        const auto after = mallinfo2().uordblks;
+        const auto teams = static_cast<double>(one.ids.size());
+        state.counters["bytes_active_team"] = static_cast<double>(active - idle) / teams;
+        state.counters["bytes_idle_team_after_use"] =
+            (static_cast<double>(after) - static_cast<double>(idle)) / teams;
+        state.counters["accounts_left"] = static_cast<double>(one.core.account_count());
+    }
+}
+BENCHMARK(memory_of_teams)->Iterations(1);
+
+} // namespace
+} // namespace chicorylink::budget
+
+BENCHMARK_MAIN();
--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -135,13 +135,9 @@
         return refuse_for_now(*which, missing);
     }
     const bool asked_already = std::ranges::any_of(which->debts, &debt::open);
-    if (!asked_already) {
-        auto* lender = choose_lender(*which, request.team, now_known, now);
-        if (lender == nullptr) {
-            return refuse_for_now(*which, missing);
-        }
-        const auto ahead = expected_demand(*which, m_terms.prefetch, now);
-        send_request(*which, *lender, request.team, missing, missing + ahead, now, result);
+    if (!asked_already &&
+        !ask_lenders(*which, request.team, missing, now_known, now, result)) {
+        return refuse_for_now(*which, missing);
     }
     which->wanted = now < which->wanted_until ? std::max(which->wanted, amount) : amount;
     which->wanted_until = std::max(which->wanted_until, wait_until);
--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -37,63 +37,88 @@
     return base::time_point{base::time_point::duration{stamp}};
 }
 
-/// The lender that was last seen with the most tokens; one not asked yet goes first.
-base::vm_id richest(const std::vector<base::vm_id>& lenders, const account& which,
-                    base::time_point now)
+/// A lender that may be asked now, and what it is expected to lend.
+struct candidate {
+    base::vm_id lender;
+    bool other_region = false;
+    micro_tokens expected;
+};
+
+/// Adds the lenders of one region that are not being asked already, the richest first.
+void add_candidates(base::region_id where, const slot_set& slots, const account& which,
+                    const context& now_known, base::time_point now, std::vector<candidate>& found)
 {
-    base::vm_id best;
-    micro_tokens best_left{-1};
-    for (const auto lender : lenders) {
+    for (const auto lender : lenders_in(where, slots, now_known)) {
         const auto owed = std::ranges::find(which.debts, lender, &debt::lender);
         const bool known = owed != which.debts.end();
         if (known && (owed->open || owed->next_ask > now)) {
             continue;
         }
-        const auto left = known && owed->left ? *owed->left : to_micro(which.burst);
-        if (left > best_left) {
-            best = lender;
-            best_left = left;
+        // One that was not asked yet is expected to have everything.
+        const auto expected = known && owed->left ? *owed->left : to_micro(which.burst);
+        found.push_back({lender, where != now_known.region, expected});
+    }
+}
+
+std::vector<candidate> candidates_of(const rules::team& who, const account& which,
+                                     const context& now_known, base::time_point now)
+{
+    const auto how = split_of(who);
+    const auto slots = slots_of(who.id, how.parts);
+    const auto richer = [](const candidate& left, const candidate& right) {
+        return left.expected > right.expected;
+    };
+    std::vector<candidate> found;
+    add_candidates(now_known.region, slots, which, now_known, now, found);
+    std::ranges::stable_sort(found, richer);
+    const auto local = static_cast<std::ptrdiff_t>(found.size());
+    for (const auto where : how.regions) {
+        if (where != now_known.region) {
+            add_candidates(where, slots, which, now_known, now, found);
         }
     }
-    return best;
+    std::stable_sort(found.begin() + local, found.end(), richer);
+    return found;
+}
+
+debt& debt_to(account& which, const candidate& from, base::time_point now)
+{
+    const auto owed = std::ranges::find(which.debts, from.lender, &debt::lender);
+    if (owed != which.debts.end()) {
+        return *owed;
+    }
+    auto& fresh = which.debts.emplace_back();
+    fresh.lender = from.lender;
+    fresh.other_region = from.other_region;
+    fresh.used_at = now;
+    fresh.pause = std::chrono::milliseconds(25);
+    return fresh;
 }
 
 } // namespace
 
-debt* ledger::choose_lender(account& which, base::team_id team, const context& now_known,
-                            base::time_point now)
+bool ledger::ask_lenders(account& which, base::team_id team, micro_tokens missing,
+                         const context& now_known, base::time_point now, effects& result)
 {
     const auto* who = now_known.book->find(team);
     if (who == nullptr) {
-        return nullptr;
+        return false;
     }
-    const auto how = split_of(*who);
-    const auto slots = slots_of(team, how.parts);
-    auto chosen = richest(lenders_in(now_known.region, slots, now_known), which, now);
-    const bool other_region = chosen == base::vm_id{};
-    if (other_region) {
-        std::vector<base::vm_id> abroad;
-        for (const auto where : how.regions) {
-            if (where != now_known.region) {
-                const auto more = lenders_in(where, slots, now_known);
-                abroad.insert(abroad.end(), more.begin(), more.end());
-            }
+    const auto ahead = expected_demand(which, m_terms.prefetch, now);
+    auto uncovered = missing;
+    bool asked = false;
+    // As many lenders at once as are expected to cover what is missing, those nearby first.
+    for (const auto& each : candidates_of(*who, which, now_known, now)) {
+        if (uncovered <= none) {
+            break;
         }
-        chosen = richest(abroad, which, now);
-    }
-    if (chosen == base::vm_id{}) {
-        return nullptr;
-    }
-    const auto owed = std::ranges::find(which.debts, chosen, &debt::lender);
-    if (owed != which.debts.end()) {
-        return &*owed;
+        m_borrowing.insert(team);
+        send_request(which, debt_to(which, each, now), team, uncovered, uncovered + ahead, now,
+                     result);
+        uncovered -= each.expected;
+        asked = true;
     }
-    m_borrowing.insert(team);
-    auto& fresh = which.debts.emplace_back();
-    fresh.lender = chosen;
-    fresh.other_region = other_region;
-    fresh.used_at = now;
-    return &fresh;
+    return asked;
 }
 
 void ledger::send_request(account& which, debt& to, base::team_id team, micro_tokens need,
@@ -112,6 +137,7 @@
     request.refund_stamp = to.refund_stamp;
     request.other_region = to.other_region;
     to.refund = none;
+    to.need = need;
     to.reported = to.amount;
     to.request = request.request;
     to.asked_at = now;
@@ -181,28 +207,25 @@
         owed->until = until;
         owed->stamp = grant.stamp;
     }
-    const bool waiting = now < which->wanted_until;
-    if (!waiting) {
-        owed->next_ask = now + m_terms.ask_interval;
+    // A lender that could not help is asked less and less often.
+    const bool helped = grant.amount > none || owed->need <= none;
+    owed->pause = helped ? m_terms.ask_interval
+                         : std::min(owed->pause * 2, m_terms.longest_ask_interval);
+    owed->next_ask = now + owed->pause;
+    if (now >= which->wanted_until) {
         return;
     }
     which->own.mint(now);
     const auto present = available(*which, now);
-    if (present >= which->wanted) {
-        which->wanted_until = now;
-        result.ready.push_back(grant.team);
+    const bool enough = present >= which->wanted;
+    if (!enough && std::ranges::any_of(which->debts, &debt::open)) {
         return;
     }
-    owed->next_ask = now + m_terms.ask_interval;
-    auto* next = choose_lender(*which, grant.team, now_known, now);
-    if (next == nullptr) {
+    if (enough ||
+        !ask_lenders(*which, grant.team, which->wanted - present, now_known, now, result)) {
         which->wanted_until = now;
         result.ready.push_back(grant.team);
-        return;
     }
-    const auto missing = which->wanted - present;
-    const auto ahead = expected_demand(*which, m_terms.prefetch, now);
-    send_request(*which, *next, grant.team, missing, missing + ahead, now, result);
 }
 
 void ledger::tick_debts(account& which, base::team_id team, base::time_point now, effects& result)
--- a/src/chicorylink/budget/schedule_test.cpp
+++ b/src/chicorylink/budget/schedule_test.cpp
@@ -42,7 +42,7 @@
         m_all.run_for(25s);
         for (int step = 0; step < steps; ++step) {
             cause_fault();
-            load(testing::instant{static_cast<std::int64_t>(pick(3'000'000'000) + 50'000'000)});
+            load();
         }
         m_all.run_for(5s);
         return testing::worst_excess(m_all.admissions(team_one), m_phases);
@@ -67,7 +67,8 @@
             }
         }
         who.rate = base::tokens_per_second{static_cast<std::int64_t>(500 + pick(5'000))};
-        who.burst = base::tokens{static_cast<std::int64_t>(2'000 + pick(200'000))};
+        who.burst =
+            base::tokens{who.rate.value() * static_cast<std::int64_t>(2 + pick(20))};
         if (pick(8) != 0 || m_version == 1) {
             builder.add(who);
         }
@@ -151,18 +152,30 @@
         }
     }
 
-    void load(testing::instant duration)
+    /// Quiet times let buckets fill up to their caps; what follows then tries to spend more.
+    void load()
     {
-        const auto end = m_all.now() + duration;
-        while (m_all.now() < end) {
+        const auto mode = pick(4);
+        if (mode == 0) {
+            m_all.run_for(time_up_to(30s));
+        }
+        const auto count = mode == 1 ? 300 : 40;
+        const auto gap = mode == 1 ? 1ms : 60ms;
+        for (int index = 0; index < count; ++index) {
             const auto upper = static_cast<std::int64_t>(100 + pick(2'000));
-            const auto actual = static_cast<std::int64_t>(pick(static_cast<std::uint64_t>(upper)));
-            const auto length = testing::instant{static_cast<std::int64_t>(pick(8'000'000'000))};
-            m_all.submit(any_vm(), {team_one, upper, actual, length, {}});
-            m_all.run_for(testing::instant{static_cast<std::int64_t>(pick(60'000'000))});
+            const auto used = pick(3) == 0 ? 0 : pick(static_cast<std::uint64_t>(upper) + 1);
+            m_all.submit(any_vm(), {team_one, upper, static_cast<std::int64_t>(used),
+                                    time_up_to(8s), {}});
+            m_all.run_for(time_up_to(gap));
         }
     }
 
+    testing::instant time_up_to(testing::instant longest)
+    {
+        return testing::instant{
+            static_cast<std::int64_t>(pick(static_cast<std::uint64_t>(longest.count())))};
+    }
+
     fleet m_all;
     std::vector<base::region_id> m_regions;
     std::vector<phase> m_phases;
