budget: refunds of borrowed tokens carry a close lower bound of the lender's time

Change: the borrower adds the time since that grant, shortened by the clock bound, keeps refunds apart by time, and evens out buckets by borrowing from the fullest.

--- a/include/chicorylink/budget/account.hpp
+++ b/include/chicorylink/budget/account.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/budget/amount.hpp"
 #include "chicorylink/budget/bucket.hpp"
+#include "chicorylink/budget/message.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -30,10 +31,10 @@
     /// What the lender had left when it answered last.
     std::optional<micro_tokens> left;
     std::int64_t stamp = 0;
+    base::time_point granted_at{};
     /// The holding that the lender was told of last.
     micro_tokens reported;
-    micro_tokens refund;
-    std::int64_t refund_stamp = 0;
+    std::vector<loan_refund> refunds;
     base::time_point used_at{};
 };
 
@@ -56,6 +57,8 @@
     /// The largest request that waits for loans, and until when.
     micro_tokens wanted;
     base::time_point wanted_until{};
+    /// When tokens were last borrowed only to even out the buckets.
+    base::time_point balanced_at{};
     /// Not forgotten before: until then a full bucket could hide what was spent.
     base::time_point keep_until{};
 };
@@ -66,6 +69,16 @@
 /// @brief What a request could take at a time: the balance and all valid loans.
 [[nodiscard]] micro_tokens available(const account& which, base::time_point now);
 
+/// @brief How full the account's own bucket is, in thousandths; zero when it owns no part.
+[[nodiscard]] std::int64_t level_per_mille(const account& which);
+
+/// @brief A time of the lender's clock at or before a present moment here, close to it: its newest
+/// stamp and the time since that was received.
+[[nodiscard]] std::int64_t lender_time(const debt& which, base::time_point now);
+
+/// @brief Notes tokens for the next report that a reservation did not use.
+void add_refund(debt& which, const loan_refund& unused);
+
 /// @brief Counts requested tokens into the smoothed demand.
 void note_demand(account& which, micro_tokens requested, base::time_point now);
 
--- a/include/chicorylink/budget/budget_generated.h
+++ b/include/chicorylink/budget/budget_generated.h
@@ -37,6 +37,8 @@
 struct TransferAnswer;
 struct TransferAnswerBuilder;
 
+struct LoanRefund;
+
 struct LoanRequest;
 struct LoanRequestBuilder;
 
@@ -224,6 +226,29 @@
 };
 FLATBUFFERS_STRUCT_END(MovedBalance, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LoanRefund FLATBUFFERS_FINAL_CLASS {
+ private:
+  int64_t stamp_;
+  int64_t amount_;
+
+ public:
+  LoanRefund()
+      : stamp_(0),
+        amount_(0) {
+  }
+  LoanRefund(int64_t _stamp, int64_t _amount)
+      : stamp_(flatbuffers::EndianScalar(_stamp)),
+        amount_(flatbuffers::EndianScalar(_amount)) {
+  }
+  int64_t stamp() const {
+    return flatbuffers::EndianScalar(stamp_);
+  }
+  int64_t amount() const {
+    return flatbuffers::EndianScalar(amount_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoanRefund, 16);
+
 struct HeldSplit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeldSplitBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -664,9 +689,9 @@
     VT_WANT = 10,
     VT_HOLDING = 12,
     VT_RETURNED = 14,
-    VT_REFUND = 16,
-    VT_REFUND_STAMP = 18,
-    VT_OTHER_REGION = 20
+    VT_REFUNDS = 16,
+    VT_OTHER_REGION = 18,
+    VT_LEVEL_PER_MILLE = 20
   };
   uint64_t team() const {
     return GetField<uint64_t>(VT_TEAM, 0);
@@ -686,15 +711,15 @@
   int64_t returned() const {
     return GetField<int64_t>(VT_RETURNED, 0);
   }
-  int64_t refund() const {
-    return GetField<int64_t>(VT_REFUND, 0);
-  }
-  int64_t refund_stamp() const {
-    return GetField<int64_t>(VT_REFUND_STAMP, 0);
+  const flatbuffers::Vector<const chicorylink::budget::wire::LoanRefund *> *refunds() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::budget::wire::LoanRefund *> *>(VT_REFUNDS);
   }
   bool other_region() const {
     return GetField<uint8_t>(VT_OTHER_REGION, 0) != 0;
   }
+  int64_t level_per_mille() const {
+    return GetField<int64_t>(VT_LEVEL_PER_MILLE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TEAM, 8) &&
@@ -703,9 +728,10 @@
            VerifyField<int64_t>(verifier, VT_WANT, 8) &&
            VerifyField<int64_t>(verifier, VT_HOLDING, 8) &&
            VerifyField<int64_t>(verifier, VT_RETURNED, 8) &&
-           VerifyField<int64_t>(verifier, VT_REFUND, 8) &&
-           VerifyField<int64_t>(verifier, VT_REFUND_STAMP, 8) &&
+           VerifyOffset(verifier, VT_REFUNDS) &&
+           verifier.VerifyVector(refunds()) &&
            VerifyField<uint8_t>(verifier, VT_OTHER_REGION, 1) &&
+           VerifyField<int64_t>(verifier, VT_LEVEL_PER_MILLE, 8) &&
            verifier.EndTable();
   }
 };
@@ -732,15 +758,15 @@
   void add_returned(int64_t returned) {
     fbb_.AddElement<int64_t>(LoanRequest::VT_RETURNED, returned, 0);
   }
-  void add_refund(int64_t refund) {
-    fbb_.AddElement<int64_t>(LoanRequest::VT_REFUND, refund, 0);
-  }
-  void add_refund_stamp(int64_t refund_stamp) {
-    fbb_.AddElement<int64_t>(LoanRequest::VT_REFUND_STAMP, refund_stamp, 0);
+  void add_refunds(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::budget::wire::LoanRefund *>> refunds) {
+    fbb_.AddOffset(LoanRequest::VT_REFUNDS, refunds);
   }
   void add_other_region(bool other_region) {
     fbb_.AddElement<uint8_t>(LoanRequest::VT_OTHER_REGION, static_cast<uint8_t>(other_region), 0);
   }
+  void add_level_per_mille(int64_t level_per_mille) {
+    fbb_.AddElement<int64_t>(LoanRequest::VT_LEVEL_PER_MILLE, level_per_mille, 0);
+  }
   explicit LoanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -760,22 +786,47 @@
     int64_t want = 0,
     int64_t holding = 0,
     int64_t returned = 0,
-    int64_t refund = 0,
-    int64_t refund_stamp = 0,
-    bool other_region = false) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::budget::wire::LoanRefund *>> refunds = 0,
+    bool other_region = false,
+    int64_t level_per_mille = 0) {
   LoanRequestBuilder builder_(_fbb);
-  builder_.add_refund_stamp(refund_stamp);
-  builder_.add_refund(refund);
+  builder_.add_level_per_mille(level_per_mille);
   builder_.add_returned(returned);
   builder_.add_holding(holding);
   builder_.add_want(want);
   builder_.add_need(need);
   builder_.add_request(request);
   builder_.add_team(team);
+  builder_.add_refunds(refunds);
   builder_.add_other_region(other_region);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<LoanRequest> CreateLoanRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t team = 0,
+    uint64_t request = 0,
+    int64_t need = 0,
+    int64_t want = 0,
+    int64_t holding = 0,
+    int64_t returned = 0,
+    const std::vector<chicorylink::budget::wire::LoanRefund> *refunds = nullptr,
+    bool other_region = false,
+    int64_t level_per_mille = 0) {
+  auto refunds__ = refunds ? _fbb.CreateVectorOfStructs<chicorylink::budget::wire::LoanRefund>(*refunds) : 0;
+  return chicorylink::budget::wire::CreateLoanRequest(
+      _fbb,
+      team,
+      request,
+      need,
+      want,
+      holding,
+      returned,
+      refunds__,
+      other_region,
+      level_per_mille);
+}
+
 struct LoanGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoanGrantBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/include/chicorylink/budget/message.hpp
+++ b/include/chicorylink/budget/message.hpp
@@ -74,6 +74,13 @@
     bool accepted = false;
 };
 
+/// @brief What reservations from borrowed tokens did not use.
+struct loan_refund {
+    /// A time of the lender's clock at or before the reservations.
+    std::int64_t stamp = 0;
+    micro_tokens amount;
+};
+
 /// @brief Asks a lender for tokens and reports on those borrowed before.
 struct loan_request {
     base::team_id team;
@@ -84,12 +91,11 @@
     micro_tokens want;
     micro_tokens holding;
     micro_tokens returned;
-    /// What reservations from borrowed tokens did not use.
-    micro_tokens refund;
-    /// The lender's stamp of the newest grant that preceded the oldest of these reservations.
-    std::int64_t refund_stamp = 0;
+    std::vector<loan_refund> refunds;
     /// Whether the borrower asks from another region.
     bool other_region = false;
+    /// How full the borrower's own bucket is, in thousandths.
+    std::int64_t level_per_mille = 0;
 };
 
 /// @brief The lender's answer.
--- a/include/chicorylink/budget/settings.hpp
+++ b/include/chicorylink/budget/settings.hpp
@@ -50,6 +50,8 @@
     base::nanoseconds longest_ask_interval = std::chrono::milliseconds(1600);
     /// Demand for which tokens are borrowed ahead of need, and kept back by a lender.
     base::nanoseconds prefetch = std::chrono::milliseconds(500);
+    /// The least interval between two requests of a team that only even out the buckets.
+    base::nanoseconds balance_interval = std::chrono::milliseconds(500);
     /// After which unused borrowed tokens are returned.
     base::nanoseconds return_after = std::chrono::seconds(2);
 };
--- a/include/chicorylink/budget/slot_table.hpp
+++ b/include/chicorylink/budget/slot_table.hpp
@@ -76,9 +76,10 @@
 
     /// @brief Ends a transfer. A refused one is returned: its slots are owned here again. One made
     /// under older rules than `own_version` begins again from empty.
-    [[nodiscard]] std::optional<slot_transfer>
-    on_transfer_answer(const borrower& from, const transfer_answer& answer,
-                       base::config_version own_version, base::time_point now);
+    [[nodiscard]] std::optional<slot_transfer> on_transfer_answer(const borrower& from,
+                                                                  const transfer_answer& answer,
+                                                                  base::config_version own_version,
+                                                                  base::time_point now);
 
     /// @brief Transfers that are due to be sent again.
     [[nodiscard]] std::vector<outgoing> resend(base::time_point now);
--- a/src/chicorylink/budget/budget_benchmark.cpp
+++ b/src/chicorylink/budget/budget_benchmark.cpp
@@ -14,7 +14,10 @@
 
 constexpr double steady_load = 0.9;
 
-fleet_size today() { return {}; }
+fleet_size today()
+{
+    return {};
+}
 
 fleet_size in_two_years()
 {
--- a/src/chicorylink/budget/codec.cpp
+++ b/src/chicorylink/budget/codec.cpp
@@ -137,10 +137,16 @@
 
 encoded_body put_body(FlatBufferBuilder& into, const loan_request& what)
 {
+    std::vector<wire::LoanRefund> refunds;
+    for (const auto& each : what.refunds) {
+        refunds.emplace_back(each.stamp, each.amount.value());
+    }
+    const auto entries = refunds.empty() ? Offset<flatbuffers::Vector<const wire::LoanRefund*>>{}
+                                         : into.CreateVectorOfStructs(refunds);
     return {wire::Body::LoanRequest,
             wire::CreateLoanRequest(into, what.team.value(), what.request, what.need.value(),
                                     what.want.value(), what.holding.value(), what.returned.value(),
-                                    what.refund.value(), what.refund_stamp, what.other_region)
+                                    entries, what.other_region, what.level_per_mille)
                 .Union()};
 }
 
@@ -220,17 +226,29 @@
 
 std::optional<message> get_body(const wire::LoanRequest& from)
 {
-    for (const auto amount :
-         {from.need(), from.want(), from.holding(), from.returned(), from.refund()}) {
+    for (const auto amount : {from.need(), from.want(), from.holding(), from.returned()}) {
         if (!is_amount(amount)) {
             return std::nullopt;
         }
     }
-    return loan_request{base::team_id{from.team()},   from.request(),
-                        micro_tokens{from.need()},    micro_tokens{from.want()},
-                        micro_tokens{from.holding()}, micro_tokens{from.returned()},
-                        micro_tokens{from.refund()},  from.refund_stamp(),
-                        from.other_region()};
+    loan_request what;
+    what.team = base::team_id{from.team()};
+    what.request = from.request();
+    what.need = micro_tokens{from.need()};
+    what.want = micro_tokens{from.want()};
+    what.holding = micro_tokens{from.holding()};
+    what.returned = micro_tokens{from.returned()};
+    what.other_region = from.other_region();
+    what.level_per_mille = from.level_per_mille();
+    for (flatbuffers::uoffset_t index = 0;
+         from.refunds() != nullptr && index < from.refunds()->size(); ++index) {
+        const auto& each = *from.refunds()->Get(index);
+        if (!is_amount(each.amount())) {
+            return std::nullopt;
+        }
+        what.refunds.push_back({each.stamp(), micro_tokens{each.amount()}});
+    }
+    return what;
 }
 
 std::optional<message> get_body(const wire::LoanGrant& from)
@@ -240,12 +258,9 @@
             return std::nullopt;
         }
     }
-    return loan_grant{base::team_id{from.team()},
-                      from.request(),
-                      micro_tokens{from.amount()},
-                      micro_tokens{from.holding()},
-                      micro_tokens{from.left()},
-                      from.stamp(),
+    return loan_grant{base::team_id{from.team()},          from.request(),
+                      micro_tokens{from.amount()},         micro_tokens{from.holding()},
+                      micro_tokens{from.left()},           from.stamp(),
                       base::config_version{from.version()}};
 }
 
--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -23,7 +23,7 @@
 {
     for (auto& each : which.debts) {
         each.amount = none;
-        each.refund = none;
+        each.refunds.clear();
         each.open = false;
     }
 }
@@ -94,7 +94,7 @@
             each.amount -= amount;
             each.used_at = now;
             left -= amount;
-            made.borrowed.push_back({each.lender, each.process, amount, each.stamp});
+            made.borrowed.push_back({each.lender, each.process, amount, lender_time(each, now)});
         }
     }
     made.own = from.own.take(left, now);
@@ -127,6 +127,7 @@
     const auto present = available(*which, now);
     if (present >= amount) {
         m_reservations.emplace(id, take(*which, request, now));
+        balance(*which, request.team, now_known, now, result);
         return granted{id};
     }
     const auto missing = amount - present;
@@ -135,8 +136,7 @@
         return refuse_for_now(*which, missing);
     }
     const bool asked_already = std::ranges::any_of(which->debts, &debt::open);
-    if (!asked_already &&
-        !ask_lenders(*which, request.team, missing, now_known, now, result)) {
+    if (!asked_already && !ask_lenders(*which, request.team, missing, now_known, now, result)) {
         return refuse_for_now(*which, missing);
     }
     which->wanted = now < which->wanted_until ? std::max(which->wanted, amount) : amount;
@@ -172,9 +172,7 @@
             if (amount <= none || owed == which->debts.end() || owed->process != each.process) {
                 continue;
             }
-            owed->refund_stamp =
-                owed->refund > none ? std::min(owed->refund_stamp, each.stamp) : each.stamp;
-            owed->refund += amount;
+            add_refund(*owed, {each.stamp, amount});
         }
     }
     if (to_micro(used) > reserved) {
--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -2,6 +2,7 @@
 #include "chicorylink/budget/ledger.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace chicorylink::budget {
 namespace {
@@ -121,6 +122,27 @@
     return asked;
 }
 
+void ledger::balance(account& which, base::team_id team, const context& now_known,
+                     base::time_point now, effects& result)
+{
+    // Spending from the fullest bucket first loses the fewest tokens to full buckets.
+    constexpr std::int64_t full_enough = 700;
+    const auto level = level_per_mille(which);
+    const auto* who = now_known.book->find(team);
+    if (level >= full_enough || who == nullptr ||
+        now - which.balanced_at < m_terms.balance_interval) {
+        return;
+    }
+    which.balanced_at = now;
+    const auto lenders = candidates_of(*who, which, now_known, now);
+    const auto fullest = std::ranges::max_element(lenders, {}, &candidate::expected);
+    const auto ahead = expected_demand(which, m_terms.prefetch, now);
+    if (fullest != lenders.end() && ahead > none) {
+        m_borrowing.insert(team);
+        send_request(which, debt_to(which, *fullest, now), team, none, ahead, now, result);
+    }
+}
+
 void ledger::send_request(account& which, debt& to, base::team_id team, micro_tokens need,
                           micro_tokens want, base::time_point now, effects& result)
 {
@@ -133,10 +155,9 @@
     request.need = need;
     request.want = std::min(want, to_micro(which.burst));
     request.holding = to.amount;
-    request.refund = to.refund;
-    request.refund_stamp = to.refund_stamp;
+    request.refunds = std::exchange(to.refunds, {});
     request.other_region = to.other_region;
-    to.refund = none;
+    request.level_per_mille = level_per_mille(which);
     to.need = need;
     to.reported = to.amount;
     to.request = request.request;
@@ -163,13 +184,18 @@
             return;
         }
         if (accepted->known) {
-            which.own.refund(std::max(request.refund, none), from_stamp(request.refund_stamp), now);
+            for (const auto& each : request.refunds) {
+                which.own.refund(std::max(each.amount, none), from_stamp(each.stamp), now);
+            }
         }
-        // The need is met from all that is there; more only from what is not expected to be
-        // needed here soon.
+        // The need is met from all that is there; more only as far as this bucket stays fuller
+        // than the borrower's and keeps what is expected to be needed here soon.
         const auto need = std::clamp(request.need, none, to_micro(who->burst));
-        const auto spare =
-            which.own.balance() - need - expected_demand(which, m_terms.prefetch, now);
+        const auto level = std::clamp<std::int64_t>(request.level_per_mille, 0, 1000);
+        const auto keep =
+            std::max(expected_demand(which, m_terms.prefetch, now),
+                     micro_tokens{which.own.present_limits().cap.value() / 1000 * level});
+        const auto spare = which.own.balance() - need - keep;
         const auto more = std::min(request.want - need, micro_tokens{spare.value() / 2});
         grant.amount = which.own.lend(from, need + std::max(more, none), now);
         grant.holding = accepted->holding;
@@ -206,11 +232,12 @@
         owed->reported = owed->amount;
         owed->until = until;
         owed->stamp = grant.stamp;
+        owed->granted_at = now;
     }
     // A lender that could not help is asked less and less often.
     const bool helped = grant.amount > none || owed->need <= none;
-    owed->pause = helped ? m_terms.ask_interval
-                         : std::min(owed->pause * 2, m_terms.longest_ask_interval);
+    owed->pause =
+        helped ? m_terms.ask_interval : std::min(owed->pause * 2, m_terms.longest_ask_interval);
     owed->next_ask = now + owed->pause;
     if (now >= which->wanted_until) {
         return;
@@ -254,14 +281,14 @@
         }
         const bool spent_much = each.amount.value() * 4 < each.reported.value() * 3;
         const bool renew = each.amount > none && now - each.asked_at >= m_terms.loan_term / 2;
-        if (each.refund > none || spent_much || renew) {
+        if (!each.refunds.empty() || spent_much || renew) {
             const auto ahead = expected_demand(which, m_terms.prefetch, now);
             const auto want = std::max(ahead - available(which, now), none);
             send_request(which, each, team, none, want, now, result);
         }
     }
     std::erase_if(which.debts, [&](const debt& each) {
-        return !each.open && each.amount <= none && each.refund <= none &&
+        return !each.open && each.amount <= none && each.refunds.empty() &&
                now - each.used_at >= m_terms.loan_term && now - each.asked_at >= m_terms.loan_term;
     });
 }
--- a/src/chicorylink/budget/schedule_test.cpp
+++ b/src/chicorylink/budget/schedule_test.cpp
@@ -67,8 +67,7 @@
             }
         }
         who.rate = base::tokens_per_second{static_cast<std::int64_t>(500 + pick(5'000))};
-        who.burst =
-            base::tokens{who.rate.value() * static_cast<std::int64_t>(2 + pick(20))};
+        who.burst = base::tokens{who.rate.value() * static_cast<std::int64_t>(2 + pick(20))};
         if (pick(8) != 0 || m_version == 1) {
             builder.add(who);
         }
@@ -164,8 +163,8 @@
         for (int index = 0; index < count; ++index) {
             const auto upper = static_cast<std::int64_t>(100 + pick(2'000));
             const auto used = pick(3) == 0 ? 0 : pick(static_cast<std::uint64_t>(upper) + 1);
-            m_all.submit(any_vm(), {team_one, upper, static_cast<std::int64_t>(used),
-                                    time_up_to(8s), {}});
+            m_all.submit(any_vm(),
+                         {team_one, upper, static_cast<std::int64_t>(used), time_up_to(8s), {}});
             m_all.run_for(time_up_to(gap));
         }
     }
--- a/src/chicorylink/budget/testing/fleet.hpp
+++ b/src/chicorylink/budget/testing/fleet.hpp
@@ -6,7 +6,6 @@
 #include "chicorylink/budget/testing/checker.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
-
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/chicorylink/budget/testing/workload.hpp
+++ b/src/chicorylink/budget/testing/workload.hpp
@@ -162,7 +162,8 @@
                 who.home = m_regions[m_random() % m_regions.size()];
             }
             who.rate = base::tokens_per_second{std::max<std::int64_t>(1, std::llround(rate))};
-            who.burst = base::tokens{std::max<std::int64_t>(smallest_burst, std::llround(rate * 10))};
+            who.burst =
+                base::tokens{std::max<std::int64_t>(smallest_burst, std::llround(rate * 10))};
             m_by_rank.push_back(who.id);
             builder.add(who);
         }
@@ -196,8 +197,8 @@
                 }
             }
         }
-        const auto region = static_cast<std::size_t>(
-            std::ranges::find(m_regions, where) - m_regions.begin());
+        const auto region =
+            static_cast<std::size_t>(std::ranges::find(m_regions, where) - m_regions.begin());
         auto vm = region;
         do {
             vm = region + m_regions.size() * (m_random() % (m_size.vms / m_size.regions));
@@ -215,7 +216,9 @@
         const std::array<std::uint64_t, 3> places = {0, vm, vm % m_size.regions};
         const std::array<std::size_t, 3> divisors = {1, allowed * in_region, allowed};
         std::array<bool, 3> verdicts{};
-        const auto seconds = [this] { return std::chrono::duration<double>(m_fleet.now()).count(); };
+        const auto seconds = [this] {
+            return std::chrono::duration<double>(m_fleet.now()).count();
+        };
         for (std::size_t way = 0; way < 3; ++way) {
             const auto divisor = static_cast<double>(divisors[way]);
             const auto rate = static_cast<double>(who.rate.value()) / divisor;
@@ -225,8 +228,8 @@
             if (verdicts[way]) {
                 m_fleet.at(m_fleet.now() + duration, [this, way, rate, burst, id = who.id, upper,
                                                       actual, place = places[way], seconds] {
-                    m_ways[way].refund(id, place, rate, burst,
-                                       static_cast<double>(upper - actual), seconds());
+                    m_ways[way].refund(id, place, rate, burst, static_cast<double>(upper - actual),
+                                       seconds());
                 });
             }
         }
@@ -259,10 +262,10 @@
             return false;
         }
         (void)found->second.take(to_micro(base::tokens{upper}), clock());
-        m_fleet.at(m_fleet.now() + duration, [this, id = who.id, taken_at = clock(), clock,
-                                              unused = upper - actual] {
-            m_shared.at(id).refund(to_micro(base::tokens{unused}), taken_at, clock());
-        });
+        m_fleet.at(m_fleet.now() + duration,
+                   [this, id = who.id, taken_at = clock(), clock, unused = upper - actual] {
+                       m_shared.at(id).refund(to_micro(base::tokens{unused}), taken_at, clock());
+                   });
         return true;
     }
 
