--- a/include/chicorylink/budget/account.hpp
+++ b/include/chicorylink/budget/account.hpp
@@ -54,7 +54,7 @@
     /// Requested micro-tokens a second, smoothed.
     double demand = 0;
     base::time_point demand_at{};
-    /// The largest request that waits for loans, and until when.
+    /// The sum of the requests that wait for loans, and until when.
     micro_tokens wanted;
     base::time_point wanted_until{};
     /// When tokens were last borrowed only to even out the buckets.
--- a/include/chicorylink/budget/amount.hpp
+++ b/include/chicorylink/budget/amount.hpp
@@ -32,6 +32,8 @@
     micro_tokens cap;
     /// Micro-tokens a second.
     std::int64_t rate = 0;
+    /// The part of the cap that may be lent to other regions.
+    micro_tokens abroad;
 
     friend constexpr bool operator==(const limits&, const limits&) = default;
 };
--- a/include/chicorylink/budget/bucket.hpp
+++ b/include/chicorylink/budget/bucket.hpp
@@ -87,7 +87,7 @@
 
     /// @brief Moves tokens from the balance to a borrower whose report was accepted.
     /// @return The amount lent: at most `wanted`, the balance, and for another region so much that
-    /// no more than half of the cap is lent there.
+    /// no more is lent there than the limits allow.
     [[nodiscard]] micro_tokens lend(const borrower& who, micro_tokens wanted, base::time_point now);
 
     [[nodiscard]] const limits& present_limits() const { return m_limits; }
--- a/include/chicorylink/budget/context.hpp
+++ b/include/chicorylink/budget/context.hpp
@@ -47,9 +47,6 @@
 [[nodiscard]] micro_tokens idle_balance(const limits& of_slot, const slot_origin& origin,
                                         base::time_point now);
 
-/// @brief The part of a slot's cap that may be lent to other regions.
-[[nodiscard]] micro_tokens lendable_abroad(const limits& of_slot);
-
 } // namespace chicorylink::budget
 
 #endif // CHICORYLINK_BUDGET_CONTEXT_HPP
--- a/include/chicorylink/budget/settings.hpp
+++ b/include/chicorylink/budget/settings.hpp
@@ -20,7 +20,7 @@
 /// @brief Terms of the budget protocol. All VMs of a fleet use the same.
 struct settings {
     /// How long borrowed tokens stay valid, counted from the borrower's request.
-    base::nanoseconds loan_term = std::chrono::seconds(10);
+    base::nanoseconds loan_term = std::chrono::seconds(4);
     /// How long a new process waits before it claims slots, unless a settled VM answered.
     base::nanoseconds settle_time = std::chrono::seconds(10);
     /// How long a VM that granted a claim neither claims nor accepts the slot itself. Longer than
--- a/src/chicorylink/budget/bucket.cpp
+++ b/src/chicorylink/budget/bucket.cpp
@@ -111,6 +111,7 @@
     mint(now);
     m_limits.cap += added.cap;
     m_limits.rate += added.rate;
+    m_limits.abroad += added.abroad;
     const auto inherited = lent_until > now ? std::min(lent_before, added.cap) : none;
     if (inherited > none) {
         m_loans.push_back({borrower{}, 0, inherited, lent_until, true});
@@ -133,6 +134,7 @@
     m_balance -= gone.balance;
     m_limits.cap -= removed.cap;
     m_limits.rate -= removed.rate;
+    m_limits.abroad -= removed.abroad;
     return gone;
 }
 
@@ -209,7 +211,7 @@
         for (const auto& each : m_loans) {
             abroad += each.other_region ? each.amount : none;
         }
-        amount = std::min(amount, micro_tokens{m_limits.cap.value() / 2} - abroad);
+        amount = std::min(amount, m_limits.abroad - abroad);
     }
     amount = at_least_none(amount);
     m_balance -= amount;
--- a/src/chicorylink/budget/context.cpp
+++ b/src/chicorylink/budget/context.cpp
@@ -5,6 +5,19 @@
 #include <algorithm>
 
 namespace chicorylink::budget {
+namespace {
+
+/// What is lent abroad survives its lender, so that a slot's next owner must wait for it. A team in
+/// a single region lends nothing abroad.
+micro_tokens lendable_abroad(const split& how, micro_tokens cap)
+{
+    if (how.regions.size() == 1) {
+        return micro_tokens{0};
+    }
+    return cap;
+}
+
+} // namespace
 
 limits slot_limits(const context& now_known, const rules::team& who, std::size_t slot)
 {
@@ -20,7 +33,9 @@
         return {};
     }
     const auto rate = who.rate.value() * (micro_per_token / 1000) * minted_per_mille;
-    return {micro_tokens{to_micro(who.burst).value() / divisor}, rate / divisor};
+    const micro_tokens cap{to_micro(who.burst).value() / divisor};
+    const bool recut = older != now_known.held.end();
+    return {cap, rate / divisor, recut ? cap : lendable_abroad(split_of(who), cap)};
 }
 
 limits owned_limits(const context& now_known, const rules::team& who)
@@ -32,20 +47,16 @@
             const auto one = slot_limits(now_known, who, slot);
             sum.cap += one.cap;
             sum.rate += one.rate;
+            sum.abroad += one.abroad;
         }
     }
     return sum;
 }
 
-micro_tokens lendable_abroad(const limits& of_slot)
-{
-    return micro_tokens{of_slot.cap.value() / 2};
-}
-
 micro_tokens idle_balance(const limits& of_slot, const slot_origin& origin, base::time_point now)
 {
     const auto quarantine_end = std::clamp(origin.quarantined_until, origin.born, now);
-    const auto first_cap = of_slot.cap - lendable_abroad(of_slot);
+    const auto first_cap = of_slot.cap - of_slot.abroad;
     const auto first = std::min(minted(of_slot.rate, quarantine_end - origin.born), first_cap);
     if (origin.quarantined_until > now) {
         return first;
--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -66,7 +66,7 @@
         }
         const auto share = slot_limits(now_known, who, slot);
         const auto& origin = now_known.origins[slot];
-        fresh.own.attach(share, idle_balance(share, origin, now), lendable_abroad(share),
+        fresh.own.attach(share, idle_balance(share, origin, now), share.abroad,
                          origin.quarantined_until, now);
     }
     refresh(fresh, who.id, now_known, now);
@@ -139,7 +139,7 @@
     if (!asked_already && !ask_lenders(*which, request.team, missing, now_known, now, result)) {
         return refuse_for_now(*which, missing);
     }
-    which->wanted = now < which->wanted_until ? std::max(which->wanted, amount) : amount;
+    which->wanted = now < which->wanted_until ? which->wanted + amount : amount;
     which->wanted_until = std::max(which->wanted_until, wait_until);
     return wait_for_loan{wait_until};
 }
@@ -219,7 +219,7 @@
                                  now + lengthen(m_terms.loan_term), now);
             }
             else {
-                which.own.attach(share, idle_balance(share, origin, now), lendable_abroad(share),
+                which.own.attach(share, idle_balance(share, origin, now), share.abroad,
                                  origin.quarantined_until, now);
             }
         }
--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -9,21 +9,31 @@
 
 constexpr micro_tokens none{0};
 
-/// The owners of a team's slots in a region, without this VM and without repetition.
-std::vector<base::vm_id> lenders_in(base::region_id where, const slot_set& slots,
-                                    const context& now_known)
+struct lender_parts {
+    base::vm_id lender;
+    std::int64_t parts = 0;
+};
+
+/// The owners of a team's slots in a region without this VM, each with the number of its slots.
+std::vector<lender_parts> lenders_in(base::region_id where, const slot_set& slots,
+                                     const context& now_known)
 {
-    std::vector<base::vm_id> found;
+    std::vector<lender_parts> found;
     const auto owners = now_known.owners.find(where);
     if (owners == now_known.owners.end()) {
         return found;
     }
     for (std::size_t slot = 0; slot < slot_count; ++slot) {
         const auto owner = owners->second[slot];
-        if (slots.test(slot) && owner != now_known.self && owner != base::vm_id{} &&
-            std::ranges::find(found, owner) == found.end()) {
-            found.push_back(owner);
+        if (!slots.test(slot) || owner == now_known.self || owner == base::vm_id{}) {
+            continue;
+        }
+        const auto known = std::ranges::find(found, owner, &lender_parts::lender);
+        if (known != found.end()) {
+            ++known->parts;
+            continue;
         }
+        found.push_back({owner, 1});
     }
     return found;
 }
@@ -45,18 +55,21 @@
     micro_tokens expected;
 };
 
-/// Adds the lenders of one region that are not being asked already, the richest first.
-void add_candidates(base::region_id where, const slot_set& slots, const account& which,
-                    const context& now_known, base::time_point now, std::vector<candidate>& found)
+/// Adds the lenders of one region that are not being asked already.
+void add_candidates(base::region_id where, const split& how, const slot_set& slots,
+                    const account& which, const context& now_known, base::time_point now,
+                    std::vector<candidate>& found)
 {
-    for (const auto lender : lenders_in(where, slots, now_known)) {
+    const auto divisor = static_cast<std::int64_t>(how.regions.size()) * how.parts;
+    for (const auto& [lender, parts] : lenders_in(where, slots, now_known)) {
         const auto owed = std::ranges::find(which.debts, lender, &debt::lender);
         const bool known = owed != which.debts.end();
         if (known && (owed->open || owed->next_ask > now)) {
             continue;
         }
-        // One that was not asked yet is expected to have everything.
-        const auto expected = known && owed->left ? *owed->left : to_micro(which.burst);
+        // One that was not asked yet is expected to be full.
+        const micro_tokens full{to_micro(which.burst).value() / divisor * parts};
+        const auto expected = known && owed->left ? *owed->left : full;
         found.push_back({lender, where != now_known.region, expected});
     }
 }
@@ -70,12 +83,12 @@
         return left.expected > right.expected;
     };
     std::vector<candidate> found;
-    add_candidates(now_known.region, slots, which, now_known, now, found);
+    add_candidates(now_known.region, how, slots, which, now_known, now, found);
     std::ranges::stable_sort(found, richer);
     const auto local = static_cast<std::ptrdiff_t>(found.size());
     for (const auto where : how.regions) {
         if (where != now_known.region) {
-            add_candidates(where, slots, which, now_known, now, found);
+            add_candidates(where, how, slots, which, now_known, now, found);
         }
     }
     std::stable_sort(found.begin() + local, found.end(), richer);
@@ -235,10 +248,11 @@
         owed->granted_at = now;
     }
     // A lender that could not help is asked less and less often.
-    const bool helped = grant.amount > none || owed->need <= none;
+    const bool met = grant.amount >= owed->need && owed->need > none;
+    const bool fruitless = grant.amount <= none && owed->need > none;
     owed->pause =
-        helped ? m_terms.ask_interval : std::min(owed->pause * 2, m_terms.longest_ask_interval);
-    owed->next_ask = now + owed->pause;
+        fruitless ? std::min(owed->pause * 2, m_terms.longest_ask_interval) : m_terms.ask_interval;
+    owed->next_ask = met ? now : now + owed->pause;
     if (now >= which->wanted_until) {
         return;
     }
--- a/src/chicorylink/budget/testing/workload.hpp
+++ b/src/chicorylink/budget/testing/workload.hpp
@@ -33,6 +33,8 @@
     double requests_per_second = 60;
     /// Of a hundred teams, those bound to one region.
     std::size_t bound = 0;
+    /// A team's burst as seconds of its rate.
+    double burst_seconds = 10;
     /// Whether callers are led to their team's homes, or to any VM.
     bool callers_use_homes = false;
 };
@@ -162,8 +164,8 @@
                 who.home = m_regions[m_random() % m_regions.size()];
             }
             who.rate = base::tokens_per_second{std::max<std::int64_t>(1, std::llround(rate))};
-            who.burst =
-                base::tokens{std::max<std::int64_t>(smallest_burst, std::llround(rate * 10))};
+            who.burst = base::tokens{
+                std::max<std::int64_t>(smallest_burst, std::llround(rate * m_size.burst_seconds))};
             m_by_rank.push_back(who.id);
             builder.add(who);
         }
