--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -14,12 +14,24 @@
 constexpr double first_service_ms = 2000.0;
 constexpr double smoothing = 0.05;
 
+/// The time of a prompt that did not wait is what is looked for: faster samples count for more.
+constexpr double pace_fall = 0.2;
+constexpr double pace_rise = 0.01;
+
+/// Shorter prompts say little about the pace.
+constexpr std::int64_t least_pace_sample = 512;
+
 /// Weights are in hundredths.
 constexpr double neutral_weight = 100.0;
 
 /// The part of the slots that a team beyond its share leaves to the others.
 constexpr double reserved_part = 0.05;
 
+/// A team is beyond its share of the slots when it has this multiple of it and some more in flight;
+/// the slack keeps small teams from waiting for their own few requests.
+constexpr double share_bound = 1.5;
+constexpr double share_slack = 4.0;
+
 /// The part of the slots that is not offered to other regions.
 constexpr double kept_from_others = 0.1;
 
@@ -29,6 +41,9 @@
 /// The least time that a refusal names.
 constexpr base::milliseconds least_retry{50};
 
+/// Work stops flowing to other regions when less than this part of the slots is in use here.
+constexpr double calm_use = 0.7;
+
 /// Requests that leave the queue for other regions at one tick.
 constexpr std::size_t forwards_per_tick = 8;
 
@@ -210,9 +225,7 @@
     }
     auto& target = m_state.targets[index];
     routing::on_first_token(target, found->second.cold_prompt, latency);
-    if (target.ejection.now == health::closed) {
-        m_state.prefill_pace += smoothing * (target.first_token_pace - m_state.prefill_pace);
-    }
+    learn_prefill_pace(found->second.cold_prompt, latency);
     judge_speed(m_state.targets, index, now);
 }
 
@@ -229,6 +242,9 @@
     end_flight(attempt.id);
     const auto index = index_of(done.target);
     if (index < m_state.targets.size()) {
+        if (!done.answered) {
+            on_prefill_dropped(m_state.targets[index], done.cold_prompt);
+        }
         on_finished(m_state.targets[index], done.work, attempt.outcome, attempt.latency, now);
         judge_outcome(m_state.targets, index, attempt.outcome, now);
     }
@@ -267,11 +283,15 @@
     std::vector<decision> made;
     end_ejections(m_state.targets, now);
     if (m_queue.empty()) {
+        end_spilling(now);
         return made;
     }
     take_expired(made, now);
     drain(made, now);
     take_forwards(made, now);
+    if (!serves()) {
+        refuse_all(made);
+    }
     return made;
 }
 
@@ -329,7 +349,7 @@
     }
     const auto own_slots = static_cast<double>(capacity.usable) / m_state.sharers;
     const auto fair = own_slots * weight / static_cast<double>(std::max<std::uint64_t>(weights, 1));
-    return found->second.in_flight > fair;
+    return found->second.in_flight > fair * share_bound + share_slack;
 }
 
 bool pool::may_begin(const request& asked, const pool_capacity& capacity) const
@@ -383,7 +403,7 @@
     const base::tokens work{work_tokens(asked)};
     const auto warm = static_cast<std::int64_t>(made.warm_blocks) * prefix_block_tokens;
     const auto cold = std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0);
-    on_sent(target, work, now);
+    on_sent(target, work, base::tokens{cold}, now);
     m_state.hints.remember(asked.prefix.blocks, target.id, now);
     m_flights[asked.id] = flight{target.id, asked.team, work, base::tokens{cold}};
     const auto* who = team_of(asked);
@@ -422,6 +442,7 @@
         }
     }
     m_forwards[asked.id] = where;
+    m_state.sessions.remember(asked.prefix.session, where, now);
     return {.id = asked.id, .kind = decision_kind::forward, .region = where};
 }
 
@@ -437,7 +458,8 @@
 {
     const auto capacity = capacity_of(m_state, now);
     const auto rate = fallback_rate(capacity);
-    const choice waits{.kind = choice_kind::queue};
+    const choice waits{.kind = serves() ? choice_kind::queue : choice_kind::refuse};
+    const auto limit = serves() ? forwards_per_tick : m_queue.size();
     base::team_id last;
     std::size_t place = 0;
     std::vector<base::region_id> where;
@@ -459,12 +481,37 @@
         }
         return away.has_value();
     };
-    const auto leaving = m_queue.take_if(leaves, forwards_per_tick);
+    const auto leaving = m_queue.take_if(leaves, limit);
     for (std::size_t index = 0; index < leaving.size(); ++index) {
         made.push_back(forward(leaving[index], where[index], now));
     }
 }
 
+bool pool::serves() const
+{
+    return std::any_of(m_state.targets.begin(), m_state.targets.end(), [](const auto& target) {
+        return target.availability == target_availability::live;
+    });
+}
+
+void pool::refuse_all(std::vector<decision>& made)
+{
+    const auto all = m_queue.take_if([](const request&) { return true; }, m_queue.size());
+    for (const auto& waiting : all) {
+        made.push_back(refuse(waiting, refusal_reason::no_target, retry_without_target));
+    }
+}
+
+void pool::end_spilling(base::time_point now)
+{
+    for (auto& other : m_state.others) {
+        if (other.spilling && other.in_flight == 0 &&
+            capacity_of(m_state, now).mean_use < calm_use) {
+            other.spilling = false;
+        }
+    }
+}
+
 void pool::drain(std::vector<decision>& made, base::time_point now)
 {
     while (!m_queue.empty()) {
@@ -485,6 +532,17 @@
     }
 }
 
+void pool::learn_prefill_pace(base::tokens cold, base::nanoseconds latency)
+{
+    if (cold.value() < least_pace_sample) {
+        return;
+    }
+    const std::chrono::duration<double, std::micro> taken = latency;
+    const auto sample = taken.count() / static_cast<double>(cold.value());
+    const auto faster = sample < m_state.prefill_pace;
+    m_state.prefill_pace += (faster ? pace_fall : pace_rise) * (sample - m_state.prefill_pace);
+}
+
 void pool::end_flight(request_id id)
 {
     const auto found = m_flights.find(id);
