--- a/include/chicorylink/budget/account.hpp
+++ b/include/chicorylink/budget/account.hpp
@@ -20,8 +20,9 @@
     bool other_region = false;
     micro_tokens amount;
     base::time_point until{};
-    /// The newest request; grants for others are ignored.
+    /// The newest request, until it is answered; grants for others are ignored.
     std::uint64_t request = 0;
+    /// Whether an answer to it is still waited for.
     bool open = false;
     base::time_point asked_at{};
     base::time_point next_ask{};
--- a/include/chicorylink/budget/engine.hpp
+++ b/include/chicorylink/budget/engine.hpp
@@ -34,7 +34,8 @@
     effects on_rules(std::shared_ptr<const rules::rulebook> book, base::time_point now);
 
     /// @brief Takes in the members. To be called with each change, and whenever `member_until`
-    /// grew; a membership that lapsed in between costs all tokens held here.
+    /// grew; a membership that lapsed in between, or an incarnation that was renewed, costs all
+    /// tokens held here.
     effects on_view(const membership::view& members, base::time_point now);
 
     /// @brief To be called every 100 ms.
--- a/include/chicorylink/budget/slot_table.hpp
+++ b/include/chicorylink/budget/slot_table.hpp
@@ -43,6 +43,9 @@
     /// @brief Forgets all ownership, as after a lost membership.
     void clear(base::time_point now);
 
+    /// @brief Goes on under another incarnation, after all ownership was forgotten.
+    void rename(base::incarnation process) { m_self.process = process; }
+
     /// @brief Starts a claim of intended slots without an owner when one is due.
     [[nodiscard]] std::optional<claim> begin_claim(base::time_point now, bool permitted);
 
--- a/src/chicorylink/budget/engine.cpp
+++ b/src/chicorylink/budget/engine.cpp
@@ -160,10 +160,17 @@
 {
     effects result;
     const std::lock_guard guard(m_lock);
-    if (now.time_since_epoch().count() >= m_member_until) {
+    const auto self = std::ranges::find(members.members, m_self.vm, &membership::member::id);
+    const bool renamed = self != members.members.end() && self->process != base::incarnation{} &&
+                         self->process != m_self.process;
+    if (renamed || now.time_since_epoch().count() >= m_member_until) {
         // Others may have taken over while the permission had run out.
         lapse(now);
     }
+    if (renamed) {
+        m_self.process = self->process;
+        m_slots.rename(self->process);
+    }
     std::vector<borrower> gone;
     const bool moved = update_owners(members);
     m_slots.on_view(members, m_owners[m_self.region], now, gone);
--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -25,6 +25,7 @@
         each.amount = none;
         each.refunds.clear();
         each.open = false;
+        each.request = 0;
     }
 }
 
--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -228,10 +228,11 @@
         return;
     }
     const auto owed = std::ranges::find(which->debts, lender.vm, &debt::lender);
-    if (owed == which->debts.end() || !owed->open || owed->request != grant.request) {
+    if (owed == which->debts.end() || owed->request == 0 || owed->request != grant.request) {
         return;
     }
     owed->open = false;
+    owed->request = 0;
     owed->left = grant.left;
     if (owed->process != lender.process) {
         owed->amount = none;
@@ -295,7 +296,9 @@
         }
         const bool spent_much = each.amount.value() * 4 < each.reported.value() * 3;
         const bool renew = each.amount > none && now - each.asked_at >= m_terms.loan_term / 2;
-        if (!each.refunds.empty() || spent_much || renew) {
+        const bool refund_due =
+            !each.refunds.empty() && now - each.asked_at >= m_terms.return_after;
+        if (refund_due || spent_much || renew) {
             const auto ahead = expected_demand(which, m_terms.prefetch, now);
             const auto want = std::max(ahead - available(which, now), none);
             send_request(which, each, team, none, want, now, result);
