--- a/src/chicorylink/rules/parse_test.cpp
+++ b/src/chicorylink/rules/parse_test.cpp
@@ -1,3 +1,4 @@
+#include "chicorylink/rules/loop_check.hpp"
 #include "chicorylink/rules/parse.hpp"
 #include "chicorylink/rules/rulebook.hpp"
 
@@ -144,6 +145,15 @@
                 testing::ElementsAre("f:5:16", "f:5:26", "f:5:35", "f:6:9", "f:7:5", "f:7:12"));
 }
 
+TEST(parse, refuses_a_link_given_twice_in_either_direction)
+{
+    const auto errors = errors_after_prelude("link north south delay=1ms rate=1Gbit # a\n"
+                                             "link south north delay=2ms rate=1Gbit # a\n");
+    ASSERT_EQ(errors.size(), 1U);
+    EXPECT_EQ(errors[0].line, 6U);
+    EXPECT_THAT(errors[0].message, testing::HasSubstr("line 5 already joins"));
+}
+
 TEST(parse, refuses_a_key_or_target_address_given_twice)
 {
     const std::string key_line = "key shop " + std::string(digest_text) + " # a\n";
@@ -157,6 +167,17 @@
     EXPECT_EQ(targets[0].line, 6U);
 }
 
+TEST(parse, a_target_at_the_address_of_a_later_vm_is_found)
+{
+    const auto outcome = parse_rules(small_book(), {});
+    ASSERT_NE(outcome.book, nullptr);
+    const std::vector<std::string> others{"10.0.0.1:8001", "10.0.0.2:8000"};
+    EXPECT_TRUE(targets_at(*outcome.book, others).empty());
+    const std::vector<std::string> same{"[::ffff:10.0.0.1]:8000"};
+    EXPECT_THAT(targets_at(*outcome.book, same),
+                testing::ElementsAre(id_of<base::target_id>("engine-1")));
+}
+
 TEST(parse, takes_names_before_their_definition)
 {
     const auto outcome =
