--- a/src/chicorylink/rules/manifest_test.cpp
+++ b/src/chicorylink/rules/manifest_test.cpp
@@ -27,13 +27,13 @@
     return succeeds([&] { return parse_manifest(text); });
 }
 
-std::string team_lines(int count, int changed_team = -1)
+std::string team_lines(int count, int changed_team = -1, int usual_rate = 2000)
 {
     std::string text;
     for (int i = 0; i < count; ++i) {
         fmt::format_to(std::back_inserter(text),
                        "team t{} regions=north rate={}/s burst=40000 # lena: contract\n", i,
-                       i == changed_team ? 3500 : 2000);
+                       i == changed_team ? 3500 : usual_rate);
     }
     return text;
 }
@@ -75,6 +75,8 @@
     EXPECT_TRUE(succeeds([&] { return verify_part(reference, contents); }));
     EXPECT_FALSE(succeeds([&] { return verify_part(reference, "region b # x\n"); }));
     EXPECT_FALSE(succeeds([&] { return verify_part(reference, contents + "\n"); }));
+    const part_reference other_size{reference.digest, base::bytes{reference.size.value() + 1}};
+    EXPECT_FALSE(succeeds([&] { return verify_part(other_size, contents); }));
     const std::string open_end = "region a # x";
     EXPECT_FALSE(succeeds([&] { return verify_part(reference_to(open_end), open_end); }));
     const std::vector<std::string> parts{contents, contents};
@@ -103,6 +105,16 @@
     EXPECT_TRUE(split_rules("").empty());
 }
 
+TEST(split, changed_options_leave_the_ends_of_parts)
+{
+    const auto before = split_rules(team_lines(5000));
+    const auto after = split_rules(team_lines(5000, -1, 3000));
+    ASSERT_EQ(before.size(), after.size());
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        EXPECT_EQ(before[i].size(), after[i].size());
+    }
+}
+
 TEST(split, a_changed_option_changes_one_part)
 {
     const auto before = split_rules(team_lines(5000));
--- a/src/chicorylink/rules/parse_test.cpp
+++ b/src/chicorylink/rules/parse_test.cpp
@@ -104,6 +104,8 @@
         fault_case{"link north south delay=1 rate=1Gbit # a", 24, "unit"},
         fault_case{"link north south delay=1ms rate=99999999999999999999Gbit # a", 33, "between"},
         fault_case{"link north south delay=1ms rate=9000000000000000000Gbit # a", 33, "between"},
+        // Times the unit this is a little more than 2^64.
+        fault_case{"link north south delay=1ms rate=147573952590Gbit # a", 33, "between"},
         fault_case{"team t regions=north,west rate=1/s burst=1 # a", 22, "no line defines"},
         fault_case{"team t regions=north,,south rate=1/s burst=1 # a", 22, "missing"},
         fault_case{"team t regions=north,north rate=1/s burst=1 # a", 22, "twice"},
--- a/src/chicorylink/rules/round_trip_test.cpp
+++ b/src/chicorylink/rules/round_trip_test.cpp
@@ -131,6 +131,20 @@
     });
 }
 
+TEST(round_trip, every_option_is_printed)
+{
+    const std::string text =
+        "region north # a\nregion south # a\n"
+        "link north south delay=55ms rate=140Mbit price=3s # b: why\n"
+        "route chat kind=service idempotent=no open=yes deadline=1500ms priority=low # c\n"
+        "target e region=south address=[fd00::1]:80 routes=chat slots=9 checks_fencing=yes # d\n"
+        "policy tail_weight=1 # e\npolicy worst_team_weight=2 # e\npolicy refusal_weight=3 # e\n"
+        "policy sent_away_weight=4 # e\npolicy stay_home=5s # f\n"
+        "team t regions=north,south home=south rate=7/s burst=8 weight=9 # g\n"
+        "key t sha256:00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff # h\n";
+    EXPECT_EQ(print_rules(*read(text)), text);
+}
+
 /// Applies the additions and removals of a diff to the names of teams.
 std::vector<std::string> apply_to_teams(const rulebook& book, const std::vector<change>& changes)
 {
@@ -181,6 +195,11 @@
                   "changed team t home: '' -> 'south' (line 4, asked by omar: y)",
                   "changed team t rate: '1/s' -> '2/s' (line 4, asked by omar: y)",
                   "changed team t asked_by: 'lena: x' -> 'omar: y' (line 4, asked by omar: y)"}));
+    const std::string bound = head + "team t regions=north,south home=north rate=1/s burst=5 # a\n";
+    const std::string moved = head + "team t regions=north,south home=south rate=1/s burst=5 # a\n";
+    EXPECT_EQ(
+        diff_lines(bound, moved),
+        std::vector<std::string>{"changed team t home: 'north' -> 'south' (line 3, asked by a)"});
     EXPECT_EQ(diff_lines(head, "region north # a\n"),
               std::vector<std::string>{"removed region south  (was line 2, asked by a)"});
     EXPECT_EQ(diff_lines("policy tail_weight=300 # a\n", ""),
