--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -88,10 +88,11 @@
     std::size_t m_size = 0;
 };
 
+/// The load of a target; one without a recent report is taken as well used, with one slot left.
 double load_of(const region_state& state, const target_state& target, base::time_point now)
 {
-    const auto slots = static_cast<double>(target.slots);
-    const auto unknown = std::min(slots * unknown_use, slots - 1.0);
+    const auto usable = static_cast<double>(usable_slots(target.slots, target.warm_since, now));
+    const auto unknown = std::min(usable * unknown_use, usable - 1.0);
     return estimated_load(target, state.sharers, unknown, now);
 }
 
@@ -279,14 +280,6 @@
            stay * (where.spilling ? hysteresis : 1.0);
 }
 
-/// Whether the request was at every target of this region that takes work.
-bool tried_all(const region_state& state, const request& asked)
-{
-    return std::none_of(state.targets.begin(), state.targets.end(), [&](const auto& target) {
-        return takes_work(target) && !was_tried(asked, target.id);
-    });
-}
-
 } // namespace
 
 pool_capacity capacity_of(const region_state& state, base::time_point now)
@@ -385,9 +378,7 @@
     if (home.kind == choice_kind::target && (calm || !is_away)) {
         return home;
     }
-    const auto hopeless = home.kind == choice_kind::queue && tried_all(state, asked);
-    const auto stay = hopeless ? choice{} : home;
-    if (const auto away = choose_region(state, asked, who, weights, stay, now)) {
+    if (const auto away = choose_region(state, asked, who, weights, home, now)) {
         return {choice_kind::other_region, 0, *away, 0};
     }
     return home;
--- a/src/chicorylink/routing/pool.cpp
+++ b/src/chicorylink/routing/pool.cpp
@@ -462,7 +462,6 @@
     const auto limit = serves() ? forwards_per_tick : m_queue.size();
     base::team_id last;
     std::size_t place = 0;
-    std::vector<base::region_id> where;
     const auto leaves = [&](const request& waiting) {
         place = waiting.team == last ? place + 1 : 0;
         last = waiting.team;
@@ -476,15 +475,14 @@
             whole * static_cast<std::int64_t>(place) / std::max(size, std::int64_t{1});
         const auto away =
             choose_region(m_state, waiting, *who, m_book->routing_policy(), waits, now);
-        if (away) {
-            where.push_back(*away);
+        if (!away) {
+            return false;
         }
-        return away.has_value();
+        // Counted at once, so that the next one sees the slot taken.
+        made.push_back(forward(waiting, *away, now));
+        return true;
     };
-    const auto leaving = m_queue.take_if(leaves, limit);
-    for (std::size_t index = 0; index < leaving.size(); ++index) {
-        made.push_back(forward(leaving[index], where[index], now));
-    }
+    (void)m_queue.take_if(leaves, limit);
 }
 
 bool pool::serves() const
