chicorylink-load: open-loop load generator over libcurl

Poisson starts that do not wait for answers, latencies from the planned start, P-square quantiles by Boost.Accumulators, a table, JSON and a gnuplot script; refuses addresses outside 127.0.0.0/8.

--- /dev/null
+++ b/programs/chicorylink-load/load_test.cpp
@@ -0,0 +1,84 @@
+#include "plan.hpp"
+#include "stream_reader.hpp"
+#include "summary.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace chicorylink::load {
+namespace {
+
+bool accepted(const plan& wanted)
+{
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<bool> {
+            BOOST_LEAF_CHECK(check(wanted));
+            return true;
+        },
+        [] { return false; });
+}
+
+TEST(plan, only_loopback_addresses_are_accepted)
+{
+    plan wanted;
+    EXPECT_FALSE(accepted(wanted));
+    wanted.addresses = {"127.0.0.1:8081", "127.3.0.9:80"};
+    EXPECT_TRUE(accepted(wanted));
+    for (const char* other : {"10.0.0.1:80", "example.com:80", "127.0.0.1", "127.0.0.1:",
+                              "127.0.0.1:80@10.0.0.1:80", "127.0.0.1:80/x", "::1:80"}) {
+        wanted.addresses = {"127.0.0.1:8081", other};
+        EXPECT_FALSE(accepted(wanted)) << other;
+    }
+}
+
+TEST(plan, is_bounded_in_count_and_time)
+{
+    plan wanted{.addresses = {"127.0.0.1:1"}};
+    wanted.calls_per_second = 1000;
+    wanted.calls = 100'000;
+    wanted.time_limit = base::milliseconds{2000};
+    const auto starts = start_times(wanted);
+    EXPECT_LE(starts.back(), wanted.time_limit);
+    EXPECT_EQ(starts, start_times(wanted)) << "a seed gives one schedule";
+    wanted.calls = 10;
+    EXPECT_EQ(start_times(wanted).size(), 10U);
+    wanted.calls = 1'000'000;
+    EXPECT_FALSE(accepted(wanted));
+}
+
+TEST(stream_reader, counts_tokens_whatever_the_cuts)
+{
+    const std::string text = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\r\n\r\n"
+                             "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n"
+                             "data: {\"choices\":[{\"delta\":{}}],\"usage\":{}}\n\n"
+                             "data: [DONE]\n\n";
+    for (std::size_t cut = 0; cut < text.size(); ++cut) {
+        stream_reader reader;
+        reader.read(text.substr(0, cut));
+        reader.read(text.substr(cut));
+        EXPECT_EQ(reader.tokens(), 2U);
+        EXPECT_TRUE(reader.complete());
+    }
+    stream_reader truncated;
+    truncated.read(text.substr(0, text.size() - 4));
+    EXPECT_FALSE(truncated.complete());
+}
+
+TEST(summary, a_truncated_answer_is_no_complete_one)
+{
+    summary result;
+    for (int call = 1; call <= 1000; ++call) {
+        result.add({.status = 200, .complete = true, .first_token = base::milliseconds{call}});
+    }
+    result.add({.status = 200, .complete = false});
+    result.add({.status = 503});
+    const auto figures = result.to_json();
+    EXPECT_EQ(figures["complete"], 1000);
+    EXPECT_EQ(figures["truncated"], 1);
+    EXPECT_EQ(figures["by_status"]["503"], 1);
+    EXPECT_NEAR(figures["first_token_ms"]["p50"].get<double>(), 500.0, 20.0);
+    EXPECT_NEAR(figures["first_token_ms"]["p99"].get<double>(), 990.0, 20.0);
+}
+
+} // namespace
+} // namespace chicorylink::load
--- /dev/null
+++ b/programs/chicorylink-load/plan.hpp
@@ -0,0 +1,48 @@
+#ifndef CHICORYLINK_PROGRAMS_LOAD_PLAN_HPP
+#define CHICORYLINK_PROGRAMS_LOAD_PLAN_HPP
+
+#include "chicorylink/base/error.hpp"
+#include "chicorylink/base/units.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chicorylink::load {
+
+/// @brief What to send, where to and for how long.
+struct plan {
+    /// `IP:port` of VMs, asked in turn. Loopback only.
+    std::vector<std::string> addresses;
+    std::string key;
+    std::string model = "chat";
+    double calls_per_second = 20.0;
+    std::size_t calls = 200;
+    base::milliseconds time_limit{60'000};
+    base::milliseconds call_timeout{30'000};
+    std::size_t most_open = 256;
+    std::size_t prompt_words = 200;
+    std::size_t answer_tokens = 32;
+    /// Conversations among which calls are spread; calls of one share the start of their prompts.
+    std::size_t sessions = 20;
+    std::uint64_t seed = 1;
+};
+
+/// @brief Checks the bounds of a plan and that it names loopback addresses only.
+/// @return An `invalid_setting` error that names the setting.
+[[nodiscard]] base::result<void> check(const plan& wanted);
+
+/// @brief Whether `IP:port` is on the loopback network 127.0.0.0/8.
+[[nodiscard]] bool is_loopback(const std::string& address);
+
+/// @brief When each call starts, from the start of the run: a Poisson process of the plan's rate.
+/// Calls that would start beyond the time limit are left out.
+[[nodiscard]] std::vector<base::nanoseconds> start_times(const plan& wanted);
+
+/// @brief The JSON body of one call.
+[[nodiscard]] std::string body_of(const plan& wanted, std::size_t call);
+
+} // namespace chicorylink::load
+
+#endif // CHICORYLINK_PROGRAMS_LOAD_PLAN_HPP
