--- a/include/chicorylink/budget/slot_table.hpp
+++ b/include/chicorylink/budget/slot_table.hpp
@@ -43,6 +43,9 @@
     /// @brief Forgets all ownership, as after a lost membership.
     void clear(base::time_point now);
 
+    /// @brief Goes on under another incarnation, after all ownership was forgotten.
+    void rename(base::incarnation process) { m_self.process = process; }
+
     /// @brief Starts a claim of intended slots without an owner when one is due.
     [[nodiscard]] std::optional<claim> begin_claim(base::time_point now, bool permitted);
 
@@ -74,9 +77,12 @@
     [[nodiscard]] transfer_answer on_transfer(const borrower& from, const slot_transfer& moved,
                                               bool permitted, base::time_point now);
 
-    /// @brief Ends a transfer. A refused one is returned: its slots are owned here again.
-    [[nodiscard]] std::optional<slot_transfer>
-    on_transfer_answer(const borrower& from, const transfer_answer& answer, base::time_point now);
+    /// @brief Ends a transfer. A refused one is returned: its slots are owned here again. One made
+    /// under older rules than `own_version` begins again from empty.
+    [[nodiscard]] std::optional<slot_transfer> on_transfer_answer(const borrower& from,
+                                                                  const transfer_answer& answer,
+                                                                  base::config_version own_version,
+                                                                  base::time_point now);
 
     /// @brief Transfers that are due to be sent again.
     [[nodiscard]] std::vector<outgoing> resend(base::time_point now);
