--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -19,6 +19,16 @@
 
 } // namespace
 
+void ledger::void_debts(account& which)
+{
+    for (auto& each : which.debts) {
+        each.amount = none;
+        each.refunds.clear();
+        each.open = false;
+        each.request = 0;
+    }
+}
+
 void ledger::refresh(account& which, base::team_id team, const context& now_known,
                      base::time_point now)
 {
@@ -27,6 +37,12 @@
     }
     which.context_number = now_known.number;
     const auto* who = now_known.book ? now_known.book->find(team) : nullptr;
+    const auto digest = who != nullptr ? digest_of(split_of(*who)) : 0;
+    if (who == nullptr || who->burst < which.burst || digest != which.split_digest) {
+        // Loans were sized by the older rules.
+        void_debts(which);
+    }
+    which.split_digest = digest;
     if (who == nullptr) {
         which.own.set_limits({}, now);
         return;
@@ -51,7 +67,7 @@
         }
         const auto share = slot_limits(now_known, who, slot);
         const auto& origin = now_known.origins[slot];
-        fresh.own.attach(share, idle_balance(share, origin, now), lendable_abroad(share),
+        fresh.own.attach(share, idle_balance(share, origin, now), share.abroad,
                          origin.quarantined_until, now);
     }
     refresh(fresh, who.id, now_known, now);
@@ -79,7 +95,7 @@
             each.amount -= amount;
             each.used_at = now;
             left -= amount;
-            made.borrowed.push_back({each.lender, each.process, amount, each.stamp});
+            made.borrowed.push_back({each.lender, each.process, amount, lender_time(each, now)});
         }
     }
     made.own = from.own.take(left, now);
@@ -112,6 +128,7 @@
     const auto present = available(*which, now);
     if (present >= amount) {
         m_reservations.emplace(id, take(*which, request, now));
+        balance(*which, request.team, now_known, now, result);
         return granted{id};
     }
     const auto missing = amount - present;
@@ -120,15 +137,10 @@
         return refuse_for_now(*which, missing);
     }
     const bool asked_already = std::ranges::any_of(which->debts, &debt::open);
-    if (!asked_already) {
-        auto* lender = choose_lender(*which, request.team, now_known, now);
-        if (lender == nullptr) {
-            return refuse_for_now(*which, missing);
-        }
-        const auto ahead = expected_demand(*which, m_terms.prefetch, now);
-        send_request(*which, *lender, request.team, missing, missing + ahead, now, result);
+    if (!asked_already && !ask_lenders(*which, request.team, missing, now_known, now, result)) {
+        return refuse_for_now(*which, missing);
     }
-    which->wanted = now < which->wanted_until ? std::max(which->wanted, amount) : amount;
+    which->wanted = now < which->wanted_until ? which->wanted + amount : amount;
     which->wanted_until = std::max(which->wanted_until, wait_until);
     return wait_for_loan{wait_until};
 }
@@ -161,9 +173,7 @@
             if (amount <= none || owed == which->debts.end() || owed->process != each.process) {
                 continue;
             }
-            owed->refund_stamp =
-                owed->refund > none ? std::min(owed->refund_stamp, each.stamp) : each.stamp;
-            owed->refund += amount;
+            add_refund(*owed, {each.stamp, amount});
         }
     }
     if (to_micro(used) > reserved) {
@@ -210,7 +220,7 @@
                                  now + lengthen(m_terms.loan_term), now);
             }
             else {
-                which.own.attach(share, idle_balance(share, origin, now), lendable_abroad(share),
+                which.own.attach(share, idle_balance(share, origin, now), share.abroad,
                                  origin.quarantined_until, now);
             }
         }
