gateway: bounds, conversation prefixes, figures of one daemon

A conversation's turns share the hash of its opening messages; before, the whole prompt was hashed, so that no two turns met. A team's requests that wait for tokens are bounded. A listening address that names no VM is refused, since others are told it.

--- a/include/chicorylink/gateway/budget_gate.hpp
+++ b/include/chicorylink/gateway/budget_gate.hpp
@@ -79,7 +79,11 @@
 private:
     void try_reserve(const work_ptr& entry);
     void perform(const budget::effects& effects);
-    void keep_waiting(const work_ptr& entry, base::time_point until);
+    /// Requests of one team that wait at once; a team far above its rate can't fill the memory.
+    static constexpr std::size_t max_waiting_per_team = 256;
+
+    /// Keeps a request until a loan comes; false when too many of its team wait.
+    [[nodiscard]] bool keep_waiting(const work_ptr& entry, base::time_point until);
     [[nodiscard]] std::vector<work_ptr> take_waiting(base::team_id team);
     [[nodiscard]] std::vector<work_ptr> take_overdue(base::time_point now);
     [[nodiscard]] std::unique_ptr<budget::engine> make_engine(base::time_point now) const;
--- a/include/chicorylink/gateway/chat_request.hpp
+++ b/include/chicorylink/gateway/chat_request.hpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chicorylink::gateway {
 
@@ -13,8 +14,10 @@
 struct chat_request {
     std::string model;
     bool stream = false;
-    /// The messages' texts one after the other, for prefix hashes. Never logged.
-    std::string prompt;
+    /// The messages in order, each with its role, for prefix hashes. Never logged.
+    std::vector<std::string> messages;
+    /// How many messages open the conversation: up to and with the first one of the user.
+    std::size_t opening = 0;
     /// An upper bound of the prompt's tokens: a token has at least one byte.
     base::tokens prompt_bound;
     /// The most tokens that the answer may have.
--- /dev/null
+++ b/process_tests/gateway_figures.cpp
@@ -0,0 +1,164 @@
+#include "chicorylink/platform/http_client.hpp"
+#include "suite.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+// Measures one daemon before a stand-in engine: the time that it adds to a request, and the streams
+// that it holds at once with their memory. Prints one JSON line a figure.
+
+namespace chicorylink::process_tests {
+namespace {
+
+constexpr int warm_up_requests = 50;
+constexpr int measured_requests = 1'000;
+constexpr int stream_count = 400;
+constexpr int stream_tokens = 60;
+
+using clock = std::chrono::steady_clock;
+
+double milliseconds_of(const call& wanted, connection& open)
+{
+    const auto begin = clock::now();
+    const auto answer = open.perform(wanted);
+    const std::chrono::duration<double, std::milli> time = clock::now() - begin;
+    if (answer.status != 200) {
+        throw std::runtime_error("a measured request failed: " + answer.body);
+    }
+    return time.count();
+}
+
+double quantile(std::vector<double> values, double part)
+{
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+    return values.at(index);
+}
+
+/// The resident memory of a process in bytes.
+std::int64_t resident_bytes(pid_t id)
+{
+    constexpr std::int64_t page_bytes = 4096;
+    std::ifstream file(fmt::format("/proc/{}/statm", id));
+    std::int64_t total = 0;
+    std::int64_t resident = 0;
+    file >> total >> resident;
+    return resident * page_bytes;
+}
+
+std::unique_ptr<fleet> start()
+{
+    auto all = std::make_unique<fleet>(binaries(), log_folder("figures"));
+    const auto engine =
+        all->start_target("engine", "stand_in_engine",
+                          {"--slots", "500", "--token-delay-ms", "20", "--queue-limit", "1000"});
+    const auto version = all->publish(
+        fmt::format("region north # measurement\n"
+                    "team both regions=north rate=100000000/s burst=100000000 # measurement\n"
+                    "key both {} # measurement\n"
+                    "route chat kind=model deadline=30s # measurement\n"
+                    "target engine region=north address={} routes=chat slots=500 # measurement\n",
+                    digest_of(both_key), engine));
+    all->start_vm("vm-1", "north");
+    if (!all->wait_ready(version)) {
+        throw std::runtime_error("the daemon did not become ready");
+    }
+    static_cast<void>(perform_when_admitted(
+        chat_call(all->at("vm-1").url(chat_path), both_key, "chat", "ready?")));
+    return all;
+}
+
+/// Requests of one token, in turn straight to the engine and through the daemon.
+void measure_overhead(fleet& all)
+{
+    const auto direct = chat_call("http://" + all.target_address("engine") + chat_path, "", "chat",
+                                  "short question", false, 1);
+    const auto through =
+        chat_call(all.at("vm-1").url(chat_path), both_key, "chat", "short question", false, 1);
+    connection to_engine;
+    connection to_daemon;
+    std::vector<double> direct_times;
+    std::vector<double> through_times;
+    for (int i = 0; i < warm_up_requests + measured_requests; ++i) {
+        const auto straight = milliseconds_of(direct, to_engine);
+        const auto relayed = milliseconds_of(through, to_daemon);
+        if (i >= warm_up_requests) {
+            direct_times.push_back(straight);
+            through_times.push_back(relayed);
+        }
+    }
+    for (const double part : {0.5, 0.99}) {
+        const auto straight = quantile(direct_times, part);
+        const auto relayed = quantile(through_times, part);
+        fmt::print("{{\"figure\": \"request_time_p{:.0f}\", \"direct_ms\": {:.3f}, "
+                   "\"through_daemon_ms\": {:.3f}, \"ratio\": {:.3f}, \"added_ms\": {:.3f}}}\n",
+                   part * 100, straight, relayed, relayed / straight, relayed - straight);
+    }
+}
+
+/// Many streams at once through the daemon.
+void measure_streams(fleet& all)
+{
+    const auto wanted = chat_call(all.at("vm-1").url(chat_path), both_key, "chat", "long story",
+                                  true, stream_tokens);
+    const auto id = all.at("vm-1").process.id();
+    const auto before = resident_bytes(id);
+    std::atomic<int> begun{0};
+    std::atomic<int> ended{0};
+    std::atomic<int> whole{0};
+    std::int64_t during = 0;
+    {
+        platform::http_client callers;
+        for (int i = 0; i < stream_count; ++i) {
+            platform::http_request request{.method = "POST", .url = wanted.url};
+            request.headers = {{"Content-Type", "application/json"},
+                               {"Authorization", std::string("Bearer ") + both_key}};
+            request.body = wanted.body;
+            request.timeout = base::milliseconds{60'000};
+            platform::http_handlers handlers;
+            handlers.on_head = [&](int status, const platform::header_list&) {
+                begun += status == 200 ? 1 : 0;
+            };
+            auto done = std::make_shared<bool>(false);
+            handlers.on_data = [done](std::string_view piece) {
+                *done = *done || piece.find("[DONE]") != std::string_view::npos;
+                return true;
+            };
+            handlers.on_end = [&, done](const platform::http_end& end) {
+                whole += end.kind == platform::http_end_kind::complete && *done ? 1 : 0;
+                ++ended;
+            };
+            callers.start(std::move(request), std::move(handlers));
+        }
+        const bool all_begun = wait_until([&] { return begun + ended >= stream_count; });
+        during = all_begun ? resident_bytes(id) : 0;
+        static_cast<void>(wait_until([&] { return ended == stream_count; }));
+    }
+    fmt::print("{{\"figure\": \"streams_at_once\", \"streams\": {}, \"whole\": {}, "
+               "\"resident_before\": {}, \"resident_during\": {}, \"bytes_per_stream\": {}}}\n",
+               begun.load(), whole.load(), before, during, (during - before) / stream_count);
+}
+
+} // namespace
+} // namespace chicorylink::process_tests
+
+int main()
+{
+    try {
+        const auto all = chicorylink::process_tests::start();
+        chicorylink::process_tests::measure_overhead(*all);
+        chicorylink::process_tests::measure_streams(*all);
+    }
+    catch (const std::exception& failure) {
+        std::cerr << failure.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- a/process_tests/support/child_process.hpp
+++ b/process_tests/support/child_process.hpp
@@ -37,6 +37,7 @@
     void kill();
 
     [[nodiscard]] bool running() const { return m_id > 0; }
+    [[nodiscard]] pid_t id() const { return m_id; }
 
 private:
     [[nodiscard]] nlohmann::json read_ready_line() const;
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -9,3 +9,4 @@
   "$program" --benchmark_format=json 2>/dev/null |
     python3 scripts/benchmark_lines.py "$(basename "$program")"
 done
+CHICORYLINK_BINARIES="$build" "$build/process_tests/gateway_figures"
--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -215,8 +215,10 @@
             entry.prompt_bound = chat.prompt_bound;
             entry.answer_bound = chat.answer_bound;
             entry.content.body = std::move(chat.body);
-            const std::string_view prompt = chat.prompt;
-            entry.asked.prefix = routing::make_prefix(all.prefix_salt, entry.team, {&prompt, 1}, 1);
+            const std::vector<std::string_view> messages(chat.messages.begin(),
+                                                         chat.messages.end());
+            entry.asked.prefix =
+                routing::make_prefix(all.prefix_salt, entry.team, messages, chat.opening);
             return {};
         },
         [&](const base::error& failure) { why = bad_request(failure.message, failure.remedy); },
--- a/src/chicorylink/gateway/budget_gate.cpp
+++ b/src/chicorylink/gateway/budget_gate.cpp
@@ -46,6 +46,14 @@
     return answer;
 }
 
+refusal too_many_waiting()
+{
+    refusal why{refusal_kind::rate_exceeded, "too many requests of the team wait for tokens here",
+                "ask again after Retry-After", run_outcome::not_run};
+    why.retry_after = base::milliseconds{1'000};
+    return why;
+}
+
 } // namespace
 
 budget_gate::budget_gate(services& all, base::time_point now)
@@ -85,7 +93,9 @@
         return;
     }
     if (const auto* later = std::get_if<budget::wait_for_loan>(&admitted)) {
-        keep_waiting(entry, later->until);
+        if (!keep_waiting(entry, later->until)) {
+            finish_refused(m_all, entry, too_many_waiting());
+        }
         return;
     }
     const auto id = std::get<budget::granted>(admitted).id.value();
@@ -234,10 +244,15 @@
     }
 }
 
-void budget_gate::keep_waiting(const work_ptr& entry, base::time_point until)
+bool budget_gate::keep_waiting(const work_ptr& entry, base::time_point until)
 {
     const std::lock_guard lock(m_mutex);
-    m_waiting[entry->team].push_back({entry, until});
+    auto& waiters = m_waiting[entry->team];
+    if (waiters.size() >= max_waiting_per_team) {
+        return false;
+    }
+    waiters.push_back({entry, until});
+    return true;
 }
 
 std::vector<work_ptr> budget_gate::take_waiting(base::team_id team)
--- a/src/chicorylink/gateway/chat_request.cpp
+++ b/src/chicorylink/gateway/chat_request.cpp
@@ -41,17 +41,26 @@
     if (found == body.end() || !found->is_array() || found->empty()) {
         return false;
     }
+    std::int64_t bytes = 0;
     for (const auto& message : *found) {
         if (!message.is_object()) {
             return false;
         }
-        request.prompt += message.value("role", std::string{});
-        request.prompt += '\n';
-        add_text(request.prompt, message.value("content", json{}));
-        request.prompt += '\n';
+        const auto found_role = message.find("role");
+        const auto role = found_role != message.end() && found_role->is_string()
+                              ? found_role->get<std::string>()
+                              : std::string{};
+        auto& text = request.messages.emplace_back(role + "\n");
+        add_text(text, message.value("content", json{}));
+        bytes += static_cast<std::int64_t>(text.size());
+        if (request.opening == 0 && role == "user") {
+            request.opening = request.messages.size();
+        }
+    }
+    if (request.opening == 0) {
+        request.opening = request.messages.size();
     }
     const auto overhead = static_cast<std::int64_t>(found->size()) * message_overhead_tokens;
-    const auto bytes = static_cast<std::int64_t>(request.prompt.size());
     request.prompt_bound = base::tokens{bytes + overhead};
     return true;
 }
--- a/src/chicorylink/gateway/settings.cpp
+++ b/src/chicorylink/gateway/settings.cpp
@@ -50,6 +50,10 @@
     if (!has_port(value)) {
         return reject(flag, value, "it is not IP:port", "give an address such as 10.0.0.7:8080");
     }
+    if (value.starts_with("0.0.0.0:") || value.starts_with("[::]:")) {
+        return reject(flag, value, "it names no VM, and others are told this address",
+                      "give this VM's own address such as 10.0.0.7:8080");
+    }
     return {};
 }
 
--- a/src/chicorylink/gateway/single_run.cpp
+++ b/src/chicorylink/gateway/single_run.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/gateway/single_run.hpp"
 
 #include "chicorylink/dispatch/executor_choice.hpp"
+#include "chicorylink/gateway/directory_answer.hpp"
 #include "chicorylink/gateway/finish.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/steps.hpp"
@@ -141,8 +142,12 @@
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(text, all.tickets->issue(entry->team, entry->route.id));
-            const auto* self = membership::find(*all.view(), all.self);
-            const std::vector<std::string> vms{self != nullptr ? self->caller_address : ""};
+            const auto view = all.view();
+            const auto* self = membership::find(*view, all.self);
+            auto vms = other_vms(all, {all.region});
+            if (self != nullptr) {
+                vms.insert(vms.begin(), self->caller_address);
+            }
             finish_whole(all, entry, ticket_answer(all, text, vms), run_outcome::not_run);
             return {};
         },
