gateway: a request is found by others only when it is filled

Cause: a request entered the table of requests in progress before its deadline and team were set. The control loop's check of overdue requests could see it with a deadline in the past and refuse it; one in about 500 requests of a measurement ended so, at random. Change: it is added once it is whole.

--- a/include/chicorylink/gateway/work_table.hpp
+++ b/include/chicorylink/gateway/work_table.hpp
@@ -15,9 +15,13 @@
 /// @brief All requests in progress at this VM, in shards by id, each under its own lock.
 class work_table {
 public:
-    /// @brief Makes a request with a new id; it is found until `remove`.
+    /// @brief Makes a request with a new id. It is not found before `add`, so that no other thread
+    /// sees it half filled.
     [[nodiscard]] work_ptr make();
 
+    /// @brief Lets a request be found until `remove`.
+    void add(const work_ptr& entry);
+
     /// @brief The request with an id; null when it is over.
     [[nodiscard]] work_ptr find(routing::request_id id) const;
 
--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -280,10 +280,10 @@
     entry->sink = make_sink(request);
     const auto why = read_request(all, book, *entry, request->request(), who);
     if (why) {
-        all.works->remove(entry->id);
         answer_refused(all, *request, *why);
         return;
     }
+    all.works->add(entry);
     request->set_owner(entry->id.value());
     all.retries->on_request();
     all.budget->reserve(entry);
@@ -308,6 +308,7 @@
     entry->purpose = forward_purpose::issue_ticket;
     entry->content.method = "POST";
     prepare(all, *entry, *route, all.now() + route->deadline);
+    all.works->add(entry);
     request->set_owner(entry->id.value());
     issue_ticket(all, entry);
 }
@@ -429,6 +430,7 @@
     prepare(all, *entry, *book->find(message.route), all.now() + message.deadline);
     entry->attempts = message.attempt;
     entry->progress.next_token = message.resume_from;
+    all.works->add(entry);
     return entry;
 }
 
--- a/src/chicorylink/gateway/work_table.cpp
+++ b/src/chicorylink/gateway/work_table.cpp
@@ -4,12 +4,14 @@
 
 work_ptr work_table::make()
 {
-    const routing::request_id id{++m_last_id};
-    auto made = std::make_shared<work>(id);
-    auto& part = m_shards.at(id.value() % shard_count);
+    return std::make_shared<work>(routing::request_id{++m_last_id});
+}
+
+void work_table::add(const work_ptr& entry)
+{
+    auto& part = m_shards.at(entry->id.value() % shard_count);
     const std::lock_guard lock(part.mutex);
-    part.works.emplace(id, made);
-    return made;
+    part.works.emplace(entry->id, entry);
 }
 
 work_ptr work_table::find(routing::request_id id) const
