config: VMs of a data center pull a new version in stages

Change: two VMs pull at once, four 300 ms later, eight 600 ms later, and so on; each prefers another of those that have it. Newcomers do not wait.

--- a/include/chicorylink/config/store.hpp
+++ b/include/chicorylink/config/store.hpp
@@ -89,6 +89,9 @@
     void hear(base::vm_id from, base::config_version version);
     void hear_view(const membership::view& seen);
     void consider_download(const membership::view& seen, base::time_point now, effects& out);
+    /// How long this VM leaves a newer version to others of its data center first.
+    [[nodiscard]] base::milliseconds pull_delay(const membership::view& seen,
+                                                base::config_version wanted) const;
     [[nodiscard]] std::optional<base::vm_id> choose_source(const membership::view& seen) const;
     void begin_from(base::vm_id source, base::time_point now, effects& out);
     void source_failed(base::time_point now);
@@ -118,6 +121,9 @@
     std::map<base::digest, part> m_parts;
     std::optional<download> m_download;
     base::time_point m_next_download{};
+    /// The newest version heard of and not in force, and since when.
+    base::config_version m_wanted;
+    base::time_point m_wanted_since{};
     std::map<base::config_version, std::string> m_rejected;
     /// The newest version heard of each VM.
     std::map<base::vm_id, base::config_version> m_heard;
--- a/src/chicorylink/config/store_download.cpp
+++ b/src/chicorylink/config/store_download.cpp
@@ -5,6 +5,7 @@
 #include "chicorylink/rules/rulebook.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,8 @@
 constexpr std::size_t parts_in_flight = 32;
 /// Versions that failed the check which are remembered.
 constexpr std::size_t remembered_rejections = 16;
+/// Between the stages in which the VMs of a data center pull a version.
+constexpr base::milliseconds pull_stage{300};
 /// After all sources have failed, a download is tried again after this.
 constexpr base::milliseconds download_pause{1'000};
 
@@ -90,7 +93,12 @@
     if (wanted == base::config_version{} && !sourceless) {
         return;
     }
-    if ((newer && now >= m_next_download) || sourceless) {
+    if (wanted != m_wanted) {
+        m_wanted = wanted;
+        m_wanted_since = now;
+    }
+    const bool due = now >= m_next_download && now - m_wanted_since >= pull_delay(seen, wanted);
+    if ((newer && due) || sourceless) {
         if (newer) {
             m_download = download{.version = wanted, .progress_at = now};
         }
@@ -105,6 +113,28 @@
     }
 }
 
+base::milliseconds store::pull_delay(const membership::view& seen,
+                                     base::config_version wanted) const
+{
+    const auto* self = membership::find(seen, m_own.self);
+    if (!m_ready || self == nullptr) {
+        return base::milliseconds{0};
+    }
+    std::vector<base::vm_id> without;
+    for (const auto& each : seen.members) {
+        const auto heard = m_heard.find(each.id);
+        const bool has = heard != m_heard.end() && heard->second >= wanted;
+        if (each.data_center == self->data_center && !has) {
+            without.push_back(each.id);
+        }
+    }
+    const auto order = membership::first_by_rendezvous(without, wanted.value(), without.size());
+    const auto rank = std::ranges::find(order, m_own.self) - order.begin();
+    // Two pull at once, then four, then eight, each stage from those before it.
+    const auto stage = std::bit_width(static_cast<std::uint64_t>(rank) / 2 + 1) - 1;
+    return stage * pull_stage;
+}
+
 std::optional<base::vm_id> store::choose_source(const membership::view& seen) const
 {
     const auto* self = membership::find(seen, m_own.self);
