--- a/include/chicorylink/budget/settings.hpp
+++ b/include/chicorylink/budget/settings.hpp
@@ -20,7 +20,7 @@
 /// @brief Terms of the budget protocol. All VMs of a fleet use the same.
 struct settings {
     /// How long borrowed tokens stay valid, counted from the borrower's request.
-    base::nanoseconds loan_term = std::chrono::seconds(10);
+    base::nanoseconds loan_term = std::chrono::seconds(4);
     /// How long a new process waits before it claims slots, unless a settled VM answered.
     base::nanoseconds settle_time = std::chrono::seconds(10);
     /// How long a VM that granted a claim neither claims nor accepts the slot itself. Longer than
@@ -46,8 +46,12 @@
     base::nanoseconds remote_loan_timeout = std::chrono::milliseconds(500);
     /// The least interval between two loan requests of a team to a lender that could not serve it.
     base::nanoseconds ask_interval = std::chrono::milliseconds(50);
+    /// To which that interval grows while the lender has nothing.
+    base::nanoseconds longest_ask_interval = std::chrono::milliseconds(1600);
     /// Demand for which tokens are borrowed ahead of need, and kept back by a lender.
     base::nanoseconds prefetch = std::chrono::milliseconds(500);
+    /// The least interval between two requests of a team that only even out the buckets.
+    base::nanoseconds balance_interval = std::chrono::milliseconds(500);
     /// After which unused borrowed tokens are returned.
     base::nanoseconds return_after = std::chrono::seconds(2);
 };
