routing: round 6, a warm turn goes to its prefix though the target is busy with prompts

Cause: the bound on a target's prompts also turned away requests that it could answer from its cache; they were computed anew elsewhere and pushed other prefixes out. Change: a request with at most 768 tokens to compute is not subject to that bound.

--- a/src/chicorylink/routing/choose.cpp
+++ b/src/chicorylink/routing/choose.cpp
@@ -35,6 +35,9 @@
 /// Prompts that targets have still to compute, in milliseconds of their time.
 constexpr double prefill_bound_ms = 400.0;
 
+/// A request with no more tokens to compute goes to the target that holds its prompt in any case.
+constexpr std::int64_t little_prefill = 768;
+
 constexpr std::size_t max_holders = 4;
 
 /// A link that is used beyond this part of its rate takes no more requests.
@@ -165,6 +168,13 @@
     return prefill + crowding_ms * load / usable;
 }
 
+/// The tokens of the prompt that the target is not known to hold.
+std::int64_t cold_tokens(const request& asked, const candidate& option)
+{
+    const auto warm = static_cast<std::int64_t>(option.warm_blocks) * prefix_block_tokens;
+    return std::max<std::int64_t>(asked.prompt_tokens.value() - warm, 0);
+}
+
 /// The load above which a target is left to other requests, whatever it holds.
 double bound_of(const region_state& state, double usable)
 {
@@ -183,7 +193,8 @@
         }
         const auto usable = usable_slots(target.slots, target.warm_since, now);
         const auto load = load_of(state, target, now);
-        if (load + 1 > bound_of(state, usable) || !prefill_has_room(state, target)) {
+        const auto is_warm = cold_tokens(asked, option) <= little_prefill;
+        if (load + 1 > bound_of(state, usable) || !(is_warm || prefill_has_room(state, target))) {
             continue;
         }
         const auto cost = cost_of(state, asked, option, load, usable);
