--- a/src/chicorylink/budget/engine.cpp
+++ b/src/chicorylink/budget/engine.cpp
@@ -160,10 +160,17 @@
 {
     effects result;
     const std::lock_guard guard(m_lock);
-    if (now.time_since_epoch().count() >= m_member_until) {
+    const auto self = std::ranges::find(members.members, m_self.vm, &membership::member::id);
+    const bool renamed = self != members.members.end() && self->process != base::incarnation{} &&
+                         self->process != m_self.process;
+    if (renamed || now.time_since_epoch().count() >= m_member_until) {
         // Others may have taken over while the permission had run out.
         lapse(now);
     }
+    if (renamed) {
+        m_self.process = self->process;
+        m_slots.rename(self->process);
+    }
     std::vector<borrower> gone;
     const bool moved = update_owners(members);
     m_slots.on_view(members, m_owners[m_self.region], now, gone);
@@ -289,8 +296,9 @@
                     effects& /*result*/)
 {
     const std::lock_guard guard(m_lock);
+    const auto own_version = m_book ? m_book->version() : base::config_version{};
     const auto before = m_slots.owned();
-    const auto returned = m_slots.on_transfer_answer(from, body, now);
+    const auto returned = m_slots.on_transfer_answer(from, body, own_version, now);
     if (returned) {
         gain(m_slots.owned() & ~before, returned->balances, now);
     }
