process tests: wait for a stream's first token, not for a refusal's bytes

Cause: right after the start of a fleet a team's first request may be refused while its tokens are minted. The tests took the refusal's body for the stream's begin, then withdrew the key, and saw the refusal's whole answer. The checks are unchanged.

--- a/process_tests/failure_test.cpp
+++ b/process_tests/failure_test.cpp
@@ -127,8 +127,8 @@
     std::thread caller([&] {
         auto wanted =
             chat_call(at("vm-south-1").url(chat_path), both_key, "chat", "long", true, 300);
-        wanted.on_data = [&](const std::string&) {
-            begun = true;
+        wanted.on_data = [&](const std::string& piece) {
+            begun = begun || piece.find("\"content\"") != std::string::npos;
             return true;
         };
         streamed = perform_when_admitted(wanted);
--- a/process_tests/path_test.cpp
+++ b/process_tests/path_test.cpp
@@ -163,8 +163,8 @@
     reply streamed;
     std::thread caller([&] {
         auto wanted = chat_call(north().url(chat_path), passing_key, "chat", "x", true, 4'000);
-        wanted.on_data = [&](const std::string&) {
-            begun = true;
+        wanted.on_data = [&](const std::string& piece) {
+            begun = begun || piece.find("\"content\"") != std::string::npos;
             return true;
         };
         streamed = perform_when_admitted(wanted);
--- a/programs/quickstart/show.cpp
+++ b/programs/quickstart/show.cpp
@@ -216,8 +216,8 @@
     std::thread caller([&] {
         auto wanted = chat_call(leaving.url(chat_path), everywhere_key, "chat", "Tell me more",
                                 true, long_answer_tokens);
-        wanted.on_data = [&](const std::string&) {
-            begun = true;
+        wanted.on_data = [&](const std::string& piece) {
+            begun = begun || piece.find("\"content\"") != std::string::npos;
             return true;
         };
         streamed = perform_when_admitted(wanted);
