--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -296,8 +296,14 @@
         }
         const bool spent_much = each.amount.value() * 4 < each.reported.value() * 3;
         const bool renew = each.amount > none && now - each.asked_at >= m_terms.loan_term / 2;
+        // A busy team needs its refunds back soon; others send them together with what they return.
+        micro_tokens refund;
+        for (const auto& unused : each.refunds) {
+            refund += unused.amount;
+        }
+        const bool busy = expected_demand(which, std::chrono::seconds(1), now) >= refund;
         const bool refund_due =
-            !each.refunds.empty() && now - each.asked_at >= m_terms.return_after;
+            refund > none && (busy || now - each.asked_at >= m_terms.return_after);
         if (refund_due || spent_much || renew) {
             const auto ahead = expected_demand(which, m_terms.prefetch, now);
             const auto want = std::max(ahead - available(which, now), none);
