--- a/src/chicorylink/budget/budget_benchmark.cpp
+++ b/src/chicorylink/budget/budget_benchmark.cpp
@@ -154,6 +154,9 @@
 BENCHMARK_CAPTURE(recovery, today_instant_restart, today(), fault::instant_restart)->Iterations(1);
 BENCHMARK_CAPTURE(recovery, today_crash, today(), fault::crash)->Iterations(1);
 BENCHMARK_CAPTURE(recovery, today_replaced, today(), fault::paused_and_replaced)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, today_crash_burst_20s, today_20s(), fault::crash)->Iterations(1);
+BENCHMARK_CAPTURE(recovery, today_replaced_burst_20s, today_20s(), fault::paused_and_replaced)
+    ->Iterations(1);
 BENCHMARK_CAPTURE(recovery, today_drain, today(), fault::drain)->Iterations(1);
 BENCHMARK_CAPTURE(recovery, today_region_parted, today(), fault::region_parted)->Iterations(1);
 BENCHMARK_CAPTURE(recovery, large_crash, in_two_years(), fault::crash)->Iterations(1);
--- a/src/chicorylink/budget/engine_test.cpp
+++ b/src/chicorylink/budget/engine_test.cpp
@@ -1,6 +1,6 @@
 #include "chicorylink/budget/testing/checker.hpp"
 #include "chicorylink/budget/testing/fleet.hpp"
-#include "chicorylink/rules/rulebook_builder.hpp"
+#include "chicorylink/budget/testing/one_team.hpp"
 
 #include <gtest/gtest.h>
 
@@ -11,37 +11,18 @@
 using testing::fleet;
 using testing::fleet_options;
 
-const base::region_id region_a = base::id_of<base::region_id>("a");
-const base::region_id region_b = base::id_of<base::region_id>("b");
-const base::region_id region_c = base::id_of<base::region_id>("c");
-const base::team_id team_one = base::id_of<base::team_id>("one");
-
-std::shared_ptr<const rules::rulebook> book(std::uint64_t version, std::int64_t rate,
-                                            std::int64_t burst,
-                                            std::vector<base::region_id> regions)
-{
-    rules::rulebook_builder builder{base::config_version{version}};
-    builder.add(rules::region{region_a, "a", {}}).add(rules::region{region_b, "b", {}});
-    builder.add(rules::region{region_c, "c", {}});
-    rules::team who;
-    who.id = team_one;
-    who.name = "one";
-    who.regions = std::move(regions);
-    who.rate = base::tokens_per_second{rate};
-    who.burst = base::tokens{burst};
-    builder.add(who);
-    return builder.build().value();
-}
+const base::team_id team_one = testing::one_team;
 
 struct nine_vms {
     explicit nine_vms(const fleet_options& options = {}) : all(options)
     {
-        for (const auto where : {region_a, region_b, region_c}) {
+        for (const auto* name : {"a", "b", "c"}) {
+            const auto where = base::id_of<base::region_id>(name);
             for (int count = 0; count < 3; ++count) {
                 all.add_vm(where);
             }
         }
-        all.publish(book(1, 10'000, 100'000, {region_a, region_b, region_c}));
+        all.publish(testing::one_team_book(1, 10'000, 100'000, "abc"));
     }
 
     /// Requests of 1000 tokens, of which 600 are used, at random VMs; returns the share refused.
--- /dev/null
+++ b/src/chicorylink/budget/slot_table_test.cpp
@@ -0,0 +1,155 @@
+// The rules that keep a slot with one owner, one by one.
+#include "chicorylink/budget/slot_table.hpp"
+#include "chicorylink/budget/testing/one_team.hpp"
+#include "chicorylink/budget/version_watch.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::budget {
+namespace {
+
+using namespace std::chrono_literals;
+
+const base::region_id region = base::id_of<base::region_id>("a");
+const base::vm_id self{1};
+const base::vm_id other{2};
+const base::vm_id third{3};
+
+membership::member vm(base::vm_id id, std::uint64_t process, std::string address,
+                      membership::member_state state = membership::member_state::live)
+{
+    membership::member entry;
+    entry.id = id;
+    entry.region = region;
+    entry.process = base::incarnation{process};
+    entry.peer_address = std::move(address);
+    entry.state = state;
+    return entry;
+}
+
+/// One table whose intended slots are all of the region.
+struct claimant {
+    void see(std::vector<membership::member> members)
+    {
+        members.push_back(vm(self, 1, "self"));
+        seen.self = self;
+        seen.list_is_fresh = true;
+        seen.members = std::move(members);
+        slot_owners all;
+        all.fill(self);
+        table.on_view(seen, all, now, gone);
+    }
+
+    slot_set answered_by(base::vm_id from, const claim& asked, bool vouched = true)
+    {
+        claim_answer answer;
+        answer.round = asked.round;
+        answer.vouched = vouched;
+        return table.on_claim_answer(from, answer, base::config_version{}, now);
+    }
+
+    base::time_point now{1h};
+    membership::view seen;
+    std::vector<borrower> gone;
+    slot_table table{{self, region, base::incarnation{1}}, {}, now};
+};
+
+TEST(slot_table, a_claim_needs_every_vm_that_is_not_gone)
+{
+    claimant one;
+    one.see({vm(other, 2, "other"), vm(third, 3, "third", membership::member_state::suspect)});
+    const auto asked = one.table.begin_claim(one.now, true);
+    ASSERT_TRUE(asked);
+    EXPECT_TRUE(one.answered_by(other, *asked).none());
+    EXPECT_EQ(one.answered_by(third, *asked).count(), slot_count);
+}
+
+TEST(slot_table, a_new_process_takes_nothing_unless_a_settled_vm_answered)
+{
+    claimant one;
+    one.see({vm(other, 2, "other")});
+    const auto asked = one.table.begin_claim(one.now, true);
+    EXPECT_TRUE(one.answered_by(other, *asked, false).none());
+    one.now += 11s;
+    one.see({vm(other, 2, "other")});
+    const auto later = one.table.begin_claim(one.now, true);
+    EXPECT_EQ(one.answered_by(other, *later, false).count(), slot_count);
+}
+
+TEST(slot_table, a_process_replaced_at_another_address_blocks_claims_for_a_term)
+{
+    claimant one;
+    one.see({vm(other, 2, "other")});
+    one.see({vm(other, 3, "elsewhere")});
+    EXPECT_FALSE(one.table.begin_claim(one.now, true));
+    EXPECT_TRUE(one.gone.empty());
+    one.now += 11s;
+    EXPECT_TRUE(one.table.begin_claim(one.now, true));
+}
+
+TEST(slot_table, a_new_process_at_the_same_address_proves_the_old_one_gone)
+{
+    claimant one;
+    one.see({vm(other, 2, "other")});
+    one.see({vm(other, 3, "other")});
+    EXPECT_TRUE(one.table.begin_claim(one.now, true));
+    ASSERT_EQ(one.gone.size(), 1U);
+    EXPECT_EQ(one.gone.front().process, base::incarnation{2});
+}
+
+TEST(slot_table, a_transfer_is_taken_once_and_only_as_the_answer_to_a_recent_claim)
+{
+    claimant one;
+    one.see({vm(other, 2, "other")});
+    const auto asked = one.table.begin_claim(one.now, true);
+    const borrower giver{other, base::incarnation{2}};
+    slot_transfer moved;
+    moved.id = 7;
+    moved.to = base::incarnation{1};
+    moved.slots.push_back({5, 1s, 0s});
+    moved.round = asked->round + 1;
+    EXPECT_FALSE(one.table.on_transfer(giver, moved, true, one.now).accepted);
+    moved.id = 8;
+    moved.round = asked->round;
+    EXPECT_TRUE(one.table.on_transfer(giver, moved, true, one.now).accepted);
+    moved.id = 9;
+    EXPECT_FALSE(one.table.on_transfer(giver, moved, true, one.now).accepted);
+    moved.id = 10;
+    moved.slots.front().slot = 6;
+    one.now += 6s;
+    EXPECT_FALSE(one.table.on_transfer(giver, moved, true, one.now).accepted);
+}
+
+TEST(slot_table, a_granted_claim_forbids_the_slot_here)
+{
+    claimant one;
+    one.now += 11s;
+    one.see({vm(other, 2, "other")});
+    claim theirs{1, {}};
+    theirs.slots.set();
+    EXPECT_TRUE(
+        one.table.answer_claim({other, base::incarnation{2}}, theirs, one.now).denied.none());
+    EXPECT_FALSE(one.table.begin_claim(one.now + 11s, true));
+    EXPECT_TRUE(one.table.begin_claim(one.now + 13s, true));
+    EXPECT_TRUE(
+        one.table.answer_claim({third, base::incarnation{3}}, theirs, one.now).denied.all());
+}
+
+TEST(version_watch, holds_an_older_cut_until_every_vm_has_the_new_rules)
+{
+    version_watch watch{settings{}};
+    claimant one;
+    one.see({vm(other, 2, "other")});
+    watch.on_view(one.seen);
+    const auto before = testing::one_team_book(1, 10, 10'000, "a");
+    watch.on_rules(before.get(), *testing::one_team_book(2, 10, 100'000, "a"));
+    EXPECT_EQ(watch.held().size(), 1U);
+    EXPECT_EQ(watch.queries(one.now).size(), 1U);
+    watch.on_answer({other, base::incarnation{2}}, base::config_version{1});
+    EXPECT_FALSE(watch.drop_settled());
+    watch.on_answer({other, base::incarnation{2}}, base::config_version{2});
+    EXPECT_TRUE(watch.drop_settled());
+}
+
+} // namespace
+} // namespace chicorylink::budget
--- a/src/chicorylink/budget/testing/fleet.hpp
+++ b/src/chicorylink/budget/testing/fleet.hpp
@@ -121,11 +121,6 @@
             deliver_rules(*each, book, m_now + instant{std::abs(delay.count())});
         }
     }
-    void give_rules(std::size_t vm, std::shared_ptr<const rules::rulebook> book)
-    {
-        deliver_rules(*m_nodes[vm], std::move(book), m_now);
-    }
-
     void at(instant when, std::function<void()> what)
     {
         m_events.push({std::max(when, m_now), m_next_event++, std::move(what)});
