--- a/include/chicorylink/budget/ledger.hpp
+++ b/include/chicorylink/budget/ledger.hpp
@@ -107,8 +107,8 @@
     reservation take(account& from, const ask& request, base::time_point now);
     bool ask_lenders(account& which, base::team_id team, micro_tokens missing,
                      const context& now_known, base::time_point now, effects& result);
-    void balance(account& which, base::team_id team, const context& now_known, base::time_point now,
-                 effects& result);
+    void balance(account& which, base::team_id team, micro_tokens spent, const context& now_known,
+                 base::time_point now, effects& result);
     void send_request(account& which, debt& to, base::team_id team, micro_tokens need,
                       micro_tokens want, base::time_point now, effects& result);
     void tick_debts(account& which, base::team_id team, base::time_point now, effects& result);
--- a/src/chicorylink/budget/ledger.cpp
+++ b/src/chicorylink/budget/ledger.cpp
@@ -128,7 +128,7 @@
     const auto present = available(*which, now);
     if (present >= amount) {
         m_reservations.emplace(id, take(*which, request, now));
-        balance(*which, request.team, now_known, now, result);
+        balance(*which, request.team, amount, now_known, now, result);
         return granted{id};
     }
     const auto missing = amount - present;
--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -135,13 +135,18 @@
     return asked;
 }
 
-void ledger::balance(account& which, base::team_id team, const context& now_known,
-                     base::time_point now, effects& result)
+void ledger::balance(account& which, base::team_id team, micro_tokens spent,
+                     const context& now_known, base::time_point now, effects& result)
 {
     // Spending from the fullest bucket first loses the fewest tokens to full buckets.
     constexpr std::int64_t full_enough = 700;
     const auto level = level_per_mille(which);
     const auto* who = now_known.book->find(team);
+    // A lone request is no demand to prepare for.
+    const auto demand = expected_demand(which, std::chrono::seconds(1), now);
+    if (demand.value() * 2 < spent.value() * 3) {
+        return;
+    }
     if (level >= full_enough || who == nullptr ||
         now - which.balanced_at < m_terms.balance_interval) {
         return;
