--- a/src/chicorylink/budget/loans_test.cpp
+++ b/src/chicorylink/budget/loans_test.cpp
@@ -101,6 +101,10 @@
     one_vm lender(true);
     (void)lender.receive(wanting(1, 90'000));
     lender.now += 5s;
+    // A fall of the sum leaves room that a refund could fill.
+    effects ignored;
+    (void)lender.core.reserve({team, base::tokens{1}, lender.now}, lender.now, ignored);
+    lender.now += 1s;
     auto late = wanting(2, 0);
     late.refunds.push_back({lender.now.time_since_epoch().count(), to_micro(base::tokens{9'000})});
     const auto before = lender.spendable();
