--- a/src/chicorylink/gateway/daemon_core.cpp
+++ b/src/chicorylink/gateway/daemon_core.cpp
@@ -87,8 +87,8 @@
     m_services.retries = &m_retries;
     m_services.teams = &m_teams;
     m_services.now = &present;
-    m_services.rulebook = [this] { return m_rules ? m_rules->current() : nullptr; };
-    m_services.rules_are_current = [this] { return m_rules != nullptr; };
+    m_services.rulebook = [this] { return m_started ? m_rules->current() : nullptr; };
+    m_services.rules_are_current = [this] { return m_started && m_rules->ready(); };
     m_services.view = [this] { return m_cluster->view(); };
 }
 
@@ -115,6 +115,7 @@
     BOOST_LEAF_CHECK(start_network());
     BOOST_LEAF_CHECK(start_operators());
     start_loop();
+    m_started = true;
     base::log(base::log_level::info, "started", {{"addresses", addresses()}});
     return {};
 }
@@ -217,16 +218,22 @@
     m_loop.every(poll_interval, [this] {
         m_cluster->poll_list(*m_platform);
         m_targets->poll_list(*m_platform);
-        m_targets->poll_loads(*m_platform);
         send_region_summary();
         m_tickets->tick();
     });
+    m_loop.every(membership::target_table::poll_interval, [this] {
+        m_targets->poll_loads(*m_platform);
+        m_targets->share();
+    });
     m_loop.start();
 }
 
 void daemon_core::on_control(base::vm_id from, wire::channel_id channel,
                              std::span<const std::uint8_t> bytes)
 {
+    if (!m_started) {
+        return;
+    }
     const auto message = unwrap_control(bytes);
     if (!message) {
         m_metrics.add("chicorylink_bad_input_total{reason=\"control_message\"}");
@@ -247,12 +254,15 @@
         return;
     }
     std::vector<std::uint8_t> content(message->content.begin(), message->content.end());
-    m_loop.post([this, from, channel, content = std::move(content)] {
+    m_loop.post([this, channel, content = std::move(content)] {
         if (channel == membership_channel) {
             m_cluster->on_message(content);
         }
+        if (channel == targets_channel) {
+            m_targets->on_message(content);
+        }
         if (channel == config_channel) {
-            m_rules->on_message(from, content);
+            m_rules->on_message(content);
         }
     });
 }
@@ -260,6 +270,7 @@
 void daemon_core::on_rules(const std::shared_ptr<const rules::rulebook>& book)
 {
     m_cluster->set_config_known(book->version());
+    m_targets->on_rules(*book);
     m_budget->on_rules(book);
     apply_decisions(m_services, m_router->on_rules(book, present()));
     end_forbidden(m_services, *book);
