--- a/src/chicorylink/budget/loans.cpp
+++ b/src/chicorylink/budget/loans.cpp
@@ -135,13 +135,18 @@
     return asked;
 }
 
-void ledger::balance(account& which, base::team_id team, const context& now_known,
-                     base::time_point now, effects& result)
+void ledger::balance(account& which, base::team_id team, micro_tokens spent,
+                     const context& now_known, base::time_point now, effects& result)
 {
     // Spending from the fullest bucket first loses the fewest tokens to full buckets.
     constexpr std::int64_t full_enough = 700;
     const auto level = level_per_mille(which);
     const auto* who = now_known.book->find(team);
+    // A lone request is no demand to prepare for.
+    const auto demand = expected_demand(which, std::chrono::seconds(1), now);
+    if (demand.value() * 2 < spent.value() * 3) {
+        return;
+    }
     if (level >= full_enough || who == nullptr ||
         now - which.balanced_at < m_terms.balance_interval) {
         return;
@@ -296,8 +301,14 @@
         }
         const bool spent_much = each.amount.value() * 4 < each.reported.value() * 3;
         const bool renew = each.amount > none && now - each.asked_at >= m_terms.loan_term / 2;
+        // A busy team needs its refunds back soon; others send them together with what they return.
+        micro_tokens refund;
+        for (const auto& unused : each.refunds) {
+            refund += unused.amount;
+        }
+        const bool busy = expected_demand(which, std::chrono::seconds(1), now) >= refund;
         const bool refund_due =
-            !each.refunds.empty() && now - each.asked_at >= m_terms.return_after;
+            refund > none && (busy || now - each.asked_at >= m_terms.return_after);
         if (refund_due || spent_much || renew) {
             const auto ahead = expected_demand(which, m_terms.prefetch, now);
             const auto want = std::max(ahead - available(which, now), none);
