--- a/include/chicorylink/gateway/cluster.hpp
+++ b/include/chicorylink/gateway/cluster.hpp
@@ -37,6 +37,7 @@
     void on_refused(base::vm_id vm);
     void set_leaving();
     void set_config_known(base::config_version version);
+    void set_reaches_service(bool reaches);
 
     /// @brief The snapshot last published. Thread-safe.
     [[nodiscard]] std::shared_ptr<const membership::view> view() const;
--- a/src/chicorylink/gateway/cluster.cpp
+++ b/src/chicorylink/gateway/cluster.cpp
@@ -115,6 +115,11 @@
     m_table.set_config_known(version);
 }
 
+void cluster::set_reaches_service(bool reaches)
+{
+    m_table.set_reaches_service(reaches);
+}
+
 std::shared_ptr<const membership::view> cluster::view() const
 {
     return std::atomic_load(&m_view);
--- a/src/chicorylink/gateway/config_driver.cpp
+++ b/src/chicorylink/gateway/config_driver.cpp
@@ -187,6 +187,7 @@
 void config_driver::publish_status()
 {
     const auto& report = m_store.report();
+    m_members.set_reaches_service(report.service_reachable);
     m_all.metrics->set("chicorylink_config_version", static_cast<double>(report.in_force.value()));
     m_all.metrics->set("chicorylink_config_service_reachable", report.service_reachable ? 1 : 0);
     const std::lock_guard lock(m_status_mutex);
