--- a/src/chicorylink/gateway/admission.cpp
+++ b/src/chicorylink/gateway/admission.cpp
@@ -215,8 +215,10 @@
             entry.prompt_bound = chat.prompt_bound;
             entry.answer_bound = chat.answer_bound;
             entry.content.body = std::move(chat.body);
-            const std::string_view prompt = chat.prompt;
-            entry.asked.prefix = routing::make_prefix(all.prefix_salt, entry.team, {&prompt, 1}, 1);
+            const std::vector<std::string_view> messages(chat.messages.begin(),
+                                                         chat.messages.end());
+            entry.asked.prefix =
+                routing::make_prefix(all.prefix_salt, entry.team, messages, chat.opening);
             return {};
         },
         [&](const base::error& failure) { why = bad_request(failure.message, failure.remedy); },
@@ -278,10 +280,10 @@
     entry->sink = make_sink(request);
     const auto why = read_request(all, book, *entry, request->request(), who);
     if (why) {
-        all.works->remove(entry->id);
         answer_refused(all, *request, *why);
         return;
     }
+    all.works->add(entry);
     request->set_owner(entry->id.value());
     all.retries->on_request();
     all.budget->reserve(entry);
@@ -306,6 +308,7 @@
     entry->purpose = forward_purpose::issue_ticket;
     entry->content.method = "POST";
     prepare(all, *entry, *route, all.now() + route->deadline);
+    all.works->add(entry);
     request->set_owner(entry->id.value());
     issue_ticket(all, entry);
 }
@@ -427,6 +430,7 @@
     prepare(all, *entry, *book->find(message.route), all.now() + message.deadline);
     entry->attempts = message.attempt;
     entry->progress.next_token = message.resume_from;
+    all.works->add(entry);
     return entry;
 }
 
