--- /dev/null
+++ b/include/chicorylink/gateway/forwarded_admission.hpp
@@ -0,0 +1,29 @@
+#ifndef CHICORYLINK_GATEWAY_FORWARDED_ADMISSION_HPP
+#define CHICORYLINK_GATEWAY_FORWARDED_ADMISSION_HPP
+
+#include "chicorylink/gateway/forwarded_request.hpp"
+#include "chicorylink/gateway/refusal.hpp"
+#include "chicorylink/gateway/work.hpp"
+
+#include <optional>
+#include <string>
+
+namespace chicorylink::gateway {
+
+struct services;
+
+/// @brief Checks a forwarded request against the rules in force here.
+/// @return Why it is refused, or empty.
+[[nodiscard]] std::optional<refusal> check_forwarded(services& all,
+                                                     const forwarded_request& message);
+
+/// @brief Makes the work of a forwarded request that passed its check.
+[[nodiscard]] work_ptr make_forwarded_work(services& all, const forwarded_request& message,
+                                           std::string body, answer_sink sink);
+
+/// @brief Runs a forwarded request in this region.
+void run_forwarded(services& all, const work_ptr& entry, forward_purpose purpose);
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_FORWARDED_ADMISSION_HPP
--- /dev/null
+++ b/src/chicorylink/gateway/forwarded_admission.cpp
@@ -0,0 +1,108 @@
+#include "chicorylink/gateway/forwarded_admission.hpp"
+
+#include "chicorylink/gateway/request_reading.hpp"
+#include "chicorylink/gateway/services.hpp"
+#include "chicorylink/gateway/single_run.hpp"
+#include "chicorylink/gateway/standard_refusals.hpp"
+#include "chicorylink/gateway/ticket_desk.hpp"
+#include "chicorylink/gateway/work_table.hpp"
+#include "chicorylink/rules/rulebook.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorylink::gateway {
+namespace {
+
+/// What may be said of a forwarded request that is refused before it began.
+run_outcome refused_outcome(services& all, const forwarded_request& message)
+{
+    if (message.ticket.empty()) {
+        return run_outcome::not_run;
+    }
+    return base::leaf::try_handle_all(
+        [&]() -> base::result<run_outcome> {
+            BOOST_LEAF_AUTO(ticket, all.tickets->read(message.ticket));
+            return all.tickets->refuse(ticket);
+        },
+        [] { return run_outcome::not_run; });
+}
+
+/// Why a forwarded request is refused by the rules in force here, or empty.
+std::optional<refusal> forwarded_refusal(services& all, const forwarded_request& message)
+{
+    const auto book = all.rulebook();
+    if (!book || !all.rules_are_current()) {
+        return not_ready();
+    }
+    if (all.leaving) {
+        return leaving(all);
+    }
+    const auto* who = book->find(message.team);
+    const auto* route = book->find(message.route);
+    if (who == nullptr || route == nullptr) {
+        return refusal{refusal_kind::unknown_route, "the team or the route is unknown here",
+                       "ask again in a few seconds", run_outcome::not_run,
+                       base::milliseconds{1'000}};
+    }
+    if (!rules::may_run_in(*who, all.region)) {
+        return region_refusal(all, *who);
+    }
+    const auto* key = message.key_digest ? book->find_key(*message.key_digest) : nullptr;
+    const bool right_key = key != nullptr && key->team == message.team;
+    if (!right_key && !(route->open_to_all && !message.key_digest)) {
+        return refusal{refusal_kind::unknown_key, "the key is unknown or was withdrawn",
+                       "ask the operators for a key"};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<refusal> check_forwarded(services& all, const forwarded_request& message)
+{
+    auto why = forwarded_refusal(all, message);
+    if (why) {
+        why->outcome = refused_outcome(all, message);
+    }
+    return why;
+}
+
+work_ptr make_forwarded_work(services& all, const forwarded_request& message, std::string body,
+                             answer_sink sink)
+{
+    const auto book = all.rulebook();
+    auto entry = all.works->make();
+    entry->sink = std::move(sink);
+    entry->team = message.team;
+    entry->key_digest = message.key_digest;
+    entry->version = std::max(message.version, book->version());
+    entry->correlation = message.request_id;
+    entry->content = {message.method, message.path, message.query, message.headers,
+                      std::move(body)};
+    entry->stream = message.stream;
+    entry->ticket = message.ticket;
+    entry->hop = message.hop;
+    entry->prompt_bound = message.prompt_tokens;
+    entry->answer_bound = message.answer_tokens;
+    entry->asked.prefix.session = routing::prefix_hash{message.session};
+    for (const auto block : message.blocks) {
+        entry->asked.prefix.blocks.emplace_back(block);
+    }
+    prepare(all, *entry, *book->find(message.route), all.now() + message.deadline);
+    entry->attempts = message.attempt;
+    entry->progress.next_token = message.resume_from;
+    all.works->add(entry);
+    return entry;
+}
+
+void run_forwarded(services& all, const work_ptr& entry, forward_purpose purpose)
+{
+    if (purpose == forward_purpose::issue_ticket) {
+        issue_forwarded_ticket(all, entry);
+        return;
+    }
+    run(all, entry);
+}
+
+} // namespace chicorylink::gateway
--- a/src/chicorylink/gateway/peer_side.cpp
+++ b/src/chicorylink/gateway/peer_side.cpp
@@ -1,9 +1,9 @@
 #include "chicorylink/gateway/peer_side.hpp"
 
 #include "chicorylink/base/metrics.hpp"
-#include "chicorylink/gateway/admission.hpp"
 #include "chicorylink/gateway/codec.hpp"
 #include "chicorylink/gateway/finish.hpp"
+#include "chicorylink/gateway/forwarded_admission.hpp"
 #include "chicorylink/gateway/services.hpp"
 #include "chicorylink/gateway/steps.hpp"
 #include "chicorylink/gateway/stream_writer.hpp"
--- /dev/null
+++ b/src/chicorylink/gateway/request_reading.hpp
@@ -0,0 +1,47 @@
+#ifndef CHICORYLINK_GATEWAY_REQUEST_READING_HPP
+#define CHICORYLINK_GATEWAY_REQUEST_READING_HPP
+
+#include "chicorylink/gateway/caller_request.hpp"
+#include "chicorylink/gateway/identity.hpp"
+#include "chicorylink/gateway/refusal.hpp"
+#include "chicorylink/gateway/work.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chicorylink::rules {
+class rulebook;
+struct route;
+} // namespace chicorylink::rules
+
+namespace chicorylink::gateway {
+
+struct services;
+
+inline constexpr std::string_view chat_path = "/v1/chat/completions";
+inline constexpr std::string_view ticket_header = "x-chicorylink-ticket";
+inline constexpr std::string_view try_header = "x-chicorylink-try";
+
+/// @brief The name of the plain service that a path asks for: its first segment.
+[[nodiscard]] std::string service_name(std::string_view path);
+
+/// @brief The route of a name, when it is of the kind.
+[[nodiscard]] const rules::route* find_route(const rules::rulebook& book, std::string_view name,
+                                             rules::route_kind kind);
+
+/// @brief A new correlation id, made of the incarnation and a counter.
+[[nodiscard]] std::string next_correlation(services& all);
+
+/// @brief Sets what all requests have in common, once route and content are known.
+void prepare(services& all, work& entry, const rules::route& route, base::time_point deadline);
+
+/// @brief Fills the work from a caller's request, without anything that a target must not see.
+/// @return Why it is refused, or empty.
+[[nodiscard]] std::optional<refusal> read_request(services& all, const rules::rulebook& book,
+                                                  work& entry, const caller_request& request,
+                                                  const identity& who);
+
+} // namespace chicorylink::gateway
+
+#endif // CHICORYLINK_GATEWAY_REQUEST_READING_HPP
