--- a/process_tests/support/fleet.cpp
+++ b/process_tests/support/fleet.cpp
@@ -91,9 +91,9 @@
                                        operators,
                                        "--platform-url",
                                        "http://" + platform_address(),
-                                       "--peer-plaintext",
                                        "--ticket-key",
                                        ticket_key};
+    arguments.insert(arguments.end(), m_peer_flags.begin(), m_peer_flags.end());
     const auto& options = m_options[name];
     arguments.insert(arguments.end(), options.begin(), options.end());
     child_process process(arguments, log_of(name));
--- a/process_tests/support/fleet.hpp
+++ b/process_tests/support/fleet.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chicorylink::process_tests {
@@ -48,6 +49,10 @@
     vm& start_vm(const std::string& name, const std::string& region,
                  const std::vector<std::string>& options = {});
 
+    /// @brief Flags that say how peer links of daemons started from now on are secured; plain text
+    /// until this is called.
+    void set_peer_flags(std::vector<std::string> flags) { m_peer_flags = std::move(flags); }
+
     /// @brief Starts a daemon again with the addresses that it had.
     vm& restart_vm(const std::string& name);
 
@@ -83,6 +88,7 @@
     std::map<std::string, child_process> m_targets;
     std::map<std::string, vm> m_vms;
     std::map<std::string, std::vector<std::string>> m_options;
+    std::vector<std::string> m_peer_flags{"--peer-plaintext"};
     std::uint64_t m_version = 0;
 };
 
