--- a/cmake/chicorylink_module.cmake
+++ b/cmake/chicorylink_module.cmake
@@ -44,6 +44,10 @@
   endif()
   add_library(chicorylink::${name} ALIAS ${library})
 
+  if(CHICORYLINK_DAEMON_ONLY)
+    return()
+  endif()
+
   if(tests)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE ${library} ${RAPIDCHECK_LIBRARY}
--- /dev/null
+++ b/include/chicorylink/fleet/cold_allowance.hpp
@@ -0,0 +1,44 @@
+#ifndef CHICORYLINK_FLEET_COLD_ALLOWANCE_HPP
+#define CHICORYLINK_FLEET_COLD_ALLOWANCE_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/names.hpp"
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// VMs of a region that may send to a cold target; chosen by rendezvous hash, so that a bound for
+/// the whole fleet can be split without agreement.
+inline constexpr std::size_t cold_senders = 2;
+
+/// @brief Whether a VM is among those that may send to a cold target.
+/// @param region_ips IP numbers of the live VMs of the target's region, this one included.
+[[nodiscard]] bool is_cold_sender(const target_name& target, const std::string& own_ip,
+                                  const std::vector<std::string>& region_ips);
+
+/// @brief This process's share of the requests that cold targets get.
+class cold_allowance {
+public:
+    explicit cold_allowance(base::time_point started_at) : m_started_at(started_at) {}
+
+    /// @brief Whether one more request may go to a cold target now.
+    /// @param per_second What the target bears from all VMs together.
+    [[nodiscard]] bool allows(const target_name& target, double per_second,
+                              base::time_point now) const;
+
+    /// @brief Notes that a request was sent to a cold target.
+    void note_sent(const target_name& target, base::time_point now);
+
+private:
+    /// A process that starts again must not add to what its last run just sent.
+    base::time_point m_started_at;
+    std::unordered_map<target_name, base::time_point> m_sent_at;
+};
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_COLD_ALLOWANCE_HPP
--- /dev/null
+++ b/include/chicorylink/fleet/placement.hpp
@@ -0,0 +1,60 @@
+#ifndef CHICORYLINK_FLEET_PLACEMENT_HPP
+#define CHICORYLINK_FLEET_PLACEMENT_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/prompt.hpp"
+#include "chicorylink/fleet/target_pool.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// @brief Prompt tokens that an engine reads in a millisecond, before any was measured.
+inline constexpr double default_prompt_speed = 60.0;
+
+/// @brief What a request needs of a target.
+struct placement_request {
+    service_name service;
+    /// Null at a plain service.
+    const prompt* asked = nullptr;
+    /// Targets that earlier attempts used; they are chosen again only when no other is left.
+    std::vector<target_name> tried;
+    /// Whether a target that is still cold, or has no connection left, may be used now.
+    std::function<bool(const tracked_target&)> may_use;
+};
+
+/// @brief A target and what is expected of it.
+struct placement_choice {
+    target_name target;
+    std::string address;
+    /// How long the request waits until its own prompt is read or its work begins.
+    base::milliseconds wait{0};
+    /// The expected time to the first token or to the end of a plain answer.
+    base::milliseconds start{0};
+    /// Tokens of the prompt that have to be read.
+    std::uint32_t unread_tokens = 0;
+};
+
+/// @brief How long new work waits at a target before it begins.
+[[nodiscard]] base::milliseconds expected_wait(const tracked_target& target, base::time_point now);
+
+/// @brief Chooses the target where a request is expected to begin first.
+///
+/// The parts of a session are kept together: its place by rendezvous hash is taken to hold them,
+/// besides the targets that this VM sent them to. Targets that were ejected are used only when no
+/// other is left.
+/// @return None when no target of the region takes the request.
+[[nodiscard]] std::optional<placement_choice>
+choose_target(const target_pool& pool, const placement_request& request, base::time_point now);
+
+/// @brief How long work waits at a service in this region, for the VMs of others.
+[[nodiscard]] service_outlook outlook_of(const target_pool& pool, const service_name& service,
+                                         base::time_point now);
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_PLACEMENT_HPP
--- /dev/null
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -0,0 +1,80 @@
+#ifndef CHICORYLINK_FLEET_REGION_CHOICE_HPP
+#define CHICORYLINK_FLEET_REGION_CHOICE_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/placement.hpp"
+#include "chicorylink/fleet/roster.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// @brief What is known of a service in another region.
+struct remote_region {
+    region_name region;
+    /// How long work waits there, this VM's own recent sends included.
+    base::milliseconds wait{0};
+    base::milliseconds round_trip{0};
+    std::uint32_t usable_targets = 0;
+};
+
+/// @brief What a request needs, for the choice of a region.
+struct region_request {
+    bool is_engine = false;
+    /// Prompt tokens that another region would have to read.
+    std::uint32_t prompt_tokens = 0;
+    base::milliseconds latency_objective{0};
+    base::milliseconds time_left{0};
+};
+
+enum class place_kind { here, elsewhere, nowhere };
+
+/// @brief Where a request goes.
+struct place {
+    place_kind kind = place_kind::nowhere;
+    region_name region;
+    /// The expected wait there, or the shortest wait anywhere when it goes nowhere.
+    base::milliseconds wait{0};
+};
+
+/// @brief Chooses between this region, others and none.
+/// @param here The best target of this region; none when it has none or is not allowed.
+/// @param others Regions that the request may go to.
+[[nodiscard]] place choose_place(const std::optional<placement_choice>& here,
+                                 const std::vector<remote_region>& others,
+                                 const region_request& request);
+
+/// @brief The wait above which a request is refused at once: its answer would come too late.
+[[nodiscard]] base::milliseconds longest_wait(const region_request& request);
+
+/// @brief Prompt tokens that this VM sent to other regions since their last news.
+class remote_sends {
+public:
+    void note(const region_name& region, const service_name& service, std::uint32_t tokens,
+              base::time_point now);
+
+    /// @brief What this VM sent within the last interval of news.
+    [[nodiscard]] std::uint64_t recent_tokens(const region_name& region,
+                                              const service_name& service,
+                                              base::time_point now) const;
+
+private:
+    struct sent {
+        base::time_point at{};
+        std::uint32_t tokens = 0;
+    };
+    std::map<std::pair<region_name, service_name>, std::vector<sent>> m_sent;
+};
+
+/// @brief The other regions where a service has usable targets and a VM takes requests.
+[[nodiscard]] std::vector<remote_region> remote_regions(const roster& members,
+                                                        const service_name& service,
+                                                        const remote_sends& sends,
+                                                        base::time_point now);
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_REGION_CHOICE_HPP
--- /dev/null
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -0,0 +1,77 @@
+#ifndef CHICORYLINK_FLEET_TARGET_POOL_HPP
+#define CHICORYLINK_FLEET_TARGET_POOL_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/configuration.hpp"
+#include "chicorylink/fleet/heartbeat.hpp"
+#include "chicorylink/fleet/published_state.hpp"
+#include "chicorylink/fleet/tracked_target.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// @brief The targets of this VM's region, with the work that is there.
+class target_pool {
+public:
+    /// @brief Takes published targets over; what is known of those that remain is kept.
+    /// @param region_of The region of each data center.
+    void sync(const published_state& state, const region_name& region,
+              const std::map<data_center_name, region_name>& region_of, base::time_point now);
+
+    [[nodiscard]] const std::map<target_name, tracked_target>& targets() const { return m_targets; }
+    [[nodiscard]] const tracked_target* find(const target_name& name) const;
+
+    /// @brief A request goes to a target.
+    /// @param asked Its prompt; null at a plain service.
+    /// @param unread Tokens of the prompt that the target is believed to have to read.
+    void on_sent(const target_name& name, const prompt* asked, std::uint32_t unread,
+                 base::time_point now);
+
+    /// @brief The answer to a request began, so its prompt is read.
+    void on_begun(const target_name& name, std::uint32_t unread, base::time_point now);
+
+    /// @brief A request is no longer at a target.
+    /// @param unread Tokens not yet taken back by `on_begun`; zero after it.
+    void on_ended(const target_name& name, std::uint32_t unread);
+
+    /// @brief Judges an attempt. Returns whether it ejected the target.
+    bool on_outcome(const target_name& name, target_outcome outcome, base::milliseconds took,
+                    base::time_point now);
+
+    /// @brief Bytes came from a target.
+    void on_sign(const target_name& name, base::time_point now);
+
+    /// @brief A target let a request wait and gave no sign to anyone. Returns whether it is newly
+    /// ejected.
+    bool on_silence(const target_name& name, base::time_point now);
+
+    void on_load(const target_name& name, std::uint32_t running, std::uint32_t waiting,
+                 base::time_point now);
+
+    /// @brief The target itself told how long it stays cold.
+    void on_cold(const target_name& name, base::milliseconds left, base::time_point now);
+
+    /// @brief Another target answered at its address.
+    void on_displaced(const target_name& name);
+
+    /// @brief What another VM of the region has at its targets.
+    void on_peer_use(const std::string& ip, const std::vector<target_use>& use,
+                     base::time_point now);
+
+    /// @brief What this VM has at its targets, for the heartbeats; idle targets are left out.
+    [[nodiscard]] std::vector<target_use> own_use() const;
+
+private:
+    [[nodiscard]] tracked_target* find_mutable(const target_name& name);
+
+    std::map<target_name, tracked_target> m_targets;
+    std::map<base::target_id, target_name> m_names;
+};
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_TARGET_POOL_HPP
--- /dev/null
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -0,0 +1,69 @@
+#ifndef CHICORYLINK_FLEET_TRACKED_TARGET_HPP
+#define CHICORYLINK_FLEET_TRACKED_TARGET_HPP
+
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/prompt_cache.hpp"
+#include "chicorylink/fleet/target_entry.hpp"
+#include "chicorylink/fleet/target_health.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// @brief What another VM has at a target, by its last heartbeat.
+struct peer_use {
+    std::string ip;
+    std::uint32_t in_flight = 0;
+    std::uint32_t unread_tokens = 0;
+    base::time_point told_at{};
+};
+
+/// @brief The load that a target told with an answer.
+struct reported_load {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    base::time_point told_at{};
+};
+
+/// @brief All that a process knows of one target of its region.
+struct tracked_target {
+    target_entry entry;
+    base::target_id id;
+    bool is_engine = false;
+    /// Whether its data center is evacuated.
+    bool evacuated = false;
+    /// Another target answered at its address; unusable until its entry changes.
+    bool displaced = false;
+    base::time_point cold_until{};
+    target_health health;
+
+    /// Requests from here that are not finished, and prompt tokens of those that have not begun.
+    std::uint32_t in_flight = 0;
+    std::uint32_t unread_tokens = 0;
+    std::vector<peer_use> others;
+    reported_load load;
+    /// The last time that any byte came from it.
+    base::time_point last_sign{};
+    /// Smoothed time of a whole answer of a plain service, in milliseconds.
+    double answer_ms = 0;
+    prompt_cache cache;
+};
+
+/// @brief Whether a target may be given work at all.
+[[nodiscard]] inline bool takes_work(const tracked_target& target)
+{
+    return !target.entry.leaving && !target.evacuated && !target.displaced;
+}
+
+/// @brief Requests of all VMs that are believed to be at a target.
+[[nodiscard]] std::uint32_t total_in_flight(const tracked_target& target, base::time_point now);
+
+/// @brief Prompt tokens of all VMs' requests that a target has yet to read.
+[[nodiscard]] std::uint64_t total_unread_tokens(const tracked_target& target, base::time_point now);
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_TRACKED_TARGET_HPP
--- /dev/null
+++ b/include/chicorylink/front/exchange.hpp
@@ -0,0 +1,127 @@
+#ifndef CHICORYLINK_FRONT_EXCHANGE_HPP
+#define CHICORYLINK_FRONT_EXCHANGE_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/next_step.hpp"
+#include "chicorylink/fleet/region_choice.hpp"
+#include "chicorylink/front/asked_request.hpp"
+#include "chicorylink/front/event_stream.hpp"
+#include "chicorylink/front/resolution.hpp"
+#include "chicorylink/front/upstream_call.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicorylink::front {
+
+class caller_connection;
+struct front_core;
+
+/// @brief One request from its arrival to the end of its answer, over all its attempts.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(front_core& core, caller_connection& caller, asked_request asked);
+    ~exchange();
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    exchange(exchange&&) = delete;
+    exchange& operator=(exchange&&) = delete;
+
+    void begin(base::time_point now);
+
+    /// @brief The caller closed its connection: whatever works for it is stopped at once.
+    void on_caller_gone(base::time_point now);
+
+    /// @brief The caller took all bytes that were queued for it.
+    void on_caller_drained();
+
+    /// @brief Looks after the deadline and after a silent target.
+    void tick(base::time_point now);
+
+    /// @brief Ends the request because the process ends.
+    void on_stop(base::time_point now);
+
+private:
+    /// What one attempt sends to and what it has shown so far.
+    struct attempt {
+        std::shared_ptr<upstream_call> call;
+        /// Empty when the request went to another VM.
+        fleet::target_name target;
+        std::string address;
+        fleet::region_name region;
+        base::time_point sent_at{};
+        base::time_point last_sign{};
+        std::uint32_t unread_tokens = 0;
+        base::milliseconds expected_wait{0};
+        bool has_head = false;
+        message_head head;
+        std::string held_body;
+        /// Whether the target's work was taken back from the pool.
+        bool released = false;
+    };
+
+    // Before an attempt.
+    [[nodiscard]] std::optional<refusal> check(base::time_point now);
+    [[nodiscard]] std::optional<refusal> check_quota(base::time_point now);
+    void dispatch(base::time_point now);
+    [[nodiscard]] std::optional<fleet::placement_choice> choose_here(base::time_point now) const;
+    [[nodiscard]] std::vector<fleet::remote_region> choices_elsewhere(base::time_point now) const;
+    [[nodiscard]] std::string peer_in(const fleet::region_name& region, base::time_point now) const;
+    [[nodiscard]] fleet::region_request needs(base::time_point now) const;
+    [[nodiscard]] bool may_use(const fleet::tracked_target& target, base::time_point now) const;
+    void send_to_target(const fleet::placement_choice& choice, base::time_point now);
+    void send_to_peer(const fleet::place& where, const std::string& ip, base::time_point now);
+    void send(std::string bytes, base::milliseconds connect_limit, base::time_point now);
+    void note_sent(base::time_point now);
+
+    // While an attempt runs.
+    void on_head(const message_head& head);
+    void on_body(std::string piece);
+    void on_answer_end();
+    void on_failure(const upstream_failure& failure);
+    void take_event(const stream_event& event);
+    void read_load(const message_head& head, base::time_point now);
+    void flush_held(base::time_point now);
+
+    // After an attempt.
+    void end_attempt(fleet::attempt_end end, fleet::target_outcome outcome, std::string_view detail,
+                     base::time_point now);
+    void release();
+    void carry_out(fleet::next_step step, std::string_view detail, base::time_point now);
+    void pass_held_answer(base::time_point now);
+    void refuse(const refusal& why, base::time_point now);
+    void finish(std::string_view outcome, int status, std::string_view reason,
+                base::time_point now);
+    void begin_answer(const message_head& head, std::optional<std::uint64_t> length);
+
+    [[nodiscard]] bool is_stream() const;
+    [[nodiscard]] base::milliseconds time_left(base::time_point now) const;
+    [[nodiscard]] base::milliseconds retry_after(base::milliseconds wait) const;
+    void log_attempt(std::string_view result, std::string_view detail, base::time_point now) const;
+
+    front_core& m_core;
+    caller_connection* m_caller;
+    asked_request m_asked;
+    std::optional<fleet::prompt> m_prompt;
+    resolved_request m_resolved;
+    base::time_point m_deadline{};
+    std::optional<attempt> m_attempt;
+    fleet::attempt_history m_history;
+    fleet::attempt_end m_last_end = fleet::attempt_end::not_sent;
+    std::vector<fleet::target_name> m_tried;
+    std::vector<std::string> m_tried_peers;
+    event_stream m_events;
+    std::string m_last_event_id;
+    base::time_point m_first_at{};
+    bool m_charged = false;
+    bool m_answer_begun = false;
+    bool m_paused = false;
+    bool m_is_over = false;
+};
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_EXCHANGE_HPP
--- /dev/null
+++ b/include/chicorylink/front/front_core.hpp
@@ -0,0 +1,69 @@
+#ifndef CHICORYLINK_FRONT_FRONT_CORE_HPP
+#define CHICORYLINK_FRONT_FRONT_CORE_HPP
+
+#include "chicorylink/base/line_buffer.hpp"
+#include "chicorylink/base/log_line.hpp"
+#include "chicorylink/base/metrics.hpp"
+#include "chicorylink/fleet/cold_allowance.hpp"
+#include "chicorylink/fleet/fleet_quota.hpp"
+#include "chicorylink/fleet/published_state.hpp"
+#include "chicorylink/fleet/region_choice.hpp"
+#include "chicorylink/fleet/retry_allowance.hpp"
+#include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/fleet/target_pool.hpp"
+#include "chicorylink/front/connection_pool.hpp"
+#include "chicorylink/front/front_settings.hpp"
+#include "chicorylink/front/outer_protocol.hpp"
+
+#include <set>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+namespace chicorylink::front {
+
+class exchange;
+
+/// @brief What the parts of one daemon share. Used on the loop's thread only.
+struct front_core {
+    front_core(boost::asio::io_context& on, front_settings with, const outer_protocol& speaking,
+               base::time_point now);
+
+    boost::asio::io_context& loop;
+    front_settings settings;
+    const outer_protocol& protocol;
+    base::line_buffer log;
+    base::metrics counters;
+    fleet::published_state state;
+    fleet::roster members;
+    fleet::target_pool pool;
+    fleet::fleet_quota quota;
+    fleet::retry_allowance retries;
+    fleet::cold_allowance cold;
+    fleet::remote_sends remote;
+    connection_pool connections;
+    /// Requests that are not answered yet.
+    std::set<exchange*> exchanges;
+    /// Set by the signal to stop.
+    bool leaving = false;
+};
+
+/// @brief Whether this VM takes callers, and why not.
+enum class readiness { ready, leaving, no_configuration, no_targets, stale_configuration };
+
+[[nodiscard]] readiness readiness_of(const front_core& core, base::time_point now);
+[[nodiscard]] std::string_view to_string(readiness value);
+
+/// @brief Whether the configuration was proved to be the newest one so recently that a withdrawn
+/// key can't be in force beyond its bound.
+[[nodiscard]] bool keys_are_fresh(const front_core& core, base::time_point now);
+
+/// @brief Adds a line with the VM's name and the time of day to the log.
+void write_log(front_core& core, const base::log_line& line);
+
+/// @brief A line that names its time and VM.
+[[nodiscard]] base::log_line log_event(const front_core& core, std::string_view event);
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_FRONT_CORE_HPP
--- /dev/null
+++ b/include/chicorylink/front/front_settings.hpp
@@ -0,0 +1,45 @@
+#ifndef CHICORYLINK_FRONT_FRONT_SETTINGS_HPP
+#define CHICORYLINK_FRONT_FRONT_SETTINGS_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/heartbeat.hpp"
+#include "chicorylink/fleet/retry_allowance.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicorylink::front {
+
+/// @brief Bounds that the operators of the platform set for the whole system.
+struct promises {
+    /// A withdrawn key stops working within this time, whatever the daemon can reach.
+    base::milliseconds key_withdrawal{5000};
+    /// The time from the signal to stop to the end of the process.
+    base::milliseconds stop_time{8000};
+    /// The longest time for which callers keep an answer of the directory.
+    base::milliseconds directory_lifetime{5000};
+    fleet::retry_bound retries;
+};
+
+/// @brief All that the daemon is told at its start and at a reload.
+struct front_settings {
+    fleet::member_identity self;
+    /// `IP:port` for callers, for the platform's readiness check and for the directory.
+    std::string callers_address;
+    std::string ready_address;
+    std::string directory_address;
+    /// `IP:port` for operators' reads: metrics, and the items that peers copy from each other.
+    std::string control_address;
+    /// Port of peers' requests by TCP and of heartbeats by UDP; the same on all VMs.
+    std::uint16_t peer_port = 0;
+    std::vector<std::string> seed_ips;
+    std::string store_address;
+    std::map<fleet::data_center_name, fleet::region_name> regions;
+    promises bounds;
+};
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_FRONT_SETTINGS_HPP
--- /dev/null
+++ b/include/chicorylink/front/gossip.hpp
@@ -0,0 +1,44 @@
+#ifndef CHICORYLINK_FRONT_GOSSIP_HPP
+#define CHICORYLINK_FRONT_GOSSIP_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/heartbeat.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace chicorylink::front {
+
+struct front_core;
+
+/// @brief Sends and takes heartbeats, one datagram each.
+class gossip {
+public:
+    /// @param on_heartbeat Called for each heartbeat of another VM, after the roster took it in.
+    gossip(front_core& core, boost::asio::ip::udp::socket socket,
+           std::function<void(const fleet::heartbeat&)> on_heartbeat);
+
+    /// @brief Sends the heartbeats that are due.
+    void tick(base::time_point now);
+
+    /// @brief Tells all VMs at once, such as that this one leaves.
+    void announce(base::time_point now);
+
+private:
+    void receive();
+    void take_datagram(std::size_t size);
+    void send_to(const std::string& ip, base::time_point now);
+    [[nodiscard]] fleet::heartbeat message_to(const std::string& ip, base::time_point now);
+
+    front_core& m_core;
+    boost::asio::ip::udp::socket m_socket;
+    std::function<void(const fleet::heartbeat&)> m_on_heartbeat;
+    std::uint64_t m_sequence = 0;
+};
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_GOSSIP_HPP
--- /dev/null
+++ b/include/chicorylink/front/request_listener.hpp
@@ -0,0 +1,41 @@
+#ifndef CHICORYLINK_FRONT_REQUEST_LISTENER_HPP
+#define CHICORYLINK_FRONT_REQUEST_LISTENER_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/front/caller_connection.hpp"
+
+#include <memory>
+#include <unordered_map>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace chicorylink::front {
+
+struct front_core;
+
+/// @brief Accepts connections that carry requests and owns them.
+class request_listener {
+public:
+    request_listener(front_core& core, boost::asio::ip::tcp::acceptor acceptor,
+                     connection_side side);
+    ~request_listener();
+    request_listener(const request_listener&) = delete;
+    request_listener& operator=(const request_listener&) = delete;
+    request_listener(request_listener&&) = delete;
+    request_listener& operator=(request_listener&&) = delete;
+
+    void tick(base::time_point now);
+    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
+
+private:
+    void accept();
+
+    front_core& m_core;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    connection_side m_side;
+    std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
+};
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_REQUEST_LISTENER_HPP
--- /dev/null
+++ b/include/chicorylink/front/status_server.hpp
@@ -0,0 +1,57 @@
+#ifndef CHICORYLINK_FRONT_STATUS_SERVER_HPP
+#define CHICORYLINK_FRONT_STATUS_SERVER_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/front/message_head.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace chicorylink::front {
+
+class tcp_channel;
+class message_parser;
+
+/// @brief A short answer without a stream.
+struct status_answer {
+    int status = 200;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+/// @brief Serves short reads: readiness, the directory, metrics and copies for peers.
+class status_server {
+public:
+    using handler = std::function<status_answer(const message_head&)>;
+
+    status_server(boost::asio::io_context& loop, boost::asio::ip::tcp::acceptor acceptor,
+                  handler answer);
+    ~status_server();
+    status_server(const status_server&) = delete;
+    status_server& operator=(const status_server&) = delete;
+    status_server(status_server&&) = delete;
+    status_server& operator=(status_server&&) = delete;
+
+    /// @brief Closes connections that sent nothing for long.
+    void tick(base::time_point now);
+
+private:
+    struct session;
+
+    void accept();
+    void on_data(const std::shared_ptr<session>& from, std::string_view bytes);
+    void answer_requests(const std::shared_ptr<session>& from);
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    handler m_answer;
+    std::map<const session*, std::shared_ptr<session>> m_sessions;
+};
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_STATUS_SERVER_HPP
--- /dev/null
+++ b/src/chicorylink/fleet/cold_allowance.cpp
@@ -0,0 +1,37 @@
+#include "chicorylink/fleet/cold_allowance.hpp"
+
+#include "chicorylink/base/ids.hpp"
+
+#include <algorithm>
+
+namespace chicorylink::fleet {
+
+bool is_cold_sender(const target_name& target, const std::string& own_ip,
+                    const std::vector<std::string>& region_ips)
+{
+    const auto key = base::hash_name(target.text());
+    const auto own = base::hash_pair(key, base::hash_name(own_ip));
+    const auto before = std::count_if(region_ips.begin(), region_ips.end(), [&](const auto& ip) {
+        return ip != own_ip && base::hash_pair(key, base::hash_name(ip)) > own;
+    });
+    return static_cast<std::size_t>(before) < cold_senders;
+}
+
+bool cold_allowance::allows(const target_name& target, double per_second,
+                            base::time_point now) const
+{
+    if (per_second <= 0) {
+        return true;
+    }
+    const std::chrono::duration<double> gap{static_cast<double>(cold_senders) / per_second};
+    const auto sent = m_sent_at.find(target);
+    const auto since = sent == m_sent_at.end() ? m_started_at : sent->second;
+    return now - since >= gap;
+}
+
+void cold_allowance::note_sent(const target_name& target, base::time_point now)
+{
+    m_sent_at[target] = now;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/next_step.cpp
@@ -0,0 +1,36 @@
+#include "chicorylink/fleet/next_step.hpp"
+
+namespace chicorylink::fleet {
+
+next_step give_up(const attempt_history& history, attempt_end end)
+{
+    if (history.has_begun) {
+        return next_step::cut;
+    }
+    if (end == attempt_end::failed) {
+        return next_step::pass_answer;
+    }
+    return history.runs == 0 ? next_step::refuse : next_step::fail;
+}
+
+next_step decide_next(const route& asked, const attempt_history& history, attempt_end end,
+                      base::milliseconds time_left)
+{
+    if (time_left < shortest_attempt || history.arrivals >= max_arrivals) {
+        return give_up(history, end);
+    }
+    const bool ran = end == attempt_end::failed || end == attempt_end::unknown;
+    if (ran && (history.from_peer || !may_repeat(asked))) {
+        return give_up(history, end);
+    }
+    if (end == attempt_end::failed && asked.kind == request_kind::stream) {
+        // An engine that answers with a failure of its own would do so again.
+        return give_up(history, end);
+    }
+    if (history.runs >= asked.max_attempts && history.runs > 0) {
+        return give_up(history, end);
+    }
+    return next_step::send_again;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/placement.cpp
@@ -0,0 +1,183 @@
+#include "chicorylink/fleet/placement.hpp"
+
+#include "chicorylink/base/ids.hpp"
+
+#include <algorithm>
+
+namespace chicorylink::fleet {
+namespace {
+
+/// The time from the end of the prompt to the first token with an idle batch.
+constexpr double first_token_ms = 36.0;
+
+/// What one step of a batch adds for each request that runs in it.
+constexpr double step_ms_per_request = 0.25;
+
+/// What a request waits for each request before it that holds no slot of an engine yet.
+constexpr double engine_slot_wait_ms = 60.0;
+
+/// The answer time of a plain service that has not answered yet.
+constexpr double default_answer_ms = 30.0;
+
+/// What an expected failure costs, as time: a failed attempt and its repeat.
+constexpr double failure_cost_ms = 300.0;
+
+/// The part of a session's tokens that its place by rendezvous hash is taken to hold though this
+/// VM did not send them there: the region's other VMs place it alike.
+constexpr double held_by_others = 0.7;
+
+double wait_ms(const tracked_target& target, base::time_point now)
+{
+    const auto running = static_cast<double>(total_in_flight(target, now));
+    const auto slots = static_cast<double>(std::max(target.entry.slots, 1U));
+    const double over = std::max(0.0, running + 1 - slots);
+    if (target.is_engine) {
+        return static_cast<double>(total_unread_tokens(target, now)) / default_prompt_speed +
+               running * step_ms_per_request + over * engine_slot_wait_ms;
+    }
+    const double each = target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
+    return over / slots * each;
+}
+
+/// Shared parts are all but the last, which belongs to the request itself.
+std::uint32_t shared_tokens(const prompt& asked)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t part = 0; part + 1 < asked.parts.size(); ++part) {
+        tokens += asked.parts[part].tokens;
+    }
+    return tokens;
+}
+
+std::uint32_t unread_tokens(const tracked_target& target, const prompt& asked, bool is_home,
+                            base::time_point now)
+{
+    auto cached = target.cache.cached_tokens(asked, now);
+    if (is_home) {
+        const double by_others = held_by_others * static_cast<double>(shared_tokens(asked));
+        cached = std::max(cached, static_cast<std::uint32_t>(by_others));
+    }
+    return asked.prompt_tokens > cached ? asked.prompt_tokens - cached : 0;
+}
+
+struct candidate {
+    const tracked_target* target = nullptr;
+    std::uint64_t weight = 0;
+};
+
+std::vector<candidate> candidates_for(const target_pool& pool, const placement_request& request)
+{
+    std::vector<candidate> found;
+    for (const auto& [name, target] : pool.targets()) {
+        if (target.entry.service != request.service || !takes_work(target)) {
+            continue;
+        }
+        const auto session = request.asked == nullptr ? 0 : request.asked->session;
+        found.push_back({&target, base::hash_pair(session, target.id.value())});
+    }
+    return found;
+}
+
+bool was_tried(const placement_request& request, const target_name& name)
+{
+    return std::find(request.tried.begin(), request.tried.end(), name) != request.tried.end();
+}
+
+placement_choice rate(const candidate& which, const placement_request& request, bool is_home,
+                      base::time_point now)
+{
+    const auto& target = *which.target;
+    placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0};
+    const double wait = wait_ms(target, now);
+    double start = wait;
+    if (request.asked != nullptr && target.is_engine) {
+        choice.unread_tokens = unread_tokens(target, *request.asked, is_home, now);
+        start += first_token_ms + static_cast<double>(choice.unread_tokens) / default_prompt_speed;
+    }
+    else {
+        start += target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
+    }
+    start += target.health.failure_rate * failure_cost_ms;
+    choice.wait = base::milliseconds{static_cast<std::int64_t>(wait)};
+    choice.start = base::milliseconds{static_cast<std::int64_t>(start)};
+    return choice;
+}
+
+std::optional<placement_choice> best_of(const std::vector<candidate>& candidates,
+                                        const placement_request& request,
+                                        const tracked_target* home, base::time_point now,
+                                        const std::function<bool(const tracked_target&)>& accept)
+{
+    std::optional<placement_choice> best;
+    std::uint64_t best_weight = 0;
+    for (const auto& which : candidates) {
+        if (!accept(*which.target) || (request.may_use && !request.may_use(*which.target))) {
+            continue;
+        }
+        auto choice = rate(which, request, which.target == home, now);
+        const bool better = !best || choice.start < best->start ||
+                            (choice.start == best->start && which.weight > best_weight);
+        if (better) {
+            best = std::move(choice);
+            best_weight = which.weight;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+base::milliseconds expected_wait(const tracked_target& target, base::time_point now)
+{
+    return base::milliseconds{static_cast<std::int64_t>(wait_ms(target, now))};
+}
+
+std::optional<placement_choice>
+choose_target(const target_pool& pool, const placement_request& request, base::time_point now)
+{
+    const auto candidates = candidates_for(pool, request);
+    const tracked_target* home = nullptr;
+    std::uint64_t home_weight = 0;
+    for (const auto& which : candidates) {
+        if (!is_ejected(which.target->health, now) && which.weight >= home_weight) {
+            home = which.target;
+            home_weight = which.weight;
+        }
+    }
+    const auto sound = [&](const tracked_target& target) {
+        return !is_ejected(target.health, now) && !was_tried(request, target.entry.name) &&
+               !(is_on_probation(target.health) && target.in_flight > 0);
+    };
+    if (auto choice = best_of(candidates, request, home, now, sound)) {
+        return choice;
+    }
+    const auto untried = [&](const tracked_target& target) {
+        return !was_tried(request, target.entry.name);
+    };
+    if (auto choice = best_of(candidates, request, home, now, untried)) {
+        return choice;
+    }
+    return best_of(candidates, request, home, now, [](const tracked_target&) { return true; });
+}
+
+service_outlook outlook_of(const target_pool& pool, const service_name& service,
+                           base::time_point now)
+{
+    service_outlook outlook;
+    outlook.service = base::hash_name(service.text());
+    double sum = 0;
+    for (const auto& [name, target] : pool.targets()) {
+        if (target.entry.service == service && takes_work(target) &&
+            !is_ejected(target.health, now) && now >= target.cold_until) {
+            ++outlook.usable_targets;
+            sum += wait_ms(target, now);
+        }
+    }
+    if (outlook.usable_targets > 0) {
+        const double mean = sum / outlook.usable_targets;
+        outlook.wait = base::milliseconds{static_cast<std::int64_t>(mean)};
+    }
+    return outlook;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/prompt.cpp
@@ -0,0 +1,69 @@
+#include "chicorylink/fleet/prompt.hpp"
+
+#include "chicorylink/base/ids.hpp"
+
+#include <charconv>
+
+namespace chicorylink::fleet {
+namespace {
+
+std::optional<std::uint32_t> parse_count(std::string_view text)
+{
+    std::uint32_t value = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (problem != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && text.back() == ' ') {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+} // namespace
+
+std::optional<token_counts> parse_token_counts(std::string_view text)
+{
+    const auto comma = text.find(',');
+    if (comma == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto prompt_tokens = parse_count(trim(text.substr(0, comma)));
+    const auto answer_tokens = parse_count(trim(text.substr(comma + 1)));
+    if (!prompt_tokens || !answer_tokens) {
+        return std::nullopt;
+    }
+    return token_counts{*prompt_tokens, *answer_tokens};
+}
+
+std::vector<prompt_part> parse_prompt_parts(std::string_view model, std::string_view text)
+{
+    std::vector<prompt_part> parts;
+    auto chain = base::hash_name(model);
+    while (!text.empty()) {
+        const auto entry = trim(text.substr(0, text.find(',')));
+        const auto colon = entry.find(':');
+        if (colon == std::string_view::npos) {
+            break;
+        }
+        const auto tokens = parse_count(entry.substr(colon + 1));
+        if (!tokens) {
+            break;
+        }
+        chain = base::hash_pair(chain, base::hash_name(entry.substr(0, colon)));
+        parts.push_back({chain, *tokens});
+        const auto next = text.find(',');
+        text = next == std::string_view::npos ? std::string_view{} : text.substr(next + 1);
+    }
+    return parts;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -0,0 +1,130 @@
+#include "chicorylink/fleet/region_choice.hpp"
+
+#include "chicorylink/base/ids.hpp"
+
+#include <algorithm>
+
+namespace chicorylink::fleet {
+namespace {
+
+/// Part of the latency objective that waiting may take; the rest is for the request's own work.
+constexpr double wait_part_of_objective = 0.7;
+
+/// Part of the objective up to which a request stays in its region whatever others promise: a
+/// region loses its cached prompts with each request that leaves it.
+constexpr double stay_part_of_objective = 0.5;
+
+/// What another region has to be faster by, since its news is old and links cost.
+constexpr base::milliseconds leave_margin{60};
+
+/// Round trip to a region before one was measured.
+constexpr base::milliseconds unknown_round_trip{120};
+
+/// News of other regions comes at this interval and takes the way; what was sent since is added.
+constexpr base::milliseconds news_interval{700};
+
+base::milliseconds part_of(base::milliseconds whole, double part)
+{
+    return base::milliseconds{static_cast<std::int64_t>(static_cast<double>(whole.count()) * part)};
+}
+
+base::milliseconds start_at(const remote_region& where, const region_request& request)
+{
+    const double reading =
+        request.is_engine ? static_cast<double>(request.prompt_tokens) / default_prompt_speed : 0;
+    return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
+}
+
+} // namespace
+
+base::milliseconds longest_wait(const region_request& request)
+{
+    return std::min(part_of(request.latency_objective, wait_part_of_objective), request.time_left);
+}
+
+place choose_place(const std::optional<placement_choice>& here,
+                   const std::vector<remote_region>& others, const region_request& request)
+{
+    const auto limit = longest_wait(request);
+    const remote_region* best = nullptr;
+    for (const auto& other : others) {
+        if (best == nullptr || start_at(other, request) < start_at(*best, request)) {
+            best = &other;
+        }
+    }
+    const bool here_fits = here && here->wait <= limit;
+    const bool best_fits = best != nullptr && best->wait + best->round_trip <= limit;
+    if (here_fits) {
+        const bool soon = here->start <= part_of(request.latency_objective, stay_part_of_objective);
+        if (soon || !best_fits || here->start <= start_at(*best, request) + leave_margin) {
+            return {place_kind::here, {}, here->wait};
+        }
+    }
+    if (best_fits) {
+        return {place_kind::elsewhere, best->region, best->wait + best->round_trip};
+    }
+    auto shortest = here ? here->wait : base::milliseconds::max();
+    if (best != nullptr) {
+        shortest = std::min(shortest, best->wait + best->round_trip);
+    }
+    return {place_kind::nowhere, {}, shortest};
+}
+
+void remote_sends::note(const region_name& region, const service_name& service,
+                        std::uint32_t tokens, base::time_point now)
+{
+    auto& list = m_sent[{region, service}];
+    std::erase_if(list, [&](const sent& entry) { return now - entry.at > news_interval; });
+    list.push_back({now, tokens});
+}
+
+std::uint64_t remote_sends::recent_tokens(const region_name& region, const service_name& service,
+                                          base::time_point now) const
+{
+    const auto found = m_sent.find({region, service});
+    if (found == m_sent.end()) {
+        return 0;
+    }
+    std::uint64_t tokens = 0;
+    for (const auto& entry : found->second) {
+        tokens += now - entry.at <= news_interval ? entry.tokens : 0;
+    }
+    return tokens;
+}
+
+std::vector<remote_region> remote_regions(const roster& members, const service_name& service,
+                                          const remote_sends& sends, base::time_point now)
+{
+    struct sum {
+        std::int64_t wait_ms = 0;
+        std::int64_t count = 0;
+        std::uint32_t usable = 0;
+        base::milliseconds round_trip{0};
+    };
+    std::map<region_name, sum> sums;
+    const auto wanted = base::hash_name(service.text());
+    for (const auto& [ip, who] : members.members()) {
+        if (who.who.region == members.self().region || !roster::takes_requests(who, now)) {
+            continue;
+        }
+        for (const auto& entry : who.outlook) {
+            if (entry.service == wanted && entry.usable_targets > 0) {
+                auto& total = sums[who.who.region];
+                total.wait_ms += entry.wait.count();
+                ++total.count;
+                total.usable = std::max(total.usable, entry.usable_targets);
+                total.round_trip = who.round_trip.value_or(unknown_round_trip);
+            }
+        }
+    }
+    std::vector<remote_region> regions;
+    for (const auto& [region, total] : sums) {
+        const auto own = static_cast<double>(sends.recent_tokens(region, service, now)) /
+                         (default_prompt_speed * total.usable);
+        const auto wait = total.wait_ms / total.count + static_cast<std::int64_t>(own);
+        regions.push_back({region, base::milliseconds{wait}, total.round_trip, total.usable});
+    }
+    return regions;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/target_health.cpp
@@ -0,0 +1,57 @@
+#include "chicorylink/fleet/target_health.hpp"
+
+#include <algorithm>
+
+namespace chicorylink::fleet {
+namespace {
+
+/// Weight of the newest attempt in the failure rate: about the last ten attempts count.
+constexpr double newest_weight = 0.1;
+
+} // namespace
+
+void eject(target_health& health, base::time_point now)
+{
+    const auto doubled = first_ejection * (1 << std::min(health.times_ejected, 3U));
+    health.ejected_until = now + std::min<base::milliseconds>(doubled, longest_ejection);
+    ++health.times_ejected;
+    // One more failure after the ejection is enough to eject it again.
+    health.broken_in_a_row = broken_to_eject - 1;
+}
+
+bool on_outcome(target_health& health, target_outcome outcome, base::time_point now)
+{
+    const bool good = outcome == target_outcome::answered;
+    health.failure_rate += newest_weight * ((good ? 0.0 : 1.0) - health.failure_rate);
+    switch (outcome) {
+    case target_outcome::answered:
+    case target_outcome::server_error:
+    case target_outcome::shed:
+        health.broken_in_a_row = 0;
+        health.times_ejected = 0;
+        return false;
+    case target_outcome::broken:
+        ++health.broken_in_a_row;
+        break;
+    case target_outcome::unreachable:
+        health.broken_in_a_row = broken_to_eject;
+        break;
+    }
+    if (health.broken_in_a_row < broken_to_eject || is_ejected(health, now)) {
+        return false;
+    }
+    eject(health, now);
+    return true;
+}
+
+bool is_ejected(const target_health& health, base::time_point now)
+{
+    return now < health.ejected_until;
+}
+
+bool is_on_probation(const target_health& health)
+{
+    return health.times_ejected > 0;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -0,0 +1,184 @@
+#include "chicorylink/fleet/target_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorylink::fleet {
+namespace {
+
+/// Weight of the newest answer in a target's smoothed answer time.
+constexpr double newest_weight = 0.1;
+
+void take_entry(tracked_target& target, const target_entry& entry, base::time_point now)
+{
+    if (target.entry.started_ms != entry.started_ms) {
+        // A new run under the same name holds and knows nothing of before.
+        target.health = {};
+        target.cache.clear();
+        target.load = {};
+    }
+    if (entry.cold_left.count() > 0 && entry.cold_left != target.entry.cold_left) {
+        target.cold_until = std::max(target.cold_until, now + entry.cold_left);
+    }
+    if (target.entry != entry) {
+        target.displaced = false;
+    }
+    target.entry = entry;
+}
+
+} // namespace
+
+void target_pool::sync(const published_state& state, const region_name& region,
+                       const std::map<data_center_name, region_name>& region_of,
+                       base::time_point now)
+{
+    std::map<target_name, tracked_target> next;
+    m_names.clear();
+    const auto& config = state.config();
+    for (const auto& [name, entry] : state.targets()) {
+        const auto place = region_of.find(entry.data_center);
+        if (place == region_of.end() || place->second != region) {
+            continue;
+        }
+        const auto known = m_targets.find(name);
+        auto target = known == m_targets.end() ? tracked_target{} : std::move(known->second);
+        target.id = base::id_of<base::target_id>(name.text());
+        const auto* service = config ? config->find_service(entry.service) : nullptr;
+        target.is_engine = service != nullptr && service->is_engine;
+        target.cache.set_capacity(service == nullptr ? 0 : service->memory_tokens);
+        const bool evacuated = state.is_evacuated(entry.data_center);
+        if (target.evacuated && !evacuated && service != nullptr) {
+            // Its targets may have become cold while they got nothing.
+            target.cold_until = std::max(target.cold_until, now + service->cold_time);
+        }
+        target.evacuated = evacuated;
+        take_entry(target, entry, now);
+        m_names.emplace(target.id, name);
+        next.emplace(name, std::move(target));
+    }
+    m_targets = std::move(next);
+}
+
+const tracked_target* target_pool::find(const target_name& name) const
+{
+    const auto found = m_targets.find(name);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+tracked_target* target_pool::find_mutable(const target_name& name)
+{
+    const auto found = m_targets.find(name);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+void target_pool::on_sent(const target_name& name, const prompt* asked, std::uint32_t unread,
+                          base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        ++target->in_flight;
+        target->unread_tokens += unread;
+        if (asked != nullptr) {
+            target->cache.note_read(*asked, now);
+        }
+    }
+}
+
+void target_pool::on_begun(const target_name& name, std::uint32_t unread, base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        target->unread_tokens -= std::min(target->unread_tokens, unread);
+        target->last_sign = now;
+    }
+}
+
+void target_pool::on_ended(const target_name& name, std::uint32_t unread)
+{
+    if (auto* target = find_mutable(name)) {
+        target->in_flight -= std::min(target->in_flight, 1U);
+        target->unread_tokens -= std::min(target->unread_tokens, unread);
+    }
+}
+
+bool target_pool::on_outcome(const target_name& name, target_outcome outcome,
+                             base::milliseconds took, base::time_point now)
+{
+    auto* target = find_mutable(name);
+    if (target == nullptr) {
+        return false;
+    }
+    if (outcome == target_outcome::answered && !target->is_engine) {
+        const auto measured = static_cast<double>(took.count());
+        target->answer_ms =
+            target->answer_ms <= 0
+                ? measured
+                : target->answer_ms + newest_weight * (measured - target->answer_ms);
+    }
+    return fleet::on_outcome(target->health, outcome, now);
+}
+
+void target_pool::on_sign(const target_name& name, base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        target->last_sign = now;
+    }
+}
+
+bool target_pool::on_silence(const target_name& name, base::time_point now)
+{
+    auto* target = find_mutable(name);
+    if (target == nullptr || is_ejected(target->health, now)) {
+        return false;
+    }
+    eject(target->health, now);
+    return true;
+}
+
+void target_pool::on_load(const target_name& name, std::uint32_t running, std::uint32_t waiting,
+                          base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        target->load = {running, waiting, now};
+    }
+}
+
+void target_pool::on_cold(const target_name& name, base::milliseconds left, base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        target->cold_until = now + left;
+    }
+}
+
+void target_pool::on_displaced(const target_name& name)
+{
+    if (auto* target = find_mutable(name)) {
+        target->displaced = true;
+    }
+}
+
+void target_pool::on_peer_use(const std::string& ip, const std::vector<target_use>& use,
+                              base::time_point now)
+{
+    for (auto& [name, target] : m_targets) {
+        std::erase_if(target.others, [&](const peer_use& other) { return other.ip == ip; });
+    }
+    for (const auto& entry : use) {
+        const auto name = m_names.find(entry.target);
+        if (name != m_names.end()) {
+            m_targets.at(name->second)
+                .others.push_back({ip, entry.in_flight, entry.unread_tokens, now});
+        }
+    }
+}
+
+std::vector<target_use> target_pool::own_use() const
+{
+    std::vector<target_use> use;
+    for (const auto& [name, target] : m_targets) {
+        if (target.in_flight > 0) {
+            use.push_back({target.id, target.in_flight, target.unread_tokens});
+        }
+    }
+    return use;
+}
+
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/front/front_core.cpp
@@ -0,0 +1,76 @@
+#include "chicorylink/front/front_core.hpp"
+
+#include <chrono>
+#include <unistd.h>
+#include <utility>
+
+namespace chicorylink::front {
+namespace {
+
+/// Keyed requests stop so long before the withdrawal bound: a request that was checked just before
+/// still has to reach its target, and the store may have been silent for a moment when it last
+/// confirmed.
+constexpr base::milliseconds withdrawal_margin{1300};
+
+} // namespace
+
+front_core::front_core(boost::asio::io_context& on, front_settings with,
+                       const outer_protocol& speaking, base::time_point now)
+    : loop(on), settings(std::move(with)), protocol(speaking), log(STDOUT_FILENO),
+      state(speaking.decode_item), members(settings.self, settings.seed_ips), quota(now),
+      retries(settings.bounds.retries), cold(now), connections(on)
+{
+}
+
+bool keys_are_fresh(const front_core& core, base::time_point now)
+{
+    const auto confirmed = core.state.confirmed_at();
+    return confirmed && now - *confirmed < core.settings.bounds.key_withdrawal - withdrawal_margin;
+}
+
+readiness readiness_of(const front_core& core, base::time_point now)
+{
+    if (core.leaving) {
+        return readiness::leaving;
+    }
+    if (!core.state.config()) {
+        return readiness::no_configuration;
+    }
+    if (core.state.targets().empty()) {
+        return readiness::no_targets;
+    }
+    return keys_are_fresh(core, now) ? readiness::ready : readiness::stale_configuration;
+}
+
+std::string_view to_string(readiness value)
+{
+    switch (value) {
+    case readiness::ready:
+        return "ready";
+    case readiness::leaving:
+        return "leaving";
+    case readiness::no_configuration:
+        return "no_configuration";
+    case readiness::no_targets:
+        return "no_targets";
+    case readiness::stale_configuration:
+        return "stale_configuration";
+    }
+    return "unknown";
+}
+
+base::log_line log_event(const front_core& core, std::string_view event)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    base::log_line line(event);
+    line.add("time_ms", std::chrono::duration_cast<base::milliseconds>(now).count());
+    line.add("vm", core.settings.self.name.text());
+    return line;
+}
+
+void write_log(front_core& core, const base::log_line& line)
+{
+    core.log.add(line.text());
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -0,0 +1,346 @@
+#include "chicorylink/front/front_daemon.hpp"
+
+#include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/front/endpoint.hpp"
+#include "chicorylink/front/exchange.hpp"
+#include "chicorylink/front/item_copy.hpp"
+
+#include <csignal>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace chicorylink::front {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+using udp = boost::asio::ip::udp;
+
+constexpr int listen_backlog = 1024;
+
+/// How often deadlines, silent targets and due heartbeats are looked after.
+constexpr base::milliseconds tick_interval{25};
+/// The same for idle connections.
+constexpr base::milliseconds slow_tick_interval{250};
+/// How often the settings file is looked at without a signal.
+constexpr base::milliseconds settings_interval{2000};
+
+/// How long callers keep an answer of the directory. Some keep it three times as long.
+constexpr base::milliseconds directory_lifetime{1000};
+constexpr int lifetimes_kept = 3;
+
+/// The process ends so long before it would be killed.
+constexpr base::milliseconds end_margin{400};
+
+constexpr int unavailable = 503;
+
+base::result<tcp::acceptor> open_acceptor(boost::asio::io_context& loop, const std::string& address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint) {
+        return base::fail(base::error_kind::invalid_setting,
+                          fmt::format("'{}' is not IP:port", address), "correct the settings");
+    }
+    tcp::acceptor acceptor(loop);
+    boost::system::error_code problem;
+    acceptor.open(endpoint->protocol(), problem);
+    if (!problem) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), problem);
+    }
+    if (!problem) {
+        acceptor.bind(*endpoint, problem);
+    }
+    if (!problem) {
+        acceptor.listen(listen_backlog, problem);
+    }
+    if (problem) {
+        return base::fail(base::error_kind::invalid_setting,
+                          fmt::format("can't listen on {}: {}", address, problem.message()),
+                          "give an address of this VM and a port that is free");
+    }
+    return acceptor;
+}
+
+} // namespace
+
+front_daemon::front_daemon(front_settings settings, const outer_protocol& protocol,
+                           settings_source reload)
+    : m_loop(1), m_core(m_loop, std::move(settings), protocol, base::boot_now()),
+      m_reload(std::move(reload)), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP), m_timer(m_loop)
+{
+    ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+base::result<std::unique_ptr<front_daemon>>
+front_daemon::start(front_settings settings, const outer_protocol& protocol, settings_source reload)
+{
+    std::unique_ptr<front_daemon> daemon(
+        new front_daemon(std::move(settings), protocol, std::move(reload)));
+    BOOST_LEAF_CHECK(daemon->listen());
+    return daemon;
+}
+
+base::result<void> front_daemon::listen()
+{
+    const auto& settings = m_core.settings;
+    const auto peer_address = fmt::format("{}:{}", settings.self.ip, settings.peer_port);
+    BOOST_LEAF_AUTO(callers, open_acceptor(m_loop, settings.callers_address));
+    BOOST_LEAF_AUTO(peers, open_acceptor(m_loop, peer_address));
+    BOOST_LEAF_AUTO(ready, open_acceptor(m_loop, settings.ready_address));
+    BOOST_LEAF_AUTO(directory, open_acceptor(m_loop, settings.directory_address));
+    BOOST_LEAF_AUTO(control, open_acceptor(m_loop, settings.control_address));
+    const auto peer_endpoint = parse_endpoint(peer_address);
+    udp::socket datagrams(m_loop);
+    boost::system::error_code problem;
+    datagrams.open(udp::v4(), problem);
+    if (!problem) {
+        datagrams.bind({peer_endpoint->address(), peer_endpoint->port()}, problem);
+    }
+    if (problem) {
+        return base::fail(
+            base::error_kind::invalid_setting,
+            fmt::format("can't take datagrams on {}: {}", peer_address, problem.message()),
+            "give a port that is free");
+    }
+    m_reader.emplace(m_core);
+    m_gossip.emplace(m_core, std::move(datagrams), [this](const fleet::heartbeat& message) {
+        m_reader->on_heartbeat(message, base::boot_now());
+    });
+    m_callers =
+        std::make_unique<request_listener>(m_core, std::move(callers), connection_side::caller);
+    m_peers = std::make_unique<request_listener>(m_core, std::move(peers), connection_side::peer);
+    const auto serve = [this](tcp::acceptor acceptor, status_server::handler answer) {
+        m_status.push_back(
+            std::make_unique<status_server>(m_loop, std::move(acceptor), std::move(answer)));
+    };
+    serve(std::move(ready), [this](const message_head& head) { return answer_ready(head); });
+    serve(std::move(directory),
+          [this](const message_head& head) { return answer_directory(head); });
+    serve(std::move(control), [this](const message_head& head) { return answer_control(head); });
+    return {};
+}
+
+void front_daemon::run()
+{
+    write_log(m_core, log_event(m_core, "started")
+                          .add("callers", m_core.settings.callers_address)
+                          .add("region", m_core.settings.self.region.text())
+                          .add("data_center", m_core.settings.self.data_center.text())
+                          .add("run", m_core.settings.self.run.value()));
+    m_reader->start();
+    wait_for_signal();
+    schedule_tick();
+    m_loop.run();
+    write_log(m_core, log_event(m_core, "stopped"));
+    m_core.log.flush();
+}
+
+void front_daemon::wait_for_signal()
+{
+    m_signals.async_wait([this](boost::system::error_code problem, int signal) {
+        if (problem) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload_settings();
+        }
+        else {
+            begin_to_leave();
+        }
+        wait_for_signal();
+    });
+}
+
+void front_daemon::begin_to_leave()
+{
+    if (m_core.leaving) {
+        return;
+    }
+    const auto now = base::boot_now();
+    m_core.leaving = true;
+    m_leaving_since = now;
+    write_log(m_core,
+              log_event(m_core, "leaving").add("requests", std::uint64_t{m_core.exchanges.size()}));
+    m_gossip->announce(now);
+}
+
+void front_daemon::reload_settings()
+{
+    m_settings_read_at = base::boot_now();
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(next, m_reload());
+            if (next.seed_ips != m_core.settings.seed_ips) {
+                m_core.members.set_seeds(next.seed_ips);
+                write_log(m_core, log_event(m_core, "settings_reloaded").add("changed", "seeds"));
+            }
+            m_core.settings.seed_ips = next.seed_ips;
+            m_core.settings.regions = next.regions;
+            m_core.settings.bounds = next.bounds;
+            m_core.retries.set_bound(next.bounds.retries);
+            return {};
+        },
+        [&](const base::error& problem) {
+            write_log(
+                m_core,
+                log_event(m_core, "settings_rejected").add("reason", base::describe(problem)));
+        },
+        [] {});
+}
+
+void front_daemon::schedule_tick()
+{
+    m_timer.expires_after(tick_interval);
+    m_timer.async_wait([this](boost::system::error_code stopped) {
+        if (!stopped) {
+            tick();
+        }
+    });
+}
+
+void front_daemon::tick()
+{
+    const auto now = base::boot_now();
+    for (const auto& change : m_core.state.tick(now)) {
+        write_log(
+            m_core,
+            log_event(m_core, change.what).add("name", change.name).add("detail", change.detail));
+    }
+    sync_state(now);
+    const std::vector<exchange*> running(m_core.exchanges.begin(), m_core.exchanges.end());
+    for (auto* one : running) {
+        if (m_core.exchanges.contains(one)) {
+            one->tick(now);
+        }
+    }
+    m_gossip->tick(now);
+    m_reader->tick(now);
+    if (now - m_slow_ticked_at >= slow_tick_interval) {
+        slow_tick(now);
+    }
+    m_core.log.flush();
+    if (m_core.leaving && may_end(now)) {
+        for (auto* one : std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
+            one->on_stop(now);
+        }
+        m_loop.stop();
+        return;
+    }
+    schedule_tick();
+}
+
+void front_daemon::slow_tick(base::time_point now)
+{
+    m_slow_ticked_at = now;
+    const auto fleet_size = m_core.members.size(now);
+    m_core.quota.set_fleet(fleet_size.known, fleet_size.heard, now);
+    m_core.connections.tick(now);
+    m_callers->tick(now);
+    m_peers->tick(now);
+    for (const auto& server : m_status) {
+        server->tick(now);
+    }
+    note_readiness(now);
+    if (now - m_settings_read_at >= settings_interval) {
+        reload_settings();
+    }
+}
+
+void front_daemon::sync_state(base::time_point now)
+{
+    const auto& config = m_core.state.config();
+    const bool new_config = config != m_synced_config;
+    if (new_config && config) {
+        m_core.quota.set_teams(config->teams(), now);
+    }
+    if (new_config || m_core.state.generation() != m_synced_generation) {
+        m_core.pool.sync(m_core.state, m_core.settings.self.region, m_core.settings.regions, now);
+        m_synced_config = config;
+        m_synced_generation = m_core.state.generation();
+    }
+}
+
+void front_daemon::note_readiness(base::time_point now)
+{
+    const auto present = readiness_of(m_core, now);
+    if (present != m_told_readiness) {
+        m_told_readiness = present;
+        write_log(m_core, log_event(m_core, "readiness").add("state", to_string(present)));
+    }
+}
+
+bool front_daemon::may_end(base::time_point now) const
+{
+    const auto since = now - m_leaving_since;
+    if (since >= m_core.settings.bounds.stop_time - end_margin) {
+        return true;
+    }
+    return since >= directory_lifetime * lifetimes_kept && m_core.exchanges.empty();
+}
+
+status_answer front_daemon::answer_ready(const message_head& head) const
+{
+    const auto state = readiness_of(m_core, base::boot_now());
+    if (head.target.substr(0, head.target.find('?')) != m_core.protocol.ready_path) {
+        return {404, "text/plain", "not found\n"};
+    }
+    return {state == readiness::ready ? 200 : unavailable, "text/plain",
+            fmt::format("{}\n", to_string(state))};
+}
+
+std::vector<std::string> front_daemon::callers_addresses(const fleet::region_name& region,
+                                                         bool any_region) const
+{
+    const auto now = base::boot_now();
+    const auto& own = m_core.settings.callers_address;
+    const auto port = own.substr(own.rfind(':'));
+    std::vector<std::string> addresses;
+    if (readiness_of(m_core, now) == readiness::ready &&
+        (any_region || m_core.settings.self.region == region)) {
+        addresses.push_back(own);
+    }
+    for (const auto& [ip, who] : m_core.members.members()) {
+        if (fleet::roster::takes_requests(who, now) && (any_region || who.who.region == region)) {
+            addresses.push_back(ip + port);
+        }
+    }
+    return addresses;
+}
+
+status_answer front_daemon::answer_directory(const message_head& head)
+{
+    const auto question = m_core.protocol.read_directory_question(head.target);
+    if (!question) {
+        return {404, "text/plain", "not found\n"};
+    }
+    auto addresses = callers_addresses(question->region, false);
+    if (addresses.empty()) {
+        addresses = callers_addresses(question->region, true);
+    }
+    if (addresses.empty()) {
+        m_core.counters.add("directory_empty_total");
+        return {unavailable, "text/plain", "no VM is ready\n"};
+    }
+    return {200, "application/json",
+            m_core.protocol.directory_answer(addresses, directory_lifetime)};
+}
+
+status_answer front_daemon::answer_control(const message_head& head) const
+{
+    if (head.target == "/metrics") {
+        return {200, "text/plain", m_core.counters.render()};
+    }
+    if (head.target == item_copy_path) {
+        item_copy copy{m_core.state.items(), m_core.state.as_of(), {}};
+        if (const auto confirmed = m_core.state.confirmed_at()) {
+            copy.confirmed_age =
+                std::chrono::duration_cast<base::milliseconds>(base::boot_now() - *confirmed);
+        }
+        return {200, "application/msgpack", encode(copy)};
+    }
+    return {404, "text/plain", "not found\n"};
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/message_parser.cpp
@@ -0,0 +1,239 @@
+#include "chicorylink/front/message_parser.hpp"
+
+#include <ostream>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace chicorylink::front {
+namespace {
+
+namespace http = boost::beast::http;
+using error_code = boost::beast::error_code;
+
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
+std::string to_string(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+/// Hides the parser of the library from the header, which is included widely.
+class message_parser::engine {
+public:
+    virtual ~engine() = default;
+    engine() = default;
+    engine(const engine&) = delete;
+    engine& operator=(const engine&) = delete;
+    engine(engine&&) = delete;
+    engine& operator=(engine&&) = delete;
+
+    virtual std::size_t put(std::string_view bytes, error_code& problem) = 0;
+    virtual void put_end(error_code& problem) = 0;
+    [[nodiscard]] virtual bool has_head() const = 0;
+    [[nodiscard]] virtual bool is_done() const = 0;
+    virtual void describe(message_head& head) const = 0;
+};
+
+template <bool IsRequest>
+class message_parser::typed_engine : public message_parser::engine,
+                                     public http::basic_parser<IsRequest> {
+public:
+    typed_engine(message_head& head, std::string& body, std::size_t header_limit,
+                 std::optional<std::uint64_t> body_limit)
+        : m_head(head), m_body(body)
+    {
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(header_limit));
+        if (body_limit) {
+            this->body_limit(*body_limit);
+        }
+        else {
+            this->body_limit(boost::none);
+        }
+    }
+
+    std::size_t put(std::string_view bytes, error_code& problem) override
+    {
+        return http::basic_parser<IsRequest>::put(
+            boost::asio::const_buffer(bytes.data(), bytes.size()), problem);
+    }
+    void put_end(error_code& problem) override { this->put_eof(problem); }
+    [[nodiscard]] bool has_head() const override { return this->is_header_done(); }
+    [[nodiscard]] bool is_done() const override { return http::basic_parser<IsRequest>::is_done(); }
+    void describe(message_head& head) const override
+    {
+        head.keep_alive = this->keep_alive();
+        head.chunked = this->chunked();
+        if (const auto length = this->content_length()) {
+            head.content_length = *length;
+        }
+    }
+
+private:
+    void on_request_impl(http::verb /*method*/, boost::beast::string_view method,
+                         boost::beast::string_view target, int /*version*/,
+                         error_code& /*problem*/) override
+    {
+        m_head.method = to_string(method);
+        m_head.target = to_string(target);
+    }
+    void on_response_impl(int status, boost::beast::string_view reason, int /*version*/,
+                          error_code& /*problem*/) override
+    {
+        m_head.status = status;
+        m_head.reason = to_string(reason);
+    }
+    void on_field_impl(http::field /*name*/, boost::beast::string_view name,
+                       boost::beast::string_view value, error_code& /*problem*/) override
+    {
+        m_head.fields.push_back({to_string(name), to_string(value)});
+    }
+    void on_header_impl(error_code& /*problem*/) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                           error_code& /*problem*/) override
+    {
+    }
+    std::size_t on_body_impl(boost::beast::string_view piece, error_code& /*problem*/) override
+    {
+        m_body.append(piece.data(), piece.size());
+        return piece.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, boost::beast::string_view /*extensions*/,
+                              error_code& /*problem*/) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*left*/, boost::beast::string_view piece,
+                                   error_code& /*problem*/) override
+    {
+        m_body.append(piece.data(), piece.size());
+        return piece.size();
+    }
+    void on_finish_impl(error_code& /*problem*/) override {}
+
+    message_head& m_head;
+    std::string& m_body;
+};
+
+message_parser::message_parser(message_direction direction, std::size_t header_limit,
+                               std::optional<std::uint64_t> body_limit)
+    : m_header_limit(header_limit), m_is_request(direction == message_direction::request)
+{
+    if (m_is_request) {
+        m_engine = std::make_unique<typed_engine<true>>(m_head, m_body, header_limit, body_limit);
+    }
+    else {
+        m_engine = std::make_unique<typed_engine<false>>(m_head, m_body, header_limit, body_limit);
+    }
+}
+
+message_parser::~message_parser() = default;
+
+void message_parser::fail(parse_problem problem)
+{
+    m_problem = problem;
+}
+
+bool message_parser::begin_head()
+{
+    while (m_buffer.starts_with("\r\n")) {
+        m_buffer.erase(0, 2);
+    }
+    m_has_begun = !m_buffer.empty();
+    const auto end = m_buffer.find(end_of_head);
+    if (end == std::string::npos) {
+        if (m_buffer.size() > m_header_limit) {
+            fail(parse_problem::header_too_large);
+        }
+        return false;
+    }
+    if (end + end_of_head.size() > m_header_limit) {
+        fail(parse_problem::header_too_large);
+        return false;
+    }
+    const auto head = std::string_view{m_buffer}.substr(0, end);
+    // The library joins folded lines; other readers take them for lines of their own.
+    if (head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos) {
+        fail(parse_problem::malformed);
+        return false;
+    }
+    return true;
+}
+
+void message_parser::feed(std::string_view bytes)
+{
+    if (m_problem != parse_problem::none) {
+        return;
+    }
+    m_buffer.append(bytes);
+    if (m_is_complete) {
+        return;
+    }
+    if (!m_has_head && !begin_head()) {
+        return;
+    }
+    pump();
+}
+
+void message_parser::pump()
+{
+    std::size_t consumed = 0;
+    while (consumed < m_buffer.size() && !m_engine->is_done()) {
+        error_code problem;
+        const auto taken = m_engine->put(std::string_view{m_buffer}.substr(consumed), problem);
+        consumed += taken;
+        if (problem && problem != http::error::need_more) {
+            fail(problem == http::error::body_limit     ? parse_problem::body_too_large
+                 : problem == http::error::header_limit ? parse_problem::header_too_large
+                                                        : parse_problem::malformed);
+            return;
+        }
+        if (taken == 0) {
+            break;
+        }
+    }
+    m_buffer.erase(0, consumed);
+    if (!m_has_head && m_engine->has_head()) {
+        m_has_head = true;
+        m_engine->describe(m_head);
+        const bool coded = find_field(m_head.fields, "Transfer-Encoding") != nullptr;
+        if (coded && !m_head.chunked) {
+            fail(parse_problem::malformed);
+            return;
+        }
+    }
+    m_is_complete = m_engine->is_done();
+}
+
+void message_parser::feed_end()
+{
+    if (m_is_complete || m_problem != parse_problem::none) {
+        return;
+    }
+    if (!m_has_head) {
+        fail(parse_problem::truncated);
+        return;
+    }
+    error_code problem;
+    m_engine->put_end(problem);
+    if (problem || !m_engine->is_done()) {
+        fail(parse_problem::truncated);
+        return;
+    }
+    m_is_complete = true;
+}
+
+std::string message_parser::take_body()
+{
+    return std::exchange(m_body, {});
+}
+
+std::string message_parser::take_rest()
+{
+    return std::exchange(m_buffer, {});
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/reader_client.cpp
@@ -0,0 +1,129 @@
+#include "chicorylink/front/reader_client.hpp"
+
+#include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/front/endpoint.hpp"
+#include "chicorylink/front/tcp_channel.hpp"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+namespace chicorylink::front {
+namespace {
+
+constexpr std::size_t head_limit = 8UL * 1024;
+/// Above the largest page of the store with its encoding.
+constexpr std::uint64_t body_limit = 4UL * 1024 * 1024;
+
+} // namespace
+
+reader_client::reader_client(boost::asio::io_context& loop, std::string address)
+    : m_loop(loop), m_timer(loop), m_address(std::move(address))
+{
+}
+
+reader_client::~reader_client()
+{
+    *m_alive = false;
+    close();
+}
+
+void reader_client::close()
+{
+    if (const auto channel = std::exchange(m_channel, nullptr)) {
+        channel->close();
+    }
+}
+
+void reader_client::get(std::string_view target, base::milliseconds limit, done to)
+{
+    m_done = std::move(to);
+    m_sent_at = base::boot_now();
+    const auto request = ++m_request;
+    m_parser = std::make_unique<message_parser>(message_direction::answer, head_limit, body_limit);
+    m_timer.expires_after(limit);
+    m_timer.async_wait([this, alive = m_alive, request](boost::system::error_code stopped) {
+        if (!stopped && *alive && request == m_request && m_done) {
+            complete({0, {}, "no answer in time", m_sent_at});
+        }
+    });
+    const auto bytes = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, m_address);
+    if (m_channel && m_channel->is_open()) {
+        send(bytes);
+        return;
+    }
+    const auto endpoint = parse_endpoint(m_address);
+    if (!endpoint) {
+        boost::asio::post(m_loop, [this, alive = m_alive] {
+            if (*alive && m_done) {
+                complete({0, {}, "not an address", m_sent_at});
+            }
+        });
+        return;
+    }
+    tcp_channel::connect(
+        m_loop, *endpoint, limit,
+        [this, alive = m_alive, request, bytes](const std::shared_ptr<tcp_channel>& channel,
+                                                const std::string& problem) {
+            if (!*alive || request != m_request || !m_done) {
+                if (channel) {
+                    channel->close();
+                }
+                return;
+            }
+            if (!channel) {
+                complete({0, {}, problem, m_sent_at});
+                return;
+            }
+            m_channel = channel;
+            m_channel->start({[this](std::string_view data) { on_data(data); },
+                              [this](channel_end) {
+                                  if (m_done) {
+                                      complete({0, {}, "the connection ended", m_sent_at});
+                                  }
+                                  else {
+                                      m_channel = nullptr;
+                                  }
+                              },
+                              {}});
+            send(bytes);
+        });
+}
+
+void reader_client::send(const std::string& bytes)
+{
+    m_channel->send(bytes);
+}
+
+void reader_client::on_data(std::string_view bytes)
+{
+    if (!m_done) {
+        close();
+        return;
+    }
+    m_parser->feed(bytes);
+    if (m_parser->problem() != parse_problem::none) {
+        complete({0, {}, "the answer is not HTTP", m_sent_at});
+        return;
+    }
+    if (m_parser->is_complete()) {
+        auto body = m_parser->take_body();
+        if (!m_parser->head().keep_alive) {
+            close();
+        }
+        complete({m_parser->head().status, std::move(body), {}, m_sent_at});
+    }
+}
+
+void reader_client::complete(read_result result)
+{
+    m_timer.cancel();
+    if (result.status == 0) {
+        close();
+    }
+    const auto to = std::exchange(m_done, nullptr);
+    to(result);
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/resolution.cpp
@@ -0,0 +1,133 @@
+#include "chicorylink/front/resolution.hpp"
+
+#include "chicorylink/base/ids.hpp"
+
+#include <charconv>
+#include <string>
+
+namespace chicorylink::front {
+namespace {
+
+constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
+constexpr int not_found = 404;
+constexpr int unavailable = 503;
+
+/// A VM that lags behind its peers or has just started catches up within about this time.
+constexpr base::milliseconds catch_up_time{400};
+
+std::string_view host_of(const message_head& head)
+{
+    const auto* host = find_field(head.fields, "Host");
+    return host == nullptr ? std::string_view{} : std::string_view{*host};
+}
+
+std::string_view without_port(std::string_view host)
+{
+    return host.substr(0, host.rfind(':'));
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+const fleet::route* route_of(const fleet::configuration& config, const message_head& head)
+{
+    const auto path = path_of(head.target);
+    const auto host = host_of(head);
+    const auto* route = config.find_route(host, path);
+    return route != nullptr ? route : config.find_route(without_port(host), path);
+}
+
+/// A request that another VM accepted under a newer version is not judged by an older one.
+bool is_behind(const fleet::configuration& config, const asked_request& asked)
+{
+    return asked.forwarded_under && *asked.forwarded_under > config.version();
+}
+
+resolution deny(const fleet::configuration& config, const asked_request& asked, int status,
+                std::string_view reason)
+{
+    if (is_behind(config, asked)) {
+        return refusal{unavailable, "configuration_behind", catch_up_time};
+    }
+    return refusal{status, reason, std::nullopt};
+}
+
+} // namespace
+
+resolution resolve(const std::shared_ptr<const fleet::configuration>& config,
+                   const asked_request& asked, const wire_names& names)
+{
+    if (!config) {
+        return refusal{unavailable, "no_configuration", catch_up_time};
+    }
+    if (asked.id.empty()) {
+        return refusal{bad_request, "no_request_id", std::nullopt};
+    }
+    resolved_request found;
+    found.config = config;
+    found.route = route_of(*config, asked.head);
+    if (found.route == nullptr || found.route->services.empty()) {
+        return deny(*config, asked, not_found, "no_route");
+    }
+    found.priority = found.route->priority;
+    const auto* key = find_field(asked.head.fields, names.key);
+    if (!found.route->is_public && !config->teams().empty()) {
+        found.team = key == nullptr ? nullptr : config->team_of_key(*key);
+        if (found.team == nullptr) {
+            return deny(*config, asked, unauthorized, "unknown_key");
+        }
+        found.priority = found.team->priority.value_or(found.priority);
+    }
+    const auto& service = fleet::pick_service(*found.route, base::hash_name(asked.id));
+    found.service = config->find_service(service);
+    if (found.service == nullptr) {
+        return refusal{unavailable, "unknown_service", catch_up_time};
+    }
+    return found;
+}
+
+std::optional<fleet::prompt> prompt_of(const message_head& head, const wire_names& names)
+{
+    const auto* counts = find_field(head.fields, names.token_counts);
+    if (counts == nullptr) {
+        return std::nullopt;
+    }
+    const auto tokens = fleet::parse_token_counts(*counts);
+    if (!tokens) {
+        return std::nullopt;
+    }
+    fleet::prompt said;
+    said.prompt_tokens = tokens->prompt_tokens;
+    said.answer_tokens = tokens->answer_tokens;
+    const auto* model = find_field(head.fields, names.model);
+    const auto* parts = find_field(head.fields, names.prompt_parts);
+    if (parts != nullptr) {
+        said.parts =
+            fleet::parse_prompt_parts(model == nullptr ? std::string_view{} : *model, *parts);
+    }
+    if (!said.parts.empty()) {
+        // The last part belongs to the request alone, the one before it to its session.
+        const auto session = said.parts.size() > 1 ? said.parts.size() - 2 : 0;
+        said.session = said.parts[session].chain;
+    }
+    return said;
+}
+
+std::optional<base::milliseconds> patience_of(const message_head& head, const wire_names& names)
+{
+    const auto* text = find_field(head.fields, names.deadline_ms);
+    if (text == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, problem] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (problem != std::errc{} || end == text->data()) {
+        return std::nullopt;
+    }
+    return base::milliseconds{value};
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/state_reader.cpp
@@ -0,0 +1,266 @@
+#include "chicorylink/front/state_reader.hpp"
+
+#include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/item_copy.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace chicorylink::front {
+namespace {
+
+constexpr int ok = 200;
+constexpr int history_gone = 410;
+
+/// How long the store holds a watch without news. Each answer confirms the configuration, and a
+/// fifth of the bound on withdrawn keys leaves room for a lost one.
+constexpr base::milliseconds watch_time{1000};
+
+/// What a watch may take beyond `watch_time`, and a read in all, before its connection is taken to
+/// be dead. Covers a store that is sixty times slower than usual.
+constexpr base::milliseconds answer_slack{800};
+constexpr base::milliseconds snapshot_limit{1500};
+
+/// Pauses after a failed read; each call is priced, refused ones too.
+constexpr base::milliseconds first_retry{100};
+constexpr base::milliseconds longest_retry{800};
+
+/// The store's silence after which a peer's copy is taken, and the interval of further copies.
+constexpr base::milliseconds silence_before_copy{1400};
+constexpr base::milliseconds copy_interval{700};
+constexpr base::milliseconds copy_limit{600};
+
+/// A peer whose own proof is older does not help.
+constexpr base::milliseconds useful_age{1500};
+
+base::milliseconds age_of(base::time_point then, base::time_point now)
+{
+    return std::chrono::duration_cast<base::milliseconds>(now - then);
+}
+
+} // namespace
+
+state_reader::state_reader(front_core& core)
+    : m_core(core), m_store(core.loop, core.settings.store_address), m_retry(core.loop)
+{
+}
+
+void state_reader::start()
+{
+    read_snapshot({});
+}
+
+void state_reader::read_snapshot(const std::string& after)
+{
+    if (after.empty()) {
+        m_page_items.clear();
+    }
+    m_core.counters.add("store_reads_total");
+    m_store.get(m_core.protocol.snapshot_target(after), snapshot_limit,
+                [this](const read_result& result) { on_snapshot_page(result); });
+}
+
+void state_reader::on_snapshot_page(const read_result& result)
+{
+    if (result.status != ok) {
+        retry_later(result);
+        return;
+    }
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(page, m_core.protocol.read_store_answer(result.body));
+            note_answer();
+            if (m_page_items.empty()) {
+                m_snapshot_as_of = page.as_of;
+                m_snapshot_sent_at = result.sent_at;
+            }
+            std::move(page.items.begin(), page.items.end(), std::back_inserter(m_page_items));
+            if (page.has_more && !m_page_items.empty()) {
+                read_snapshot(m_page_items.back().key);
+                return {};
+            }
+            log_changes(m_core.state.apply_snapshot(m_page_items, m_snapshot_as_of,
+                                                    m_snapshot_sent_at, base::boot_now()),
+                        "store");
+            m_watch_from = m_snapshot_as_of;
+            watch();
+            return {};
+        },
+        [&](const base::error& problem) {
+            retry_later({0, {}, base::describe(problem), result.sent_at});
+        },
+        [&] {
+            retry_later({0, {}, "the answer can't be read", result.sent_at});
+        });
+}
+
+void state_reader::watch()
+{
+    m_core.counters.add("store_reads_total");
+    m_store.get(m_core.protocol.watch_target(m_watch_from, watch_time), watch_time + answer_slack,
+                [this](const read_result& result) { on_watch(result); });
+}
+
+void state_reader::on_watch(const read_result& result)
+{
+    if (result.status == history_gone) {
+        write_log(m_core, log_event(m_core, "store_history_gone").add("revision", m_watch_from));
+        read_snapshot({});
+        return;
+    }
+    if (result.status != ok) {
+        retry_later(result);
+        return;
+    }
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(news, m_core.protocol.read_store_answer(result.body));
+            note_answer();
+            log_changes(m_core.state.apply_changes(news.items, news.as_of, result.sent_at,
+                                                   base::boot_now()),
+                        "store");
+            m_watch_from = std::max(m_watch_from, news.as_of);
+            watch();
+            return {};
+        },
+        [&](const base::error& problem) {
+            retry_later({0, {}, base::describe(problem), result.sent_at});
+        },
+        [&] {
+            retry_later({0, {}, "the answer can't be read", result.sent_at});
+        });
+}
+
+void state_reader::note_answer()
+{
+    m_answered_at = base::boot_now();
+    m_retry_after = base::milliseconds{0};
+    if (std::exchange(m_is_lost, false)) {
+        write_log(m_core, log_event(m_core, "store_regained"));
+    }
+}
+
+void state_reader::retry_later(const read_result& result)
+{
+    if (!std::exchange(m_is_lost, true)) {
+        write_log(m_core, log_event(m_core, "store_lost")
+                              .add("status", result.status)
+                              .add("reason", result.problem)
+                              .add("waited_ms", age_of(result.sent_at, base::boot_now()).count()));
+    }
+    m_core.counters.add("store_failures_total");
+    m_retry_after = std::clamp(m_retry_after * 2, first_retry, longest_retry);
+    m_retry.expires_after(m_retry_after);
+    m_retry.async_wait([this](boost::system::error_code stopped) {
+        if (stopped) {
+            return;
+        }
+        if (m_watch_from == 0) {
+            read_snapshot({});
+        }
+        else {
+            watch();
+        }
+    });
+}
+
+void state_reader::on_heartbeat(const fleet::heartbeat& message, base::time_point now)
+{
+    const auto& config = m_core.state.config();
+    if (!message.confirmed_age || *message.confirmed_age > useful_age) {
+        return;
+    }
+    if (config && message.version == config->version() && message.echo_ms > 0) {
+        // The sender had our last heartbeat when it vouched, so its proof is at least that new.
+        const base::time_point echoed{base::milliseconds{message.echo_ms}};
+        m_core.state.confirm(echoed - *message.confirmed_age);
+    }
+    const bool is_newer = !config || message.version > config->version();
+    const bool store_is_slow = !m_answered_at || now - *m_answered_at > watch_time + answer_slack;
+    if (is_newer && (store_is_slow || m_is_lost)) {
+        copy_from(message.from.ip);
+    }
+}
+
+void state_reader::tick(base::time_point now)
+{
+    const bool silent = !m_answered_at || now - *m_answered_at > silence_before_copy;
+    if (!silent || !(m_is_lost || m_answered_at) || now - m_copied_at < copy_interval) {
+        return;
+    }
+    const fleet::member* best = nullptr;
+    for (const auto& [ip, who] : m_core.members.members()) {
+        if (!fleet::roster::is_heard(who, now) || !who.confirmed_age ||
+            *who.confirmed_age > useful_age) {
+            continue;
+        }
+        if (best == nullptr || *who.confirmed_age < *best->confirmed_age) {
+            best = &who;
+        }
+    }
+    if (best != nullptr) {
+        copy_from(best->who.ip);
+    }
+}
+
+void state_reader::copy_from(const std::string& ip)
+{
+    if (m_peer && m_peer->is_busy()) {
+        return;
+    }
+    m_copied_at = base::boot_now();
+    const auto& control = m_core.settings.control_address;
+    const auto address = ip + control.substr(control.rfind(':'));
+    if (!m_peer || m_peer->address() != address) {
+        m_peer = std::make_unique<reader_client>(m_core.loop, address);
+    }
+    m_core.counters.add("peer_copies_total");
+    m_peer->get(item_copy_path, copy_limit, [this](const read_result& result) { on_copy(result); });
+}
+
+void state_reader::on_copy(const read_result& result)
+{
+    if (result.status != ok) {
+        write_log(m_core, log_event(m_core, "peer_copy_failed")
+                              .add("address", m_peer->address())
+                              .add("status", result.status)
+                              .add("reason", result.problem));
+        return;
+    }
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(copy, decode_item_copy(result.body));
+            if (copy.as_of == 0 || !copy.confirmed_age) {
+                return {};
+            }
+            // Before the first answer of the store this is also the first snapshot.
+            log_changes(m_core.state.apply_snapshot(copy.items, copy.as_of,
+                                                    result.sent_at - *copy.confirmed_age,
+                                                    base::boot_now()),
+                        m_peer->address());
+            return {};
+        },
+        [&](const base::error& problem) {
+            write_log(m_core, log_event(m_core, "peer_copy_failed")
+                                  .add("address", m_peer->address())
+                                  .add("reason", base::describe(problem)));
+        },
+        [] {});
+}
+
+void state_reader::log_changes(const std::vector<fleet::applied_change>& changes,
+                               std::string_view source)
+{
+    for (const auto& change : changes) {
+        write_log(m_core, log_event(m_core, change.what)
+                              .add("name", change.name)
+                              .add("revision", change.revision)
+                              .add("detail", change.detail)
+                              .add("source", source));
+    }
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -0,0 +1,241 @@
+#include "chicorylink/front/tcp_channel.hpp"
+
+#include <array>
+#include <netinet/tcp.h>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace chicorylink::front {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// Bytes read at once: the largest window of a connection on the users' links.
+constexpr std::size_t read_bytes = 64UL * 1024;
+
+/// How long the other side's end is waited for after the last byte was sent.
+constexpr base::milliseconds linger_time{1000};
+
+/// Unacknowledged bytes and idle probes end a connection to a machine that is gone after this
+/// time; the kernel's own limits are minutes.
+constexpr int silent_peer_ms = 4000;
+constexpr int probe_after_s = 2;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 2;
+
+/// Shared by all connections: the loop has one thread.
+std::array<char, read_bytes>& read_buffer()
+{
+    static std::array<char, read_bytes> buffer;
+    return buffer;
+}
+
+void set_options(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(tcp::no_delay(true), ignored);
+    const int on = 1;
+    const int descriptor = socket.native_handle();
+    // Failing to set one of these only makes a dead peer show later.
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_peer_ms, sizeof(int));
+    ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(int));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probe_after_s, sizeof(int));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof(int));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probe_count, sizeof(int));
+}
+
+struct pending_connect {
+    explicit pending_connect(boost::asio::io_context& loop) : socket(loop), timer(loop) {}
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+};
+
+} // namespace
+
+tcp_channel::tcp_channel(tcp::socket socket) : m_socket(std::move(socket))
+{
+    set_options(m_socket);
+}
+
+void tcp_channel::connect(boost::asio::io_context& loop, const tcp::endpoint& to,
+                          base::milliseconds limit,
+                          std::function<void(std::shared_ptr<tcp_channel>, std::string)> done)
+{
+    auto pending = std::make_shared<pending_connect>(loop);
+    pending->timer.expires_after(limit);
+    pending->timer.async_wait([pending](error_code stopped) {
+        if (!stopped) {
+            error_code ignored;
+            pending->socket.close(ignored);
+        }
+    });
+    pending->socket.async_connect(to, [pending, done = std::move(done)](error_code problem) {
+        pending->timer.cancel();
+        if (problem || !pending->socket.is_open()) {
+            done(nullptr, problem ? problem.message() : "no connection in time");
+            return;
+        }
+        done(std::make_shared<tcp_channel>(std::move(pending->socket)), {});
+    });
+}
+
+void tcp_channel::start(handlers to)
+{
+    m_handlers = std::move(to);
+    m_paused = false;
+    wait_readable();
+}
+
+void tcp_channel::wait_readable()
+{
+    if (m_waiting_read || m_paused || !m_socket.is_open()) {
+        return;
+    }
+    m_waiting_read = true;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code problem) {
+        self->m_waiting_read = false;
+        if (!problem) {
+            self->read_ready();
+        }
+    });
+}
+
+void tcp_channel::read_ready()
+{
+    if (!m_socket.is_open() || m_paused) {
+        return;
+    }
+    error_code problem;
+    auto& buffer = read_buffer();
+    const auto count = m_socket.read_some(boost::asio::buffer(buffer), problem);
+    if (problem == boost::asio::error::would_block) {
+        wait_readable();
+        return;
+    }
+    if (problem) {
+        end(problem == boost::asio::error::eof ? channel_end::closed : channel_end::broken);
+        return;
+    }
+    if (m_lingering) {
+        wait_readable();
+        return;
+    }
+    if (m_handlers.on_data) {
+        // The handler may replace the handlers while it runs.
+        const auto on_data = m_handlers.on_data;
+        on_data(std::string_view{buffer.data(), count});
+    }
+    wait_readable();
+}
+
+void tcp_channel::resume_reading()
+{
+    m_paused = false;
+    wait_readable();
+}
+
+void tcp_channel::send(std::string_view bytes)
+{
+    if (!m_socket.is_open() || m_closing) {
+        return;
+    }
+    m_out.append(bytes);
+    if (!m_waiting_write) {
+        write_some();
+    }
+}
+
+void tcp_channel::write_some()
+{
+    error_code problem;
+    const auto count = m_socket.write_some(boost::asio::buffer(m_out), problem);
+    if (problem && problem != boost::asio::error::would_block) {
+        // The end is reported from the loop: the sender is in the middle of its own work.
+        m_out.clear();
+        m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
+            if (self->m_socket.is_open()) {
+                self->end(channel_end::broken);
+            }
+        });
+        m_closing = true;
+        return;
+    }
+    m_out.erase(0, count);
+    if (!m_out.empty()) {
+        wait_writable();
+        return;
+    }
+    if (m_closing) {
+        begin_linger();
+    }
+}
+
+void tcp_channel::wait_writable()
+{
+    m_waiting_write = true;
+    m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code problem) {
+        self->m_waiting_write = false;
+        if (problem || !self->m_socket.is_open()) {
+            return;
+        }
+        self->write_some();
+        if (self->m_out.empty() && self->m_handlers.on_sent) {
+            const auto on_sent = self->m_handlers.on_sent;
+            on_sent();
+        }
+    });
+}
+
+void tcp_channel::end(channel_end how)
+{
+    const auto on_end = std::move(m_handlers.on_end);
+    close();
+    if (on_end) {
+        on_end(how);
+    }
+}
+
+void tcp_channel::close_after_sent()
+{
+    if (!m_socket.is_open() || m_closing) {
+        return;
+    }
+    m_handlers = {};
+    m_closing = true;
+    if (m_out.empty()) {
+        begin_linger();
+    }
+}
+
+void tcp_channel::begin_linger()
+{
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_lingering = true;
+    m_paused = false;
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_socket.get_executor());
+    timer->expires_after(linger_time);
+    timer->async_wait([self = shared_from_this(), timer](error_code) { self->close(); });
+    wait_readable();
+}
+
+void tcp_channel::close()
+{
+    m_handlers = {};
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void tcp_channel::abort()
+{
+    error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+} // namespace chicorylink::front
