--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -24,6 +24,11 @@
 
 struct ServiceOutlook;
 
+struct DigestMember;
+
+struct RegionDigest;
+struct RegionDigestBuilder;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 
@@ -108,25 +113,215 @@
 };
 FLATBUFFERS_STRUCT_END(ServiceOutlook, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) DigestMember FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t run_;
+  uint32_t ip_;
+  uint32_t age_ms_;
+  uint8_t state_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  DigestMember()
+      : run_(0),
+        ip_(0),
+        age_ms_(0),
+        state_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  DigestMember(uint64_t _run, uint32_t _ip, uint32_t _age_ms, uint8_t _state)
+      : run_(flatbuffers::EndianScalar(_run)),
+        ip_(flatbuffers::EndianScalar(_ip)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        state_(flatbuffers::EndianScalar(_state)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t run() const {
+    return flatbuffers::EndianScalar(run_);
+  }
+  uint32_t ip() const {
+    return flatbuffers::EndianScalar(ip_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint8_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+};
+FLATBUFFERS_STRUCT_END(DigestMember, 24);
+
+struct RegionDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RegionDigestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REGION = 4,
+    VT_REPORTER = 6,
+    VT_AGE_MS = 8,
+    VT_ROUND_TRIP_MS = 10,
+    VT_MEMBERS = 12,
+    VT_USAGE = 14,
+    VT_TARGETS = 16,
+    VT_OUTLOOK = 18
+  };
+  const flatbuffers::String *region() const {
+    return GetPointer<const flatbuffers::String *>(VT_REGION);
+  }
+  uint64_t reporter() const {
+    return GetField<uint64_t>(VT_REPORTER, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  uint32_t round_trip_ms() const {
+    return GetField<uint32_t>(VT_ROUND_TRIP_MS, 0);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::DigestMember *> *members() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::DigestMember *> *>(VT_MEMBERS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *> *usage() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *> *>(VT_USAGE);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *> *targets() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *> *>(VT_TARGETS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *> *outlook() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *> *>(VT_OUTLOOK);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REGION) &&
+           verifier.VerifyString(region()) &&
+           VerifyField<uint64_t>(verifier, VT_REPORTER, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ROUND_TRIP_MS, 4) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           VerifyOffset(verifier, VT_USAGE) &&
+           verifier.VerifyVector(usage()) &&
+           VerifyOffset(verifier, VT_TARGETS) &&
+           verifier.VerifyVector(targets()) &&
+           VerifyOffset(verifier, VT_OUTLOOK) &&
+           verifier.VerifyVector(outlook()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RegionDigestBuilder {
+  typedef RegionDigest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_region(flatbuffers::Offset<flatbuffers::String> region) {
+    fbb_.AddOffset(RegionDigest::VT_REGION, region);
+  }
+  void add_reporter(uint64_t reporter) {
+    fbb_.AddElement<uint64_t>(RegionDigest::VT_REPORTER, reporter, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(RegionDigest::VT_AGE_MS, age_ms, 0);
+  }
+  void add_round_trip_ms(uint32_t round_trip_ms) {
+    fbb_.AddElement<uint32_t>(RegionDigest::VT_ROUND_TRIP_MS, round_trip_ms, 0);
+  }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::DigestMember *>> members) {
+    fbb_.AddOffset(RegionDigest::VT_MEMBERS, members);
+  }
+  void add_usage(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage) {
+    fbb_.AddOffset(RegionDigest::VT_USAGE, usage);
+  }
+  void add_targets(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets) {
+    fbb_.AddOffset(RegionDigest::VT_TARGETS, targets);
+  }
+  void add_outlook(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook) {
+    fbb_.AddOffset(RegionDigest::VT_OUTLOOK, outlook);
+  }
+  explicit RegionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RegionDigest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RegionDigest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RegionDigest> CreateRegionDigest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> region = 0,
+    uint64_t reporter = 0,
+    uint32_t age_ms = 0,
+    uint32_t round_trip_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::DigestMember *>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0) {
+  RegionDigestBuilder builder_(_fbb);
+  builder_.add_reporter(reporter);
+  builder_.add_outlook(outlook);
+  builder_.add_targets(targets);
+  builder_.add_usage(usage);
+  builder_.add_members(members);
+  builder_.add_round_trip_ms(round_trip_ms);
+  builder_.add_age_ms(age_ms);
+  builder_.add_region(region);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RegionDigest> CreateRegionDigestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *region = nullptr,
+    uint64_t reporter = 0,
+    uint32_t age_ms = 0,
+    uint32_t round_trip_ms = 0,
+    const std::vector<chicorylink::fleet::codec::DigestMember> *members = nullptr,
+    const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
+    const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
+    const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr) {
+  auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto members__ = members ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::DigestMember>(*members) : 0;
+  auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
+  auto targets__ = targets ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetUse>(*targets) : 0;
+  auto outlook__ = outlook ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceOutlook>(*outlook) : 0;
+  return chicorylink::fleet::codec::CreateRegionDigest(
+      _fbb,
+      region__,
+      reporter,
+      age_ms,
+      round_trip_ms,
+      members__,
+      usage__,
+      targets__,
+      outlook__);
+}
+
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VM = 4,
     VT_IP = 6,
     VT_REGION = 8,
-    VT_DATA_CENTER = 10,
-    VT_RUN = 12,
-    VT_STATE = 14,
-    VT_SEQUENCE = 16,
-    VT_SENT_MS = 18,
-    VT_ECHO_MS = 20,
-    VT_ECHO_HELD_MS = 22,
-    VT_VERSION = 24,
-    VT_CONFIRMED_AGE_MS = 26,
-    VT_KNOWN = 28,
-    VT_USAGE = 30,
-    VT_TARGETS = 32,
-    VT_OUTLOOK = 34
+    VT_RUN = 10,
+    VT_STATE = 12,
+    VT_SEQUENCE = 14,
+    VT_SENT_MS = 16,
+    VT_ECHO_MS = 18,
+    VT_ECHO_HELD_MS = 20,
+    VT_VERSION = 22,
+    VT_CONFIRMED_AGE_MS = 24,
+    VT_WANTS_DIGESTS = 26,
+    VT_USAGE = 28,
+    VT_TARGETS = 30,
+    VT_DIGESTS = 32
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -137,9 +332,6 @@
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
   }
-  const flatbuffers::String *data_center() const {
-    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
-  }
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
   }
@@ -155,8 +347,8 @@
   uint64_t echo_ms() const {
     return GetField<uint64_t>(VT_ECHO_MS, 0);
   }
-  uint64_t echo_held_ms() const {
-    return GetField<uint64_t>(VT_ECHO_HELD_MS, 0);
+  uint32_t echo_held_ms() const {
+    return GetField<uint32_t>(VT_ECHO_HELD_MS, 0);
   }
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -164,8 +356,8 @@
   int64_t confirmed_age_ms() const {
     return GetField<int64_t>(VT_CONFIRMED_AGE_MS, -1LL);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *known() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KNOWN);
+  bool wants_digests() const {
+    return GetField<uint8_t>(VT_WANTS_DIGESTS, 0) != 0;
   }
   const flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *> *usage() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *> *>(VT_USAGE);
@@ -173,8 +365,8 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *> *targets() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *> *>(VT_TARGETS);
   }
-  const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *> *outlook() const {
-    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *> *>(VT_OUTLOOK);
+  const flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *>(VT_DIGESTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -184,25 +376,22 @@
            verifier.VerifyString(ip()) &&
            VerifyOffset(verifier, VT_REGION) &&
            verifier.VerifyString(region()) &&
-           VerifyOffset(verifier, VT_DATA_CENTER) &&
-           verifier.VerifyString(data_center()) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_SENT_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_ECHO_MS, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ECHO_HELD_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ECHO_HELD_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_MS, 8) &&
-           VerifyOffset(verifier, VT_KNOWN) &&
-           verifier.VerifyVector(known()) &&
-           verifier.VerifyVectorOfStrings(known()) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_DIGESTS, 1) &&
            VerifyOffset(verifier, VT_USAGE) &&
            verifier.VerifyVector(usage()) &&
            VerifyOffset(verifier, VT_TARGETS) &&
            verifier.VerifyVector(targets()) &&
-           VerifyOffset(verifier, VT_OUTLOOK) &&
-           verifier.VerifyVector(outlook()) &&
+           VerifyOffset(verifier, VT_DIGESTS) &&
+           verifier.VerifyVector(digests()) &&
+           verifier.VerifyVectorOfTables(digests()) &&
            verifier.EndTable();
   }
 };
@@ -220,9 +409,6 @@
   void add_region(flatbuffers::Offset<flatbuffers::String> region) {
     fbb_.AddOffset(Heartbeat::VT_REGION, region);
   }
-  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
-    fbb_.AddOffset(Heartbeat::VT_DATA_CENTER, data_center);
-  }
   void add_run(uint64_t run) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_RUN, run, 0);
   }
@@ -238,8 +424,8 @@
   void add_echo_ms(uint64_t echo_ms) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_ECHO_MS, echo_ms, 0);
   }
-  void add_echo_held_ms(uint64_t echo_held_ms) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_ECHO_HELD_MS, echo_held_ms, 0);
+  void add_echo_held_ms(uint32_t echo_held_ms) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_ECHO_HELD_MS, echo_held_ms, 0);
   }
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_VERSION, version, 0);
@@ -247,8 +433,8 @@
   void add_confirmed_age_ms(int64_t confirmed_age_ms) {
     fbb_.AddElement<int64_t>(Heartbeat::VT_CONFIRMED_AGE_MS, confirmed_age_ms, -1LL);
   }
-  void add_known(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known) {
-    fbb_.AddOffset(Heartbeat::VT_KNOWN, known);
+  void add_wants_digests(bool wants_digests) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_WANTS_DIGESTS, static_cast<uint8_t>(wants_digests), 0);
   }
   void add_usage(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage) {
     fbb_.AddOffset(Heartbeat::VT_USAGE, usage);
@@ -256,8 +442,8 @@
   void add_targets(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets) {
     fbb_.AddOffset(Heartbeat::VT_TARGETS, targets);
   }
-  void add_outlook(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook) {
-    fbb_.AddOffset(Heartbeat::VT_OUTLOOK, outlook);
+  void add_digests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests) {
+    fbb_.AddOffset(Heartbeat::VT_DIGESTS, digests);
   }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -275,35 +461,33 @@
     flatbuffers::Offset<flatbuffers::String> vm = 0,
     flatbuffers::Offset<flatbuffers::String> ip = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
-    flatbuffers::Offset<flatbuffers::String> data_center = 0,
     uint64_t run = 0,
     uint8_t state = 0,
     uint64_t sequence = 0,
     uint64_t sent_ms = 0,
     uint64_t echo_ms = 0,
-    uint64_t echo_held_ms = 0,
+    uint32_t echo_held_ms = 0,
     uint64_t version = 0,
     int64_t confirmed_age_ms = -1LL,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0,
+    bool wants_digests = false,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_confirmed_age_ms(confirmed_age_ms);
   builder_.add_version(version);
-  builder_.add_echo_held_ms(echo_held_ms);
   builder_.add_echo_ms(echo_ms);
   builder_.add_sent_ms(sent_ms);
   builder_.add_sequence(sequence);
   builder_.add_run(run);
-  builder_.add_outlook(outlook);
+  builder_.add_digests(digests);
   builder_.add_targets(targets);
   builder_.add_usage(usage);
-  builder_.add_known(known);
-  builder_.add_data_center(data_center);
+  builder_.add_echo_held_ms(echo_held_ms);
   builder_.add_region(region);
   builder_.add_ip(ip);
   builder_.add_vm(vm);
+  builder_.add_wants_digests(wants_digests);
   builder_.add_state(state);
   return builder_.Finish();
 }
@@ -313,33 +497,29 @@
     const char *vm = nullptr,
     const char *ip = nullptr,
     const char *region = nullptr,
-    const char *data_center = nullptr,
     uint64_t run = 0,
     uint8_t state = 0,
     uint64_t sequence = 0,
     uint64_t sent_ms = 0,
     uint64_t echo_ms = 0,
-    uint64_t echo_held_ms = 0,
+    uint32_t echo_held_ms = 0,
     uint64_t version = 0,
     int64_t confirmed_age_ms = -1LL,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *known = nullptr,
+    bool wants_digests = false,
     const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
-    const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr) {
+    const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests = nullptr) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
-  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
-  auto known__ = known ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*known) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
   auto targets__ = targets ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetUse>(*targets) : 0;
-  auto outlook__ = outlook ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceOutlook>(*outlook) : 0;
+  auto digests__ = digests ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>(*digests) : 0;
   return chicorylink::fleet::codec::CreateHeartbeat(
       _fbb,
       vm__,
       ip__,
       region__,
-      data_center__,
       run,
       state,
       sequence,
@@ -348,10 +528,10 @@
       echo_held_ms,
       version,
       confirmed_age_ms,
-      known__,
+      wants_digests,
       usage__,
       targets__,
-      outlook__);
+      digests__);
 }
 
 inline const chicorylink::fleet::codec::Heartbeat *GetHeartbeat(const void *buf) {
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -12,15 +13,6 @@
 
 namespace chicorylink::fleet {
 
-/// @brief What a VM does with requests at present.
-enum class member_state : std::uint8_t {
-    /// Knows no configuration or no targets yet, or may not use them any more.
-    not_ready,
-    ready,
-    /// Finishes what it has and ends.
-    leaving,
-};
-
 /// @brief Who a VM is and where.
 struct member_identity {
     vm_name name;
@@ -31,29 +23,9 @@
     base::incarnation run;
 };
 
-/// @brief The units of a team's quota that a process has admitted since its start.
-struct team_usage {
-    base::team_id team;
-    std::uint64_t admitted = 0;
-};
-
-/// @brief What a process has at one target.
-struct target_use {
-    base::target_id target;
-    std::uint32_t in_flight = 0;
-    /// Prompt tokens of its requests that the target has yet to read.
-    std::uint32_t unread_tokens = 0;
-};
-
-/// @brief How long work waits at the targets of a service in the sender's region.
-struct service_outlook {
-    std::uint64_t service = 0;
-    std::uint32_t usable_targets = 0;
-    base::milliseconds wait{0};
-};
-
 /// @brief What a VM tells another, several times a second, in one datagram.
 struct heartbeat {
+    /// Without the data center, which only its own VM needs.
     member_identity from;
     member_state state = member_state::not_ready;
     std::uint64_t sequence = 0;
@@ -66,12 +38,13 @@
     base::config_version version;
     /// How long ago the sender's configuration was last proved to be the newest one.
     std::optional<base::milliseconds> confirmed_age;
-    /// IP numbers of the VMs that the sender knows.
-    std::vector<std::string> known;
+    /// The sender knows too few others and asks for all digests at once.
+    bool wants_digests = false;
+    /// What the sender itself has admitted and has at targets; the latter only within a region.
     std::vector<team_usage> usage;
-    /// Only told within a region.
     std::vector<target_use> targets;
-    std::vector<service_outlook> outlook;
+    /// Of the sender's region or of all, when the sender is a delegate.
+    std::vector<region_digest> digests;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -37,6 +37,8 @@
     base::milliseconds start{0};
     /// Tokens of the prompt that have to be read.
     std::uint32_t unread_tokens = 0;
+    /// `start` in milliseconds, with what the choice costs later requests.
+    double cost = 0;
 };
 
 /// @brief How long new work waits at a target before it begins.
--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -3,11 +3,12 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/placement.hpp"
-#include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace chicorylink::fleet {
@@ -36,6 +37,8 @@
 struct place {
     place_kind kind = place_kind::nowhere;
     region_name region;
+    /// To another region.
+    base::milliseconds round_trip{0};
     /// The expected wait there, or the shortest wait anywhere when it goes nowhere.
     base::milliseconds wait{0};
 };
@@ -69,8 +72,28 @@
     std::map<std::pair<region_name, service_name>, std::vector<sent>> m_sent;
 };
 
-/// @brief The other regions where a service has usable targets and a VM takes requests.
-[[nodiscard]] std::vector<remote_region> remote_regions(const roster& members,
+/// @brief The newest digest of each other region.
+class region_news {
+public:
+    /// News that is older says nothing of the present load.
+    static constexpr base::milliseconds news_bound{2500};
+
+    /// @brief Takes a digest over unless a newer one of its region is known.
+    void note(const region_digest& digest, base::time_point now);
+
+    /// @brief All digests that are recent enough, with their present age.
+    [[nodiscard]] std::vector<region_digest> recent(base::time_point now) const;
+
+private:
+    struct entry {
+        region_digest digest;
+        base::time_point made_at{};
+    };
+    std::map<region_name, entry> m_entries;
+};
+
+/// @brief The other regions where a service has usable targets.
+[[nodiscard]] std::vector<remote_region> remote_regions(const region_news& news,
                                                         const service_name& service,
                                                         const remote_sends& sends,
                                                         base::time_point now);
--- a/include/chicorylink/fleet/roster.hpp
+++ b/include/chicorylink/fleet/roster.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,16 +16,16 @@
 
 /// @brief What is known of another VM.
 struct member {
-    member_identity who;
+    region_name region;
+    base::incarnation run;
     member_state state = member_state::not_ready;
-    base::config_version version;
-    std::optional<base::milliseconds> confirmed_age;
+    /// When it last spoke, to this VM or to a delegate of its region.
     base::time_point heard_at{};
+    /// The fields below are of its own heartbeats to this VM.
+    std::optional<base::time_point> direct_at;
     std::uint64_t sequence = 0;
-    /// The sender's clock in its newest heartbeat, to be echoed.
     std::uint64_t sent_ms = 0;
-    std::vector<service_outlook> outlook;
-    /// Smoothed time of a datagram there and back; none before it was measured.
+    std::optional<base::milliseconds> confirmed_age;
     std::optional<base::milliseconds> round_trip;
     /// Whether its silence has been told.
     bool silence_told = false;
@@ -33,35 +34,56 @@
 /// @brief What a heartbeat changed.
 enum class heartbeat_effect { ignored, refreshed, joined, restarted, state_changed };
 
-/// @brief The VMs that this process knows: found by seeds, then by each other's heartbeats.
+/// @brief What a heartbeat carries besides the sender's own news.
+enum class digest_scope { none, own_region, all_regions };
+
+/// @brief A heartbeat that is to be sent.
+struct due_heartbeat {
+    std::string ip;
+    digest_scope scope = digest_scope::none;
+    bool wants_digests = false;
+};
+
+/// @brief The VMs that this process knows: found by seeds, then by digests of their regions.
 ///
-/// No list of VMs is published anywhere. A VM that falls silent leaves the directory after
+/// No list of VMs is published anywhere. In each region the first VMs by rendezvous hash are its
+/// delegates. All VMs of the region tell them their news, they tell the region's digest to all its
+/// VMs and to the delegates of other regions. A VM that falls silent leaves the directory after
 /// `silence_bound` and is called for `memory` before it is forgotten.
 class roster {
 public:
-    /// Silence after which a VM is named to no caller and gets no work. Eight missed heartbeats.
+    /// Enough that one may fail unnoticed.
+    static constexpr std::size_t delegate_count = 2;
+    /// Silence after which a VM is named to no caller and gets no work. Several missed heartbeats.
     static constexpr base::milliseconds silence_bound{2000};
     /// How long a silent VM counts as one that may still admit requests behind a partition.
     static constexpr base::milliseconds memory{20'000};
-    /// Intervals of heartbeats: within a region, to other regions, and to VMs that don't answer.
+    /// Intervals of heartbeats: to delegates of the own region, between regions, and to VMs that
+    /// don't answer.
     static constexpr base::milliseconds near_interval{250};
     static constexpr base::milliseconds far_interval{500};
     static constexpr base::milliseconds silent_interval{1000};
+    /// A delegate's digests go out more rarely in a large region.
+    static constexpr base::milliseconds digest_interval_per_vm{20};
 
-    roster(member_identity self, std::vector<std::string> seed_ips);
+    /// @param regions All regions of the system.
+    roster(member_identity self, std::vector<std::string> seed_ips, std::set<region_name> regions);
 
-    /// @brief Replaces the seeds after a change of the settings.
-    void set_seeds(std::vector<std::string> seed_ips);
+    /// @brief Replaces seeds and regions after a change of the settings.
+    void set_places(std::vector<std::string> seed_ips, std::set<region_name> regions);
 
-    /// @brief Takes a heartbeat in.
+    /// @brief Takes a heartbeat in, without its digests.
     heartbeat_effect on_heartbeat(const heartbeat& message, base::time_point now);
 
-    /// @brief The IP numbers that are to be sent a heartbeat now; notes that they are.
-    [[nodiscard]] std::vector<std::string> take_due(base::time_point now);
+    /// @brief Takes the members of a digest in.
+    void on_digest(const region_digest& digest, base::time_point now);
+
+    /// @brief The heartbeats that are to be sent now; notes that they are.
+    [[nodiscard]] std::vector<due_heartbeat> take_due(base::time_point now);
 
-    /// @brief Forgets VMs that have been silent for long; returns the names of those that fell
-    /// silent since the last call.
-    std::vector<vm_name> tick(base::time_point now);
+    /// @brief Forgets VMs that have been silent for long; returns those that fell silent since the
+    /// last call.
+    std::vector<std::string> tick(base::time_point now);
 
     [[nodiscard]] const member_identity& self() const { return m_self; }
     [[nodiscard]] const member* find(const std::string& ip) const;
@@ -73,8 +95,22 @@
     /// @brief Whether a VM takes requests, as far as is known here.
     [[nodiscard]] static bool takes_requests(const member& who, base::time_point now);
 
-    /// @brief VMs of a region that are heard and not leaving, this one included when it fits.
-    [[nodiscard]] std::size_t live_in_region(const region_name& region, base::time_point now) const;
+    /// @brief IP numbers of the live VMs of this VM's region, this one included.
+    [[nodiscard]] std::vector<std::string> region_ips(base::time_point now) const;
+
+    /// @brief The delegates of a region by what is known here; this VM may be one.
+    [[nodiscard]] std::vector<std::string> delegates_of(const region_name& region,
+                                                        base::time_point now) const;
+
+    /// @brief Whether this VM is a delegate of its region.
+    [[nodiscard]] bool is_delegate(base::time_point now) const;
+
+    /// @brief The members of this VM's region for its digest, this one included.
+    [[nodiscard]] std::vector<digest_member> region_members(member_state own_state,
+                                                            base::time_point now) const;
+
+    /// @brief The smoothed round trip to a region; none while no VM of it answers this one.
+    [[nodiscard]] std::optional<base::milliseconds> round_trip_to(const region_name& region) const;
 
     /// @brief VMs that may admit requests, and those of them that are heard; both with this one.
     struct fleet_size {
@@ -83,19 +119,20 @@
     };
     [[nodiscard]] fleet_size size(base::time_point now) const;
 
-    /// @brief IP numbers of all VMs heard, for the heartbeats.
-    [[nodiscard]] std::vector<std::string> heard_ips(base::time_point now) const;
-
 private:
-    [[nodiscard]] base::milliseconds interval_to(const std::string& ip, base::time_point now) const;
+    [[nodiscard]] bool is_due(const std::string& ip, base::milliseconds interval,
+                              base::time_point now);
+    [[nodiscard]] bool is_alone(base::time_point now) const;
+    void add_near(std::vector<due_heartbeat>& due, base::time_point now);
+    void add_far(std::vector<due_heartbeat>& due, base::time_point now);
+    void add_seeds(std::vector<due_heartbeat>& due, base::time_point now);
 
     member_identity m_self;
     std::vector<std::string> m_seeds;
+    std::set<region_name> m_regions;
     std::map<std::string, member> m_members;
     /// Runs that another run at the same address has replaced.
     std::map<std::string, base::incarnation> m_replaced;
-    /// IP numbers that others named and that have not answered yet, by when they were last named.
-    std::map<std::string, base::time_point> m_hearsay;
     std::map<std::string, base::time_point> m_sent_at;
 };
 
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -3,8 +3,8 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/configuration.hpp"
-#include "chicorylink/fleet/heartbeat.hpp"
 #include "chicorylink/fleet/published_state.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/tracked_target.hpp"
 
 #include <cstdint>
@@ -62,6 +62,12 @@
     void on_peer_use(const std::string& ip, const std::vector<target_use>& use,
                      base::time_point now);
 
+    /// @brief What all VMs of the region have at its targets, this one included.
+    void on_region_use(const std::vector<target_use>& use, base::time_point now);
+
+    /// @brief What all VMs of the region have at its targets, for the region's digest.
+    [[nodiscard]] std::vector<target_use> region_use(base::time_point now) const;
+
     /// @brief What this VM has at its targets, for the heartbeats; idle targets are left out.
     [[nodiscard]] std::vector<target_use> own_use() const;
 
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -21,6 +21,13 @@
     base::time_point told_at{};
 };
 
+/// @brief What all other VMs of the region have at a target.
+struct others_use {
+    std::uint32_t in_flight = 0;
+    std::uint32_t unread_tokens = 0;
+    base::time_point told_at{};
+};
+
 /// @brief The load that a target told with an answer.
 struct reported_load {
     std::uint32_t running = 0;
@@ -44,6 +51,8 @@
     std::uint32_t in_flight = 0;
     std::uint32_t unread_tokens = 0;
     std::vector<peer_use> others;
+    /// The same as summed up by a delegate.
+    others_use region;
     reported_load load;
     /// The last time that any byte came from it.
     base::time_point last_sign{};
@@ -58,6 +67,9 @@
     return !target.entry.leaving && !target.evacuated && !target.displaced;
 }
 
+/// @brief The sum of what the other VMs told this one themselves.
+[[nodiscard]] others_use told_by_members(const tracked_target& target, base::time_point now);
+
 /// @brief Requests of all VMs that are believed to be at a target.
 [[nodiscard]] std::uint32_t total_in_flight(const tracked_target& target, base::time_point now);
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -116,6 +116,8 @@
     event_stream m_events;
     std::string m_last_event_id;
     base::time_point m_first_at{};
+    /// Attempts, those that never left included.
+    std::uint32_t m_sends = 0;
     bool m_charged = false;
     bool m_answer_begun = false;
     bool m_paused = false;
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -41,6 +41,7 @@
     fleet::retry_allowance retries;
     fleet::cold_allowance cold;
     fleet::remote_sends remote;
+    fleet::region_news news;
     connection_pool connections;
     /// Requests that are not answered yet.
     std::set<exchange*> exchanges;
--- a/include/chicorylink/front/front_settings.hpp
+++ b/include/chicorylink/front/front_settings.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
     promises bounds;
 };
 
+/// @brief The names of all regions.
+[[nodiscard]] std::set<fleet::region_name> region_names(const front_settings& settings);
+
 } // namespace chicorylink::front
 
 #endif // CHICORYLINK_FRONT_FRONT_SETTINGS_HPP
--- a/include/chicorylink/front/gossip.hpp
+++ b/include/chicorylink/front/gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/heartbeat.hpp"
+#include "chicorylink/fleet/roster.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -24,14 +25,18 @@
     /// @brief Sends the heartbeats that are due.
     void tick(base::time_point now);
 
-    /// @brief Tells all VMs at once, such as that this one leaves.
+    /// @brief Tells the VMs of the region at once, such as that this one leaves.
     void announce(base::time_point now);
 
 private:
     void receive();
     void take_datagram(std::size_t size);
-    void send_to(const std::string& ip, base::time_point now);
-    [[nodiscard]] fleet::heartbeat message_to(const std::string& ip, base::time_point now);
+    void take_digest(const fleet::region_digest& digest, const fleet::region_name& sender,
+                     base::time_point now);
+    void send_to(const fleet::due_heartbeat& due, base::time_point now);
+    [[nodiscard]] fleet::heartbeat message_to(const fleet::due_heartbeat& due,
+                                              base::time_point now);
+    [[nodiscard]] fleet::region_digest own_digest(bool with_targets, base::time_point now);
 
     front_core& m_core;
     boost::asio::ip::udp::socket m_socket;
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -3,6 +3,9 @@
 #include "chicorylink/fleet/fleet_heartbeat_generated.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <limits>
 
 namespace chicorylink::fleet {
 namespace {
@@ -12,72 +15,145 @@
     return value == nullptr ? std::string{} : value->str();
 }
 
+std::string ip_text(std::uint32_t bits)
+{
+    const in_addr address{htonl(bits)};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    return ::inet_ntop(AF_INET, &address, text.data(), text.size()) == nullptr ? std::string{}
+                                                                               : text.data();
+}
+
+std::uint32_t ip_bits(const std::string& ip)
+{
+    in_addr address{};
+    return ::inet_pton(AF_INET, ip.c_str(), &address) == 1 ? ntohl(address.s_addr) : 0;
+}
+
+std::uint32_t count_of(base::milliseconds value)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, most));
+}
+
 member_state state_of(std::uint8_t value)
 {
     return static_cast<member_state>(
         std::min<std::uint8_t>(value, static_cast<std::uint8_t>(member_state::leaving)));
 }
 
-void read_lists(const codec::Heartbeat& from, heartbeat& to)
+std::vector<team_usage> read_usage(const flatbuffers::Vector<const codec::TeamUsage*>* from)
 {
-    if (const auto* known = from.known()) {
-        for (const auto* ip : *known) {
-            to.known.push_back(text_of(ip));
+    std::vector<team_usage> usage;
+    if (from != nullptr) {
+        for (const auto* entry : *from) {
+            usage.push_back({base::team_id{entry->team()}, entry->admitted()});
         }
     }
-    if (const auto* usage = from.usage()) {
-        for (const auto* entry : *usage) {
-            to.usage.push_back({base::team_id{entry->team()}, entry->admitted()});
+    return usage;
+}
+
+std::vector<target_use> read_targets(const flatbuffers::Vector<const codec::TargetUse*>* from)
+{
+    std::vector<target_use> targets;
+    if (from != nullptr) {
+        for (const auto* entry : *from) {
+            targets.push_back(
+                {base::target_id{entry->target()}, entry->in_flight(), entry->unread_tokens()});
         }
     }
-    if (const auto* targets = from.targets()) {
-        for (const auto* entry : *targets) {
-            to.targets.push_back(
-                {base::target_id{entry->target()}, entry->in_flight(), entry->unread_tokens()});
+    return targets;
+}
+
+region_digest read_digest(const codec::RegionDigest& from)
+{
+    region_digest digest;
+    digest.region = region_name{text_of(from.region())};
+    digest.reporter = base::incarnation{from.reporter()};
+    digest.age = base::milliseconds{from.age_ms()};
+    digest.round_trip = base::milliseconds{from.round_trip_ms()};
+    digest.usage = read_usage(from.usage());
+    digest.targets = read_targets(from.targets());
+    if (from.members() != nullptr) {
+        for (const auto* entry : *from.members()) {
+            digest.members.push_back({ip_text(entry->ip()), base::incarnation{entry->run()},
+                                      state_of(entry->state()),
+                                      base::milliseconds{entry->age_ms()}});
         }
     }
-    if (const auto* outlook = from.outlook()) {
-        for (const auto* entry : *outlook) {
-            to.outlook.push_back(
+    if (from.outlook() != nullptr) {
+        for (const auto* entry : *from.outlook()) {
+            digest.outlook.push_back(
                 {entry->service(), entry->usable_targets(), base::milliseconds{entry->wait_ms()}});
         }
     }
+    return digest;
 }
 
-} // namespace
+using builder = flatbuffers::FlatBufferBuilder;
 
-std::vector<std::uint8_t> encode(const heartbeat& message)
+flatbuffers::Offset<flatbuffers::Vector<const codec::TeamUsage*>>
+write_usage(builder& to, const std::vector<team_usage>& usage)
 {
-    flatbuffers::FlatBufferBuilder builder;
-    std::vector<codec::TeamUsage> usage;
-    for (const auto& entry : message.usage) {
-        usage.emplace_back(entry.team.value(), entry.admitted);
+    std::vector<codec::TeamUsage> list;
+    for (const auto& entry : usage) {
+        list.emplace_back(entry.team.value(), entry.admitted);
     }
-    std::vector<codec::TargetUse> targets;
-    for (const auto& entry : message.targets) {
-        targets.emplace_back(entry.target.value(), entry.in_flight, entry.unread_tokens);
+    return to.CreateVectorOfStructs(list);
+}
+
+flatbuffers::Offset<flatbuffers::Vector<const codec::TargetUse*>>
+write_targets(builder& to, const std::vector<target_use>& targets)
+{
+    std::vector<codec::TargetUse> list;
+    for (const auto& entry : targets) {
+        list.emplace_back(entry.target.value(), entry.in_flight, entry.unread_tokens);
+    }
+    return to.CreateVectorOfStructs(list);
+}
+
+flatbuffers::Offset<codec::RegionDigest> write_digest(builder& to, const region_digest& digest)
+{
+    std::vector<codec::DigestMember> members;
+    for (const auto& entry : digest.members) {
+        members.emplace_back(entry.run.value(), ip_bits(entry.ip), count_of(entry.age),
+                             static_cast<std::uint8_t>(entry.state));
     }
     std::vector<codec::ServiceOutlook> outlook;
-    for (const auto& entry : message.outlook) {
-        outlook.emplace_back(entry.service, entry.usable_targets,
-                             static_cast<std::uint32_t>(entry.wait.count()));
+    for (const auto& entry : digest.outlook) {
+        outlook.emplace_back(entry.service, entry.usable_targets, count_of(entry.wait));
     }
-    const auto vm = builder.CreateString(message.from.name.text());
-    const auto ip = builder.CreateString(message.from.ip);
-    const auto region = builder.CreateString(message.from.region.text());
-    const auto data_center = builder.CreateString(message.from.data_center.text());
-    const auto known = builder.CreateVectorOfStrings(message.known);
-    const auto usage_list = builder.CreateVectorOfStructs(usage);
-    const auto target_list = builder.CreateVectorOfStructs(targets);
-    const auto outlook_list = builder.CreateVectorOfStructs(outlook);
+    const auto region = to.CreateString(digest.region.text());
+    const auto member_list = to.CreateVectorOfStructs(members);
+    const auto usage = write_usage(to, digest.usage);
+    const auto targets = write_targets(to, digest.targets);
+    const auto outlook_list = to.CreateVectorOfStructs(outlook);
+    return codec::CreateRegionDigest(to, region, digest.reporter.value(), count_of(digest.age),
+                                     count_of(digest.round_trip), member_list, usage, targets,
+                                     outlook_list);
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const heartbeat& message)
+{
+    builder to;
+    std::vector<flatbuffers::Offset<codec::RegionDigest>> digests;
+    for (const auto& digest : message.digests) {
+        digests.push_back(write_digest(to, digest));
+    }
+    const auto vm = to.CreateString(message.from.name.text());
+    const auto ip = to.CreateString(message.from.ip);
+    const auto region = to.CreateString(message.from.region.text());
+    const auto usage = write_usage(to, message.usage);
+    const auto targets = write_targets(to, message.targets);
+    const auto digest_list = to.CreateVector(digests);
     const auto age = message.confirmed_age ? message.confirmed_age->count() : -1;
     const auto root = codec::CreateHeartbeat(
-        builder, vm, ip, region, data_center, message.from.run.value(),
-        static_cast<std::uint8_t>(message.state), message.sequence, message.sent_ms,
-        message.echo_ms, static_cast<std::uint64_t>(message.echo_held.count()),
-        message.version.value(), age, known, usage_list, target_list, outlook_list);
-    codec::FinishHeartbeatBuffer(builder, root);
-    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
+        to, vm, ip, region, message.from.run.value(), static_cast<std::uint8_t>(message.state),
+        message.sequence, message.sent_ms, message.echo_ms, count_of(message.echo_held),
+        message.version.value(), age, message.wants_digests, usage, targets, digest_list);
+    codec::FinishHeartbeatBuffer(to, root);
+    return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
 base::result<heartbeat> decode_heartbeat(std::span<const std::uint8_t> bytes)
@@ -92,7 +168,6 @@
     message.from.name = vm_name{text_of(from->vm())};
     message.from.ip = text_of(from->ip());
     message.from.region = region_name{text_of(from->region())};
-    message.from.data_center = data_center_name{text_of(from->data_center())};
     message.from.run = base::incarnation{from->run()};
     message.state = state_of(from->state());
     message.sequence = from->sequence();
@@ -103,7 +178,14 @@
     if (from->confirmed_age_ms() >= 0) {
         message.confirmed_age = base::milliseconds{from->confirmed_age_ms()};
     }
-    read_lists(*from, message);
+    message.wants_digests = from->wants_digests();
+    message.usage = read_usage(from->usage());
+    message.targets = read_targets(from->targets());
+    if (from->digests() != nullptr) {
+        for (const auto* digest : *from->digests()) {
+            message.digests.push_back(read_digest(*digest));
+        }
+    }
     if (message.from.name.empty() || message.from.ip.empty()) {
         return base::fail(base::error_kind::invalid_message, "heartbeat names no sender",
                           "check that all VMs run the same version");
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -19,6 +19,10 @@
 /// The answer time of a plain service that has not answered yet.
 constexpr double default_answer_ms = 30.0;
 
+/// How much more than its reading time a shared part costs that is read a second time: the memory
+/// that its copy takes evicts other parts, which are then read again too.
+constexpr double reread_factor = 3.0;
+
 /// What an expected failure costs, as time: a failed attempt and its repeat.
 constexpr double failure_cost_ms = 300.0;
 
@@ -87,17 +91,21 @@
                       base::time_point now)
 {
     const auto& target = *which.target;
-    placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0};
+    placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0};
     const double wait = wait_ms(target, now);
     double start = wait;
     if (request.asked != nullptr && target.is_engine) {
         choice.unread_tokens = unread_tokens(target, *request.asked, is_home, now);
         start += first_token_ms + static_cast<double>(choice.unread_tokens) / default_prompt_speed;
+        const auto own_part = request.asked->prompt_tokens -
+                              std::min(request.asked->prompt_tokens, shared_tokens(*request.asked));
+        const auto reread = choice.unread_tokens - std::min(choice.unread_tokens, own_part);
+        choice.cost += reread_factor * static_cast<double>(reread) / default_prompt_speed;
     }
     else {
         start += target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
     }
-    start += target.health.failure_rate * failure_cost_ms;
+    choice.cost += start + target.health.failure_rate * failure_cost_ms;
     choice.wait = base::milliseconds{static_cast<std::int64_t>(wait)};
     choice.start = base::milliseconds{static_cast<std::int64_t>(start)};
     return choice;
@@ -115,8 +123,8 @@
             continue;
         }
         auto choice = rate(which, request, which.target == home, now);
-        const bool better = !best || choice.start < best->start ||
-                            (choice.start == best->start && which.weight > best_weight);
+        const bool better = !best || choice.cost < best->cost ||
+                            (choice.cost == best->cost && which.weight > best_weight);
         if (better) {
             best = std::move(choice);
             best_weight = which.weight;
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -57,17 +57,18 @@
     if (here_fits) {
         const bool soon = here->start <= part_of(request.latency_objective, stay_part_of_objective);
         if (soon || !best_fits || here->start <= start_at(*best, request) + leave_margin) {
-            return {place_kind::here, {}, here->wait};
+            return {place_kind::here, {}, base::milliseconds{0}, here->wait};
         }
     }
     if (best_fits) {
-        return {place_kind::elsewhere, best->region, best->wait + best->round_trip};
+        return {place_kind::elsewhere, best->region, best->round_trip,
+                best->wait + best->round_trip};
     }
     auto shortest = here ? here->wait : base::milliseconds::max();
     if (best != nullptr) {
         shortest = std::min(shortest, best->wait + best->round_trip);
     }
-    return {place_kind::nowhere, {}, shortest};
+    return {place_kind::nowhere, {}, base::milliseconds{0}, shortest};
 }
 
 void remote_sends::note(const region_name& region, const service_name& service,
@@ -92,38 +93,46 @@
     return tokens;
 }
 
-std::vector<remote_region> remote_regions(const roster& members, const service_name& service,
+void region_news::note(const region_digest& digest, base::time_point now)
+{
+    const auto made_at = now - digest.age;
+    auto [known, is_new] = m_entries.try_emplace(digest.region);
+    if (is_new || made_at >= known->second.made_at) {
+        known->second = {digest, made_at};
+    }
+}
+
+std::vector<region_digest> region_news::recent(base::time_point now) const
+{
+    std::vector<region_digest> all;
+    for (const auto& [region, known] : m_entries) {
+        if (now - known.made_at <= news_bound) {
+            all.push_back(known.digest);
+            all.back().age = std::chrono::duration_cast<base::milliseconds>(now - known.made_at);
+        }
+    }
+    return all;
+}
+
+std::vector<remote_region> remote_regions(const region_news& news, const service_name& service,
                                           const remote_sends& sends, base::time_point now)
 {
-    struct sum {
-        std::int64_t wait_ms = 0;
-        std::int64_t count = 0;
-        std::uint32_t usable = 0;
-        base::milliseconds round_trip{0};
-    };
-    std::map<region_name, sum> sums;
     const auto wanted = base::hash_name(service.text());
-    for (const auto& [ip, who] : members.members()) {
-        if (who.who.region == members.self().region || !roster::takes_requests(who, now)) {
-            continue;
-        }
-        for (const auto& entry : who.outlook) {
-            if (entry.service == wanted && entry.usable_targets > 0) {
-                auto& total = sums[who.who.region];
-                total.wait_ms += entry.wait.count();
-                ++total.count;
-                total.usable = std::max(total.usable, entry.usable_targets);
-                total.round_trip = who.round_trip.value_or(unknown_round_trip);
+    std::vector<remote_region> regions;
+    for (const auto& digest : news.recent(now)) {
+        for (const auto& told : digest.outlook) {
+            if (told.service != wanted || told.usable_targets == 0) {
+                continue;
             }
+            const auto own = static_cast<double>(sends.recent_tokens(digest.region, service, now)) /
+                             (default_prompt_speed * told.usable_targets);
+            const auto round_trip =
+                digest.round_trip.count() > 0 ? digest.round_trip : unknown_round_trip;
+            regions.push_back({digest.region,
+                               told.wait + base::milliseconds{static_cast<std::int64_t>(own)},
+                               round_trip, told.usable_targets});
         }
     }
-    std::vector<remote_region> regions;
-    for (const auto& [region, total] : sums) {
-        const auto own = static_cast<double>(sends.recent_tokens(region, service, now)) /
-                         (default_prompt_speed * total.usable);
-        const auto wait = total.wait_ms / total.count + static_cast<std::int64_t>(own);
-        regions.push_back({region, base::milliseconds{wait}, total.round_trip, total.usable});
-    }
     return regions;
 }
 
--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -1,7 +1,6 @@
 #include "chicorylink/fleet/roster.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace chicorylink::fleet {
@@ -28,24 +27,23 @@
 
 } // namespace
 
-roster::roster(member_identity self, std::vector<std::string> seed_ips)
-    : m_self(std::move(self)), m_seeds(std::move(seed_ips))
+roster::roster(member_identity self, std::vector<std::string> seed_ips,
+               std::set<region_name> regions)
+    : m_self(std::move(self)), m_seeds(std::move(seed_ips)), m_regions(std::move(regions))
 {
 }
 
-void roster::set_seeds(std::vector<std::string> seed_ips)
+void roster::set_places(std::vector<std::string> seed_ips, std::set<region_name> regions)
 {
     m_seeds = std::move(seed_ips);
+    m_regions = std::move(regions);
 }
 
 heartbeat_effect roster::on_heartbeat(const heartbeat& message, base::time_point now)
 {
     const auto& ip = message.from.ip;
-    if (ip == m_self.ip) {
-        return heartbeat_effect::ignored;
-    }
     const auto replaced = m_replaced.find(ip);
-    if (replaced != m_replaced.end() && replaced->second == message.from.run) {
+    if (ip == m_self.ip || (replaced != m_replaced.end() && replaced->second == message.from.run)) {
         return heartbeat_effect::ignored;
     }
     auto effect = heartbeat_effect::refreshed;
@@ -54,8 +52,8 @@
     if (is_new) {
         effect = heartbeat_effect::joined;
     }
-    else if (known.who.run != message.from.run) {
-        m_replaced[ip] = known.who.run;
+    else if (known.run != message.from.run) {
+        m_replaced[ip] = known.run;
         known = member{};
         effect = heartbeat_effect::restarted;
     }
@@ -65,66 +63,201 @@
     else if (known.state != message.state) {
         effect = heartbeat_effect::state_changed;
     }
-    known.who = message.from;
+    known.region = message.from.region;
+    known.run = message.from.run;
     known.state = message.state;
-    known.version = message.version;
-    known.confirmed_age = message.confirmed_age;
     known.heard_at = now;
+    known.direct_at = now;
     known.sequence = message.sequence;
     known.sent_ms = message.sent_ms;
-    known.outlook = message.outlook;
-    m_hearsay.erase(ip);
+    known.confirmed_age = message.confirmed_age;
     known.silence_told = false;
     note_round_trip(known, message, now);
-    for (const auto& other : message.known) {
-        if (other != m_self.ip && !m_members.contains(other)) {
-            m_hearsay[other] = now;
+    return effect;
+}
+
+void roster::on_digest(const region_digest& digest, base::time_point now)
+{
+    for (const auto& told : digest.members) {
+        const auto heard_at = now - told.age - digest.age;
+        const auto replaced = m_replaced.find(told.ip);
+        if (told.ip == m_self.ip || now - heard_at > silence_bound ||
+            (replaced != m_replaced.end() && replaced->second == told.run)) {
+            continue;
+        }
+        auto [entry, is_new] = m_members.try_emplace(told.ip);
+        auto& known = entry->second;
+        if (!is_new && heard_at <= known.heard_at) {
+            continue;
+        }
+        if (!is_new && known.run != told.run) {
+            m_replaced[told.ip] = known.run;
+            known = member{};
         }
+        known.region = digest.region;
+        known.run = told.run;
+        known.state = told.state;
+        known.heard_at = heard_at;
+        known.silence_told = false;
     }
-    return effect;
 }
 
-base::milliseconds roster::interval_to(const std::string& ip, base::time_point now) const
+std::vector<std::string> roster::region_ips(base::time_point now) const
+{
+    std::vector<std::string> ips{m_self.ip};
+    for (const auto& [ip, who] : m_members) {
+        if (who.region == m_self.region && is_heard(who, now)) {
+            ips.push_back(ip);
+        }
+    }
+    return ips;
+}
+
+std::vector<std::string> roster::delegates_of(const region_name& region, base::time_point now) const
 {
-    const auto known = m_members.find(ip);
-    if (known == m_members.end()) {
-        return near_interval;
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    const auto add = [&](const std::string& ip) { ranked.emplace_back(base::hash_name(ip), ip); };
+    const auto heard_only = std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
+        return entry.second.region == region && is_heard(entry.second, now);
+    });
+    for (const auto& [ip, who] : m_members) {
+        if (who.region == region && (!heard_only || is_heard(who, now))) {
+            add(ip);
+        }
     }
-    if (!is_heard(known->second, now)) {
-        return silent_interval;
+    if (region == m_self.region) {
+        add(m_self.ip);
     }
-    return known->second.who.region == m_self.region ? near_interval : far_interval;
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> first;
+    for (const auto& [rank, ip] : ranked) {
+        if (first.size() < delegate_count) {
+            first.push_back(ip);
+        }
+    }
+    return first;
+}
+
+bool roster::is_delegate(base::time_point now) const
+{
+    const auto delegates = delegates_of(m_self.region, now);
+    return std::find(delegates.begin(), delegates.end(), m_self.ip) != delegates.end();
 }
 
-std::vector<std::string> roster::take_due(base::time_point now)
+bool roster::is_due(const std::string& ip, base::milliseconds interval, base::time_point now)
 {
-    std::set<std::string> candidates(m_seeds.begin(), m_seeds.end());
-    for (const auto& [ip, entry] : m_members) {
-        candidates.insert(ip);
+    auto [sent, is_new] = m_sent_at.try_emplace(ip, now);
+    if (is_new) {
+        return true;
     }
-    for (const auto& [ip, named_at] : m_hearsay) {
-        candidates.insert(ip);
+    if (now - sent->second < interval) {
+        return false;
     }
-    candidates.erase(m_self.ip);
-    std::vector<std::string> due;
-    for (const auto& ip : candidates) {
-        const auto sent = m_sent_at.find(ip);
-        if (sent == m_sent_at.end() || now - sent->second >= interval_to(ip, now)) {
-            m_sent_at[ip] = now;
-            due.push_back(ip);
+    sent->second = now;
+    return true;
+}
+
+bool roster::is_alone(base::time_point now) const
+{
+    return region_ips(now).size() == 1;
+}
+
+void roster::add_near(std::vector<due_heartbeat>& due, base::time_point now)
+{
+    const auto delegates = delegates_of(m_self.region, now);
+    const auto is_one = [&](const std::string& ip) {
+        return std::find(delegates.begin(), delegates.end(), ip) != delegates.end();
+    };
+    const bool self_is_one = is_one(m_self.ip);
+    const auto count = static_cast<std::int64_t>(region_ips(now).size());
+    const auto digest_interval =
+        std::clamp(digest_interval_per_vm * count, near_interval, far_interval);
+    for (const auto& [ip, who] : m_members) {
+        if (who.region != m_self.region) {
+            continue;
+        }
+        if (!is_heard(who, now)) {
+            if (self_is_one && is_due(ip, silent_interval, now)) {
+                due.push_back({ip, digest_scope::all_regions, false});
+            }
+        }
+        else if (self_is_one && is_due(ip, digest_interval, now)) {
+            due.push_back({ip, digest_scope::all_regions, false});
+        }
+        else if (!self_is_one && is_one(ip) && is_due(ip, near_interval, now)) {
+            due.push_back({ip, digest_scope::none, false});
         }
     }
+}
+
+void roster::add_far(std::vector<due_heartbeat>& due, base::time_point now)
+{
+    if (!is_delegate(now)) {
+        return;
+    }
+    for (const auto& region : m_regions) {
+        if (region == m_self.region) {
+            continue;
+        }
+        for (const auto& ip : delegates_of(region, now)) {
+            const bool heard = is_heard(m_members.at(ip), now);
+            if (is_due(ip, heard ? far_interval : silent_interval, now)) {
+                due.push_back({ip, digest_scope::own_region, !heard});
+            }
+        }
+    }
+}
+
+void roster::add_seeds(std::vector<due_heartbeat>& due, base::time_point now)
+{
+    const bool alone = is_alone(now);
+    const bool misses_region =
+        std::any_of(m_regions.begin(), m_regions.end(), [&](const region_name& region) {
+            return std::none_of(m_members.begin(), m_members.end(),
+                                [&](const auto& entry) {
+                                    return entry.second.region == region &&
+                                           is_heard(entry.second, now);
+                                }) &&
+                   region != m_self.region;
+        });
+    if (!alone && !(misses_region && is_delegate(now))) {
+        return;
+    }
+    for (const auto& ip : m_seeds) {
+        const auto* known = find(ip);
+        const bool heard = known != nullptr && is_heard(*known, now);
+        if (ip != m_self.ip && (alone || !heard) &&
+            is_due(ip, heard ? silent_interval : near_interval, now)) {
+            due.push_back({ip, digest_scope::own_region, true});
+        }
+    }
+    if (!alone) {
+        return;
+    }
+    for (const auto& [ip, who] : m_members) {
+        if (who.region == m_self.region && is_due(ip, silent_interval, now)) {
+            due.push_back({ip, digest_scope::own_region, true});
+        }
+    }
+}
+
+std::vector<due_heartbeat> roster::take_due(base::time_point now)
+{
+    std::vector<due_heartbeat> due;
+    add_near(due, now);
+    add_far(due, now);
+    add_seeds(due, now);
     return due;
 }
 
-std::vector<vm_name> roster::tick(base::time_point now)
+std::vector<std::string> roster::tick(base::time_point now)
 {
-    std::vector<vm_name> fell_silent;
+    std::vector<std::string> fell_silent;
     for (auto entry = m_members.begin(); entry != m_members.end();) {
         auto& who = entry->second;
         if (!is_heard(who, now) && !who.silence_told) {
             who.silence_told = true;
-            fell_silent.push_back(who.who.name);
+            fell_silent.push_back(entry->first);
         }
         if (now - who.heard_at > memory) {
             m_sent_at.erase(entry->first);
@@ -134,7 +267,6 @@
             ++entry;
         }
     }
-    std::erase_if(m_hearsay, [&](const auto& entry) { return now - entry.second > memory; });
     return fell_silent;
 }
 
@@ -154,15 +286,28 @@
     return who.state == member_state::ready && is_heard(who, now);
 }
 
-std::size_t roster::live_in_region(const region_name& region, base::time_point now) const
+std::vector<digest_member> roster::region_members(member_state own_state,
+                                                  base::time_point now) const
 {
-    std::size_t count = m_self.region == region ? 1 : 0;
+    std::vector<digest_member> told{{m_self.ip, m_self.run, own_state, base::milliseconds{0}}};
     for (const auto& [ip, who] : m_members) {
-        if (who.who.region == region && is_heard(who, now) && who.state != member_state::leaving) {
-            ++count;
+        if (who.region == m_self.region && is_heard(who, now)) {
+            const auto age = std::chrono::duration_cast<base::milliseconds>(now - who.heard_at);
+            told.push_back({ip, who.run, who.state, age});
         }
     }
-    return count;
+    return told;
+}
+
+std::optional<base::milliseconds> roster::round_trip_to(const region_name& region) const
+{
+    std::optional<base::milliseconds> shortest;
+    for (const auto& [ip, who] : m_members) {
+        if (who.region == region && who.round_trip && (!shortest || *who.round_trip < *shortest)) {
+            shortest = who.round_trip;
+        }
+    }
+    return shortest;
 }
 
 roster::fleet_size roster::size(base::time_point now) const
@@ -180,15 +325,4 @@
     return count;
 }
 
-std::vector<std::string> roster::heard_ips(base::time_point now) const
-{
-    std::vector<std::string> ips;
-    for (const auto& [ip, who] : m_members) {
-        if (is_heard(who, now)) {
-            ips.push_back(ip);
-        }
-    }
-    return ips;
-}
-
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -170,6 +170,35 @@
     }
 }
 
+void target_pool::on_region_use(const std::vector<target_use>& use, base::time_point now)
+{
+    for (auto& [name, target] : m_targets) {
+        target.region = {0, 0, now};
+    }
+    for (const auto& entry : use) {
+        const auto name = m_names.find(entry.target);
+        if (name != m_names.end()) {
+            auto& target = m_targets.at(name->second);
+            target.region = {
+                entry.in_flight - std::min(entry.in_flight, target.in_flight),
+                entry.unread_tokens - std::min(entry.unread_tokens, target.unread_tokens), now};
+        }
+    }
+}
+
+std::vector<target_use> target_pool::region_use(base::time_point now) const
+{
+    std::vector<target_use> use;
+    for (const auto& [name, target] : m_targets) {
+        const auto others = told_by_members(target, now);
+        const auto in_flight = target.in_flight + others.in_flight;
+        if (in_flight > 0) {
+            use.push_back({target.id, in_flight, target.unread_tokens + others.unread_tokens});
+        }
+    }
+    return use;
+}
+
 std::vector<target_use> target_pool::own_use() const
 {
     std::vector<target_use> use;
--- a/src/chicorylink/fleet/tracked_target.cpp
+++ b/src/chicorylink/fleet/tracked_target.cpp
@@ -11,16 +11,34 @@
 /// A target's own report counts for so long; later requests have changed it by then.
 constexpr base::milliseconds report_bound{300};
 
+/// The larger of what members and delegates told: either may miss VMs, neither invents any.
+others_use use_of_others(const tracked_target& target, base::time_point now)
+{
+    auto use = told_by_members(target, now);
+    if (now - target.region.told_at <= others_bound) {
+        use.in_flight = std::max(use.in_flight, target.region.in_flight);
+        use.unread_tokens = std::max(use.unread_tokens, target.region.unread_tokens);
+    }
+    return use;
+}
+
 } // namespace
 
-std::uint32_t total_in_flight(const tracked_target& target, base::time_point now)
+others_use told_by_members(const tracked_target& target, base::time_point now)
 {
-    std::uint32_t total = target.in_flight;
+    others_use sum;
     for (const auto& other : target.others) {
         if (now - other.told_at <= others_bound) {
-            total += other.in_flight;
+            sum.in_flight += other.in_flight;
+            sum.unread_tokens += other.unread_tokens;
         }
     }
+    return sum;
+}
+
+std::uint32_t total_in_flight(const tracked_target& target, base::time_point now)
+{
+    auto total = target.in_flight + use_of_others(target, now).in_flight;
     if (now - target.load.told_at <= report_bound) {
         total = std::max(total, target.load.running + target.load.waiting);
     }
@@ -29,13 +47,7 @@
 
 std::uint64_t total_unread_tokens(const tracked_target& target, base::time_point now)
 {
-    std::uint64_t total = target.unread_tokens;
-    for (const auto& other : target.others) {
-        if (now - other.told_at <= others_bound) {
-            total += other.unread_tokens;
-        }
-    }
-    return total;
+    return std::uint64_t{target.unread_tokens} + use_of_others(target, now).unread_tokens;
 }
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -132,13 +132,7 @@
 {
     const auto& service = *m_resolved.service;
     if (now < target.cold_until && service.cold_requests_per_second > 0) {
-        std::vector<std::string> ips{m_core.settings.self.ip};
-        for (const auto& [ip, who] : m_core.members.members()) {
-            if (who.who.region == m_core.settings.self.region &&
-                fleet::roster::is_heard(who, now)) {
-                ips.push_back(ip);
-            }
-        }
+        const auto ips = m_core.members.region_ips(now);
         if (!fleet::is_cold_sender(target.entry.name, m_core.settings.self.ip, ips) ||
             !m_core.cold.allows(target.entry.name, service.cold_requests_per_second, now)) {
             return false;
@@ -147,8 +141,7 @@
     if (service.max_connections == 0 || m_core.connections.has_kept(target.entry.address)) {
         return true;
     }
-    const auto sharers =
-        std::max<std::size_t>(1, m_core.members.live_in_region(m_core.settings.self.region, now));
+    const auto sharers = std::max<std::size_t>(1, m_core.members.region_ips(now).size());
     return m_core.connections.open_count(target.entry.address) <
            std::max<std::size_t>(1, service.max_connections / sharers);
 }
@@ -171,8 +164,7 @@
     if (m_asked.from_peer()) {
         return {};
     }
-    auto regions =
-        fleet::remote_regions(m_core.members, m_resolved.service->name, m_core.remote, now);
+    auto regions = fleet::remote_regions(m_core.news, m_resolved.service->name, m_core.remote, now);
     std::erase_if(regions, [&](const fleet::remote_region& other) {
         return !fleet::may_run_in(*m_resolved.route, m_resolved.team, other.region) ||
                peer_in(other.region, now).empty();
@@ -186,7 +178,7 @@
     std::uint64_t best_weight = 0;
     const auto key = base::hash_name(m_asked.id);
     for (const auto& [ip, who] : m_core.members.members()) {
-        if (who.who.region != region || !fleet::roster::takes_requests(who, now) ||
+        if (who.region != region || !fleet::roster::takes_requests(who, now) ||
             std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) != m_tried_peers.end()) {
             continue;
         }
@@ -251,9 +243,7 @@
     next.expected_wait = where.wait;
     m_attempt = std::move(next);
     m_tried_peers.push_back(ip);
-    const auto* peer = m_core.members.find(ip);
-    const auto way =
-        peer != nullptr && peer->round_trip ? *peer->round_trip / 2 : base::milliseconds{0};
+    const auto way = where.round_trip / 2;
     m_core.remote.note(where.region, m_resolved.service->name,
                        m_prompt ? m_prompt->prompt_tokens : 0, now);
     send(bytes_for_peer(m_asked, m_resolved,
@@ -277,6 +267,7 @@
 void exchange::send(std::string bytes, base::milliseconds connect_limit, base::time_point now)
 {
     note_sent(now);
+    ++m_sends;
     upstream_request request;
     request.address = m_attempt->address;
     request.bytes = std::move(bytes);
@@ -681,7 +672,7 @@
         line.add("address", m_attempt->address);
         line.add("expected_wait_ms", m_attempt->expected_wait.count());
     }
-    line.add("attempts", m_history.arrivals).add("total_ms", ms_since(now));
+    line.add("attempts", m_sends).add("total_ms", ms_since(now));
     if (m_answer_begun) {
         line.add("first_ms", ms_since(m_first_at));
         m_core.counters.observe("first_answer_ms", static_cast<double>(ms_since(m_first_at)));
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -17,11 +17,21 @@
 front_core::front_core(boost::asio::io_context& on, front_settings with,
                        const outer_protocol& speaking, base::time_point now)
     : loop(on), settings(std::move(with)), protocol(speaking), log(STDOUT_FILENO),
-      state(speaking.decode_item), members(settings.self, settings.seed_ips), quota(now),
-      retries(settings.bounds.retries), cold(now), connections(on)
+      state(speaking.decode_item),
+      members(settings.self, settings.seed_ips, region_names(settings)),
+      quota(settings.self.region, now), retries(settings.bounds.retries), cold(now), connections(on)
 {
 }
 
+std::set<fleet::region_name> region_names(const front_settings& settings)
+{
+    std::set<fleet::region_name> names;
+    for (const auto& [data_center, region] : settings.regions) {
+        names.insert(region);
+    }
+    return names;
+}
+
 bool keys_are_fresh(const front_core& core, base::time_point now)
 {
     const auto confirmed = core.state.confirmed_at();
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -172,8 +172,8 @@
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(next, m_reload());
+            m_core.members.set_places(next.seed_ips, region_names(next));
             if (next.seed_ips != m_core.settings.seed_ips) {
-                m_core.members.set_seeds(next.seed_ips);
                 write_log(m_core, log_event(m_core, "settings_reloaded").add("changed", "seeds"));
             }
             m_core.settings.seed_ips = next.seed_ips;
@@ -302,7 +302,7 @@
         addresses.push_back(own);
     }
     for (const auto& [ip, who] : m_core.members.members()) {
-        if (fleet::roster::takes_requests(who, now) && (any_region || who.who.region == region)) {
+        if (fleet::roster::takes_requests(who, now) && (any_region || who.region == region)) {
             addresses.push_back(ip + port);
         }
     }
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -107,10 +107,16 @@
                                       .add("state", static_cast<int>(message.state))
                                       .add("version", message.version.value()));
             }
-            m_core.quota.on_usage(message.from.ip, message.from.run, message.usage, now);
             if (message.from.region == m_core.settings.self.region) {
+                m_core.quota.on_member_usage(message.from.ip, message.from.run, message.usage, now);
                 m_core.pool.on_peer_use(message.from.ip, message.targets, now);
             }
+            for (const auto& digest : message.digests) {
+                take_digest(digest, message.from.region, now);
+            }
+            if (message.wants_digests) {
+                send_to({message.from.ip, fleet::digest_scope::all_regions, false}, now);
+            }
             m_on_heartbeat(message);
             return {};
         },
@@ -122,17 +128,49 @@
         [] {});
 }
 
-fleet::heartbeat gossip::message_to(const std::string& ip, base::time_point now)
+void gossip::take_digest(const fleet::region_digest& digest, const fleet::region_name& sender,
+                         base::time_point now)
+{
+    m_core.members.on_digest(digest, now);
+    m_core.quota.on_region_usage(digest, now);
+    if (digest.region == m_core.settings.self.region) {
+        if (sender == digest.region) {
+            m_core.pool.on_region_use(digest.targets, now);
+        }
+        return;
+    }
+    m_core.news.note(digest, now);
+}
+
+fleet::region_digest gossip::own_digest(bool with_targets, base::time_point now)
+{
+    fleet::region_digest digest;
+    digest.region = m_core.settings.self.region;
+    digest.reporter = m_core.settings.self.run;
+    digest.members = m_core.members.region_members(state_of(m_core, now), now);
+    digest.usage = m_core.quota.region_usage();
+    if (with_targets) {
+        digest.targets = m_core.pool.region_use(now);
+    }
+    if (m_core.state.config()) {
+        for (const auto& service : m_core.state.config()->services()) {
+            digest.outlook.push_back(fleet::outlook_of(m_core.pool, service.name, now));
+        }
+    }
+    return digest;
+}
+
+fleet::heartbeat gossip::message_to(const fleet::due_heartbeat& due, base::time_point now)
 {
     fleet::heartbeat message;
     message.from = m_core.settings.self;
     message.state = state_of(m_core, now);
     message.sequence = ++m_sequence;
     message.sent_ms = to_ms(now);
-    const auto* known = m_core.members.find(ip);
-    if (known != nullptr) {
+    const auto* known = m_core.members.find(due.ip);
+    if (known != nullptr && known->direct_at) {
         message.echo_ms = known->sent_ms;
-        message.echo_held = std::chrono::duration_cast<base::milliseconds>(now - known->heard_at);
+        message.echo_held = std::chrono::duration_cast<base::milliseconds>(now - *known->direct_at);
     }
     if (m_core.state.config()) {
         message.version = m_core.state.config()->version();
@@ -140,27 +178,33 @@
     if (const auto confirmed = m_core.state.confirmed_at()) {
         message.confirmed_age = std::chrono::duration_cast<base::milliseconds>(now - *confirmed);
     }
-    message.known = m_core.members.heard_ips(now);
-    message.usage = m_core.quota.own_usage();
-    if (known == nullptr || known->who.region == m_core.settings.self.region) {
+    message.wants_digests = due.wants_digests;
+    const bool near = known != nullptr && known->region == m_core.settings.self.region;
+    if (near) {
+        message.usage = m_core.quota.own_usage();
         message.targets = m_core.pool.own_use();
     }
-    else if (m_core.state.config()) {
-        for (const auto& service : m_core.state.config()->services()) {
-            message.outlook.push_back(fleet::outlook_of(m_core.pool, service.name, now));
+    if (due.scope != fleet::digest_scope::none) {
+        message.digests.push_back(own_digest(near, now));
+    }
+    if (due.scope == fleet::digest_scope::all_regions) {
+        for (auto& digest : m_core.news.recent(now)) {
+            digest.round_trip =
+                m_core.members.round_trip_to(digest.region).value_or(digest.round_trip);
+            message.digests.push_back(std::move(digest));
         }
     }
     return message;
 }
 
-void gossip::send_to(const std::string& ip, base::time_point now)
+void gossip::send_to(const fleet::due_heartbeat& due, base::time_point now)
 {
     boost::system::error_code problem;
-    const auto address = boost::asio::ip::make_address(ip, problem);
+    const auto address = boost::asio::ip::make_address(due.ip, problem);
     if (problem) {
         return;
     }
-    const auto bytes = fleet::encode(message_to(ip, now));
+    const auto bytes = fleet::encode(message_to(due, now));
     m_socket.send_to(boost::asio::buffer(bytes), {address, m_core.settings.peer_port}, 0, problem);
     if (problem) {
         m_core.counters.add("heartbeats_not_sent_total");
@@ -169,18 +213,20 @@
 
 void gossip::tick(base::time_point now)
 {
-    for (const auto& ip : m_core.members.take_due(now)) {
-        send_to(ip, now);
+    for (const auto& due : m_core.members.take_due(now)) {
+        send_to(due, now);
     }
-    for (const auto& name : m_core.members.tick(now)) {
-        write_log(m_core, log_event(m_core, "peer_silent").add("peer", name.text()));
+    for (const auto& ip : m_core.members.tick(now)) {
+        write_log(m_core, log_event(m_core, "peer_silent").add("ip", ip));
     }
 }
 
 void gossip::announce(base::time_point now)
 {
-    for (const auto& ip : m_core.members.heard_ips(now)) {
-        send_to(ip, now);
+    for (const auto& ip : m_core.members.region_ips(now)) {
+        if (ip != m_core.settings.self.ip) {
+            send_to({ip, fleet::digest_scope::none, false}, now);
+        }
     }
 }
 
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -34,7 +34,7 @@
 constexpr base::milliseconds copy_limit{600};
 
 /// A peer whose own proof is older does not help.
-constexpr base::milliseconds useful_age{1500};
+constexpr base::milliseconds useful_age{3000};
 
 base::milliseconds age_of(base::time_point then, base::time_point now)
 {
@@ -192,6 +192,7 @@
         return;
     }
     const fleet::member* best = nullptr;
+    std::string best_ip;
     for (const auto& [ip, who] : m_core.members.members()) {
         if (!fleet::roster::is_heard(who, now) || !who.confirmed_age ||
             *who.confirmed_age > useful_age) {
@@ -199,10 +200,11 @@
         }
         if (best == nullptr || *who.confirmed_age < *best->confirmed_age) {
             best = &who;
+            best_ip = ip;
         }
     }
     if (best != nullptr) {
-        copy_from(best->who.ip);
+        copy_from(best_ip);
     }
 }
 
