front: only a region's delegates watch the store, the others copy what changed

Change: the first delegate watches with answers every second, the second one every six; the others copy changed items from the VM whose heartbeat tells of them and have their configuration confirmed by heartbeats. A VM that nobody confirms for 1.8 s watches the store itself.

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -319,9 +319,10 @@
     VT_VERSION = 22,
     VT_CONFIRMED_AGE_MS = 24,
     VT_WANTS_DIGESTS = 26,
-    VT_USAGE = 28,
-    VT_TARGETS = 30,
-    VT_DIGESTS = 32
+    VT_ITEMS_REVISION = 28,
+    VT_USAGE = 30,
+    VT_TARGETS = 32,
+    VT_DIGESTS = 34
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -359,6 +360,9 @@
   bool wants_digests() const {
     return GetField<uint8_t>(VT_WANTS_DIGESTS, 0) != 0;
   }
+  uint64_t items_revision() const {
+    return GetField<uint64_t>(VT_ITEMS_REVISION, 0);
+  }
   const flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *> *usage() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *> *>(VT_USAGE);
   }
@@ -385,6 +389,7 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_CONFIRMED_AGE_MS, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_DIGESTS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ITEMS_REVISION, 8) &&
            VerifyOffset(verifier, VT_USAGE) &&
            verifier.VerifyVector(usage()) &&
            VerifyOffset(verifier, VT_TARGETS) &&
@@ -436,6 +441,9 @@
   void add_wants_digests(bool wants_digests) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_WANTS_DIGESTS, static_cast<uint8_t>(wants_digests), 0);
   }
+  void add_items_revision(uint64_t items_revision) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_ITEMS_REVISION, items_revision, 0);
+  }
   void add_usage(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage) {
     fbb_.AddOffset(Heartbeat::VT_USAGE, usage);
   }
@@ -470,10 +478,12 @@
     uint64_t version = 0,
     int64_t confirmed_age_ms = -1LL,
     bool wants_digests = false,
+    uint64_t items_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_items_revision(items_revision);
   builder_.add_confirmed_age_ms(confirmed_age_ms);
   builder_.add_version(version);
   builder_.add_echo_ms(echo_ms);
@@ -506,6 +516,7 @@
     uint64_t version = 0,
     int64_t confirmed_age_ms = -1LL,
     bool wants_digests = false,
+    uint64_t items_revision = 0,
     const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
     const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests = nullptr) {
@@ -529,6 +540,7 @@
       version,
       confirmed_age_ms,
       wants_digests,
+      items_revision,
       usage__,
       targets__,
       digests__);
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -36,6 +36,8 @@
     /// How long the sender had that heartbeat, so that the receiver can tell the round trip.
     base::milliseconds echo_held{0};
     base::config_version version;
+    /// The revision of the newest published item that the sender knows.
+    std::uint64_t items_revision = 0;
     /// How long ago the sender's configuration was last proved to be the newest one.
     std::optional<base::milliseconds> confirmed_age;
     /// The sender knows too few others and asks for all digests at once.
--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -74,8 +74,11 @@
     /// @brief Grows with each change of targets or evacuations.
     [[nodiscard]] std::uint64_t generation() const { return m_generation; }
 
-    /// @brief All items as they were published, for a peer that can't reach the store.
-    [[nodiscard]] std::vector<published_item> items() const;
+    /// @brief The revision of the newest item that is known.
+    [[nodiscard]] std::uint64_t items_revision() const { return m_items_revision; }
+
+    /// @brief The items that changed after a revision, removed ones too, for a peer.
+    [[nodiscard]] std::vector<published_item> items_after(std::uint64_t revision) const;
 
 private:
     void note_contact(base::time_point now);
@@ -93,6 +96,7 @@
     std::map<target_name, base::time_point> m_drop_at;
     std::set<data_center_name> m_evacuated;
     std::uint64_t m_as_of = 0;
+    std::uint64_t m_items_revision = 0;
     std::uint64_t m_generation = 0;
     std::optional<base::time_point> m_confirmed_at;
     std::optional<base::time_point> m_last_contact;
--- a/include/chicorylink/front/item_copy.hpp
+++ b/include/chicorylink/front/item_copy.hpp
@@ -13,12 +13,18 @@
 
 namespace chicorylink::front {
 
-/// Where a VM serves its copy of the published items to VMs that can't reach the store.
-inline constexpr std::string_view item_copy_path = "/items";
+/// @brief Where a VM serves its copy of the published items to VMs that don't read the store.
+/// @param after Only items that changed after this revision are asked for.
+[[nodiscard]] std::string item_copy_target(std::uint64_t after);
 
-/// @brief All published items as one VM knows them.
+/// @brief Reads such a request target; none when it asks for something else.
+[[nodiscard]] std::optional<std::uint64_t> read_item_copy_target(std::string_view target);
+
+/// @brief Published items as one VM knows them.
 struct item_copy {
     std::vector<fleet::published_item> items;
+    /// Zero when these are all items, else the revision after which they changed.
+    std::uint64_t after = 0;
     std::uint64_t as_of = 0;
     /// How long ago the configuration among them was proved to be the newest one.
     std::optional<base::milliseconds> confirmed_age;
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -151,7 +151,8 @@
     const auto root = codec::CreateHeartbeat(
         to, vm, ip, region, message.from.run.value(), static_cast<std::uint8_t>(message.state),
         message.sequence, message.sent_ms, message.echo_ms, count_of(message.echo_held),
-        message.version.value(), age, message.wants_digests, usage, targets, digest_list);
+        message.version.value(), age, message.wants_digests, message.items_revision, usage, targets,
+        digest_list);
     codec::FinishHeartbeatBuffer(to, root);
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
@@ -179,6 +180,7 @@
         message.confirmed_age = base::milliseconds{from->confirmed_age_ms()};
     }
     message.wants_digests = from->wants_digests();
+    message.items_revision = from->items_revision();
     message.usage = read_usage(from->usage());
     message.targets = read_targets(from->targets());
     if (from->digests() != nullptr) {
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -71,6 +71,7 @@
         return;
     }
     m_items[item.key] = item;
+    m_items_revision = std::max(m_items_revision, item.revision);
     act_on(item, m_decode(item), now, changes);
 }
 
@@ -152,14 +153,15 @@
     return changes;
 }
 
-std::vector<published_item> published_state::items() const
+std::vector<published_item> published_state::items_after(std::uint64_t revision) const
 {
-    std::vector<published_item> all;
-    all.reserve(m_items.size());
+    std::vector<published_item> newer;
     for (const auto& [key, item] : m_items) {
-        all.push_back(item);
+        if (item.revision > revision) {
+            newer.push_back(item);
+        }
     }
-    return all;
+    return newer;
 }
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -104,10 +104,15 @@
             fmt::format("can't take datagrams on {}: {}", peer_address, problem.message()),
             "give a port that is free");
     }
-    m_reader.emplace(m_core);
-    m_gossip.emplace(m_core, std::move(datagrams), [this](const fleet::heartbeat& message) {
-        m_reader->on_heartbeat(message, base::boot_now());
+    m_reader.emplace(m_core, [this] {
+        const auto now = base::boot_now();
+        sync_state(now);
+        if (m_core.members.is_delegate(now)) {
+            m_gossip->announce(now);
+        }
     });
+    m_gossip.emplace(m_core, std::move(datagrams),
+                     [this](const fleet::heartbeat& message) { m_reader->on_heartbeat(message); });
     m_callers =
         std::make_unique<request_listener>(m_core, std::move(callers), connection_side::caller);
     m_peers = std::make_unique<request_listener>(m_core, std::move(peers), connection_side::peer);
@@ -332,8 +337,8 @@
     if (head.target == "/metrics") {
         return {200, "text/plain", m_core.counters.render()};
     }
-    if (head.target == item_copy_path) {
-        item_copy copy{m_core.state.items(), m_core.state.as_of(), {}};
+    if (const auto after = read_item_copy_target(head.target)) {
+        item_copy copy{m_core.state.items_after(*after), *after, m_core.state.as_of(), {}};
         if (const auto confirmed = m_core.state.confirmed_at()) {
             copy.confirmed_age =
                 std::chrono::duration_cast<base::milliseconds>(base::boot_now() - *confirmed);
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -175,6 +175,7 @@
     if (m_core.state.config()) {
         message.version = m_core.state.config()->version();
     }
+    message.items_revision = m_core.state.items_revision();
     if (const auto confirmed = m_core.state.confirmed_at()) {
         message.confirmed_age = std::chrono::duration_cast<base::milliseconds>(now - *confirmed);
     }
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -5,6 +5,7 @@
 #include "chicorylink/front/item_copy.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -15,12 +16,14 @@
 constexpr int ok = 200;
 constexpr int history_gone = 410;
 
-/// How long the store holds a watch without news. Each answer confirms the configuration, and a
-/// fifth of the bound on withdrawn keys leaves room for a lost one.
-constexpr base::milliseconds watch_time{1000};
+/// How long the store may hold a watch without news, for the first delegate of a region and for the
+/// others. Each answer confirms the configuration; a fifth of the bound on withdrawn keys leaves
+/// room for a lost one.
+constexpr base::milliseconds first_watch_time{1000};
+constexpr base::milliseconds other_watch_time{6000};
 
-/// What a watch may take beyond `watch_time`, and a read in all, before its connection is taken to
-/// be dead. Covers a store that is sixty times slower than usual.
+/// What a watch may take beyond that, and a read in all, before its connection is taken to be dead.
+/// Covers a store that is sixty times slower than usual.
 constexpr base::milliseconds answer_slack{800};
 constexpr base::milliseconds snapshot_limit{1500};
 
@@ -28,8 +31,10 @@
 constexpr base::milliseconds first_retry{100};
 constexpr base::milliseconds longest_retry{800};
 
-/// The store's silence after which a peer's copy is taken, and the interval of further copies.
-constexpr base::milliseconds silence_before_copy{1400};
+/// A configuration that nobody confirmed for so long is confirmed by a watch of this VM's own, and
+/// a little later by a peer's copy; further copies follow at this interval.
+constexpr base::milliseconds unconfirmed_before_watch{1800};
+constexpr base::milliseconds unconfirmed_before_copy{2200};
 constexpr base::milliseconds copy_interval{700};
 constexpr base::milliseconds copy_limit{600};
 
@@ -43,8 +48,9 @@
 
 } // namespace
 
-state_reader::state_reader(front_core& core)
-    : m_core(core), m_store(core.loop, core.settings.store_address), m_retry(core.loop)
+state_reader::state_reader(front_core& core, std::function<void()> on_change)
+    : m_core(core), m_on_change(std::move(on_change)),
+      m_store(core.loop, core.settings.store_address), m_retry(core.loop)
 {
 }
 
@@ -53,6 +59,22 @@
     read_snapshot({});
 }
 
+std::optional<base::milliseconds> state_reader::watch_time(base::time_point now) const
+{
+    const auto& self = m_core.settings.self;
+    const auto delegates = m_core.members.delegates_of(self.region, now);
+    if (delegates.front() == self.ip) {
+        return first_watch_time;
+    }
+    const auto confirmed = m_core.state.confirmed_at();
+    if (!confirmed || now - *confirmed > unconfirmed_before_watch) {
+        return first_watch_time;
+    }
+    const bool is_delegate =
+        std::find(delegates.begin(), delegates.end(), self.ip) != delegates.end();
+    return is_delegate ? std::optional{other_watch_time} : std::nullopt;
+}
+
 void state_reader::read_snapshot(const std::string& after)
 {
     if (after.empty()) {
@@ -72,21 +94,7 @@
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(page, m_core.protocol.read_store_answer(result.body));
-            note_answer();
-            if (m_page_items.empty()) {
-                m_snapshot_as_of = page.as_of;
-                m_snapshot_sent_at = result.sent_at;
-            }
-            std::move(page.items.begin(), page.items.end(), std::back_inserter(m_page_items));
-            if (page.has_more && !m_page_items.empty()) {
-                read_snapshot(m_page_items.back().key);
-                return {};
-            }
-            log_changes(m_core.state.apply_snapshot(m_page_items, m_snapshot_as_of,
-                                                    m_snapshot_sent_at, base::boot_now()),
-                        "store");
-            m_watch_from = m_snapshot_as_of;
-            watch();
+            take_page(std::move(page), result.sent_at);
             return {};
         },
         [&](const base::error& problem) {
@@ -97,10 +105,33 @@
         });
 }
 
-void state_reader::watch()
+void state_reader::take_page(store_answer page, base::time_point sent_at)
+{
+    note_answer();
+    if (m_page_items.empty()) {
+        m_snapshot_as_of = page.as_of;
+        m_snapshot_sent_at = sent_at;
+    }
+    std::move(page.items.begin(), page.items.end(), std::back_inserter(m_page_items));
+    if (page.has_more && !m_page_items.empty()) {
+        read_snapshot(m_page_items.back().key);
+        return;
+    }
+    note_changes(m_core.state.apply_snapshot(m_page_items, m_snapshot_as_of, m_snapshot_sent_at,
+                                             base::boot_now()),
+                 "store");
+    m_watch_from = m_snapshot_as_of;
+    watch_if_due();
+}
+
+void state_reader::watch_if_due()
 {
+    const auto wait = watch_time(base::boot_now());
+    if (!wait || m_watch_from == 0 || m_store.is_busy() || m_is_waiting_to_retry) {
+        return;
+    }
     m_core.counters.add("store_reads_total");
-    m_store.get(m_core.protocol.watch_target(m_watch_from, watch_time), watch_time + answer_slack,
+    m_store.get(m_core.protocol.watch_target(m_watch_from, *wait), *wait + answer_slack,
                 [this](const read_result& result) { on_watch(result); });
 }
 
@@ -119,11 +150,11 @@
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(news, m_core.protocol.read_store_answer(result.body));
             note_answer();
-            log_changes(m_core.state.apply_changes(news.items, news.as_of, result.sent_at,
-                                                   base::boot_now()),
-                        "store");
+            note_changes(m_core.state.apply_changes(news.items, news.as_of, result.sent_at,
+                                                    base::boot_now()),
+                         "store");
             m_watch_from = std::max(m_watch_from, news.as_of);
-            watch();
+            watch_if_due();
             return {};
         },
         [&](const base::error& problem) {
@@ -154,41 +185,44 @@
     m_core.counters.add("store_failures_total");
     m_retry_after = std::clamp(m_retry_after * 2, first_retry, longest_retry);
     m_retry.expires_after(m_retry_after);
+    m_is_waiting_to_retry = true;
     m_retry.async_wait([this](boost::system::error_code stopped) {
         if (stopped) {
             return;
         }
+        m_is_waiting_to_retry = false;
         if (m_watch_from == 0) {
             read_snapshot({});
         }
         else {
-            watch();
+            watch_if_due();
         }
     });
 }
 
-void state_reader::on_heartbeat(const fleet::heartbeat& message, base::time_point now)
+void state_reader::on_heartbeat(const fleet::heartbeat& message)
 {
     const auto& config = m_core.state.config();
-    if (!message.confirmed_age || *message.confirmed_age > useful_age) {
-        return;
-    }
-    if (config && message.version == config->version() && message.echo_ms > 0) {
+    const bool vouches = message.confirmed_age && *message.confirmed_age <= useful_age;
+    if (vouches && config && message.version == config->version() && message.echo_ms > 0) {
         // The sender had our last heartbeat when it vouched, so its proof is at least that new.
         const base::time_point echoed{base::milliseconds{message.echo_ms}};
         m_core.state.confirm(echoed - *message.confirmed_age);
     }
-    const bool is_newer = !config || message.version > config->version();
-    const bool store_is_slow = !m_answered_at || now - *m_answered_at > watch_time + answer_slack;
-    if (is_newer && (store_is_slow || m_is_lost)) {
-        copy_from(message.from.ip);
+    const bool reads_itself = m_store.is_busy() && !m_is_lost && m_watch_from != 0;
+    if (vouches && message.items_revision > m_core.state.items_revision() && !reads_itself &&
+        m_core.state.as_of() != 0) {
+        copy_from(message.from.ip, m_core.state.items_revision());
     }
 }
 
 void state_reader::tick(base::time_point now)
 {
-    const bool silent = !m_answered_at || now - *m_answered_at > silence_before_copy;
-    if (!silent || !(m_is_lost || m_answered_at) || now - m_copied_at < copy_interval) {
+    watch_if_due();
+    const auto confirmed = m_core.state.confirmed_at();
+    const bool unconfirmed = !confirmed || now - *confirmed > unconfirmed_before_copy;
+    const bool tried_store = m_is_lost || m_answered_at;
+    if (!unconfirmed || !tried_store || now - m_copied_at < copy_interval) {
         return;
     }
     const fleet::member* best = nullptr;
@@ -204,11 +238,11 @@
         }
     }
     if (best != nullptr) {
-        copy_from(best_ip);
+        copy_from(best_ip, 0);
     }
 }
 
-void state_reader::copy_from(const std::string& ip)
+void state_reader::copy_from(const std::string& ip, std::uint64_t after)
 {
     if (m_peer && m_peer->is_busy()) {
         return;
@@ -220,7 +254,8 @@
         m_peer = std::make_unique<reader_client>(m_core.loop, address);
     }
     m_core.counters.add("peer_copies_total");
-    m_peer->get(item_copy_path, copy_limit, [this](const read_result& result) { on_copy(result); });
+    m_peer->get(item_copy_target(after), copy_limit,
+                [this](const read_result& result) { on_copy(result); });
 }
 
 void state_reader::on_copy(const read_result& result)
@@ -238,11 +273,13 @@
             if (copy.as_of == 0 || !copy.confirmed_age) {
                 return {};
             }
-            // Before the first answer of the store this is also the first snapshot.
-            log_changes(m_core.state.apply_snapshot(copy.items, copy.as_of,
-                                                    result.sent_at - *copy.confirmed_age,
-                                                    base::boot_now()),
-                        m_peer->address());
+            const auto confirmed_at = result.sent_at - *copy.confirmed_age;
+            const auto now = base::boot_now();
+            note_changes(
+                copy.after == 0
+                    ? m_core.state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now)
+                    : m_core.state.apply_changes(copy.items, copy.as_of, confirmed_at, now),
+                m_peer->address());
             return {};
         },
         [&](const base::error& problem) {
@@ -253,8 +290,8 @@
         [] {});
 }
 
-void state_reader::log_changes(const std::vector<fleet::applied_change>& changes,
-                               std::string_view source)
+void state_reader::note_changes(const std::vector<fleet::applied_change>& changes,
+                                std::string_view source)
 {
     for (const auto& change : changes) {
         write_log(m_core, log_event(m_core, change.what)
@@ -263,6 +300,9 @@
                               .add("detail", change.detail)
                               .add("source", source));
     }
+    if (!changes.empty()) {
+        m_on_change();
+    }
 }
 
 } // namespace chicorylink::front
