fleet: delegates of the largest capacity; loads that targets tell are shared; returning targets are probed as cold ones

Change: VMs tell their capacity and the largest are delegates; sums leave out what this VM told itself; the newest load of each target is passed on; a target that could not be reached is probed by its two cold senders only; a new process sends to cold targets after 2.5 s.

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -60,17 +60,31 @@
   uint64_t target_;
   uint32_t in_flight_;
   uint32_t unread_tokens_;
+  uint32_t running_;
+  uint32_t waiting_;
+  uint32_t load_age_ms_;
+  int32_t padding0__;
 
  public:
   TargetUse()
       : target_(0),
         in_flight_(0),
-        unread_tokens_(0) {
+        unread_tokens_(0),
+        running_(0),
+        waiting_(0),
+        load_age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
   }
-  TargetUse(uint64_t _target, uint32_t _in_flight, uint32_t _unread_tokens)
+  TargetUse(uint64_t _target, uint32_t _in_flight, uint32_t _unread_tokens, uint32_t _running, uint32_t _waiting, uint32_t _load_age_ms)
       : target_(flatbuffers::EndianScalar(_target)),
         in_flight_(flatbuffers::EndianScalar(_in_flight)),
-        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)) {
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
+        running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        load_age_ms_(flatbuffers::EndianScalar(_load_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
   }
   uint64_t target() const {
     return flatbuffers::EndianScalar(target_);
@@ -81,8 +95,17 @@
   uint32_t unread_tokens() const {
     return flatbuffers::EndianScalar(unread_tokens_);
   }
+  uint32_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint32_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint32_t load_age_ms() const {
+    return flatbuffers::EndianScalar(load_age_ms_);
+  }
 };
-FLATBUFFERS_STRUCT_END(TargetUse, 16);
+FLATBUFFERS_STRUCT_END(TargetUse, 32);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceOutlook FLATBUFFERS_FINAL_CLASS {
  private:
@@ -118,33 +141,32 @@
   uint64_t run_;
   uint32_t ip_;
   uint32_t age_ms_;
+  uint16_t capacity_;
   uint8_t state_;
-  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+  int8_t padding0__;  int32_t padding1__;
 
  public:
   DigestMember()
       : run_(0),
         ip_(0),
         age_ms_(0),
+        capacity_(0),
         state_(0),
         padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding1__(0) {
     (void)padding0__;
     (void)padding1__;
-    (void)padding2__;
   }
-  DigestMember(uint64_t _run, uint32_t _ip, uint32_t _age_ms, uint8_t _state)
+  DigestMember(uint64_t _run, uint32_t _ip, uint32_t _age_ms, uint16_t _capacity, uint8_t _state)
       : run_(flatbuffers::EndianScalar(_run)),
         ip_(flatbuffers::EndianScalar(_ip)),
         age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        capacity_(flatbuffers::EndianScalar(_capacity)),
         state_(flatbuffers::EndianScalar(_state)),
         padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding1__(0) {
     (void)padding0__;
     (void)padding1__;
-    (void)padding2__;
   }
   uint64_t run() const {
     return flatbuffers::EndianScalar(run_);
@@ -155,6 +177,9 @@
   uint32_t age_ms() const {
     return flatbuffers::EndianScalar(age_ms_);
   }
+  uint16_t capacity() const {
+    return flatbuffers::EndianScalar(capacity_);
+  }
   uint8_t state() const {
     return flatbuffers::EndianScalar(state_);
   }
@@ -311,18 +336,19 @@
     VT_IP = 6,
     VT_REGION = 8,
     VT_RUN = 10,
-    VT_STATE = 12,
-    VT_SEQUENCE = 14,
-    VT_SENT_MS = 16,
-    VT_ECHO_MS = 18,
-    VT_ECHO_HELD_MS = 20,
-    VT_VERSION = 22,
-    VT_CONFIRMED_AGE_MS = 24,
-    VT_WANTS_DIGESTS = 26,
-    VT_ITEMS_REVISION = 28,
-    VT_USAGE = 30,
-    VT_TARGETS = 32,
-    VT_DIGESTS = 34
+    VT_CAPACITY = 12,
+    VT_STATE = 14,
+    VT_SEQUENCE = 16,
+    VT_SENT_MS = 18,
+    VT_ECHO_MS = 20,
+    VT_ECHO_HELD_MS = 22,
+    VT_VERSION = 24,
+    VT_CONFIRMED_AGE_MS = 26,
+    VT_WANTS_DIGESTS = 28,
+    VT_ITEMS_REVISION = 30,
+    VT_USAGE = 32,
+    VT_TARGETS = 34,
+    VT_DIGESTS = 36
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -336,6 +362,9 @@
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
   }
+  uint16_t capacity() const {
+    return GetField<uint16_t>(VT_CAPACITY, 0);
+  }
   uint8_t state() const {
     return GetField<uint8_t>(VT_STATE, 0);
   }
@@ -381,6 +410,7 @@
            VerifyOffset(verifier, VT_REGION) &&
            verifier.VerifyString(region()) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint16_t>(verifier, VT_CAPACITY, 2) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_SENT_MS, 8) &&
@@ -417,6 +447,9 @@
   void add_run(uint64_t run) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_RUN, run, 0);
   }
+  void add_capacity(uint16_t capacity) {
+    fbb_.AddElement<uint16_t>(Heartbeat::VT_CAPACITY, capacity, 0);
+  }
   void add_state(uint8_t state) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_STATE, state, 0);
   }
@@ -470,6 +503,7 @@
     flatbuffers::Offset<flatbuffers::String> ip = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     uint64_t run = 0,
+    uint16_t capacity = 0,
     uint8_t state = 0,
     uint64_t sequence = 0,
     uint64_t sent_ms = 0,
@@ -497,6 +531,7 @@
   builder_.add_region(region);
   builder_.add_ip(ip);
   builder_.add_vm(vm);
+  builder_.add_capacity(capacity);
   builder_.add_wants_digests(wants_digests);
   builder_.add_state(state);
   return builder_.Finish();
@@ -508,6 +543,7 @@
     const char *ip = nullptr,
     const char *region = nullptr,
     uint64_t run = 0,
+    uint16_t capacity = 0,
     uint8_t state = 0,
     uint64_t sequence = 0,
     uint64_t sent_ms = 0,
@@ -532,6 +568,7 @@
       ip__,
       region__,
       run,
+      capacity,
       state,
       sequence,
       sent_ms,
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -21,6 +21,7 @@
     region_name region;
     data_center_name data_center;
     base::incarnation run;
+    vm_capacity capacity;
 };
 
 /// @brief What a VM tells another, several times a second, in one datagram.
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -20,6 +20,11 @@
     leaving,
 };
 
+struct vm_capacity_tag;
+
+/// A measure of a VM's processor and network; only its order and proportion count.
+using vm_capacity = base::strong_id<vm_capacity_tag, std::uint16_t>;
+
 /// @brief The units of a team's quota that were admitted since some start.
 struct team_usage {
     base::team_id team;
@@ -32,6 +37,10 @@
     std::uint32_t in_flight = 0;
     /// Prompt tokens that the target has yet to read.
     std::uint32_t unread_tokens = 0;
+    /// The newest load that the target told with an answer.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    base::milliseconds load_age{0};
 };
 
 /// @brief How long work waits at the targets of a service in one region.
@@ -45,6 +54,7 @@
 struct digest_member {
     std::string ip;
     base::incarnation run;
+    vm_capacity capacity;
     member_state state = member_state::not_ready;
     /// How long ago a VM of its region heard it.
     base::milliseconds age{0};
--- a/include/chicorylink/fleet/roster.hpp
+++ b/include/chicorylink/fleet/roster.hpp
@@ -18,6 +18,7 @@
 struct member {
     region_name region;
     base::incarnation run;
+    vm_capacity capacity;
     member_state state = member_state::not_ready;
     /// When it last spoke, to this VM or to a delegate of its region.
     base::time_point heard_at{};
@@ -46,10 +47,11 @@
 
 /// @brief The VMs that this process knows: found by seeds, then by digests of their regions.
 ///
-/// No list of VMs is published anywhere. In each region the first VMs by rendezvous hash are its
-/// delegates. All VMs of the region tell them their news, they tell the region's digest to all its
-/// VMs and to the delegates of other regions. A VM that falls silent leaves the directory after
-/// `silence_bound` and is called for `memory` before it is forgotten.
+/// No list of VMs is published anywhere. In each region the VMs of the largest capacity, and among
+/// equals the first ones by hash, are its delegates. All VMs of the region tell them their news,
+/// they tell the region's digest to all its VMs and to the delegates of other regions. A VM that
+/// falls silent leaves the directory after `silence_bound` and is called for `memory` before it is
+/// forgotten.
 class roster {
 public:
     /// Enough that one may fail unnoticed.
--- a/include/chicorylink/fleet/target_health.hpp
+++ b/include/chicorylink/fleet/target_health.hpp
@@ -27,6 +27,10 @@
     /// Ejections without an answer between them; each doubles the time of the next.
     std::uint32_t times_ejected = 0;
     base::time_point ejected_until{};
+    /// Whether it could not be reached or was silent: it may have started again since, cold.
+    bool may_have_restarted = false;
+    /// When it was last ejected.
+    base::time_point ejected_at{};
     /// Smoothed part of attempts that did not give a good answer.
     double failure_rate = 0;
 };
@@ -46,6 +50,9 @@
 /// @brief Ejects a target that has been silent while requests wait there.
 void eject(target_health& health, base::time_point now);
 
+/// @brief A target that was ejected gave a sign of life, here or at another VM.
+void readmit(target_health& health);
+
 [[nodiscard]] bool is_ejected(const target_health& health, base::time_point now);
 
 /// @brief Whether a target that was ejected is being tried again and should get one request only.
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -69,7 +69,10 @@
     [[nodiscard]] std::vector<target_use> region_use(base::time_point now) const;
 
     /// @brief What this VM has at its targets, for the heartbeats; idle targets are left out.
-    [[nodiscard]] std::vector<target_use> own_use() const;
+    [[nodiscard]] std::vector<target_use> own_use(base::time_point now) const;
+
+    /// @brief Notes that the delegates are being told what this VM has at its targets.
+    void note_told(base::time_point now);
 
 private:
     [[nodiscard]] tracked_target* find_mutable(const target_name& name);
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -45,6 +45,8 @@
     /// Another target answered at its address; unusable until its entry changes.
     bool displaced = false;
     base::time_point cold_until{};
+    /// How long targets of its service are cold after a start.
+    base::milliseconds cold_time{0};
     target_health health;
 
     /// Requests from here that are not finished, and prompt tokens of those that have not begun.
@@ -53,7 +55,13 @@
     std::vector<peer_use> others;
     /// The same as summed up by a delegate.
     others_use region;
+    /// What this VM told of itself in its last heartbeats; a delegate's sum holds the older one.
+    others_use told_last;
+    others_use told_before;
     reported_load load;
+    /// Smoothed unread tokens of a request from here, and those sent since the reported load.
+    double mean_unread = 0;
+    std::uint64_t unread_since_load = 0;
     /// The last time that any byte came from it.
     base::time_point last_sign{};
     /// Smoothed time of a whole answer of a plain service, in milliseconds.
@@ -70,6 +78,13 @@
 /// @brief The sum of what the other VMs told this one themselves.
 [[nodiscard]] others_use told_by_members(const tracked_target& target, base::time_point now);
 
+/// @brief Whether a target bears only few requests: it is cold, or it may be, since it could not
+/// be reached before.
+[[nodiscard]] inline bool may_be_cold(const tracked_target& target, base::time_point now)
+{
+    return now < target.cold_until || target.health.may_have_restarted;
+}
+
 /// @brief Requests of all VMs that are believed to be at a target.
 [[nodiscard]] std::uint32_t total_in_flight(const tracked_target& target, base::time_point now);
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -79,7 +79,7 @@
 
     // While an attempt runs.
     void on_head(const message_head& head);
-    void on_body(std::string piece);
+    void on_body(std::string_view piece);
     void on_answer_end();
     void on_failure(const upstream_failure& failure);
     void take_event(const stream_event& event);
--- a/include/chicorylink/front/gossip.hpp
+++ b/include/chicorylink/front/gossip.hpp
@@ -42,6 +42,8 @@
     boost::asio::ip::udp::socket m_socket;
     std::function<void(const fleet::heartbeat&)> m_on_heartbeat;
     std::uint64_t m_sequence = 0;
+    /// When the region's VMs were last told of this VM's work.
+    base::time_point m_told_at{};
 };
 
 } // namespace chicorylink::front
--- a/include/chicorylink/front/reader_client.hpp
+++ b/include/chicorylink/front/reader_client.hpp
@@ -47,7 +47,7 @@
 private:
     void send(const std::string& bytes);
     void on_data(std::string_view bytes);
-    void complete(read_result result);
+    void complete(const read_result& result);
     void close();
 
     boost::asio::io_context& m_loop;
--- a/include/chicorylink/front/upstream_call.hpp
+++ b/include/chicorylink/front/upstream_call.hpp
@@ -38,7 +38,7 @@
 public:
     struct handlers {
         std::function<void(const message_head&)> on_head;
-        std::function<void(std::string)> on_body;
+        std::function<void(std::string_view)> on_body;
         std::function<void()> on_end;
         std::function<void(const upstream_failure&)> on_failure;
     };
--- a/src/chicorylink/fleet/cold_allowance.cpp
+++ b/src/chicorylink/fleet/cold_allowance.cpp
@@ -5,6 +5,13 @@
 #include <algorithm>
 
 namespace chicorylink::fleet {
+namespace {
+
+/// After its start a process sends nothing to cold targets for so long: until it knows the VMs of
+/// its region, it would count itself among the senders of every target.
+constexpr base::milliseconds settling_time{2500};
+
+} // namespace
 
 bool is_cold_sender(const target_name& target, const std::string& own_ip,
                     const std::vector<std::string>& region_ips)
@@ -25,8 +32,8 @@
     }
     const std::chrono::duration<double> gap{static_cast<double>(cold_senders) / per_second};
     const auto sent = m_sent_at.find(target);
-    const auto since = sent == m_sent_at.end() ? m_started_at : sent->second;
-    return now - since >= gap;
+    return now - m_started_at >= settling_time &&
+           (sent == m_sent_at.end() || now - sent->second >= gap);
 }
 
 void cold_allowance::note_sent(const target_name& target, base::time_point now)
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -57,8 +57,9 @@
     std::vector<target_use> targets;
     if (from != nullptr) {
         for (const auto* entry : *from) {
-            targets.push_back(
-                {base::target_id{entry->target()}, entry->in_flight(), entry->unread_tokens()});
+            targets.push_back({base::target_id{entry->target()}, entry->in_flight(),
+                               entry->unread_tokens(), entry->running(), entry->waiting(),
+                               base::milliseconds{entry->load_age_ms()}});
         }
     }
     return targets;
@@ -76,7 +77,7 @@
     if (from.members() != nullptr) {
         for (const auto* entry : *from.members()) {
             digest.members.push_back({ip_text(entry->ip()), base::incarnation{entry->run()},
-                                      state_of(entry->state()),
+                                      vm_capacity{entry->capacity()}, state_of(entry->state()),
                                       base::milliseconds{entry->age_ms()}});
         }
     }
@@ -95,6 +96,7 @@
 write_usage(builder& to, const std::vector<team_usage>& usage)
 {
     std::vector<codec::TeamUsage> list;
+    list.reserve(usage.size());
     for (const auto& entry : usage) {
         list.emplace_back(entry.team.value(), entry.admitted);
     }
@@ -105,8 +107,10 @@
 write_targets(builder& to, const std::vector<target_use>& targets)
 {
     std::vector<codec::TargetUse> list;
+    list.reserve(targets.size());
     for (const auto& entry : targets) {
-        list.emplace_back(entry.target.value(), entry.in_flight, entry.unread_tokens);
+        list.emplace_back(entry.target.value(), entry.in_flight, entry.unread_tokens, entry.running,
+                          entry.waiting, count_of(entry.load_age));
     }
     return to.CreateVectorOfStructs(list);
 }
@@ -116,7 +120,7 @@
     std::vector<codec::DigestMember> members;
     for (const auto& entry : digest.members) {
         members.emplace_back(entry.run.value(), ip_bits(entry.ip), count_of(entry.age),
-                             static_cast<std::uint8_t>(entry.state));
+                             entry.capacity.value(), static_cast<std::uint8_t>(entry.state));
     }
     std::vector<codec::ServiceOutlook> outlook;
     for (const auto& entry : digest.outlook) {
@@ -149,10 +153,10 @@
     const auto digest_list = to.CreateVector(digests);
     const auto age = message.confirmed_age ? message.confirmed_age->count() : -1;
     const auto root = codec::CreateHeartbeat(
-        to, vm, ip, region, message.from.run.value(), static_cast<std::uint8_t>(message.state),
-        message.sequence, message.sent_ms, message.echo_ms, count_of(message.echo_held),
-        message.version.value(), age, message.wants_digests, message.items_revision, usage, targets,
-        digest_list);
+        to, vm, ip, region, message.from.run.value(), message.from.capacity.value(),
+        static_cast<std::uint8_t>(message.state), message.sequence, message.sent_ms,
+        message.echo_ms, count_of(message.echo_held), message.version.value(), age,
+        message.wants_digests, message.items_revision, usage, targets, digest_list);
     codec::FinishHeartbeatBuffer(to, root);
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
@@ -170,6 +174,7 @@
     message.from.ip = text_of(from->ip());
     message.from.region = region_name{text_of(from->region())};
     message.from.run = base::incarnation{from->run()};
+    message.from.capacity = vm_capacity{from->capacity()};
     message.state = state_of(from->state());
     message.sequence = from->sequence();
     message.sent_ms = from->sent_ms();
--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/fleet/roster.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace chicorylink::fleet {
@@ -65,6 +66,7 @@
     }
     known.region = message.from.region;
     known.run = message.from.run;
+    known.capacity = message.from.capacity;
     known.state = message.state;
     known.heard_at = now;
     known.direct_at = now;
@@ -96,6 +98,7 @@
         }
         known.region = digest.region;
         known.run = told.run;
+        known.capacity = told.capacity;
         known.state = told.state;
         known.heard_at = heard_at;
         known.silence_told = false;
@@ -115,22 +118,25 @@
 
 std::vector<std::string> roster::delegates_of(const region_name& region, base::time_point now) const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    const auto add = [&](const std::string& ip) { ranked.emplace_back(base::hash_name(ip), ip); };
+    // Largest capacity first, then by hash.
+    std::vector<std::tuple<int, std::uint64_t, std::string>> ranked;
+    const auto add = [&](const std::string& ip, vm_capacity capacity) {
+        ranked.emplace_back(-int{capacity.value()}, base::hash_name(ip), ip);
+    };
     const auto heard_only = std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
         return entry.second.region == region && is_heard(entry.second, now);
     });
     for (const auto& [ip, who] : m_members) {
         if (who.region == region && (!heard_only || is_heard(who, now))) {
-            add(ip);
+            add(ip, who.capacity);
         }
     }
     if (region == m_self.region) {
-        add(m_self.ip);
+        add(m_self.ip, m_self.capacity);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> first;
-    for (const auto& [rank, ip] : ranked) {
+    for (const auto& [rank, hash, ip] : ranked) {
         if (first.size() < delegate_count) {
             first.push_back(ip);
         }
@@ -289,11 +295,12 @@
 std::vector<digest_member> roster::region_members(member_state own_state,
                                                   base::time_point now) const
 {
-    std::vector<digest_member> told{{m_self.ip, m_self.run, own_state, base::milliseconds{0}}};
+    std::vector<digest_member> told{
+        {m_self.ip, m_self.run, m_self.capacity, own_state, base::milliseconds{0}}};
     for (const auto& [ip, who] : m_members) {
         if (who.region == m_self.region && is_heard(who, now)) {
             const auto age = std::chrono::duration_cast<base::milliseconds>(now - who.heard_at);
-            told.push_back({ip, who.run, who.state, age});
+            told.push_back({ip, who.run, who.capacity, who.state, age});
         }
     }
     return told;
--- a/src/chicorylink/fleet/target_health.cpp
+++ b/src/chicorylink/fleet/target_health.cpp
@@ -14,11 +14,20 @@
 {
     const auto doubled = first_ejection * (1 << std::min(health.times_ejected, 3U));
     health.ejected_until = now + std::min<base::milliseconds>(doubled, longest_ejection);
+    health.ejected_at = now;
     ++health.times_ejected;
     // One more failure after the ejection is enough to eject it again.
     health.broken_in_a_row = broken_to_eject - 1;
 }
 
+void readmit(target_health& health)
+{
+    health.broken_in_a_row = 0;
+    health.times_ejected = 0;
+    health.ejected_until = {};
+    health.may_have_restarted = false;
+}
+
 bool on_outcome(target_health& health, target_outcome outcome, base::time_point now)
 {
     const bool good = outcome == target_outcome::answered;
@@ -27,14 +36,14 @@
     case target_outcome::answered:
     case target_outcome::server_error:
     case target_outcome::shed:
-        health.broken_in_a_row = 0;
-        health.times_ejected = 0;
+        readmit(health);
         return false;
     case target_outcome::broken:
         ++health.broken_in_a_row;
         break;
     case target_outcome::unreachable:
         health.broken_in_a_row = broken_to_eject;
+        health.may_have_restarted = true;
         break;
     }
     if (health.broken_in_a_row < broken_to_eject || is_ejected(health, now)) {
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -26,6 +26,49 @@
     target.entry = entry;
 }
 
+/// A load that is older is not passed on; the next answer tells a newer one.
+constexpr base::milliseconds load_bound{1000};
+
+bool is_recent(const reported_load& load, base::time_point now)
+{
+    return now - load.told_at <= load_bound;
+}
+
+target_use with_load(const tracked_target& target, std::uint32_t in_flight, std::uint32_t unread,
+                     base::time_point now)
+{
+    target_use use{target.id, in_flight, unread, 0, 0, load_bound * 2};
+    if (is_recent(target.load, now)) {
+        use.running = target.load.running;
+        use.waiting = target.load.waiting;
+        use.load_age = std::chrono::duration_cast<base::milliseconds>(now - target.load.told_at);
+    }
+    return use;
+}
+
+/// A target that could not be reached and answers again may have started anew.
+void welcome_back(tracked_target& target, base::time_point now)
+{
+    if (target.health.may_have_restarted) {
+        target.cold_until = std::max(target.cold_until, now + target.cold_time);
+    }
+    readmit(target.health);
+}
+
+/// Keeps the newest load that anyone was told.
+void take_load(tracked_target& target, const target_use& told, base::time_point now)
+{
+    const auto told_at = now - told.load_age;
+    if (told.load_age <= load_bound && is_on_probation(target.health) &&
+        told_at > target.health.ejected_at) {
+        welcome_back(target, now);
+    }
+    if (told.load_age <= load_bound && told_at > target.load.told_at) {
+        target.load = {told.running, told.waiting, told_at};
+        target.unread_since_load = 0;
+    }
+}
+
 } // namespace
 
 void target_pool::sync(const published_state& state, const region_name& region,
@@ -45,6 +88,7 @@
         target.id = base::id_of<base::target_id>(name.text());
         const auto* service = config ? config->find_service(entry.service) : nullptr;
         target.is_engine = service != nullptr && service->is_engine;
+        target.cold_time = service == nullptr ? base::milliseconds{0} : service->cold_time;
         target.cache.set_capacity(service == nullptr ? 0 : service->memory_tokens);
         const bool evacuated = state.is_evacuated(entry.data_center);
         if (target.evacuated && !evacuated && service != nullptr) {
@@ -77,6 +121,12 @@
     if (auto* target = find_mutable(name)) {
         ++target->in_flight;
         target->unread_tokens += unread;
+        target->unread_since_load += unread;
+        const auto measured = static_cast<double>(unread);
+        target->mean_unread =
+            target->mean_unread <= 0
+                ? measured
+                : target->mean_unread + newest_weight * (measured - target->mean_unread);
         if (asked != nullptr) {
             target->cache.note_read(*asked, now);
         }
@@ -113,6 +163,11 @@
                 ? measured
                 : target->answer_ms + newest_weight * (measured - target->answer_ms);
     }
+    const bool answers = outcome == target_outcome::answered ||
+                         outcome == target_outcome::server_error || outcome == target_outcome::shed;
+    if (answers && is_on_probation(target->health)) {
+        welcome_back(*target, now);
+    }
     return fleet::on_outcome(target->health, outcome, now);
 }
 
@@ -130,6 +185,7 @@
         return false;
     }
     eject(target->health, now);
+    target->health.may_have_restarted = true;
     return true;
 }
 
@@ -138,6 +194,7 @@
 {
     if (auto* target = find_mutable(name)) {
         target->load = {running, waiting, now};
+        target->unread_since_load = 0;
     }
 }
 
@@ -164,8 +221,9 @@
     for (const auto& entry : use) {
         const auto name = m_names.find(entry.target);
         if (name != m_names.end()) {
-            m_targets.at(name->second)
-                .others.push_back({ip, entry.in_flight, entry.unread_tokens, now});
+            auto& target = m_targets.at(name->second);
+            target.others.push_back({ip, entry.in_flight, entry.unread_tokens, now});
+            take_load(target, entry, now);
         }
     }
 }
@@ -179,9 +237,11 @@
         const auto name = m_names.find(entry.target);
         if (name != m_names.end()) {
             auto& target = m_targets.at(name->second);
-            target.region = {
-                entry.in_flight - std::min(entry.in_flight, target.in_flight),
-                entry.unread_tokens - std::min(entry.unread_tokens, target.unread_tokens), now};
+            const auto& own = target.told_before;
+            target.region = {entry.in_flight - std::min(entry.in_flight, own.in_flight),
+                             entry.unread_tokens - std::min(entry.unread_tokens, own.unread_tokens),
+                             now};
+            take_load(target, entry, now);
         }
     }
 }
@@ -192,22 +252,31 @@
     for (const auto& [name, target] : m_targets) {
         const auto others = told_by_members(target, now);
         const auto in_flight = target.in_flight + others.in_flight;
-        if (in_flight > 0) {
-            use.push_back({target.id, in_flight, target.unread_tokens + others.unread_tokens});
+        if (in_flight > 0 || is_recent(target.load, now)) {
+            use.push_back(
+                with_load(target, in_flight, target.unread_tokens + others.unread_tokens, now));
         }
     }
     return use;
 }
 
-std::vector<target_use> target_pool::own_use() const
+std::vector<target_use> target_pool::own_use(base::time_point now) const
 {
     std::vector<target_use> use;
     for (const auto& [name, target] : m_targets) {
-        if (target.in_flight > 0) {
-            use.push_back({target.id, target.in_flight, target.unread_tokens});
+        if (target.in_flight > 0 || is_recent(target.load, now)) {
+            use.push_back(with_load(target, target.in_flight, target.unread_tokens, now));
         }
     }
     return use;
 }
 
+void target_pool::note_told(base::time_point now)
+{
+    for (auto& [name, target] : m_targets) {
+        target.told_before = target.told_last;
+        target.told_last = {target.in_flight, target.unread_tokens, now};
+    }
+}
+
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/tracked_target.cpp
+++ b/src/chicorylink/fleet/tracked_target.cpp
@@ -9,7 +9,10 @@
 constexpr base::milliseconds others_bound{1000};
 
 /// A target's own report counts for so long; later requests have changed it by then.
-constexpr base::milliseconds report_bound{300};
+constexpr base::milliseconds report_bound{800};
+
+/// Unread tokens of a waiting request of which nothing else is known, until own ones were sent.
+constexpr double default_unread_per_request = 2500;
 
 /// The larger of what members and delegates told: either may miss VMs, neither invents any.
 others_use use_of_others(const tracked_target& target, base::time_point now)
@@ -47,7 +50,15 @@
 
 std::uint64_t total_unread_tokens(const tracked_target& target, base::time_point now)
 {
-    return std::uint64_t{target.unread_tokens} + use_of_others(target, now).unread_tokens;
+    const auto counted =
+        std::uint64_t{target.unread_tokens} + use_of_others(target, now).unread_tokens;
+    if (now - target.load.told_at > report_bound) {
+        return counted;
+    }
+    // Requests that the target itself says are waiting, whoever sent them.
+    const double each = target.mean_unread > 0 ? target.mean_unread : default_unread_per_request;
+    const auto waiting = static_cast<std::uint64_t>(each * target.load.waiting);
+    return std::max(counted, waiting + target.unread_since_load);
 }
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include <fmt/format.h>
@@ -45,6 +46,9 @@
 /// Bytes that may wait for a slow caller before no more of the answer is read.
 constexpr std::size_t unsent_limit = 256UL * 1024;
 
+/// One more than the largest hash.
+constexpr double hash_range = 18446744073709551616.0;
+
 } // namespace
 
 exchange::exchange(front_core& core, caller_connection& caller, asked_request asked)
@@ -131,7 +135,7 @@
 bool exchange::may_use(const fleet::tracked_target& target, base::time_point now) const
 {
     const auto& service = *m_resolved.service;
-    if (now < target.cold_until && service.cold_requests_per_second > 0) {
+    if (fleet::may_be_cold(target, now) && service.cold_requests_per_second > 0) {
         const auto ips = m_core.members.region_ips(now);
         if (!fleet::is_cold_sender(target.entry.name, m_core.settings.self.ip, ips) ||
             !m_core.cold.allows(target.entry.name, service.cold_requests_per_second, now)) {
@@ -174,15 +178,18 @@
 
 std::string exchange::peer_in(const fleet::region_name& region, base::time_point now) const
 {
+    // Weighted rendezvous hashing: a VM gets requests in proportion to its capacity.
     std::string best;
-    std::uint64_t best_weight = 0;
+    double best_weight = 0;
     const auto key = base::hash_name(m_asked.id);
     for (const auto& [ip, who] : m_core.members.members()) {
         if (who.region != region || !fleet::roster::takes_requests(who, now) ||
             std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) != m_tried_peers.end()) {
             continue;
         }
-        const auto weight = base::hash_pair(key, base::hash_name(ip));
+        const auto bits = base::hash_pair(key, base::hash_name(ip));
+        const double point = (static_cast<double>(bits) + 1) / hash_range;
+        const double weight = -static_cast<double>(who.capacity.value() + 1) / std::log(point);
         if (best.empty() || weight > best_weight) {
             best = ip;
             best_weight = weight;
@@ -227,7 +234,7 @@
     m_tried.push_back(choice.target);
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
     const auto* target = m_core.pool.find(choice.target);
-    if (target != nullptr && now < target->cold_until) {
+    if (target != nullptr && fleet::may_be_cold(*target, now)) {
         m_core.cold.note_sent(choice.target, now);
     }
     send(bytes_for_target(m_asked, m_resolved, choice.target.text(),
@@ -279,7 +286,7 @@
     m_attempt->call = std::make_shared<upstream_call>(m_core.connections, std::move(request));
     m_attempt->call->start(
         {[self = shared_from_this()](const message_head& head) { self->on_head(head); },
-         [self = shared_from_this()](std::string piece) { self->on_body(std::move(piece)); },
+         [self = shared_from_this()](std::string_view piece) { self->on_body(piece); },
          [self = shared_from_this()] { self->on_answer_end(); },
          [self = shared_from_this()](const upstream_failure& failure) {
              self->on_failure(failure);
@@ -350,7 +357,7 @@
     }
 }
 
-void exchange::on_body(std::string piece)
+void exchange::on_body(std::string_view piece)
 {
     const auto now = base::boot_now();
     m_attempt->last_sign = now;
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -5,6 +5,7 @@
 #include "chicorylink/fleet/placement.hpp"
 #include "chicorylink/front/front_core.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -183,7 +184,7 @@
     const bool near = known != nullptr && known->region == m_core.settings.self.region;
     if (near) {
         message.usage = m_core.quota.own_usage();
-        message.targets = m_core.pool.own_use();
+        message.targets = m_core.pool.own_use(now);
     }
     if (due.scope != fleet::digest_scope::none) {
         message.digests.push_back(own_digest(near, now));
@@ -214,7 +215,16 @@
 
 void gossip::tick(base::time_point now)
 {
-    for (const auto& due : m_core.members.take_due(now)) {
+    const auto all_due = m_core.members.take_due(now);
+    const bool tells_region = std::any_of(all_due.begin(), all_due.end(), [&](const auto& due) {
+        const auto* known = m_core.members.find(due.ip);
+        return known != nullptr && known->region == m_core.settings.self.region;
+    });
+    if (tells_region && now - m_told_at >= fleet::roster::near_interval) {
+        m_told_at = now;
+        m_core.pool.note_told(now);
+    }
+    for (const auto& due : all_due) {
         send_to(due, now);
     }
     for (const auto& ip : m_core.members.tick(now)) {
--- a/src/chicorylink/front/reader_client.cpp
+++ b/src/chicorylink/front/reader_client.cpp
@@ -116,7 +116,7 @@
     }
 }
 
-void reader_client::complete(read_result result)
+void reader_client::complete(const read_result& result)
 {
     m_timer.cancel();
     if (result.status == 0) {
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -142,9 +142,9 @@
 
 void upstream_call::deliver_body()
 {
-    auto body = m_parser->take_body();
+    const auto body = m_parser->take_body();
     if (!body.empty() && m_handlers.on_body) {
-        m_handlers.on_body(std::move(body));
+        m_handlers.on_body(body);
     }
     if (m_is_over) {
         return;
