--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -21,6 +21,10 @@
     service_name service;
     /// Null at a plain service.
     const prompt* asked = nullptr;
+    /// Spreads requests that have no prompt over the targets, such as a hash of their id.
+    std::uint64_t spread = 0;
+    /// VMs that send to the same targets, this one included.
+    std::size_t sharers = 1;
     /// Targets that earlier attempts used; they are chosen again only when no other is left.
     std::vector<target_name> tried;
     /// Whether a target that is still cold, or has no connection left, may be used now.
@@ -47,8 +51,10 @@
 /// @brief Chooses the target where a request is expected to begin first.
 ///
 /// The parts of a session are kept together: its place by rendezvous hash is taken to hold them,
-/// besides the targets that this VM sent them to. Targets that were ejected are used only when no
-/// other is left.
+/// besides the targets that this VM sent them to. What other VMs sent is known late; if all of them
+/// took the least loaded target at the same moment, they would flood it. So the more VMs share the
+/// targets, the fewer of them a request considers: the first ones by its own rendezvous hash.
+/// Targets that were ejected are used only when no other is left.
 /// @return None when no target of the region takes the request.
 [[nodiscard]] std::optional<placement_choice>
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now);
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -3,6 +3,7 @@
 #include "chicorylink/base/ids.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace chicorylink::fleet {
 namespace {
@@ -76,12 +77,30 @@
         if (target.entry.service != request.service || !takes_work(target)) {
             continue;
         }
-        const auto session = request.asked == nullptr ? 0 : request.asked->session;
+        const auto session = request.asked == nullptr ? request.spread : request.asked->session;
         found.push_back({&target, base::hash_pair(session, target.id.value())});
     }
     return found;
 }
 
+/// Requests of all sharers that consider one target at a time when it looks idle; three VMs that
+/// consider all targets keep queues even.
+constexpr std::size_t considerations_per_target = 3;
+constexpr std::size_t fewest_considered = 2;
+
+/// Keeps the first candidates by rendezvous hash.
+void keep_first(std::vector<candidate>& candidates, std::size_t sharers)
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](const candidate& a, const candidate& b) { return a.weight > b.weight; });
+    const auto share = (candidates.size() * considerations_per_target + sharers - 1) /
+                       std::max<std::size_t>(sharers, 1);
+    const auto count = std::max(share, fewest_considered);
+    if (candidates.size() > count) {
+        candidates.resize(count);
+    }
+}
+
 bool was_tried(const placement_request& request, const target_name& name)
 {
     return std::find(request.tried.begin(), request.tried.end(), name) != request.tried.end();
@@ -156,7 +175,14 @@
         return !is_ejected(target.health, now) && !was_tried(request, target.entry.name) &&
                !(is_on_probation(target.health) && target.in_flight > 0);
     };
-    if (auto choice = best_of(candidates, request, home, now, sound)) {
+    std::vector<candidate> considered;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(considered),
+                 [&](const candidate& which) {
+                     return sound(*which.target) &&
+                            (!request.may_use || request.may_use(*which.target));
+                 });
+    keep_first(considered, request.sharers);
+    if (auto choice = best_of(considered, request, home, now, sound)) {
         return choice;
     }
     const auto untried = [&](const tracked_target& target) {
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -158,6 +158,8 @@
     fleet::placement_request request;
     request.service = m_resolved.service->name;
     request.asked = m_prompt ? &*m_prompt : nullptr;
+    request.spread = base::hash_name(m_asked.id);
+    request.sharers = m_core.members.region_ips(now).size();
     request.tried = m_tried;
     request.may_use = [&](const fleet::tracked_target& target) { return may_use(target, now); };
     return fleet::choose_target(m_core.pool, request, now);
