--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -29,6 +29,10 @@
     std::uint32_t prompt_tokens = 0;
     base::milliseconds latency_objective{0};
     base::milliseconds time_left{0};
+    /// 0 is the most urgent.
+    int priority = 0;
+    /// Whether the caller was refused before and came back.
+    bool is_return = false;
 };
 
 enum class place_kind { here, elsewhere, nowhere };
@@ -50,7 +54,10 @@
                                  const std::vector<remote_region>& others,
                                  const region_request& request);
 
-/// @brief The wait above which a request is refused at once: its answer would come too late.
+/// @brief The wait above which a request is refused at once.
+///
+/// Short of capacity, less urgent requests are refused first, and a caller that came back as it was
+/// told goes before one that comes for the first time.
 [[nodiscard]] base::milliseconds longest_wait(const region_request& request);
 
 /// @brief Prompt tokens that this VM sent to other regions since their last news.
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -118,6 +118,7 @@
     base::time_point m_first_at{};
     /// Attempts, those that never left included.
     std::uint32_t m_sends = 0;
+    bool m_is_return = false;
     bool m_charged = false;
     bool m_answer_begun = false;
     bool m_paused = false;
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/line_buffer.hpp"
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/metrics.hpp"
+#include "chicorylink/fleet/caller_patience.hpp"
 #include "chicorylink/fleet/cold_allowance.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
 #include "chicorylink/fleet/published_state.hpp"
@@ -42,6 +43,7 @@
     fleet::cold_allowance cold;
     fleet::remote_sends remote;
     fleet::region_news news;
+    fleet::caller_patience patience;
     connection_pool connections;
     /// Requests that are not answered yet.
     std::set<exchange*> exchanges;
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -9,6 +9,7 @@
 
 /// Part of the latency objective that waiting may take; the rest is for the request's own work.
 constexpr double wait_part_of_objective = 0.7;
+constexpr double wait_part_of_return = 0.95;
 
 /// Part of the objective up to which a request stays in its region whatever others promise: a
 /// region loses its cached prompts with each request that leaves it.
@@ -39,7 +40,10 @@
 
 base::milliseconds longest_wait(const region_request& request)
 {
-    return std::min(part_of(request.latency_objective, wait_part_of_objective), request.time_left);
+    const double part = request.is_return ? wait_part_of_return : wait_part_of_objective;
+    // Engines read the prompts of urgent requests first, so only there the others give way.
+    const int steps = request.is_engine ? std::max(0, request.priority) : 0;
+    return std::min(part_of(request.latency_objective, part / (1 + steps)), request.time_left);
 }
 
 place choose_place(const std::optional<placement_choice>& here,
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -116,6 +116,8 @@
     const auto timeout = m_resolved.route->timeout;
     m_deadline = now + std::min(timeout, patience_of(m_asked.head, names).value_or(timeout));
     m_prompt = prompt_of(m_asked.head, names);
+    m_is_return = m_core.patience.is_return(m_resolved.route->name,
+                                            patience_of(m_asked.head, names).value_or(timeout));
     if (!m_asked.from_peer()) {
         m_core.retries.note_request(m_resolved.service->name, now);
     }
@@ -128,8 +130,12 @@
 
 fleet::region_request exchange::needs(base::time_point now) const
 {
-    return {m_resolved.service->is_engine, m_prompt ? m_prompt->prompt_tokens : 0,
-            m_resolved.route->latency_objective, time_left(now)};
+    return {m_resolved.service->is_engine,
+            m_prompt ? m_prompt->prompt_tokens : 0,
+            m_resolved.route->latency_objective,
+            time_left(now),
+            m_resolved.priority,
+            m_is_return};
 }
 
 bool exchange::may_use(const fleet::tracked_target& target, base::time_point now) const
