--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -29,8 +29,6 @@
     std::uint32_t prompt_tokens = 0;
     base::milliseconds latency_objective{0};
     base::milliseconds time_left{0};
-    /// 0 is the most urgent.
-    int priority = 0;
     /// Whether the caller was refused before and came back.
     bool is_return = false;
 };
@@ -56,8 +54,8 @@
 
 /// @brief The wait above which a request is refused at once.
 ///
-/// Short of capacity, less urgent requests are refused first, and a caller that came back as it was
-/// told goes before one that comes for the first time.
+/// Short of capacity, a caller that came back as it was told goes before one that comes for the
+/// first time.
 [[nodiscard]] base::milliseconds longest_wait(const region_request& request);
 
 /// @brief Prompt tokens that this VM sent to other regions since their last news.
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -41,9 +41,7 @@
 base::milliseconds longest_wait(const region_request& request)
 {
     const double part = request.is_return ? wait_part_of_return : wait_part_of_objective;
-    // Engines read the prompts of urgent requests first, so only there the others give way.
-    const int steps = request.is_engine ? std::max(0, request.priority) : 0;
-    return std::min(part_of(request.latency_objective, part / (1 + steps)), request.time_left);
+    return std::min(part_of(request.latency_objective, part), request.time_left);
 }
 
 place choose_place(const std::optional<placement_choice>& here,
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -130,12 +130,8 @@
 
 fleet::region_request exchange::needs(base::time_point now) const
 {
-    return {m_resolved.service->is_engine,
-            m_prompt ? m_prompt->prompt_tokens : 0,
-            m_resolved.route->latency_objective,
-            time_left(now),
-            m_resolved.priority,
-            m_is_return};
+    return {m_resolved.service->is_engine, m_prompt ? m_prompt->prompt_tokens : 0,
+            m_resolved.route->latency_objective, time_left(now), m_is_return};
 }
 
 bool exchange::may_use(const fleet::tracked_target& target, base::time_point now) const
