--- /dev/null
+++ b/src/chicorylink/fleet/placement_test.cpp
@@ -0,0 +1,313 @@
+#include "chicorylink/fleet/placement.hpp"
+#include "chicorylink/fleet/region_choice.hpp"
+
+#include <random>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point at(milliseconds since_boot)
+{
+    return base::time_point{since_boot};
+}
+
+const region_name east{"east"};
+const std::map<data_center_name, region_name> places{
+    {data_center_name{"east-a"}, east}, {data_center_name{"west-a"}, region_name{"west"}}};
+
+/// Keys are the targets' names, values `engine` or `plain`, with `,leaving` or `,cold`.
+item_meaning decode(const published_item& item)
+{
+    if (item.key == "config") {
+        service engines;
+        engines.name = service_name{"engine"};
+        engines.is_engine = true;
+        engines.cold_time = milliseconds{3000};
+        engines.cold_requests_per_second = 2.9;
+        service plain;
+        plain.name = service_name{"plain"};
+        return configuration_item{std::make_shared<const configuration>(
+            base::config_version{1}, std::vector<route>{}, std::vector<service>{engines, plain},
+            std::vector<team>{}, caller_limits{})};
+    }
+    if (item.key.starts_with("evac/")) {
+        return evacuation_item{data_center_name{item.key.substr(5)}, !item.removed};
+    }
+    target_entry entry;
+    entry.name = target_name{item.key};
+    entry.service = service_name{item.value.substr(0, item.value.find(','))};
+    entry.address = "10.0.0.1:" + item.key;
+    entry.data_center = data_center_name{"east-a"};
+    entry.slots = entry.service.text() == "plain" ? 6 : 64;
+    entry.leaving = item.value.ends_with("leaving");
+    entry.cold_left = milliseconds{item.value.ends_with("cold") ? 3000 : 0};
+    return target_item{entry};
+}
+
+class pool_of_targets {
+public:
+    explicit pool_of_targets(int engines, int plain = 0) : m_state(&decode)
+    {
+        publish("config", "1");
+        for (int number = 0; number < engines; ++number) {
+            publish(fmt::format("e{}", number), "engine");
+        }
+        for (int number = 0; number < plain; ++number) {
+            publish(fmt::format("p{}", number), "plain");
+        }
+    }
+
+    void publish(const std::string& key, const std::string& value, bool removed = false,
+                 base::time_point now = at(seconds{1}))
+    {
+        ++m_revision;
+        (void)m_state.apply_changes({{key, value, m_revision, removed}}, m_revision, now, now);
+        m_pool.sync(m_state, east, places, now);
+    }
+
+    target_pool& pool() { return m_pool; }
+
+private:
+    published_state m_state;
+    target_pool m_pool;
+    std::uint64_t m_revision = 0;
+};
+
+prompt prompt_of(std::uint64_t session, std::uint32_t shared, std::uint32_t own)
+{
+    static std::uint64_t unique = 1'000'000;
+    prompt asked;
+    asked.prompt_tokens = shared + own;
+    asked.parts = {{session, shared}, {++unique, own}};
+    asked.session = session;
+    return asked;
+}
+
+placement_request engine_request(const prompt& asked)
+{
+    placement_request request;
+    request.service = service_name{"engine"};
+    request.asked = &asked;
+    return request;
+}
+
+TEST(placement, a_session_stays_where_its_parts_are)
+{
+    pool_of_targets targets(9);
+    const auto first = prompt_of(42, 5000, 1000);
+    const auto chosen = choose_target(targets.pool(), engine_request(first), at(seconds{1}));
+    ASSERT_TRUE(chosen);
+    for (int turn = 0; turn < 5; ++turn) {
+        const auto next = prompt_of(42, 5000, 1000);
+        const auto again = choose_target(targets.pool(), engine_request(next), at(seconds{2}));
+        EXPECT_EQ(again->target, chosen->target);
+    }
+}
+
+TEST(placement, a_session_leaves_its_place_when_waiting_there_costs_more)
+{
+    pool_of_targets targets(9);
+    const auto asked = prompt_of(42, 5000, 1000);
+    const auto home = choose_target(targets.pool(), engine_request(asked), at(seconds{1}));
+    // Over two seconds of unread prompts.
+    targets.pool().on_sent(home->target, nullptr, 150'000, at(seconds{1}));
+    const auto other = choose_target(targets.pool(), engine_request(asked), at(seconds{1}));
+    EXPECT_NE(other->target, home->target);
+}
+
+TEST(placement, leaving_evacuated_and_displaced_targets_get_nothing)
+{
+    pool_of_targets targets(2);
+    const auto asked = prompt_of(1, 100, 100);
+    targets.publish("e0", "engine,leaving");
+    EXPECT_EQ(choose_target(targets.pool(), engine_request(asked), at(seconds{1}))->target,
+              target_name{"e1"});
+    targets.pool().on_displaced(target_name{"e1"});
+    EXPECT_FALSE(choose_target(targets.pool(), engine_request(asked), at(seconds{1})));
+    targets.publish("e2", "engine");
+    EXPECT_TRUE(choose_target(targets.pool(), engine_request(asked), at(seconds{1})));
+    targets.publish("evac/east-a", "{}");
+    EXPECT_FALSE(choose_target(targets.pool(), engine_request(asked), at(seconds{1})));
+}
+
+TEST(placement, after_an_evacuation_targets_count_as_cold)
+{
+    pool_of_targets targets(1);
+    targets.publish("evac/east-a", "{}");
+    targets.publish("evac/east-a", {}, true, at(seconds{9}));
+    const auto* target = targets.pool().find(target_name{"e0"});
+    EXPECT_TRUE(may_be_cold(*target, at(seconds{11})));
+    EXPECT_FALSE(may_be_cold(*target, at(seconds{13})));
+}
+
+TEST(placement, an_ejected_target_is_used_only_when_no_other_is_left)
+{
+    pool_of_targets targets(2);
+    const auto asked = prompt_of(1, 100, 100);
+    targets.pool().on_outcome(target_name{"e0"}, target_outcome::unreachable, milliseconds{5},
+                              at(seconds{1}));
+    for (std::uint64_t session = 0; session < 20; ++session) {
+        const auto any = prompt_of(session, 100, 100);
+        EXPECT_EQ(choose_target(targets.pool(), engine_request(any), at(seconds{1}))->target,
+                  target_name{"e1"});
+    }
+    targets.publish("e1", "engine,leaving");
+    EXPECT_EQ(choose_target(targets.pool(), engine_request(asked), at(seconds{1}))->target,
+              target_name{"e0"});
+}
+
+// Grown site, scale-1: 25 VMs probed a target that came back cold, each once.
+TEST(placement, a_target_that_could_not_be_reached_counts_as_cold_until_some_time_after_it_answers)
+{
+    pool_of_targets targets(1);
+    const target_name name{"e0"};
+    targets.pool().on_outcome(name, target_outcome::unreachable, milliseconds{5}, at(seconds{1}));
+    EXPECT_TRUE(may_be_cold(*targets.pool().find(name), at(seconds{60})));
+    // Another VM of the region got an answer.
+    targets.pool().on_region_use(
+        {{base::id_of<base::target_id>("e0"), 1, 0, 1, 0, milliseconds{100}}}, at(seconds{60}));
+    EXPECT_FALSE(is_ejected(targets.pool().find(name)->health, at(seconds{60})));
+    EXPECT_TRUE(may_be_cold(*targets.pool().find(name), at(seconds{62})));
+    EXPECT_FALSE(may_be_cold(*targets.pool().find(name), at(seconds{64})));
+}
+
+TEST(placement, a_new_run_under_the_same_name_starts_without_a_past)
+{
+    pool_of_targets targets(1);
+    targets.pool().on_outcome(target_name{"e0"}, target_outcome::unreachable, milliseconds{5},
+                              at(seconds{1}));
+    EXPECT_TRUE(is_ejected(targets.pool().find(target_name{"e0"})->health, at(seconds{1})));
+}
+
+TEST(placement, plain_requests_do_not_queue_while_a_target_is_free)
+{
+    pool_of_targets targets(0, 3);
+    for (std::uint64_t number = 0; number < 18; ++number) {
+        placement_request request;
+        request.service = service_name{"plain"};
+        request.spread = base::hash_name(std::to_string(number));
+        const auto chosen = choose_target(targets.pool(), request, at(seconds{1}));
+        ASSERT_TRUE(chosen);
+        EXPECT_EQ(chosen->wait.count(), 0) << number;
+        targets.pool().on_sent(chosen->target, nullptr, 0, at(seconds{1}));
+    }
+}
+
+/// The load of the busiest target after one round of requests in which all VMs know the same old
+/// loads, in which one target looks idle.
+std::uint32_t busiest_after_a_round(std::size_t vms, bool tell_sharers)
+{
+    constexpr int targets_count = 46;
+    std::map<target_name, std::uint32_t> got;
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        pool_of_targets targets(targets_count);
+        for (int number = 1; number < targets_count; ++number) {
+            targets.pool().on_sent(target_name{fmt::format("e{}", number)}, nullptr, 30'000,
+                                   at(seconds{1}));
+        }
+        const auto asked = prompt_of(1000 + vm, 300, 2000);
+        auto request = engine_request(asked);
+        request.sharers = tell_sharers ? vms : 1;
+        ++got[choose_target(targets.pool(), request, at(seconds{1}))->target];
+    }
+    std::uint32_t busiest = 0;
+    for (const auto& [name, count] : got) {
+        busiest = std::max(busiest, count);
+    }
+    return busiest;
+}
+
+// Grown site, scale-1: each target that looked idle got 30 requests within 100 ms.
+TEST(placement, many_vms_do_not_all_take_the_target_that_looks_idle)
+{
+    EXPECT_EQ(busiest_after_a_round(28, false), 28U);
+    EXPECT_LE(busiest_after_a_round(28, true), 8U);
+}
+
+TEST(placement, work_that_other_vms_told_counts_and_the_own_part_is_not_counted_twice)
+{
+    pool_of_targets targets(1);
+    const target_name name{"e0"};
+    targets.pool().on_sent(name, nullptr, 6000, at(seconds{1}));
+    targets.pool().note_told(at(seconds{1}));
+    targets.pool().note_told(at(milliseconds{1250}));
+    targets.pool().on_region_use(
+        {{base::id_of<base::target_id>("e0"), 3, 18'000, 0, 0, milliseconds{9000}}},
+        at(milliseconds{1500}));
+    EXPECT_EQ(total_in_flight(*targets.pool().find(name), at(milliseconds{1500})), 3U);
+    EXPECT_EQ(total_unread_tokens(*targets.pool().find(name), at(milliseconds{1500})), 18'000U);
+    // Old news of others no longer counts.
+    EXPECT_EQ(total_in_flight(*targets.pool().find(name), at(seconds{5})), 1U);
+}
+
+placement_choice choice_with(milliseconds wait, milliseconds start)
+{
+    return {target_name{"e0"}, "10.0.0.1:80", wait, start, 0, 0};
+}
+
+region_request needs_of(milliseconds objective)
+{
+    return {true, 6000, objective, seconds{10}, false};
+}
+
+TEST(region_choice, a_request_stays_while_its_region_serves_it_soon)
+{
+    const auto where = choose_place(choice_with(milliseconds{100}, milliseconds{300}),
+                                    {{region_name{"west"}, milliseconds{0}, milliseconds{110}, 9}},
+                                    needs_of(milliseconds{1000}));
+    EXPECT_EQ(where.kind, place_kind::here);
+}
+
+TEST(region_choice, a_request_leaves_before_the_queue_of_its_region_is_too_long)
+{
+    const auto where = choose_place(choice_with(milliseconds{900}, milliseconds{1100}),
+                                    {{region_name{"west"}, milliseconds{50}, milliseconds{110}, 9}},
+                                    needs_of(milliseconds{1000}));
+    EXPECT_EQ(where.kind, place_kind::elsewhere);
+    EXPECT_EQ(where.region, region_name{"west"});
+}
+
+TEST(region_choice, a_request_that_would_wait_too_long_everywhere_is_refused_at_once)
+{
+    const auto where =
+        choose_place(choice_with(milliseconds{2000}, milliseconds{2100}),
+                     {{region_name{"west"}, milliseconds{1500}, milliseconds{110}, 9}},
+                     needs_of(milliseconds{1000}));
+    EXPECT_EQ(where.kind, place_kind::nowhere);
+    EXPECT_EQ(where.wait, milliseconds{1610});
+}
+
+TEST(region_choice, a_caller_that_comes_back_may_wait_longer_than_a_new_one)
+{
+    auto needs = needs_of(milliseconds{1000});
+    const auto fresh = longest_wait(needs);
+    needs.is_return = true;
+    EXPECT_GT(longest_wait(needs), fresh);
+}
+
+TEST(region_choice, what_was_just_sent_to_a_region_counts_before_its_news_come)
+{
+    region_news news;
+    region_digest digest;
+    digest.region = region_name{"west"};
+    digest.outlook.push_back({base::hash_name("engine"), 3, milliseconds{0}});
+    news.note(digest, at(seconds{1}));
+    remote_sends sends;
+    for (int number = 0; number < 30; ++number) {
+        sends.note(region_name{"west"}, service_name{"engine"}, 6000, at(seconds{1}));
+    }
+    const auto regions =
+        remote_regions(news, service_name{"engine"}, sends, at(milliseconds{1100}));
+    ASSERT_EQ(regions.size(), 1U);
+    EXPECT_EQ(regions.front().wait, milliseconds{1000});
+    EXPECT_TRUE(remote_regions(news, service_name{"engine"}, sends, at(seconds{9})).empty());
+}
+
+} // namespace
+} // namespace chicorylink::fleet
--- /dev/null
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -0,0 +1,152 @@
+#include "chicorylink/fleet/published_state.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point at(milliseconds since_boot)
+{
+    return base::time_point{since_boot};
+}
+
+/// Keys: `config` holds a version, `evac/NAME` an evacuation, `target/NAME` an address.
+item_meaning decode(const published_item& item)
+{
+    if (item.key == "config") {
+        return configuration_item{std::make_shared<const configuration>(
+            base::config_version{std::stoull(item.value)}, std::vector<route>{},
+            std::vector<service>{}, std::vector<team>{}, caller_limits{})};
+    }
+    if (item.key.starts_with("evac/")) {
+        return evacuation_item{data_center_name{item.key.substr(5)}, !item.removed};
+    }
+    const target_name name{item.key.substr(7)};
+    if (item.removed || item.value == "unreadable") {
+        return target_gone_item{name, item.removed ? "" : "not JSON"};
+    }
+    target_entry entry;
+    entry.name = name;
+    entry.address = item.value;
+    return target_item{entry};
+}
+
+published_item item(std::string key, std::string value, std::uint64_t revision)
+{
+    return {std::move(key), std::move(value), revision, false};
+}
+
+published_item removed(std::string key, std::uint64_t revision)
+{
+    return {std::move(key), {}, revision, true};
+}
+
+std::uint64_t version_of(const published_state& state)
+{
+    return state.config() ? state.config()->version().value() : 0;
+}
+
+TEST(published_state, older_items_never_replace_newer_ones)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("target/a", "new", 9)}, 9, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("target/a", "old", 7)}, 9, at(seconds{1}), at(seconds{1}));
+    EXPECT_EQ(state.targets().at(target_name{"a"}).address, "new");
+}
+
+TEST(published_state, the_configuration_never_goes_back)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("config", "5", 10)}, 10, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("config", "4", 11)}, 11, at(seconds{1}), at(seconds{1}));
+    EXPECT_EQ(version_of(state), 5U);
+}
+
+TEST(published_state, a_snapshot_removes_what_it_does_not_hold)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+                               at(seconds{1}), at(seconds{1}));
+    (void)state.apply_snapshot({item("target/b", "y", 2)}, 5, at(seconds{2}), at(seconds{2}));
+    EXPECT_FALSE(state.targets().contains(target_name{"a"}));
+    EXPECT_TRUE(state.targets().contains(target_name{"b"}));
+}
+
+TEST(published_state, a_snapshot_keeps_what_changed_after_it_was_read)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("target/new", "x", 8)}, 8, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_snapshot({}, 6, at(seconds{1}), at(seconds{1}));
+    EXPECT_TRUE(state.targets().contains(target_name{"new"}));
+}
+
+TEST(published_state, an_unreadable_target_is_not_used_and_the_others_are)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+                              at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("target/a", "unreadable", 3)}, 3, at(seconds{1}),
+                              at(seconds{1}));
+    EXPECT_FALSE(state.targets().contains(target_name{"a"}));
+    EXPECT_TRUE(state.targets().contains(target_name{"b"}));
+}
+
+TEST(published_state, targets_that_lapsed_in_an_outage_get_time_to_publish_again)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+                               at(seconds{1}), at(seconds{1}));
+    // Contact comes back after six seconds, and both items are gone.
+    (void)state.apply_snapshot({}, 9, at(seconds{7}), at(seconds{7}));
+    EXPECT_EQ(state.targets().size(), 2U);
+    (void)state.apply_changes({item("target/a", "x", 10)}, 10, at(seconds{8}), at(seconds{8}));
+    (void)state.tick(at(milliseconds{9100}));
+    EXPECT_EQ(state.targets().size(), 2U);
+    (void)state.tick(at(milliseconds{9300}));
+    EXPECT_TRUE(state.targets().contains(target_name{"a"}));
+    EXPECT_FALSE(state.targets().contains(target_name{"b"}));
+}
+
+TEST(published_state, without_an_outage_a_removed_target_is_dropped_at_once)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1)}, 1, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({removed("target/a", 2)}, 2, at(seconds{2}), at(seconds{2}));
+    EXPECT_TRUE(state.targets().empty());
+}
+
+TEST(published_state, evacuations_begin_and_end)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("evac/dc", "{}", 1)}, 1, at(seconds{1}), at(seconds{1}));
+    EXPECT_TRUE(state.is_evacuated(data_center_name{"dc"}));
+    (void)state.apply_changes({removed("evac/dc", 2)}, 2, at(seconds{1}), at(seconds{1}));
+    EXPECT_FALSE(state.is_evacuated(data_center_name{"dc"}));
+}
+
+TEST(published_state, a_confirmation_never_moves_back)
+{
+    published_state state(&decode);
+    state.confirm(at(seconds{5}));
+    state.confirm(at(seconds{4}));
+    EXPECT_EQ(state.confirmed_at(), at(seconds{5}));
+}
+
+TEST(published_state, a_peer_gets_what_changed_after_a_revision)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("target/a", "x", 3), item("target/b", "y", 4)}, 4,
+                              at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({removed("target/a", 6)}, 6, at(seconds{1}), at(seconds{1}));
+    const auto newer = state.items_after(4);
+    ASSERT_EQ(newer.size(), 1U);
+    EXPECT_EQ(newer.front().key, "target/a");
+    EXPECT_TRUE(newer.front().removed);
+    EXPECT_EQ(state.items_revision(), 6U);
+}
+
+} // namespace
+} // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -229,12 +229,15 @@
     if (!alone && !(misses_region && is_delegate(now))) {
         return;
     }
+    // A VM that knows no other of its region has no digest worth passing on: it would replace a
+    // better one of the same region.
+    const auto scope = alone ? digest_scope::none : digest_scope::own_region;
     for (const auto& ip : m_seeds) {
         const auto* known = find(ip);
         const bool heard = known != nullptr && is_heard(*known, now);
         if (ip != m_self.ip && (alone || !heard) &&
             is_due(ip, heard ? silent_interval : near_interval, now)) {
-            due.push_back({ip, digest_scope::own_region, true});
+            due.push_back({ip, scope, true});
         }
     }
     if (!alone) {
@@ -242,7 +245,7 @@
     }
     for (const auto& [ip, who] : m_members) {
         if (who.region == m_self.region && is_due(ip, silent_interval, now)) {
-            due.push_back({ip, digest_scope::own_region, true});
+            due.push_back({ip, scope, true});
         }
     }
 }
--- /dev/null
+++ b/src/chicorylink/fleet/roster_test.cpp
@@ -0,0 +1,265 @@
+#include "chicorylink/fleet/region_choice.hpp"
+#include "chicorylink/fleet/roster.hpp"
+
+#include <deque>
+#include <memory>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point at(milliseconds since_boot)
+{
+    return base::time_point{since_boot};
+}
+
+const std::set<region_name> all_regions{region_name{"east"}, region_name{"west"}};
+
+member_identity identity(const std::string& ip, const std::string& region, std::uint64_t run,
+                         std::uint16_t capacity = 25)
+{
+    return {vm_name{ip},
+            ip,
+            region_name{region},
+            data_center_name{region + "-a"},
+            base::incarnation{run},
+            vm_capacity{capacity}};
+}
+
+heartbeat heartbeat_of(const member_identity& from, std::uint64_t sequence, member_state state)
+{
+    heartbeat message;
+    message.from = from;
+    message.sequence = sequence;
+    message.state = state;
+    return message;
+}
+
+/// VMs that exchange heartbeats in virtual time; a test may cut or stop some.
+class small_fleet {
+public:
+    void add(const std::string& ip, const std::string& region, std::vector<std::string> seeds,
+             std::uint16_t capacity = 25)
+    {
+        m_vms[ip] = {std::make_unique<roster>(identity(ip, region, ++m_runs, capacity),
+                                              std::move(seeds), all_regions),
+                     0};
+    }
+    void stop(const std::string& ip) { m_vms.erase(ip); }
+
+    void run(milliseconds duration)
+    {
+        const auto end = m_now + duration;
+        for (; m_now < end; m_now += milliseconds{25}) {
+            for (auto& [ip, one] : m_vms) {
+                (void)one.members->tick(m_now);
+                for (const auto& due : one.members->take_due(m_now)) {
+                    deliver(ip, due);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] const roster& of(const std::string& ip) const { return *m_vms.at(ip).members; }
+    [[nodiscard]] std::size_t sent() const { return m_sent; }
+
+    [[nodiscard]] std::size_t ready_seen_by(const std::string& ip) const
+    {
+        std::size_t count = 0;
+        for (const auto& [other, who] : of(ip).members()) {
+            count += roster::takes_requests(who, m_now) ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    struct vm {
+        std::unique_ptr<roster> members;
+        std::uint64_t sequence = 0;
+    };
+
+    void deliver(const std::string& from, const due_heartbeat& due)
+    {
+        ++m_sent;
+        const auto to = m_vms.find(due.ip);
+        if (to == m_vms.end()) {
+            return;
+        }
+        auto& sender = m_vms.at(from);
+        auto message = heartbeat_of(sender.members->self(), ++sender.sequence, member_state::ready);
+        if (due.scope != digest_scope::none) {
+            region_digest digest;
+            digest.region = sender.members->self().region;
+            digest.members = sender.members->region_members(member_state::ready, m_now);
+            message.digests.push_back(digest);
+        }
+        auto& receiver = *to->second.members;
+        (void)receiver.on_heartbeat(message, m_now);
+        if (due.scope == digest_scope::all_regions) {
+            for (auto& digest : m_news[from].recent(m_now)) {
+                message.digests.push_back(digest);
+            }
+        }
+        for (const auto& digest : message.digests) {
+            receiver.on_digest(digest, m_now);
+            if (digest.region != receiver.self().region) {
+                m_news[due.ip].note(digest, m_now);
+            }
+        }
+        if (due.wants_digests) {
+            deliver(due.ip, {from, digest_scope::all_regions, false});
+        }
+    }
+
+    std::map<std::string, vm> m_vms;
+    std::map<std::string, region_news> m_news;
+    base::time_point m_now = at(seconds{1});
+    std::uint64_t m_runs = 0;
+    std::size_t m_sent = 0;
+};
+
+std::string ip_of(int number)
+{
+    return fmt::format("10.0.0.{}", number);
+}
+
+TEST(roster, vms_find_each_other_by_seeds)
+{
+    small_fleet fleet;
+    for (int number = 1; number <= 6; ++number) {
+        fleet.add(ip_of(number), number <= 3 ? "east" : "west", {ip_of(1), ip_of(4)});
+    }
+    fleet.run(seconds{3});
+    for (int number = 1; number <= 6; ++number) {
+        EXPECT_EQ(fleet.ready_seen_by(ip_of(number)), 5U) << number;
+    }
+}
+
+TEST(roster, a_vm_whose_seeds_are_all_in_another_region_finds_its_own)
+{
+    small_fleet fleet;
+    for (int number = 1; number <= 6; ++number) {
+        fleet.add(ip_of(number), number <= 3 ? "east" : "west", {ip_of(1), ip_of(4)});
+    }
+    fleet.run(seconds{3});
+    fleet.add(ip_of(7), "west", {ip_of(1)});
+    fleet.run(seconds{3});
+    EXPECT_EQ(fleet.of(ip_of(7)).region_ips(at(seconds{7})).size(), 4U);
+}
+
+TEST(roster, a_vm_that_ended_is_not_named_after_the_silence_bound)
+{
+    small_fleet fleet;
+    for (int number = 1; number <= 3; ++number) {
+        fleet.add(ip_of(number), "east", {ip_of(1)});
+    }
+    fleet.run(seconds{2});
+    EXPECT_EQ(fleet.ready_seen_by(ip_of(1)), 2U);
+    fleet.stop(ip_of(3));
+    fleet.run(roster::silence_bound + seconds{1});
+    EXPECT_EQ(fleet.ready_seen_by(ip_of(1)), 1U);
+    EXPECT_EQ(fleet.ready_seen_by(ip_of(2)), 1U);
+}
+
+TEST(roster, delegates_that_end_are_replaced)
+{
+    small_fleet fleet;
+    for (int number = 1; number <= 6; ++number) {
+        fleet.add(ip_of(number), "east", {ip_of(1), ip_of(2)});
+    }
+    fleet.run(seconds{2});
+    const auto delegates = fleet.of(ip_of(1)).delegates_of(region_name{"east"}, at(seconds{3}));
+    ASSERT_EQ(delegates.size(), roster::delegate_count);
+    for (const auto& ip : delegates) {
+        fleet.stop(ip);
+    }
+    fleet.run(seconds{6});
+    for (int number = 1; number <= 6; ++number) {
+        const auto ip = ip_of(number);
+        if (std::find(delegates.begin(), delegates.end(), ip) == delegates.end()) {
+            EXPECT_EQ(fleet.ready_seen_by(ip), 3U) << ip;
+        }
+    }
+}
+
+TEST(roster, vms_of_the_largest_capacity_are_delegates)
+{
+    small_fleet fleet;
+    for (int number = 1; number <= 6; ++number) {
+        fleet.add(ip_of(number), "east", {ip_of(1)}, number >= 5 ? 50 : 5);
+    }
+    fleet.run(seconds{3});
+    for (int number = 1; number <= 6; ++number) {
+        EXPECT_EQ(fleet.of(ip_of(number)).is_delegate(at(seconds{4})), number >= 5) << number;
+    }
+}
+
+TEST(roster, traffic_grows_with_the_vms_and_not_with_their_pairs)
+{
+    const auto sent_by = [](int vms) {
+        small_fleet fleet;
+        for (int number = 1; number <= vms; ++number) {
+            fleet.add(ip_of(number), number % 2 == 0 ? "east" : "west", {ip_of(1), ip_of(2)});
+        }
+        fleet.run(seconds{5});
+        const auto before = fleet.sent();
+        fleet.run(seconds{10});
+        return static_cast<double>(fleet.sent() - before);
+    };
+    // Sixfold VMs: pairs would cost thirty-sixfold.
+    EXPECT_LT(sent_by(72), 9 * sent_by(12));
+}
+
+TEST(roster, heartbeats_of_a_run_that_was_replaced_are_ignored)
+{
+    roster members(identity("10.0.0.1", "east", 1), {}, all_regions);
+    const auto old_run = identity("10.0.0.2", "east", 2);
+    const auto new_run = identity("10.0.0.2", "east", 3);
+    EXPECT_EQ(members.on_heartbeat(heartbeat_of(old_run, 9, member_state::ready), at(seconds{1})),
+              heartbeat_effect::joined);
+    EXPECT_EQ(members.on_heartbeat(heartbeat_of(new_run, 1, member_state::ready), at(seconds{2})),
+              heartbeat_effect::restarted);
+    EXPECT_EQ(members.on_heartbeat(heartbeat_of(old_run, 10, member_state::ready), at(seconds{2})),
+              heartbeat_effect::ignored);
+    EXPECT_EQ(members.find("10.0.0.2")->run, base::incarnation{3});
+}
+
+TEST(roster, a_leaving_vm_takes_no_requests)
+{
+    roster members(identity("10.0.0.1", "east", 1), {}, all_regions);
+    const auto other = identity("10.0.0.2", "east", 2);
+    (void)members.on_heartbeat(heartbeat_of(other, 1, member_state::ready), at(seconds{1}));
+    EXPECT_TRUE(roster::takes_requests(*members.find("10.0.0.2"), at(seconds{1})));
+    EXPECT_EQ(members.on_heartbeat(heartbeat_of(other, 2, member_state::leaving), at(seconds{1})),
+              heartbeat_effect::state_changed);
+    EXPECT_FALSE(roster::takes_requests(*members.find("10.0.0.2"), at(seconds{1})));
+}
+
+TEST(roster, a_silent_vm_still_counts_as_one_that_may_admit)
+{
+    roster members(identity("10.0.0.1", "east", 1), {}, all_regions);
+    (void)members.on_heartbeat(
+        heartbeat_of(identity("10.0.0.2", "east", 2), 1, member_state::ready), at(seconds{1}));
+    EXPECT_EQ(members.size(at(seconds{10})).known, 2U);
+    EXPECT_EQ(members.size(at(seconds{10})).heard, 1U);
+    (void)members.tick(at(seconds{30}));
+    EXPECT_EQ(members.size(at(seconds{30})).known, 1U);
+}
+
+TEST(roster, the_round_trip_leaves_out_the_time_at_the_other_side)
+{
+    roster members(identity("10.0.0.1", "east", 1), {}, all_regions);
+    auto message = heartbeat_of(identity("10.0.0.9", "west", 2), 1, member_state::ready);
+    message.echo_ms = 1000;
+    message.echo_held = milliseconds{300};
+    (void)members.on_heartbeat(message, at(milliseconds{1410}));
+    EXPECT_EQ(members.round_trip_to(region_name{"west"}), milliseconds{110});
+}
+
+} // namespace
+} // namespace chicorylink::fleet
