front: half an event is dropped before a stream goes on; tests of the data path, adapter and daemons

Cause: a process test broke a stream within an event after a clean end of the connection: the half event was joined with the first event of the continuation. Change: the splitter is emptied at the end of each attempt. The directory names a leaving VM of the caller's region before VMs of other regions, and a new process names none of those for 2.5 s. A region without news but with VMs is tried.

--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -86,6 +86,9 @@
     /// @brief Takes a digest over unless a newer one of its region is known.
     void note(const region_digest& digest, base::time_point now);
 
+    /// @brief Whether there is recent news of a region.
+    [[nodiscard]] bool knows(const region_name& region, base::time_point now) const;
+
     /// @brief All digests that are recent enough, with their present age.
     [[nodiscard]] std::vector<region_digest> recent(base::time_point now) const;
 
@@ -97,6 +100,9 @@
     std::map<region_name, entry> m_entries;
 };
 
+/// @brief What is assumed of a region that VMs are known in and nothing else.
+[[nodiscard]] remote_region region_without_news(const region_name& region);
+
 /// @brief The other regions where a service has usable targets.
 [[nodiscard]] std::vector<remote_region> remote_regions(const region_news& news,
                                                         const service_name& service,
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -49,8 +49,10 @@
     [[nodiscard]] status_answer answer_ready(const message_head& head) const;
     [[nodiscard]] status_answer answer_directory(const message_head& head);
     [[nodiscard]] status_answer answer_control(const message_head& head) const;
+    [[nodiscard]] std::vector<std::string> addresses_for(const directory_question& question) const;
+    /// The callers' addresses of VMs in some states; of all regions when `region` is empty.
     [[nodiscard]] std::vector<std::string> callers_addresses(const fleet::region_name& region,
-                                                             bool any_region) const;
+                                                             bool with_leaving) const;
 
     boost::asio::io_context m_loop;
     front_core m_core;
@@ -67,6 +69,7 @@
     readiness m_told_readiness = readiness::no_configuration;
     base::time_point m_slow_ticked_at{};
     base::time_point m_settings_read_at{};
+    base::time_point m_started_at{};
     base::time_point m_leaving_since{};
 };
 
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -104,6 +104,17 @@
     }
 }
 
+bool region_news::knows(const region_name& region, base::time_point now) const
+{
+    const auto known = m_entries.find(region);
+    return known != m_entries.end() && now - known->second.made_at <= news_bound;
+}
+
+remote_region region_without_news(const region_name& region)
+{
+    return {region, base::milliseconds{0}, unknown_round_trip, 1};
+}
+
 std::vector<region_digest> region_news::recent(base::time_point now) const
 {
     std::vector<region_digest> all;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -173,6 +173,11 @@
         return {};
     }
     auto regions = fleet::remote_regions(m_core.news, m_resolved.service->name, m_core.remote, now);
+    for (const auto& region : region_names(m_core.settings)) {
+        if (region != m_core.settings.self.region && !m_core.news.knows(region, now)) {
+            regions.push_back(fleet::region_without_news(region));
+        }
+    }
     std::erase_if(regions, [&](const fleet::remote_region& other) {
         return !fleet::may_run_in(*m_resolved.route, m_resolved.team, other.region) ||
                peer_in(other.region, now).empty();
@@ -466,7 +471,6 @@
 void exchange::on_failure(const upstream_failure& failure)
 {
     const auto now = base::boot_now();
-    m_events.reset();
     if (failure.may_have_arrived) {
         m_core.connections.drop(m_attempt->address);
     }
@@ -499,6 +503,8 @@
     log_attempt(results.at(static_cast<std::size_t>(end)), detail, now);
     release();
     m_last_end = end;
+    // What the next attempt sends begins with a whole event.
+    m_events.reset();
     if (end != attempt_end::not_sent) {
         ++m_history.arrivals;
     }
@@ -619,7 +625,6 @@
     if (!m_asked.from_peer() && fleet::may_repeat(*m_resolved.route) &&
         m_history.runs + 1 < m_resolved.route->max_attempts) {
         m_attempt->call->cancel();
-        m_events.reset();
         end_attempt(attempt_end::unknown, target_outcome::broken, "the target is silent", now);
     }
 }
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -34,6 +34,10 @@
 /// The process ends so long before it would be killed.
 constexpr base::milliseconds end_margin{400};
 
+/// A VM that has just started sends no caller to another region before it has had time to hear the
+/// VMs of the caller's own.
+constexpr base::milliseconds acquaintance_time{2500};
+
 constexpr int unavailable = 503;
 
 base::result<tcp::acceptor> open_acceptor(boost::asio::io_context& loop, const std::string& address)
@@ -68,7 +72,8 @@
 front_daemon::front_daemon(front_settings settings, const outer_protocol& protocol,
                            settings_source reload)
     : m_loop(1), m_core(m_loop, std::move(settings), protocol, base::boot_now()),
-      m_reload(std::move(reload)), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP), m_timer(m_loop)
+      m_reload(std::move(reload)), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP), m_timer(m_loop),
+      m_started_at(base::boot_now())
 {
     ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
@@ -295,19 +300,38 @@
             fmt::format("{}\n", to_string(state))};
 }
 
+std::vector<std::string> front_daemon::addresses_for(const directory_question& question) const
+{
+    auto addresses = callers_addresses(question.region, false);
+    if (addresses.empty()) {
+        // A VM that leaves serves until callers have moved; another region costs more.
+        addresses = callers_addresses(question.region, true);
+    }
+    if (addresses.empty() && base::boot_now() - m_started_at >= acquaintance_time) {
+        addresses = callers_addresses({}, false);
+    }
+    return addresses;
+}
+
 std::vector<std::string> front_daemon::callers_addresses(const fleet::region_name& region,
-                                                         bool any_region) const
+                                                         bool with_leaving) const
 {
     const auto now = base::boot_now();
+    const auto fits = [&](const fleet::region_name& where, bool ready, bool leaving) {
+        return (region.empty() || where == region) && (ready || (with_leaving && leaving));
+    };
+    const auto own_state = readiness_of(m_core, now);
     const auto& own = m_core.settings.callers_address;
     const auto port = own.substr(own.rfind(':'));
     std::vector<std::string> addresses;
-    if (readiness_of(m_core, now) == readiness::ready &&
-        (any_region || m_core.settings.self.region == region)) {
+    if (fits(m_core.settings.self.region, own_state == readiness::ready,
+             own_state == readiness::leaving)) {
         addresses.push_back(own);
     }
     for (const auto& [ip, who] : m_core.members.members()) {
-        if (fleet::roster::takes_requests(who, now) && (any_region || who.region == region)) {
+        const bool leaving =
+            who.state == fleet::member_state::leaving && fleet::roster::is_heard(who, now);
+        if (fits(who.region, fleet::roster::takes_requests(who, now), leaving)) {
             addresses.push_back(ip + port);
         }
     }
@@ -320,10 +344,7 @@
     if (!question) {
         return {404, "text/plain", "not found\n"};
     }
-    auto addresses = callers_addresses(question->region, false);
-    if (addresses.empty()) {
-        addresses = callers_addresses(question->region, true);
-    }
+    const auto addresses = addresses_for(*question);
     if (addresses.empty()) {
         m_core.counters.add("directory_empty_total");
         return {unavailable, "text/plain", "no VM is ready\n"};
--- /dev/null
+++ b/src/chicorylink/front/message_parser_test.cpp
@@ -0,0 +1,123 @@
+#include "chicorylink/front/event_stream.hpp"
+#include "chicorylink/front/message_parser.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::front {
+namespace {
+
+constexpr std::size_t head_limit = 4096;
+
+message_parser request_parser()
+{
+    return {message_direction::request, head_limit, 1000};
+}
+
+parse_problem problem_of(std::string_view request)
+{
+    auto parser = request_parser();
+    parser.feed(request);
+    return parser.problem();
+}
+
+TEST(message_parser, reads_a_request_cut_at_any_place)
+{
+    const std::string bytes = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nContent-Length: 5\r\n"
+                              "\r\nhelloGET";
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+        auto parser = request_parser();
+        parser.feed(std::string_view{bytes}.substr(0, cut));
+        parser.feed(std::string_view{bytes}.substr(cut));
+        ASSERT_TRUE(parser.is_complete()) << cut;
+        EXPECT_EQ(parser.head().method, "POST");
+        EXPECT_EQ(parser.head().target, "/a?b=c");
+        EXPECT_EQ(*find_field(parser.head().fields, "x-one"), "1");
+        EXPECT_EQ(parser.take_body(), "hello");
+        EXPECT_EQ(parser.take_rest(), "GET");
+    }
+}
+
+TEST(message_parser, joins_chunks)
+{
+    auto parser = request_parser();
+    parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n");
+    EXPECT_TRUE(parser.is_complete());
+    EXPECT_EQ(parser.take_body(), "abcde");
+}
+
+TEST(message_parser, refuses_what_two_readers_could_read_differently)
+{
+    EXPECT_EQ(problem_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+              parse_problem::malformed);
+    EXPECT_EQ(problem_of("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                         "Content-Length: 5\r\n\r\n0\r\n\r\n"),
+              parse_problem::malformed);
+    EXPECT_EQ(problem_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+                         "Content-Length: 6\r\n\r\nhello"),
+              parse_problem::malformed);
+    EXPECT_EQ(problem_of("GET / HTTP/1.1\r\nHost: h\r\nX-Folded: a\r\n b\r\n\r\n"),
+              parse_problem::malformed);
+    EXPECT_EQ(problem_of("GET / HTTP/1.1\r\nHost : h\r\n\r\n"), parse_problem::malformed);
+    EXPECT_EQ(problem_of("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n"),
+              parse_problem::malformed);
+    EXPECT_EQ(problem_of("nonsense\r\n\r\n"), parse_problem::malformed);
+}
+
+TEST(message_parser, keeps_the_limits)
+{
+    EXPECT_EQ(problem_of("GET / HTTP/1.1\r\nX: " + std::string(head_limit, 'x')),
+              parse_problem::header_too_large);
+    EXPECT_EQ(problem_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"),
+              parse_problem::body_too_large);
+}
+
+TEST(message_parser, an_answer_without_a_length_ends_with_its_connection)
+{
+    message_parser parser(message_direction::answer, head_limit, std::nullopt);
+    parser.feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc");
+    EXPECT_FALSE(parser.is_complete());
+    parser.feed_end();
+    EXPECT_TRUE(parser.is_complete());
+    EXPECT_EQ(parser.take_body(), "abc");
+}
+
+TEST(message_parser, an_answer_that_ends_early_is_truncated)
+{
+    message_parser by_length(message_direction::answer, head_limit, std::nullopt);
+    by_length.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+    by_length.feed_end();
+    EXPECT_EQ(by_length.problem(), parse_problem::truncated);
+    message_parser in_chunks(message_direction::answer, head_limit, std::nullopt);
+    in_chunks.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    in_chunks.feed_end();
+    EXPECT_EQ(in_chunks.problem(), parse_problem::truncated);
+}
+
+TEST(event_stream, passes_whole_events_with_their_ids)
+{
+    event_stream events;
+    events.feed("id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c");
+    const auto first = events.next();
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->id, "1");
+    EXPECT_EQ(first->bytes, "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events.next()->id, "2");
+    EXPECT_FALSE(events.next());
+    EXPECT_TRUE(events.has_partial());
+    events.feed("\n\n");
+    EXPECT_EQ(events.next()->bytes, "data: c\n\n");
+    EXPECT_FALSE(events.has_partial());
+}
+
+TEST(event_stream, an_event_without_an_end_is_bounded)
+{
+    event_stream events;
+    events.feed(std::string(event_stream::max_event_bytes + 1, 'x'));
+    EXPECT_FALSE(events.next());
+    EXPECT_TRUE(events.overflowed());
+}
+
+} // namespace
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/resolution_test.cpp
@@ -0,0 +1,179 @@
+#include "chicorylink/front/forward_fields.hpp"
+#include "chicorylink/front/item_copy.hpp"
+#include "chicorylink/front/request_bytes.hpp"
+#include "chicorylink/front/resolution.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::front {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::HasSubstr;
+using testing::Not;
+
+wire_names names()
+{
+    wire_names all;
+    all.request_id = "Id";
+    all.deadline_ms = "Deadline";
+    all.prompt_parts = "Parts";
+    all.token_counts = "Tokens";
+    all.model = "Model";
+    all.last_event_id = "Last-Event-Id";
+    all.signature = "Signature";
+    all.team = "Team";
+    all.expected_target = "Target";
+    all.priority = "Priority";
+    all.key = "Key";
+    all.reserved = {"Team", "Target", "Priority", "Hold"};
+    return all;
+}
+
+std::shared_ptr<const fleet::configuration> config_of(std::uint64_t version)
+{
+    fleet::route route;
+    route.name = fleet::route_name{"r"};
+    route.host = "h";
+    route.path_prefix = "/a/";
+    route.services = {{fleet::service_name{"engine"}, 1}};
+    auto open = route;
+    open.path_prefix = "/open/";
+    open.is_public = true;
+    fleet::service service;
+    service.name = fleet::service_name{"engine"};
+    service.is_engine = true;
+    fleet::team team;
+    team.name = fleet::team_name{"cards"};
+    team.keys = {"secret"};
+    team.priority = 3;
+    return std::make_shared<const fleet::configuration>(
+        base::config_version{version}, std::vector{route, open}, std::vector{service},
+        std::vector{team}, fleet::caller_limits{});
+}
+
+asked_request request_for(const std::string& target, header_fields fields = {})
+{
+    asked_request asked;
+    asked.head.method = "POST";
+    asked.head.target = target;
+    asked.head.fields = std::move(fields);
+    asked.head.fields.push_back({"Host", "h"});
+    asked.head.fields.push_back({"Id", "id-1"});
+    asked.id = "id-1";
+    return asked;
+}
+
+int status_of(const resolution& found)
+{
+    const auto* refused = std::get_if<refusal>(&found);
+    return refused == nullptr ? 200 : refused->status;
+}
+
+TEST(resolution, finds_route_team_and_priority)
+{
+    const auto found = resolve(config_of(1), request_for("/a/x?q", {{"key", "secret"}}), names());
+    const auto& resolved = std::get<resolved_request>(found);
+    EXPECT_EQ(resolved.route->path_prefix, "/a/");
+    EXPECT_EQ(resolved.team->name, fleet::team_name{"cards"});
+    EXPECT_EQ(resolved.priority, 3);
+}
+
+TEST(resolution, denies_what_the_configuration_does_not_allow)
+{
+    EXPECT_EQ(status_of(resolve(config_of(1), request_for("/b/", {}), names())), 404);
+    EXPECT_EQ(status_of(resolve(config_of(1), request_for("/a/", {}), names())), 401);
+    EXPECT_EQ(status_of(resolve(config_of(1), request_for("/a/", {{"Key", "x"}}), names())), 401);
+    EXPECT_EQ(status_of(resolve(config_of(1), request_for("/open/", {}), names())), 200);
+}
+
+TEST(resolution, a_vm_that_knows_no_configuration_or_an_older_one_does_not_deny)
+{
+    EXPECT_EQ(status_of(resolve(nullptr, request_for("/a/"), names())), 503);
+    auto forwarded = request_for("/new/", {{"Key", "secret"}});
+    forwarded.forwarded_under = base::config_version{5};
+    EXPECT_EQ(status_of(resolve(config_of(4), forwarded, names())), 503);
+    EXPECT_EQ(status_of(resolve(config_of(5), forwarded, names())), 404);
+}
+
+TEST(resolution, the_session_is_the_last_shared_part)
+{
+    message_head head;
+    head.fields = {{"Tokens", "700,90"}, {"Model", "m"}, {"Parts", "aa:100,bb:200,cc:400"}};
+    const auto said = prompt_of(head, names());
+    ASSERT_TRUE(said);
+    EXPECT_EQ(said->session, said->parts[1].chain);
+    EXPECT_EQ(said->prompt_tokens, 700U);
+    head.fields = {{"Tokens", "many"}};
+    EXPECT_FALSE(prompt_of(head, names()));
+}
+
+TEST(request_bytes, a_target_sees_no_key_and_only_the_gateways_own_fields)
+{
+    const auto asked = request_for("/a/x?q=1", {{"Key", "secret"},
+                                                {"team", "forged"},
+                                                {"Target", "forged"},
+                                                {"Hold", "h-1"},
+                                                {"Connection", "close, X-Hop"},
+                                                {"X-Hop", "1"},
+                                                {"X-Other", "kept"},
+                                                {"Deadline", "9000"}});
+    const auto found = resolve(config_of(1), asked, names());
+    const auto bytes = bytes_for_target(asked, std::get<resolved_request>(found), "t-7",
+                                        {milliseconds{800}, "12"}, names());
+    EXPECT_THAT(bytes, testing::StartsWith("POST /a/x?q=1 HTTP/1.1\r\n"));
+    EXPECT_THAT(bytes, Not(HasSubstr("secret")));
+    EXPECT_THAT(bytes, Not(HasSubstr("forged")));
+    EXPECT_THAT(bytes, Not(HasSubstr("h-1")));
+    EXPECT_THAT(bytes, Not(HasSubstr("X-Hop")));
+    EXPECT_THAT(bytes, Not(HasSubstr("9000")));
+    EXPECT_THAT(bytes, HasSubstr("X-Other: kept\r\n"));
+    EXPECT_THAT(bytes, HasSubstr("Team: cards\r\n"));
+    EXPECT_THAT(bytes, HasSubstr("Target: t-7\r\n"));
+    EXPECT_THAT(bytes, HasSubstr("Deadline: 800\r\n"));
+    EXPECT_THAT(bytes, HasSubstr("Last-Event-Id: 12\r\n"));
+}
+
+TEST(request_bytes, a_body_goes_on_whole_with_its_length)
+{
+    auto asked = request_for("/a/", {{"Key", "secret"}, {"Transfer-Encoding", "chunked"}});
+    asked.head.chunked = true;
+    asked.body = "hello";
+    const auto found = resolve(config_of(1), asked, names());
+    const auto bytes = bytes_for_target(asked, std::get<resolved_request>(found), "t",
+                                        {milliseconds{1}, {}}, names());
+    EXPECT_THAT(bytes, HasSubstr("Content-Length: 5\r\n"));
+    EXPECT_THAT(bytes, Not(HasSubstr("chunked")));
+    EXPECT_THAT(bytes, testing::EndsWith("\r\n\r\nhello"));
+}
+
+TEST(request_bytes, another_vm_gets_the_key_and_the_version)
+{
+    const auto asked = request_for("/a/", {{"Key", "secret"}});
+    const auto found = resolve(config_of(6), asked, names());
+    const auto bytes =
+        bytes_for_peer(asked, std::get<resolved_request>(found), {milliseconds{800}, {}}, names());
+    EXPECT_THAT(bytes, HasSubstr("Key: secret\r\n"));
+    EXPECT_THAT(bytes, HasSubstr(std::string{forwarded_field} + ": 6\r\n"));
+}
+
+TEST(item_copy, carries_any_bytes)
+{
+    item_copy copy;
+    copy.as_of = 9;
+    copy.after = 4;
+    copy.confirmed_age = milliseconds{120};
+    copy.items = {{"k", std::string("\xff\x00\"", 3), 7, false}, {"gone", {}, 8, true}};
+    const auto read = decode_item_copy(encode(copy));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->items.front().value, copy.items.front().value);
+    EXPECT_TRUE(read->items.back().removed);
+    EXPECT_EQ(read->confirmed_age, milliseconds{120});
+    EXPECT_FALSE(decode_item_copy("nonsense"));
+    EXPECT_EQ(read_item_copy_target(item_copy_target(17)), 17U);
+    EXPECT_FALSE(read_item_copy_target("/metrics"));
+}
+
+} // namespace
+} // namespace chicorylink::front
--- /dev/null
+++ b/stand_ins/published_store.cpp
@@ -0,0 +1,148 @@
+#include "stand_ins/published_store.hpp"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <nlohmann/json.hpp>
+
+namespace chicorylink::stand_ins {
+namespace {
+
+/// Small, so that tests meet more than one page.
+constexpr std::size_t page_items = 3;
+
+/// How long a silent store holds a read; longer than any reader waits.
+constexpr std::chrono::seconds silence{4};
+
+std::string to_base64(const std::string& bytes)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+nlohmann::json to_json(const std::string& key, const std::string& value, std::uint64_t revision,
+                       bool removed)
+{
+    nlohmann::json entry{{"key", key}, {"revision", revision}};
+    if (removed) {
+        entry["tombstone"] = true;
+    }
+    else {
+        entry["value"] = to_base64(value);
+    }
+    return entry;
+}
+
+} // namespace
+
+published_store::published_store(const std::string& listen)
+    : m_server(listen, {[this](const http_request& request) { return answer(request); }, {}})
+{
+}
+
+published_store::~published_store()
+{
+    const std::lock_guard lock(m_mutex);
+    m_ends = true;
+    m_changed.notify_all();
+}
+
+void published_store::change(const std::string& key, item next)
+{
+    const std::lock_guard lock(m_mutex);
+    next.revision = ++m_revision;
+    m_items[key] = std::move(next);
+    m_changed.notify_all();
+}
+
+void published_store::put(const std::string& key, const std::string& value)
+{
+    change(key, {value, 0, false});
+}
+
+void published_store::remove(const std::string& key)
+{
+    change(key, {{}, 0, true});
+}
+
+void published_store::forget_history()
+{
+    const std::lock_guard lock(m_mutex);
+    m_oldest = ++m_revision;
+    m_changed.notify_all();
+}
+
+void published_store::set_mood(mood value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_mood = value;
+    m_changed.notify_all();
+}
+
+http_response published_store::answer(const http_request& request)
+{
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_mood == mood::refuses) {
+            return error_response(503, "the store refuses");
+        }
+        if (m_mood == mood::is_silent) {
+            m_changed.wait_for(lock, silence,
+                               [this] { return m_ends || m_mood != mood::is_silent; });
+            http_response response;
+            response.drop = true;
+            return response;
+        }
+    }
+    return request.path == "/kv-watch" ? wait_for_change(request) : page(request);
+}
+
+http_response published_store::page(const http_request& request)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string after{request.argument("after")};
+    nlohmann::json body{{"items", nlohmann::json::array()}, {"hasMore", false}};
+    for (auto entry = m_items.upper_bound(after); entry != m_items.end(); ++entry) {
+        if (entry->second.removed) {
+            continue;
+        }
+        if (body["items"].size() == page_items) {
+            body["hasMore"] = true;
+            break;
+        }
+        body["items"].push_back(
+            to_json(entry->first, entry->second.value, entry->second.revision, false));
+    }
+    body["asOf"] = m_revision;
+    return json_response(200, body);
+}
+
+http_response published_store::wait_for_change(const http_request& request)
+{
+    const auto after = std::stoull(std::string{request.argument("after")});
+    const std::chrono::milliseconds wait{std::stoul(std::string{request.argument("waitMs")})};
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, wait,
+                       [&] { return m_ends || m_revision > after || m_mood != mood::answers; });
+    if (m_mood != mood::answers) {
+        http_response response;
+        response.drop = true;
+        return response;
+    }
+    if (after < m_oldest) {
+        return error_response(410, "history is gone");
+    }
+    nlohmann::json body{{"events", nlohmann::json::array()}, {"asOf", m_revision}};
+    for (const auto& [key, entry] : m_items) {
+        if (entry.revision > after) {
+            body["events"].push_back(to_json(key, entry.value, entry.revision, entry.removed));
+        }
+    }
+    return json_response(200, body);
+}
+
+} // namespace chicorylink::stand_ins
