--- a/process_tests/front_test.cpp
+++ b/process_tests/front_test.cpp
@@ -148,7 +148,7 @@
         start("127.0.1.2", "east");
         start("127.0.1.3", "west");
         for (const auto& [ip, process] : m_vms) {
-            ASSERT_TRUE(wait_until([&, at = ip] { return ready(at); }, seconds{10})) << ip;
+            ASSERT_TRUE(wait_until([at = ip] { return ready(at); }, seconds{10})) << ip;
         }
         ASSERT_TRUE(wait_until(
             [this] {
--- a/src/chicorylink/front/upstream_call_test.cpp
+++ b/src/chicorylink/front/upstream_call_test.cpp
@@ -26,7 +26,7 @@
     }
 
     /// Accepts a connection and sends bytes at each request that it gets.
-    void answer(std::string bytes, bool then_close)
+    void answer(const std::string& bytes, bool then_close)
     {
         m_acceptor.async_accept(
             [this, bytes, then_close](boost::system::error_code problem, tcp::socket socket) {
