front: a leaving VM takes no new requests once callers have had time to move

Change: three seconds after the signal new requests are answered 503 'leaving' with Retry-After. The new process test fails on the daemon before this change (it outlives the test's bound) and passes after it.

--- /dev/null
+++ b/fuzz/fuzz_front_input.cpp
@@ -0,0 +1,73 @@
+#include "chicorylink/fleet/heartbeat_codec.hpp"
+#include "chicorylink/fleet/prompt.hpp"
+#include "chicorylink/front/event_stream.hpp"
+#include "chicorylink/front/item_copy.hpp"
+#include "chicorylink/front/message_parser.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+namespace {
+
+using namespace chicorylink; // NOLINT(google-build-using-namespace)
+
+constexpr std::size_t head_limit = 1024;
+constexpr std::uint64_t body_limit = 4096;
+
+struct parsed {
+    bool complete = false;
+    std::string body;
+};
+
+/// Reads a message in pieces of one size.
+parsed read(front::message_direction direction, std::string_view bytes, std::size_t piece)
+{
+    front::message_parser parser(direction, head_limit, body_limit);
+    parsed result;
+    while (!bytes.empty()) {
+        parser.feed(bytes.substr(0, piece));
+        bytes.remove_prefix(std::min(piece, bytes.size()));
+        result.body += parser.take_body();
+    }
+    result.complete = parser.is_complete() && parser.problem() == front::parse_problem::none;
+    return result;
+}
+
+} // namespace
+
+/// Feeds all readers of outside bytes; a message must be read alike however it is cut.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view text{reinterpret_cast<const char*>(data), size};
+    for (const auto direction :
+         {front::message_direction::request, front::message_direction::answer}) {
+        const auto at_once = read(direction, text, size + 1);
+        const auto in_bytes = read(direction, text, 1);
+        if (at_once.complete != in_bytes.complete ||
+            (at_once.complete && at_once.body != in_bytes.body)) {
+            std::abort();
+        }
+    }
+    front::event_stream events;
+    events.feed(text);
+    while (events.next()) {
+    }
+    (void)fleet::parse_prompt_parts("m", text);
+    (void)fleet::parse_token_counts(text);
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_CHECK(fleet::decode_heartbeat({data, size}));
+            return {};
+        },
+        [] {});
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_CHECK(front::decode_item_copy(text));
+            return {};
+        },
+        [] {});
+    return 0;
+}
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -16,6 +16,7 @@
 #include "chicorylink/front/front_settings.hpp"
 #include "chicorylink/front/outer_protocol.hpp"
 
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -47,16 +48,24 @@
     connection_pool connections;
     /// Requests that are not answered yet.
     std::set<exchange*> exchanges;
-    /// Set by the signal to stop.
-    bool leaving = false;
+    /// When the signal to stop came.
+    std::optional<base::time_point> leaving_since;
 };
 
+/// How long callers keep an answer of the directory, and how many times as long some of them do.
+inline constexpr base::milliseconds directory_lifetime{1000};
+inline constexpr int lifetimes_kept = 3;
+
 /// @brief Whether this VM takes callers, and why not.
 enum class readiness { ready, leaving, no_configuration, no_targets, stale_configuration };
 
 [[nodiscard]] readiness readiness_of(const front_core& core, base::time_point now);
 [[nodiscard]] std::string_view to_string(readiness value);
 
+/// @brief Whether new requests are still taken. A VM that leaves takes them until callers have had
+/// time to move; what it takes later might not end before the process does.
+[[nodiscard]] bool takes_new_requests(const front_core& core, base::time_point now);
+
 /// @brief Whether the configuration was proved to be the newest one so recently that a withdrawn
 /// key can't be in force beyond its bound.
 [[nodiscard]] bool keys_are_fresh(const front_core& core, base::time_point now);
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -50,9 +50,9 @@
     [[nodiscard]] status_answer answer_directory(const message_head& head);
     [[nodiscard]] status_answer answer_control(const message_head& head) const;
     [[nodiscard]] std::vector<std::string> addresses_for(const directory_question& question) const;
-    /// The callers' addresses of VMs in some states; of all regions when `region` is empty.
+    /// The callers' addresses of ready VMs; of all regions when `region` is empty.
     [[nodiscard]] std::vector<std::string> callers_addresses(const fleet::region_name& region,
-                                                             bool with_leaving) const;
+                                                             base::time_point now) const;
 
     boost::asio::io_context m_loop;
     front_core m_core;
@@ -70,7 +70,6 @@
     base::time_point m_slow_ticked_at{};
     base::time_point m_settings_read_at{};
     base::time_point m_started_at{};
-    base::time_point m_leaving_since{};
 };
 
 } // namespace chicorylink::front
--- a/process_tests/front_test.cpp
+++ b/process_tests/front_test.cpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -390,6 +391,36 @@
     EXPECT_EQ(m_vms.at("127.0.1.1")->wait(seconds{8}), 0);
 }
 
+// Rihla, trouble-2: callers that could not move kept a leaving VM busy until it was cut off.
+TEST_F(front, a_leaving_vm_ends_in_time_though_callers_keep_sending)
+{
+    m_east.work_ms = 700;
+    std::atomic<bool> stop{false};
+    std::atomic<int> unanswered{0};
+    std::vector<std::thread> callers;
+    for (int number = 0; number < 8; ++number) {
+        callers.emplace_back([&, number] {
+            connection open;
+            for (int turn = 0; !stop; ++turn) {
+                const auto id = fmt::format("id-{}-{}", number, turn);
+                const auto answer = open.perform(request("127.0.1.1", "/unsafe/x", id));
+                // Once the process is gone, connections are refused and nothing ran.
+                if (answer.status == 0 && m_east.runs(id) > 0) {
+                    ++unanswered;
+                }
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds{500});
+    m_vms.at("127.0.1.1")->signal(SIGTERM);
+    EXPECT_EQ(m_vms.at("127.0.1.1")->wait(seconds{6}), 0);
+    stop = true;
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(unanswered, 0);
+}
+
 TEST_F(front, a_killed_vm_leaves_the_directory_and_comes_back)
 {
     m_vms.at("127.0.1.2")->kill();
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -131,7 +131,7 @@
 
 bool caller_connection::keeps_open() const
 {
-    return !m_asked_to_close && !m_core.leaving;
+    return !m_asked_to_close && !m_core.leaving_since;
 }
 
 void caller_connection::begin_answer(int status, std::string_view reason,
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -108,6 +108,10 @@
 void exchange::begin(base::time_point now)
 {
     m_deadline = now + longest_retry_after;
+    if (!takes_new_requests(m_core, now)) {
+        refuse({unavailable, "leaving", shortest_retry_after}, now);
+        return;
+    }
     if (const auto refused = check(now)) {
         refuse(*refused, now);
         return;
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -32,6 +32,11 @@
     return names;
 }
 
+bool takes_new_requests(const front_core& core, base::time_point now)
+{
+    return !core.leaving_since || now - *core.leaving_since < directory_lifetime * lifetimes_kept;
+}
+
 bool keys_are_fresh(const front_core& core, base::time_point now)
 {
     const auto confirmed = core.state.confirmed_at();
@@ -40,7 +45,7 @@
 
 readiness readiness_of(const front_core& core, base::time_point now)
 {
-    if (core.leaving) {
+    if (core.leaving_since) {
         return readiness::leaving;
     }
     if (!core.state.config()) {
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -5,6 +5,7 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/item_copy.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <unistd.h>
@@ -27,10 +28,6 @@
 /// How often the settings file is looked at without a signal.
 constexpr base::milliseconds settings_interval{2000};
 
-/// How long callers keep an answer of the directory. Some keep it three times as long.
-constexpr base::milliseconds directory_lifetime{1000};
-constexpr int lifetimes_kept = 3;
-
 /// The process ends so long before it would be killed.
 constexpr base::milliseconds end_margin{400};
 
@@ -165,12 +162,11 @@
 
 void front_daemon::begin_to_leave()
 {
-    if (m_core.leaving) {
+    if (m_core.leaving_since) {
         return;
     }
     const auto now = base::boot_now();
-    m_core.leaving = true;
-    m_leaving_since = now;
+    m_core.leaving_since = now;
     write_log(m_core,
               log_event(m_core, "leaving").add("requests", std::uint64_t{m_core.exchanges.size()}));
     m_gossip->announce(now);
@@ -231,7 +227,7 @@
         slow_tick(now);
     }
     m_core.log.flush();
-    if (m_core.leaving && may_end(now)) {
+    if (may_end(now)) {
         for (auto* one : std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
             one->on_stop(now);
         }
@@ -283,11 +279,14 @@
 
 bool front_daemon::may_end(base::time_point now) const
 {
-    const auto since = now - m_leaving_since;
+    if (!m_core.leaving_since) {
+        return false;
+    }
+    const auto since = now - *m_core.leaving_since;
     if (since >= m_core.settings.bounds.stop_time - end_margin) {
         return true;
     }
-    return since >= directory_lifetime * lifetimes_kept && m_core.exchanges.empty();
+    return !takes_new_requests(m_core, now) && m_core.exchanges.empty();
 }
 
 status_answer front_daemon::answer_ready(const message_head& head) const
@@ -302,36 +301,36 @@
 
 std::vector<std::string> front_daemon::addresses_for(const directory_question& question) const
 {
-    auto addresses = callers_addresses(question.region, false);
-    if (addresses.empty()) {
-        // A VM that leaves serves until callers have moved; another region costs more.
-        addresses = callers_addresses(question.region, true);
-    }
-    if (addresses.empty() && base::boot_now() - m_started_at >= acquaintance_time) {
-        addresses = callers_addresses({}, false);
+    const auto now = base::boot_now();
+    auto addresses = callers_addresses(question.region, now);
+    if (!addresses.empty() || now - m_started_at < acquaintance_time) {
+        return addresses;
     }
-    return addresses;
+    // While the region's VMs restart one after the other, callers keep the addresses that they
+    // have, and reach them again sooner than VMs of another region would help them.
+    const auto& members = m_core.members.members();
+    const bool restarting = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        const auto& who = entry.second;
+        return who.region == question.region && who.state == fleet::member_state::leaving &&
+               fleet::roster::is_heard(who, now);
+    });
+    return restarting ? std::vector<std::string>{} : callers_addresses({}, now);
 }
 
 std::vector<std::string> front_daemon::callers_addresses(const fleet::region_name& region,
-                                                         bool with_leaving) const
+                                                         base::time_point now) const
 {
-    const auto now = base::boot_now();
-    const auto fits = [&](const fleet::region_name& where, bool ready, bool leaving) {
-        return (region.empty() || where == region) && (ready || (with_leaving && leaving));
+    const auto fits = [&](const fleet::region_name& where) {
+        return region.empty() || where == region;
     };
-    const auto own_state = readiness_of(m_core, now);
     const auto& own = m_core.settings.callers_address;
     const auto port = own.substr(own.rfind(':'));
     std::vector<std::string> addresses;
-    if (fits(m_core.settings.self.region, own_state == readiness::ready,
-             own_state == readiness::leaving)) {
+    if (fits(m_core.settings.self.region) && readiness_of(m_core, now) == readiness::ready) {
         addresses.push_back(own);
     }
     for (const auto& [ip, who] : m_core.members.members()) {
-        const bool leaving =
-            who.state == fleet::member_state::leaving && fleet::roster::is_heard(who, now);
-        if (fits(who.region, fleet::roster::takes_requests(who, now), leaving)) {
+        if (fits(who.region) && fleet::roster::takes_requests(who, now)) {
             addresses.push_back(ip + port);
         }
     }
