--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
-LAUNCHER := $(if $(shell command -v ccache),-DCMAKE_CXX_COMPILER_LAUNCHER=ccache,)
+LAUNCHER = $(if $(shell command -v ccache),-DCMAKE_CXX_COMPILER_LAUNCHER=ccache,)
 
 .PHONY: build test lint format bench experiment sanitize fuzz quickstart install clean
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -116,6 +116,8 @@
     event_stream m_events;
     std::string m_last_event_id;
     base::time_point m_first_at{};
+    /// The shortest wait anywhere, when it was too long.
+    std::optional<base::milliseconds> m_refused_wait;
     /// Attempts, those that never left included.
     std::uint32_t m_sends = 0;
     bool m_is_return = false;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -230,6 +230,9 @@
         return;
     }
     const bool any = where.wait != base::milliseconds::max();
+    if (any) {
+        m_refused_wait = where.wait;
+    }
     refuse({unavailable, any ? "too_much_waiting" : "no_target",
             retry_after(any ? where.wait - longest_wait(needs(now)) : not_ready_retry_after)},
            now);
@@ -692,6 +695,11 @@
         line.add("address", m_attempt->address);
         line.add("expected_wait_ms", m_attempt->expected_wait.count());
     }
+    if (m_refused_wait) {
+        line.add("shortest_wait_ms", m_refused_wait->count());
+        line.add("longest_wait_ms", longest_wait(needs(now)).count());
+        line.add("is_return", m_is_return);
+    }
     line.add("attempts", m_sends).add("total_ms", ms_since(now));
     if (m_answer_begun) {
         line.add("first_ms", ms_since(m_first_at));
