front: exchange in three files, status codes in one place; one event splitter, one trim

Change: moved, no behaviour: exchange (life of a request), exchange_dispatch (where it goes), exchange_answer (what comes back); base::event_stream serves the gateway's splitter too.

--- a/fuzz/fuzz_front_input.cpp
+++ b/fuzz/fuzz_front_input.cpp
@@ -1,6 +1,6 @@
+#include "chicorylink/base/event_stream.hpp"
 #include "chicorylink/fleet/heartbeat_codec.hpp"
 #include "chicorylink/fleet/prompt.hpp"
-#include "chicorylink/front/event_stream.hpp"
 #include "chicorylink/front/item_copy.hpp"
 #include "chicorylink/front/message_parser.hpp"
 
@@ -51,7 +51,7 @@
             std::abort();
         }
     }
-    front::event_stream events;
+    base::event_stream events;
     events.feed(text);
     while (events.next()) {
     }
--- a/include/chicorylink/front/event_stream.hpp
+++ b/include/chicorylink/base/event_stream.hpp
@@ -1,12 +1,12 @@
-#ifndef CHICORYLINK_FRONT_EVENT_STREAM_HPP
-#define CHICORYLINK_FRONT_EVENT_STREAM_HPP
+#ifndef CHICORYLINK_BASE_EVENT_STREAM_HPP
+#define CHICORYLINK_BASE_EVENT_STREAM_HPP
 
 #include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace chicorylink::front {
+namespace chicorylink::base {
 
 /// @brief One whole server-sent event.
 struct stream_event {
@@ -42,6 +42,6 @@
     std::size_t m_read = 0;
 };
 
-} // namespace chicorylink::front
+} // namespace chicorylink::base
 
-#endif // CHICORYLINK_FRONT_EVENT_STREAM_HPP
+#endif // CHICORYLINK_BASE_EVENT_STREAM_HPP
--- /dev/null
+++ b/include/chicorylink/base/text.hpp
@@ -0,0 +1,22 @@
+#ifndef CHICORYLINK_BASE_TEXT_HPP
+#define CHICORYLINK_BASE_TEXT_HPP
+
+#include <string_view>
+
+namespace chicorylink::base {
+
+/// @brief A text without the spaces at its ends.
+[[nodiscard]] constexpr std::string_view trim_spaces(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && text.back() == ' ') {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+} // namespace chicorylink::base
+
+#endif // CHICORYLINK_BASE_TEXT_HPP
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -1,11 +1,11 @@
 #ifndef CHICORYLINK_FRONT_EXCHANGE_HPP
 #define CHICORYLINK_FRONT_EXCHANGE_HPP
 
+#include "chicorylink/base/event_stream.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/front/asked_request.hpp"
-#include "chicorylink/front/event_stream.hpp"
 #include "chicorylink/front/resolution.hpp"
 #include "chicorylink/front/upstream_call.hpp"
 
@@ -82,7 +82,7 @@
     void on_body(std::string_view piece);
     void on_answer_end();
     void on_failure(const upstream_failure& failure);
-    void take_event(const stream_event& event);
+    void take_event(const base::stream_event& event);
     void read_load(const message_head& head, base::time_point now);
     void flush_held(base::time_point now);
 
@@ -113,7 +113,7 @@
     fleet::attempt_end m_last_end = fleet::attempt_end::not_sent;
     std::vector<fleet::target_name> m_tried;
     std::vector<std::string> m_tried_peers;
-    event_stream m_events;
+    base::event_stream m_events;
     std::string m_last_event_id;
     base::time_point m_first_at{};
     /// The shortest wait anywhere, when it was too long.
--- a/include/chicorylink/gateway/sse_splitter.hpp
+++ b/include/chicorylink/gateway/sse_splitter.hpp
@@ -1,6 +1,8 @@
 #ifndef CHICORYLINK_GATEWAY_SSE_SPLITTER_HPP
 #define CHICORYLINK_GATEWAY_SSE_SPLITTER_HPP
 
+#include "chicorylink/base/event_stream.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,23 +16,23 @@
 class sse_splitter {
 public:
     /// The size at which an event without an end is refused.
-    static constexpr std::size_t max_event_bytes = 256UL * 1024;
+    static constexpr std::size_t max_event_bytes = base::event_stream::max_event_bytes;
 
     /// @brief Takes the next bytes.
     /// @return The events that are whole now, each with its closing blank line.
     std::vector<std::string> feed(std::string_view piece);
 
     /// @brief Whether bytes of an unfinished event are left.
-    [[nodiscard]] bool has_partial() const { return !m_partial.empty(); }
+    [[nodiscard]] bool has_partial() const { return m_events.has_partial(); }
 
     /// @brief Whether an event exceeded the size limit; nothing more is read then.
     [[nodiscard]] bool overflowed() const { return m_overflowed; }
 
     /// @brief Forgets the unfinished event.
-    void reset() { m_partial.clear(); }
+    void reset() { m_events.reset(); }
 
 private:
-    std::string m_partial;
+    base::event_stream m_events;
     bool m_overflowed = false;
 };
 
--- a/src/chicorylink/front/event_stream.cpp
+++ b/src/chicorylink/base/event_stream.cpp
@@ -1,8 +1,8 @@
-#include "chicorylink/front/event_stream.hpp"
+#include "chicorylink/base/event_stream.hpp"
 
 #include <algorithm>
 
-namespace chicorylink::front {
+namespace chicorylink::base {
 namespace {
 
 /// The position after the blank line that ends an event; npos when there is none.
@@ -64,4 +64,4 @@
     m_read = 0;
 }
 
-} // namespace chicorylink::front
+} // namespace chicorylink::base
--- a/src/chicorylink/fleet/prompt.cpp
+++ b/src/chicorylink/fleet/prompt.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/fleet/prompt.hpp"
 
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/text.hpp"
 
 #include <charconv>
 
@@ -17,17 +18,6 @@
     return value;
 }
 
-std::string_view trim(std::string_view text)
-{
-    while (!text.empty() && text.front() == ' ') {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && text.back() == ' ') {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 } // namespace
 
 std::optional<token_counts> parse_token_counts(std::string_view text)
@@ -36,8 +26,8 @@
     if (comma == std::string_view::npos) {
         return std::nullopt;
     }
-    const auto prompt_tokens = parse_count(trim(text.substr(0, comma)));
-    const auto answer_tokens = parse_count(trim(text.substr(comma + 1)));
+    const auto prompt_tokens = parse_count(base::trim_spaces(text.substr(0, comma)));
+    const auto answer_tokens = parse_count(base::trim_spaces(text.substr(comma + 1)));
     if (!prompt_tokens || !answer_tokens) {
         return std::nullopt;
     }
@@ -49,7 +39,7 @@
     std::vector<prompt_part> parts;
     auto chain = base::hash_name(model);
     while (!text.empty()) {
-        const auto entry = trim(text.substr(0, text.find(',')));
+        const auto entry = base::trim_spaces(text.substr(0, text.find(',')));
         const auto colon = entry.find(':');
         if (colon == std::string_view::npos) {
             break;
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/status_codes.hpp"
 
 #include <charconv>
 #include <utility>
@@ -22,10 +23,6 @@
 /// An idle connection is closed so long after its bound, since the other side measures too.
 constexpr base::milliseconds idle_margin{500};
 
-constexpr int bad_request = 400;
-constexpr int content_too_large = 413;
-constexpr int fields_too_large = 431;
-
 fleet::caller_limits limits_of(const front_core& core)
 {
     return core.state.config() ? core.state.config()->limits() : fleet::caller_limits{};
@@ -116,12 +113,12 @@
 
 void caller_connection::reject_unreadable()
 {
-    refusal why{bad_request, "malformed_request", std::nullopt};
+    refusal why{bad_request_status, "malformed_request", std::nullopt};
     if (m_parser->problem() == parse_problem::header_too_large) {
-        why = {fields_too_large, "head_too_large", std::nullopt};
+        why = {fields_too_large_status, "head_too_large", std::nullopt};
     }
     else if (m_parser->problem() == parse_problem::body_too_large) {
-        why = {content_too_large, "body_too_large", std::nullopt};
+        why = {content_too_large_status, "body_too_large", std::nullopt};
     }
     m_core.counters.add("unreadable_requests_total");
     write_log(m_core, log_event(m_core, "unreadable_request").add("reason", why.reason));
--- /dev/null
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -0,0 +1,193 @@
+#include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/front/caller_connection.hpp"
+#include "chicorylink/front/exchange.hpp"
+#include "chicorylink/front/forward_fields.hpp"
+#include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/status_codes.hpp"
+
+#include <utility>
+
+// The part of an exchange that reads an attempt's answer and passes it to the caller.
+
+namespace chicorylink::front {
+namespace {
+
+using fleet::attempt_end;
+using fleet::target_outcome;
+
+/// Bytes that may wait for a slow caller before no more of the answer is read.
+constexpr std::size_t unsent_limit = 256UL * 1024;
+
+} // namespace
+
+void exchange::read_load(const message_head& head, base::time_point now)
+{
+    const auto* text = find_field(head.fields, m_core.protocol.names.load);
+    if (text == nullptr || m_attempt->target.empty()) {
+        return;
+    }
+    // `RUNNING,WAITING,SLOTS`: the first two read like token counts.
+    const auto second_comma = text->find(',', text->find(',') + 1);
+    const auto load = fleet::parse_token_counts(std::string_view{*text}.substr(0, second_comma));
+    if (load) {
+        m_core.pool.on_load(m_attempt->target, load->prompt_tokens, load->answer_tokens, now);
+    }
+}
+
+void exchange::on_head(const message_head& head)
+{
+    const auto now = base::boot_now();
+    const auto& names = m_core.protocol.names;
+    auto& running = *m_attempt;
+    running.has_head = true;
+    running.head = head;
+    running.last_sign = now;
+    m_core.pool.on_sign(running.target, now);
+    read_load(head, now);
+    const auto* peer_outcome =
+        running.target.empty() ? find_field(head.fields, outcome_field) : nullptr;
+    if (peer_outcome != nullptr) {
+        running.call->discard();
+        end_attempt(*peer_outcome == outcome_not_run ? attempt_end::rejected : attempt_end::unknown,
+                    target_outcome::broken, "the other VM has no answer", now);
+        return;
+    }
+    if (head.status == misdirected_status || find_field(head.fields, names.not_run) != nullptr) {
+        if (head.status == misdirected_status && !running.target.empty()) {
+            m_core.pool.on_displaced(running.target);
+            m_core.connections.drop(running.address);
+        }
+        running.call->discard();
+        end_attempt(attempt_end::rejected, target_outcome::shed,
+                    head.status == misdirected_status ? "another target has the address"
+                                                      : "the target rejected it",
+                    now);
+        return;
+    }
+    const bool is_signed = find_field(head.fields, names.signature) != nullptr;
+    const bool is_coded = find_field(head.fields, "Content-Encoding") != nullptr;
+    if (is_coded || (!is_signed && head.status < first_error_status) ||
+        (!is_signed && head.status >= first_server_error_status)) {
+        running.call->cancel();
+        end_attempt(attempt_end::unknown, target_outcome::broken, "not a target's answer", now);
+        return;
+    }
+    if (m_answer_begun && head.status >= first_error_status) {
+        // A stream can't be continued by a failure.
+        running.call->discard();
+        end_attempt(attempt_end::unknown, target_outcome::server_error,
+                    "the continuation of the stream failed", now);
+    }
+}
+
+void exchange::on_body(std::string_view piece)
+{
+    const auto now = base::boot_now();
+    m_attempt->last_sign = now;
+    m_core.pool.on_sign(m_attempt->target, now);
+    if (!is_stream() || m_attempt->head.status >= first_error_status) {
+        m_attempt->held_body.append(piece);
+        if (m_attempt->held_body.size() > unsent_limit) {
+            flush_held(now);
+        }
+        return;
+    }
+    m_events.feed(piece);
+    while (const auto event = m_events.next()) {
+        take_event(*event);
+    }
+    if (m_events.overflowed()) {
+        m_attempt->call->cancel();
+        end_attempt(attempt_end::unknown, target_outcome::broken, "an event has no end", now);
+        return;
+    }
+    if (m_caller != nullptr && m_caller->unsent() > unsent_limit && !m_paused) {
+        m_paused = true;
+        m_attempt->call->pause_reading();
+    }
+}
+
+void exchange::take_event(const base::stream_event& event)
+{
+    if (m_caller == nullptr) {
+        return;
+    }
+    if (!m_answer_begun) {
+        const auto now = base::boot_now();
+        m_first_at = now;
+        m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
+        m_attempt->unread_tokens = 0;
+        begin_answer(m_attempt->head, std::nullopt);
+        m_history.has_begun = true;
+    }
+    m_caller->send_body(event.bytes);
+    if (!event.id.empty()) {
+        m_last_event_id = event.id;
+    }
+}
+
+void exchange::begin_answer(const message_head& head, std::optional<std::uint64_t> length)
+{
+    auto fields = head.fields;
+    remove_hop_fields(fields);
+    remove_fields(fields, outcome_field);
+    m_answer_begun = true;
+    m_caller->begin_answer(head.status, head.reason, fields, length);
+}
+
+void exchange::flush_held(base::time_point now)
+{
+    if (!m_answer_begun) {
+        m_first_at = now;
+        m_history.has_begun = true;
+        begin_answer(m_attempt->head, m_attempt->head.content_length);
+    }
+    m_caller->send_body(std::exchange(m_attempt->held_body, {}));
+}
+
+void exchange::on_answer_end()
+{
+    const auto now = base::boot_now();
+    if (is_stream() && m_events.has_partial()) {
+        end_attempt(attempt_end::unknown, target_outcome::broken,
+                    "the stream ended within an event", now);
+        return;
+    }
+    const auto status = m_attempt->head.status;
+    const bool failed = status >= first_server_error_status;
+    if (failed && !m_answer_begun) {
+        end_attempt(attempt_end::failed, target_outcome::server_error, "the target failed", now);
+        return;
+    }
+    pass_held_answer(now);
+}
+
+void exchange::pass_held_answer(base::time_point now)
+{
+    const auto status = m_attempt->head.status;
+    const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
+    if (status < first_server_error_status) {
+        m_core.pool.on_outcome(m_attempt->target, target_outcome::answered, took, now);
+    }
+    if (!m_answer_begun) {
+        m_first_at = now;
+        begin_answer(m_attempt->head, m_attempt->held_body.size());
+    }
+    m_caller->send_body(m_attempt->held_body);
+    auto* caller = std::exchange(m_caller, nullptr);
+    finish("answered", status, {}, now);
+    caller->end_answer();
+}
+
+void exchange::on_failure(const upstream_failure& failure)
+{
+    const auto now = base::boot_now();
+    if (failure.may_have_arrived) {
+        m_core.connections.drop(m_attempt->address);
+    }
+    end_attempt(failure.may_have_arrived ? attempt_end::unknown : attempt_end::not_sent,
+                failure.may_have_arrived ? target_outcome::broken : target_outcome::unreachable,
+                failure.detail, now);
+}
+
+} // namespace chicorylink::front
--- /dev/null
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -0,0 +1,232 @@
+#include "chicorylink/base/ids.hpp"
+#include "chicorylink/front/exchange.hpp"
+#include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/request_bytes.hpp"
+#include "chicorylink/front/retry_times.hpp"
+#include "chicorylink/front/status_codes.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include <fmt/format.h>
+
+// The part of an exchange that decides where a request goes and sends it.
+
+namespace chicorylink::front {
+namespace {
+
+/// A connection within a region is there after about two round trips; longer means that the
+/// opening packet was dropped, and its repetition comes after a second.
+constexpr base::milliseconds near_connect_limit{300};
+/// The same between regions, for a loaded link.
+constexpr base::milliseconds far_connect_limit{800};
+
+/// One more than the largest hash.
+constexpr double hash_range = 18446744073709551616.0;
+
+} // namespace
+
+std::optional<refusal> exchange::check(base::time_point now)
+{
+    const auto& names = m_core.protocol.names;
+    auto found = resolve(m_core.state.config(), m_asked, names);
+    if (const auto* refused = std::get_if<refusal>(&found)) {
+        return *refused;
+    }
+    m_resolved = std::get<resolved_request>(found);
+    if (m_resolved.team != nullptr && !keys_are_fresh(m_core, now)) {
+        return refusal{unavailable_status, "configuration_not_confirmed", not_ready_retry_after};
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> exchange::check_quota(base::time_point now)
+{
+    if (m_asked.from_peer() || m_resolved.team == nullptr || m_charged ||
+        m_core.quota.has_room(*m_resolved.team, now)) {
+        return std::nullopt;
+    }
+    return refusal{too_many_requests_status, "quota",
+                   retry_after(m_core.quota.room_in(*m_resolved.team, now))};
+}
+
+fleet::region_request exchange::needs(base::time_point now) const
+{
+    return {m_resolved.service->is_engine, m_prompt ? m_prompt->prompt_tokens : 0,
+            m_resolved.route->latency_objective, time_left(now), m_is_return};
+}
+
+bool exchange::may_use(const fleet::tracked_target& target, base::time_point now) const
+{
+    const auto& service = *m_resolved.service;
+    if (fleet::may_be_cold(target, now) && service.cold_requests_per_second > 0) {
+        const auto ips = m_core.members.region_ips(now);
+        if (!fleet::is_cold_sender(target.entry.name, m_core.settings.self.ip, ips) ||
+            !m_core.cold.allows(target.entry.name, service.cold_requests_per_second, now)) {
+            return false;
+        }
+    }
+    if (service.max_connections == 0 || m_core.connections.has_kept(target.entry.address)) {
+        return true;
+    }
+    const auto sharers = std::max<std::size_t>(1, m_core.members.region_ips(now).size());
+    return m_core.connections.open_count(target.entry.address) <
+           std::max<std::size_t>(1, service.max_connections / sharers);
+}
+
+std::optional<fleet::placement_choice> exchange::choose_here(base::time_point now) const
+{
+    if (!fleet::may_run_in(*m_resolved.route, m_resolved.team, m_core.settings.self.region)) {
+        return std::nullopt;
+    }
+    fleet::placement_request request;
+    request.service = m_resolved.service->name;
+    request.asked = m_prompt ? &*m_prompt : nullptr;
+    request.spread = base::hash_name(m_asked.id);
+    request.sharers = m_core.members.region_ips(now).size();
+    request.tried = m_tried;
+    request.may_use = [&](const fleet::tracked_target& target) { return may_use(target, now); };
+    return fleet::choose_target(m_core.pool, request, now);
+}
+
+std::vector<fleet::remote_region> exchange::choices_elsewhere(base::time_point now) const
+{
+    if (m_asked.from_peer()) {
+        return {};
+    }
+    auto regions = fleet::remote_regions(m_core.news, m_resolved.service->name, m_core.remote, now);
+    for (const auto& region : region_names(m_core.settings)) {
+        if (region != m_core.settings.self.region && !m_core.news.knows(region, now)) {
+            regions.push_back(fleet::region_without_news(region));
+        }
+    }
+    std::erase_if(regions, [&](const fleet::remote_region& other) {
+        return !fleet::may_run_in(*m_resolved.route, m_resolved.team, other.region) ||
+               peer_in(other.region, now).empty();
+    });
+    return regions;
+}
+
+std::string exchange::peer_in(const fleet::region_name& region, base::time_point now) const
+{
+    // Weighted rendezvous hashing: a VM gets requests in proportion to its capacity.
+    std::string best;
+    double best_weight = 0;
+    const auto key = base::hash_name(m_asked.id);
+    for (const auto& [ip, who] : m_core.members.members()) {
+        if (who.region != region || !fleet::roster::takes_requests(who, now) ||
+            std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) != m_tried_peers.end()) {
+            continue;
+        }
+        const auto bits = base::hash_pair(key, base::hash_name(ip));
+        const double point = (static_cast<double>(bits) + 1) / hash_range;
+        const double weight = -static_cast<double>(who.capacity.value() + 1) / std::log(point);
+        if (best.empty() || weight > best_weight) {
+            best = ip;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+void exchange::dispatch(base::time_point now)
+{
+    const auto here = choose_here(now);
+    const auto where = fleet::choose_place(here, choices_elsewhere(now), needs(now));
+    switch (where.kind) {
+    case fleet::place_kind::here:
+        send_to_target(*here, now);
+        return;
+    case fleet::place_kind::elsewhere:
+        send_to_peer(where, peer_in(where.region, now), now);
+        return;
+    case fleet::place_kind::nowhere:
+        break;
+    }
+    if (m_history.arrivals > 0 || m_history.has_begun) {
+        carry_out(fleet::give_up(m_history, m_last_end), "no target left", now);
+        return;
+    }
+    const bool any = where.wait != base::milliseconds::max();
+    if (any) {
+        m_refused_wait = where.wait;
+    }
+    refuse({unavailable_status, any ? "too_much_waiting" : "no_target",
+            retry_after(any ? where.wait - longest_wait(needs(now)) : not_ready_retry_after)},
+           now);
+}
+
+void exchange::send_to_target(const fleet::placement_choice& choice, base::time_point now)
+{
+    attempt next;
+    next.target = choice.target;
+    next.address = choice.address;
+    next.region = m_core.settings.self.region;
+    next.unread_tokens = choice.unread_tokens;
+    next.expected_wait = choice.wait;
+    m_attempt = std::move(next);
+    m_tried.push_back(choice.target);
+    m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
+    const auto* target = m_core.pool.find(choice.target);
+    if (target != nullptr && fleet::may_be_cold(*target, now)) {
+        m_core.cold.note_sent(choice.target, now);
+    }
+    send(bytes_for_target(m_asked, m_resolved, choice.target.text(),
+                          {time_left(now), m_last_event_id}, m_core.protocol.names),
+         near_connect_limit, now);
+}
+
+void exchange::send_to_peer(const fleet::place& where, const std::string& ip, base::time_point now)
+{
+    attempt next;
+    next.address = fmt::format("{}:{}", ip, m_core.settings.peer_port);
+    next.region = where.region;
+    next.expected_wait = where.wait;
+    m_attempt = std::move(next);
+    m_tried_peers.push_back(ip);
+    const auto way = where.round_trip / 2;
+    m_core.remote.note(where.region, m_resolved.service->name,
+                       m_prompt ? m_prompt->prompt_tokens : 0, now);
+    send(bytes_for_peer(m_asked, m_resolved,
+                        {std::max(base::milliseconds{1}, time_left(now) - way), m_last_event_id},
+                        m_core.protocol.names),
+         far_connect_limit, now);
+}
+
+void exchange::note_sent(base::time_point now)
+{
+    if (!m_charged && !m_asked.from_peer() && m_resolved.team != nullptr) {
+        std::optional<std::uint64_t> tokens;
+        if (m_prompt) {
+            tokens = std::uint64_t{m_prompt->prompt_tokens} + m_prompt->answer_tokens;
+        }
+        m_core.quota.charge(*m_resolved.team, fleet::units_of(m_resolved.team->limit, tokens), now);
+    }
+    m_charged = true;
+}
+
+void exchange::send(std::string bytes, base::milliseconds connect_limit, base::time_point now)
+{
+    note_sent(now);
+    ++m_sends;
+    upstream_request request;
+    request.address = m_attempt->address;
+    request.bytes = std::move(bytes);
+    request.request_id = m_asked.id;
+    request.request_id_field = m_core.protocol.names.request_id;
+    request.connect_limit = std::min(connect_limit, time_left(now));
+    m_attempt->sent_at = now;
+    m_attempt->last_sign = now;
+    m_attempt->call = std::make_shared<upstream_call>(m_core.connections, std::move(request));
+    m_attempt->call->start(
+        {[self = shared_from_this()](const message_head& head) { self->on_head(head); },
+         [self = shared_from_this()](std::string_view piece) { self->on_body(piece); },
+         [self = shared_from_this()] { self->on_answer_end(); },
+         [self = shared_from_this()](const upstream_failure& failure) {
+             self->on_failure(failure);
+         }},
+        now);
+}
+
+} // namespace chicorylink::front
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -4,6 +4,7 @@
 #include "chicorylink/front/endpoint.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/item_copy.hpp"
+#include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -35,8 +36,6 @@
 /// VMs of the caller's own.
 constexpr base::milliseconds acquaintance_time{2500};
 
-constexpr int unavailable = 503;
-
 base::result<tcp::acceptor> open_acceptor(boost::asio::io_context& loop, const std::string& address)
 {
     const auto endpoint = parse_endpoint(address);
@@ -293,9 +292,9 @@
 {
     const auto state = readiness_of(m_core, base::boot_now());
     if (head.target.substr(0, head.target.find('?')) != m_core.protocol.ready_path) {
-        return {404, "text/plain", "not found\n"};
+        return {not_found_status, "text/plain", "not found\n"};
     }
-    return {state == readiness::ready ? 200 : unavailable, "text/plain",
+    return {state == readiness::ready ? 200 : unavailable_status, "text/plain",
             fmt::format("{}\n", to_string(state))};
 }
 
@@ -341,12 +340,12 @@
 {
     const auto question = m_core.protocol.read_directory_question(head.target);
     if (!question) {
-        return {404, "text/plain", "not found\n"};
+        return {not_found_status, "text/plain", "not found\n"};
     }
     const auto addresses = addresses_for(*question);
     if (addresses.empty()) {
         m_core.counters.add("directory_empty_total");
-        return {unavailable, "text/plain", "no VM is ready\n"};
+        return {unavailable_status, "text/plain", "no VM is ready\n"};
     }
     return {200, "application/json",
             m_core.protocol.directory_answer(addresses, directory_lifetime)};
@@ -365,7 +364,7 @@
         }
         return {200, "application/msgpack", encode(copy)};
     }
-    return {404, "text/plain", "not found\n"};
+    return {not_found_status, "text/plain", "not found\n"};
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/message_head.cpp
+++ b/src/chicorylink/front/message_head.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/front/message_head.hpp"
 
+#include "chicorylink/base/text.hpp"
+
 #include <algorithm>
 #include <array>
 #include <ostream>
@@ -23,15 +25,9 @@
         }
         std::string_view rest = field.value;
         while (!rest.empty()) {
-            auto name = rest.substr(0, rest.find(','));
+            const auto name = rest.substr(0, rest.find(','));
             rest.remove_prefix(std::min(rest.size(), name.size() + 1));
-            while (!name.empty() && name.front() == ' ') {
-                name.remove_prefix(1);
-            }
-            while (!name.empty() && name.back() == ' ') {
-                name.remove_suffix(1);
-            }
-            names.emplace_back(name);
+            names.emplace_back(base::trim_spaces(name));
         }
     }
     return names;
--- a/src/chicorylink/front/resolution.cpp
+++ b/src/chicorylink/front/resolution.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/front/resolution.hpp"
 
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/front/status_codes.hpp"
 
 #include <charconv>
 #include <string>
@@ -8,11 +9,6 @@
 namespace chicorylink::front {
 namespace {
 
-constexpr int bad_request = 400;
-constexpr int unauthorized = 401;
-constexpr int not_found = 404;
-constexpr int unavailable = 503;
-
 /// A VM that lags behind its peers or has just started catches up within about this time.
 constexpr base::milliseconds catch_up_time{400};
 
@@ -50,7 +46,7 @@
                 std::string_view reason)
 {
     if (is_behind(config, asked)) {
-        return refusal{unavailable, "configuration_behind", catch_up_time};
+        return refusal{unavailable_status, "configuration_behind", catch_up_time};
     }
     return refusal{status, reason, std::nullopt};
 }
@@ -61,30 +57,30 @@
                    const asked_request& asked, const wire_names& names)
 {
     if (!config) {
-        return refusal{unavailable, "no_configuration", catch_up_time};
+        return refusal{unavailable_status, "no_configuration", catch_up_time};
     }
     if (asked.id.empty()) {
-        return refusal{bad_request, "no_request_id", std::nullopt};
+        return refusal{bad_request_status, "no_request_id", std::nullopt};
     }
     resolved_request found;
     found.config = config;
     found.route = route_of(*config, asked.head);
     if (found.route == nullptr || found.route->services.empty()) {
-        return deny(*config, asked, not_found, "no_route");
+        return deny(*config, asked, not_found_status, "no_route");
     }
     found.priority = found.route->priority;
     const auto* key = find_field(asked.head.fields, names.key);
     if (!found.route->is_public && !config->teams().empty()) {
         found.team = key == nullptr ? nullptr : config->team_of_key(*key);
         if (found.team == nullptr) {
-            return deny(*config, asked, unauthorized, "unknown_key");
+            return deny(*config, asked, unauthorized_status, "unknown_key");
         }
         found.priority = found.team->priority.value_or(found.priority);
     }
     const auto& service = fleet::pick_service(*found.route, base::hash_name(asked.id));
     found.service = config->find_service(service);
     if (found.service == nullptr) {
-        return refusal{unavailable, "unknown_service", catch_up_time};
+        return refusal{unavailable_status, "unknown_service", catch_up_time};
     }
     return found;
 }
--- a/src/chicorylink/gateway/credentials.cpp
+++ b/src/chicorylink/gateway/credentials.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/gateway/credentials.hpp"
 
+#include "chicorylink/base/text.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -22,17 +24,6 @@
     return lowered;
 }
 
-std::string_view trim(std::string_view text)
-{
-    while (!text.empty() && text.front() == ' ') {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && text.back() == ' ') {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 void add_key(std::vector<std::string>& keys, std::string_view key)
 {
     if (!key.empty() && std::find(keys.begin(), keys.end(), key) == keys.end()) {
@@ -46,7 +37,7 @@
 {
     while (!list.empty()) {
         const auto item = list.substr(0, list.find(separator));
-        const auto trimmed = trim(item);
+        const auto trimmed = base::trim_spaces(item);
         const auto equals = trimmed.find('=');
         const auto value =
             equals == std::string_view::npos ? std::string_view{} : trimmed.substr(equals + 1);
@@ -64,10 +55,10 @@
                         std::string_view value)
 {
     if (name == "authorization" && lower_case(value).starts_with(bearer_scheme)) {
-        add_key(keys, trim(value.substr(bearer_scheme.size())));
+        add_key(keys, base::trim_spaces(value.substr(bearer_scheme.size())));
     }
     if (name == "x-api-key") {
-        add_key(keys, trim(value));
+        add_key(keys, base::trim_spaces(value));
     }
     if (name == "cookie") {
         for_each_item(value, ';', [&](auto item_name, auto item_value, auto) {
--- a/src/chicorylink/gateway/sse_splitter.cpp
+++ b/src/chicorylink/gateway/sse_splitter.cpp
@@ -7,20 +7,6 @@
 
 constexpr std::string_view data_field = "data:";
 
-/// The position after the blank line that ends an event; npos when there is none.
-std::size_t end_of_event(std::string_view text)
-{
-    const auto unix_end = text.find("\n\n");
-    const auto network_end = text.find("\r\n\r\n");
-    if (unix_end == std::string_view::npos && network_end == std::string_view::npos) {
-        return std::string_view::npos;
-    }
-    if (unix_end < network_end) {
-        return unix_end + 2;
-    }
-    return network_end + 4;
-}
-
 } // namespace
 
 std::vector<std::string> sse_splitter::feed(std::string_view piece)
@@ -29,16 +15,11 @@
     if (m_overflowed) {
         return events;
     }
-    m_partial.append(piece);
-    std::size_t begin = 0;
-    std::string_view rest = m_partial;
-    for (auto end = end_of_event(rest); end != std::string_view::npos; end = end_of_event(rest)) {
-        events.emplace_back(rest.substr(0, end));
-        rest.remove_prefix(end);
-        begin += end;
+    m_events.feed(piece);
+    while (const auto event = m_events.next()) {
+        events.emplace_back(event->bytes);
     }
-    m_partial.erase(0, begin);
-    m_overflowed = m_partial.size() > max_event_bytes;
+    m_overflowed = m_events.overflowed();
     return events;
 }
 
