--- a/process_tests/front_test.cpp
+++ b/process_tests/front_test.cpp
@@ -152,7 +152,7 @@
             ASSERT_TRUE(wait_until([at = ip] { return ready(at); }, seconds{10})) << ip;
         }
         ASSERT_TRUE(wait_until(
-            [this] {
+            [] {
                 return directory("127.0.1.1", "west") ==
                        nlohmann::json::array({"127.0.1.3:" + std::to_string(callers_port)});
             },
@@ -397,8 +397,10 @@
     m_east.work_ms = 700;
     std::atomic<bool> stop{false};
     std::atomic<int> unanswered{0};
+    constexpr int callers_at_once = 8;
     std::vector<std::thread> callers;
-    for (int number = 0; number < 8; ++number) {
+    callers.reserve(callers_at_once);
+    for (int number = 0; number < callers_at_once; ++number) {
         callers.emplace_back([&, number] {
             connection open;
             for (int turn = 0; !stop; ++turn) {
