front: one look-up of the region's VMs a request, dead names out, handlers outlive their call

Cause, from a read of the whole change: the list of the region's VMs was built once or twice for each target of a request; a handler of an upstream call that gives the call up destroyed itself while it ran; a setting, two header names and four functions or fields had no reader. Change: the list is passed on; the handler is copied before it is called, as the channel does; what nobody reads is removed.

--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -45,9 +45,6 @@
     double cost = 0;
 };
 
-/// @brief How long new work waits at a target before it begins.
-[[nodiscard]] base::milliseconds expected_wait(const tracked_target& target, base::time_point now);
-
 /// @brief Chooses the target where a request is expected to begin first.
 ///
 /// The parts of a session are kept together: its place by rendezvous hash is taken to hold them,
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -52,9 +52,6 @@
     void on_load(const target_name& name, std::uint32_t running, std::uint32_t waiting,
                  base::time_point now);
 
-    /// @brief The target itself told how long it stays cold.
-    void on_cold(const target_name& name, base::milliseconds left, base::time_point now);
-
     /// @brief Another target answered at its address.
     void on_displaced(const target_name& name);
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -56,7 +56,6 @@
         base::time_point last_sign{};
         std::uint32_t unread_tokens = 0;
         base::milliseconds expected_wait{0};
-        bool has_head = false;
         message_head head;
         std::string held_body;
         /// Whether the target's work was taken back from the pool.
@@ -71,7 +70,10 @@
     [[nodiscard]] std::vector<fleet::remote_region> choices_elsewhere(base::time_point now) const;
     [[nodiscard]] std::string peer_in(const fleet::region_name& region, base::time_point now) const;
     [[nodiscard]] fleet::region_request needs(base::time_point now) const;
-    [[nodiscard]] bool may_use(const fleet::tracked_target& target, base::time_point now) const;
+    /// @param region_ips The live VMs of this region, which share its targets.
+    [[nodiscard]] bool may_use(const fleet::tracked_target& target,
+                               const std::vector<std::string>& region_ips,
+                               base::time_point now) const;
     void send_to_target(const fleet::placement_choice& choice, base::time_point now);
     void send_to_peer(const fleet::place& where, const std::string& ip, base::time_point now);
     void send(std::string bytes, base::milliseconds connect_limit, base::time_point now);
--- a/include/chicorylink/front/front_settings.hpp
+++ b/include/chicorylink/front/front_settings.hpp
@@ -19,8 +19,6 @@
     base::milliseconds key_withdrawal{5000};
     /// The time from the signal to stop to the end of the process.
     base::milliseconds stop_time{8000};
-    /// The longest time for which callers keep an answer of the directory.
-    base::milliseconds directory_lifetime{5000};
     fleet::retry_bound retries;
 };
 
--- a/include/chicorylink/front/upstream_call.hpp
+++ b/include/chicorylink/front/upstream_call.hpp
@@ -15,8 +15,6 @@
 struct upstream_failure {
     /// Whether a byte of the request may have reached the other side.
     bool may_have_arrived = false;
-    /// Whether the failed connection was a kept one.
-    bool on_kept_connection = false;
     std::string detail;
 };
 
@@ -65,7 +63,6 @@
 
     /// @brief Whether bytes of the request may have been sent.
     [[nodiscard]] bool may_have_arrived() const { return m_sent; }
-    [[nodiscard]] bool used_kept_connection() const { return m_kept; }
 
 private:
     void use(std::shared_ptr<tcp_channel> channel);
@@ -86,7 +83,6 @@
     std::shared_ptr<tcp_channel> m_channel;
     std::unique_ptr<message_parser> m_parser;
     bool m_sent = false;
-    bool m_kept = false;
     bool m_head_delivered = false;
     bool m_is_discarded = false;
     bool m_is_over = false;
--- a/include/chicorylink/front/wire_names.hpp
+++ b/include/chicorylink/front/wire_names.hpp
@@ -25,14 +25,10 @@
     std::string team;
     /// The run of a target that a request is meant for.
     std::string expected_target;
-    /// The run of the target that answers.
-    std::string answering_target;
     /// Running and waiting requests and slots of the answering target.
     std::string load;
     /// Present when a target states that it did not run the request.
     std::string not_run;
-    /// How long the answering target stays cold, in milliseconds.
-    std::string cold_ms;
     /// Urgency of a request at a target, 0 first.
     std::string priority;
     /// A caller's key.
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -154,11 +154,6 @@
 
 } // namespace
 
-base::milliseconds expected_wait(const tracked_target& target, base::time_point now)
-{
-    return base::milliseconds{static_cast<std::int64_t>(wait_ms(target, now))};
-}
-
 std::optional<placement_choice>
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now)
 {
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -198,13 +198,6 @@
     }
 }
 
-void target_pool::on_cold(const target_name& name, base::milliseconds left, base::time_point now)
-{
-    if (auto* target = find_mutable(name)) {
-        target->cold_until = now + left;
-    }
-}
-
 void target_pool::on_displaced(const target_name& name)
 {
     if (auto* target = find_mutable(name)) {
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -39,7 +39,6 @@
     const auto now = base::boot_now();
     const auto& names = m_core.protocol.names;
     auto& running = *m_attempt;
-    running.has_head = true;
     running.head = head;
     running.last_sign = now;
     m_core.pool.on_sign(running.target, now);
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -57,12 +57,12 @@
             m_resolved.route->latency_objective, time_left(now), m_is_return};
 }
 
-bool exchange::may_use(const fleet::tracked_target& target, base::time_point now) const
+bool exchange::may_use(const fleet::tracked_target& target,
+                       const std::vector<std::string>& region_ips, base::time_point now) const
 {
     const auto& service = *m_resolved.service;
     if (fleet::may_be_cold(target, now) && service.cold_requests_per_second > 0) {
-        const auto ips = m_core.members.region_ips(now);
-        if (!fleet::is_cold_sender(target.entry.name, m_core.settings.self.ip, ips) ||
+        if (!fleet::is_cold_sender(target.entry.name, m_core.settings.self.ip, region_ips) ||
             !m_core.cold.allows(target.entry.name, service.cold_requests_per_second, now)) {
             return false;
         }
@@ -70,9 +70,8 @@
     if (service.max_connections == 0 || m_core.connections.has_kept(target.entry.address)) {
         return true;
     }
-    const auto sharers = std::max<std::size_t>(1, m_core.members.region_ips(now).size());
     return m_core.connections.open_count(target.entry.address) <
-           std::max<std::size_t>(1, service.max_connections / sharers);
+           std::max<std::size_t>(1, service.max_connections / region_ips.size());
 }
 
 std::optional<fleet::placement_choice> exchange::choose_here(base::time_point now) const
@@ -80,13 +79,16 @@
     if (!fleet::may_run_in(*m_resolved.route, m_resolved.team, m_core.settings.self.region)) {
         return std::nullopt;
     }
+    const auto region_ips = m_core.members.region_ips(now);
     fleet::placement_request request;
     request.service = m_resolved.service->name;
     request.asked = m_prompt ? &*m_prompt : nullptr;
     request.spread = base::hash_name(m_asked.id);
-    request.sharers = m_core.members.region_ips(now).size();
+    request.sharers = region_ips.size();
     request.tried = m_tried;
-    request.may_use = [&](const fleet::tracked_target& target) { return may_use(target, now); };
+    request.may_use = [&](const fleet::tracked_target& target) {
+        return may_use(target, region_ips, now);
+    };
     return fleet::choose_target(m_core.pool, request, now);
 }
 
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -54,7 +54,6 @@
     m_handlers = std::move(to);
     new_parser();
     if (auto kept = m_pool.take_kept(m_request.address, m_request.max_idle, now)) {
-        m_kept = true;
         use(std::move(kept));
         return;
     }
@@ -130,8 +129,9 @@
         }
         if (!m_head_delivered) {
             m_head_delivered = true;
-            if (m_handlers.on_head) {
-                m_handlers.on_head(m_parser->head());
+            // The handler may give the call up, which clears the handlers while it runs.
+            if (const auto on_head = m_handlers.on_head) {
+                on_head(m_parser->head());
             }
             continue;
         }
@@ -143,8 +143,9 @@
 void upstream_call::deliver_body()
 {
     const auto body = m_parser->take_body();
-    if (!body.empty() && m_handlers.on_body) {
-        m_handlers.on_body(body);
+    const auto on_body = m_handlers.on_body;
+    if (!body.empty() && on_body) {
+        on_body(body);
     }
     if (m_is_over) {
         return;
@@ -202,7 +203,7 @@
     }
     const auto to = std::exchange(m_handlers, {});
     if (to.on_failure) {
-        to.on_failure({m_sent, m_kept, std::move(detail)});
+        to.on_failure({m_sent, std::move(detail)});
     }
 }
 
