process_tests: what a call and an event cost beside a bare relay

The daemon's cost a call and a stream event was only known from the users' bench. relay_figures starts chicorylink-front and bare_relay, a single thread that copies bytes, before the same target and callers, and fits processor time over answers of 4, 64 and 256 events. The set-up of front_test moves into support/front_fleet, which both use; wait_until is the one of support/fleet.

--- a/process_tests/front_test.cpp
+++ b/process_tests/front_test.cpp
@@ -1,16 +1,15 @@
 // Daemons of the users' platform as separate processes, between a stand-in store and targets.
 
 #include "child_process.hpp"
+#include "fleet.hpp"
+#include "front_fleet.hpp"
 #include "http_call.hpp"
 #include "stand_ins/http_server.hpp"
-#include "stand_ins/published_store.hpp"
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,21 +28,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Bounds of the platform's pages for its smallest deployment.
+/// How soon a change must be in force, by the platform's pages for its smallest deployment.
 constexpr milliseconds change_bound{3000};
-constexpr milliseconds withdrawal_bound{5000};
-
-bool wait_until(const std::function<bool()>& condition, milliseconds longest)
-{
-    const auto end = std::chrono::steady_clock::now() + longest;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end) {
-            return false;
-        }
-        std::this_thread::sleep_for(milliseconds{20});
-    }
-    return true;
-}
 
 /// A target that signs its answers and counts what it ran.
 class signing_target {
@@ -132,150 +118,49 @@
     stand_ins::http_server m_server;
 };
 
+std::string binaries_folder()
+{
+    const char* binaries = std::getenv("CHICORYLINK_BINARIES");
+    return binaries == nullptr ? "." : binaries;
+}
+
 /// Two regions, `east` with two VMs and `west` with one; a target in each.
 class front : public testing::Test {
 protected:
     void SetUp() override
     {
-        const char* binaries = std::getenv("CHICORYLINK_BINARIES");
-        m_program = fmt::format("{}/bin/chicorylink-front", binaries == nullptr ? "." : binaries);
-        m_folder = std::filesystem::temp_directory_path() /
-                   fmt::format("chicorylink_front_{}", ::getpid());
-        std::filesystem::create_directories(m_folder);
-        publish_config(1, {"secret"});
-        publish(m_east, "east-a");
-        publish(m_west, "west-a");
-        start("127.0.1.1", "east");
-        start("127.0.1.2", "east");
-        start("127.0.1.3", "west");
-        for (const auto& [ip, process] : m_vms) {
-            ASSERT_TRUE(wait_until([at = ip] { return ready(at); }, seconds{10})) << ip;
+        m_fleet.publish_config(1, {"secret"});
+        m_fleet.publish_target(m_east.name(), m_east.address(), "east-a");
+        m_fleet.publish_target(m_west.name(), m_west.address(), "west-a");
+        m_fleet.start("127.0.1.1", "east");
+        m_fleet.start("127.0.1.2", "east");
+        m_fleet.start("127.0.1.3", "west");
+        for (const auto& [ip, process] : m_fleet.vms()) {
+            ASSERT_TRUE(wait_until([at = ip] { return is_ready(at); }, seconds{10})) << ip;
         }
         ASSERT_TRUE(wait_until(
             [] {
                 return directory("127.0.1.1", "west") ==
-                       nlohmann::json::array({"127.0.1.3:" + std::to_string(callers_port)});
+                       nlohmann::json::array(
+                           {fmt::format("127.0.1.3:{}", front_fleet::callers_port)});
             },
             seconds{5}));
     }
 
-    void TearDown() override
-    {
-        m_vms.clear();
-        std::filesystem::remove_all(m_folder);
-    }
-
-    static constexpr int callers_port = 21821;
-    static constexpr int ready_port = 21824;
-    static constexpr int directory_port = 21820;
-    static constexpr int control_port = 21829;
-    static constexpr int peer_port = 21760;
-
-    void start(const std::string& ip, const std::string& region)
-    {
-        const auto file = m_folder / (ip + ".json");
-        const auto at = [&](int port) { return fmt::format("{}:{}", ip, port); };
-        const nlohmann::json settings{{"node", "vm-" + ip},
-                                      {"ip", ip},
-                                      {"zone", region + "-a"},
-                                      {"region", region},
-                                      {"internalPorts", {peer_port, peer_port + 15}},
-                                      {"seedAddrs", {fmt::format("127.0.1.1:{}", control_port)}},
-                                      {"zones", {{"east-a", "east"}, {"west-a", "west"}}},
-                                      {"listen",
-                                       {{"front", at(callers_port)},
-                                        {"ready", at(ready_port)},
-                                        {"control", at(control_port)},
-                                        {"directory", at(directory_port)}}},
-                                      {"bounds",
-                                       {{"revokeMs", withdrawal_bound.count()},
-                                        {"graceS", 8},
-                                        {"retryBudgetRatio", 0.2},
-                                        {"budgetSlack", 58},
-                                        {"budgetWindowS", 10}}},
-                                      {"platform", {{"address", m_store.address()}}}};
-        std::ofstream(file) << settings.dump();
-        ::setenv("CHICORYLINK_BOOT", file.c_str(), 1);
-        m_vms.insert_or_assign(
-            ip, std::make_unique<child_process>(std::vector{m_program},
-                                                (m_folder / (ip + ".log")).string()));
-    }
-
-    void publish(const signing_target& target, const std::string& zone)
-    {
-        m_store.put("servers/" + target.name(), nlohmann::json{{"service", "app"},
-                                                               {"address", target.address()},
-                                                               {"zone", zone},
-                                                               {"slots", 6},
-                                                               {"state", "ready"},
-                                                               {"coldLeftMs", 0},
-                                                               {"sequence", 1},
-                                                               {"born", 1}}
-                                                    .dump());
-    }
-
-    void publish_config(int version, const std::vector<std::string>& keys)
+    [[nodiscard]] static bool is_ready(const std::string& ip) { return front_fleet::is_ready(ip); }
+    [[nodiscard]] static nlohmann::json directory(const std::string& ip, const std::string& region)
     {
-        const auto route = [](const std::string& path, const std::string& kind) {
-            return nlohmann::json{{"name", path},
-                                  {"host", "h"},
-                                  {"pathPrefix", path},
-                                  {"kind", kind},
-                                  {"timeoutMs", 4000},
-                                  {"goalMs", 400},
-                                  {"service", "app"},
-                                  {"maxAttempts", 2},
-                                  {"public", false},
-                                  {"resumable", true},
-                                  {"allowedRegions", nlohmann::json::array()}};
-        };
-        auto west_only = route("/west/", "safe");
-        west_only["allowedRegions"] = {"west"};
-        m_store.put("op/config",
-                    nlohmann::json{{"version", version},
-                                   {"routes",
-                                    {route("/safe/", "safe"), route("/unsafe/", "unsafe"),
-                                     route("/stream/", "streaming"), west_only}},
-                                   {"services", {{{"name", "app"}, {"maxConns", 100}}}},
-                                   {"tenants", {{{"name", "cards"}, {"apiKeys", keys}}}}}
-                        .dump());
+        return front_fleet::directory(ip, region);
     }
-
     [[nodiscard]] static call request(const std::string& ip, const std::string& path,
                                       const std::string& id, const std::string& key = "secret")
     {
-        call one;
-        one.method = "POST";
-        one.url = fmt::format("http://{}:{}{}", ip, callers_port, path);
-        one.headers = {"Host: h", "X-Chicorylink-Request-Id: " + id,
-                       "X-Chicorylink-Deadline-Ms: 4000", "X-Chicorylink-Key: " + key};
-        one.body = "order";
-        return one;
-    }
-
-    [[nodiscard]] static bool ready(const std::string& ip)
-    {
-        call one;
-        one.url = fmt::format("http://{}:{}/readiness", ip, ready_port);
-        return perform(one).status == 200;
-    }
-
-    [[nodiscard]] static nlohmann::json directory(const std::string& ip, const std::string& region)
-    {
-        call one;
-        one.url = fmt::format("http://{}:{}/resolve?name=h&region={}&zone={}-a", ip, directory_port,
-                              region, region);
-        const auto answer = perform(one);
-        return answer.status == 200 ? nlohmann::json::parse(answer.body).at("addresses")
-                                    : nlohmann::json::array();
+        return front_fleet::request(ip, path, id, key);
     }
 
-    std::string m_program;
-    std::filesystem::path m_folder;
-    stand_ins::published_store m_store{"127.0.0.1:0"};
     signing_target m_east{"i-east"};
     signing_target m_west{"i-west"};
-    std::map<std::string, std::unique_ptr<child_process>> m_vms;
+    front_fleet m_fleet{binaries_folder(), "chicorylink_front"};
 };
 
 TEST_F(front, serves_and_keeps_the_key_from_the_target)
@@ -337,7 +222,7 @@
 {
     connection open;
     EXPECT_EQ(open.perform(request("127.0.1.2", "/safe/x", "id-1")).status, 200);
-    publish_config(2, {"other"});
+    m_fleet.publish_config(2, {"other"});
     EXPECT_TRUE(wait_until(
         [&] { return open.perform(request("127.0.1.2", "/safe/x", "id-2")).status == 401; },
         change_bound));
@@ -346,24 +231,24 @@
 
 TEST_F(front, keyed_requests_stop_when_nothing_confirms_the_keys)
 {
-    m_store.set_mood(stand_ins::published_store::mood::is_silent);
-    std::this_thread::sleep_for(withdrawal_bound - milliseconds{200});
+    m_fleet.store().set_mood(stand_ins::published_store::mood::is_silent);
+    std::this_thread::sleep_for(front_fleet::withdrawal_bound - milliseconds{200});
     for (const auto* ip : {"127.0.1.1", "127.0.1.2", "127.0.1.3"}) {
         const auto answer = perform(request(ip, "/safe/x", "id-1"));
         EXPECT_EQ(answer.status, 503);
         EXPECT_FALSE(answer.header("retry-after").empty());
-        EXPECT_FALSE(ready(ip));
+        EXPECT_FALSE(is_ready(ip));
     }
     EXPECT_EQ(m_east.runs("id-1"), 0);
-    m_store.set_mood(stand_ins::published_store::mood::answers);
+    m_fleet.store().set_mood(stand_ins::published_store::mood::answers);
     EXPECT_TRUE(wait_until(
         [] { return perform(request("127.0.1.1", "/safe/x", "id-2")).status == 200; }, seconds{5}));
 }
 
 TEST_F(front, forgotten_history_is_made_good_by_a_snapshot)
 {
-    m_store.forget_history();
-    publish_config(2, {"other"});
+    m_fleet.store().forget_history();
+    m_fleet.publish_config(2, {"other"});
     EXPECT_TRUE(wait_until(
         [] { return perform(request("127.0.1.1", "/safe/x", "id", "other")).status == 200; },
         change_bound));
@@ -371,7 +256,7 @@
 
 TEST_F(front, a_removed_target_gets_nothing_more)
 {
-    m_store.remove("servers/i-east");
+    m_fleet.store().remove("servers/i-east");
     EXPECT_TRUE(wait_until(
         [] { return perform(request("127.0.1.2", "/safe/x", "id")).body == "ran at i-west"; },
         change_bound));
@@ -383,12 +268,12 @@
     reply answer;
     std::thread caller([&] { answer = perform(request("127.0.1.1", "/unsafe/x", "id-1")); });
     EXPECT_TRUE(wait_until([&] { return m_east.runs("id-1") == 1; }, seconds{2}));
-    m_vms.at("127.0.1.1")->signal(SIGTERM);
-    EXPECT_TRUE(wait_until([] { return !ready("127.0.1.1"); }, seconds{1}));
+    m_fleet.at("127.0.1.1").signal(SIGTERM);
+    EXPECT_TRUE(wait_until([] { return !is_ready("127.0.1.1"); }, seconds{1}));
     EXPECT_TRUE(wait_until([] { return directory("127.0.1.2", "east").size() == 1; }, seconds{2}));
     caller.join();
     EXPECT_EQ(answer.status, 200);
-    EXPECT_EQ(m_vms.at("127.0.1.1")->wait(seconds{8}), 0);
+    EXPECT_EQ(m_fleet.at("127.0.1.1").wait(seconds{8}), 0);
 }
 
 // Rihla, trouble-2: callers that could not move kept a leaving VM busy until it was cut off.
@@ -414,8 +299,8 @@
         });
     }
     std::this_thread::sleep_for(milliseconds{500});
-    m_vms.at("127.0.1.1")->signal(SIGTERM);
-    EXPECT_EQ(m_vms.at("127.0.1.1")->wait(seconds{6}), 0);
+    m_fleet.at("127.0.1.1").signal(SIGTERM);
+    EXPECT_EQ(m_fleet.at("127.0.1.1").wait(seconds{6}), 0);
     stop = true;
     for (auto& caller : callers) {
         caller.join();
@@ -425,9 +310,9 @@
 
 TEST_F(front, a_killed_vm_leaves_the_directory_and_comes_back)
 {
-    m_vms.at("127.0.1.2")->kill();
+    m_fleet.at("127.0.1.2").kill();
     EXPECT_TRUE(wait_until([] { return directory("127.0.1.1", "east").size() == 1; }, seconds{5}));
-    start("127.0.1.2", "east");
+    m_fleet.start("127.0.1.2", "east");
     EXPECT_TRUE(wait_until([] { return directory("127.0.1.1", "east").size() == 2; }, seconds{5}));
 }
 
--- a/process_tests/support/fleet.cpp
+++ b/process_tests/support/fleet.cpp
@@ -177,7 +177,7 @@
     return m_logs + "/" + name + ".log";
 }
 
-bool wait_until(const std::function<bool()>& condition, std::chrono::seconds bound)
+bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds bound)
 {
     const auto until = std::chrono::steady_clock::now() + bound;
     while (!condition()) {
--- a/process_tests/support/fleet.hpp
+++ b/process_tests/support/fleet.hpp
@@ -95,7 +95,7 @@
 /// @brief Asks a condition until it holds.
 /// @return Whether it held within the bound. The bound only ends a test that would wait forever.
 [[nodiscard]] bool wait_until(const std::function<bool()>& condition,
-                              std::chrono::seconds bound = std::chrono::seconds(30));
+                              std::chrono::milliseconds bound = std::chrono::seconds(30));
 
 /// @brief The `key` line's digest of a key under the salt of the stand-in platform.
 [[nodiscard]] std::string digest_of(const std::string& key);
--- /dev/null
+++ b/process_tests/support/front_fleet.hpp
@@ -0,0 +1,80 @@
+#ifndef CHICORYLINK_PROCESS_TESTS_SUPPORT_FRONT_FLEET_HPP
+#define CHICORYLINK_PROCESS_TESTS_SUPPORT_FRONT_FLEET_HPP
+
+#include "child_process.hpp"
+#include "http_call.hpp"
+#include "stand_ins/published_store.hpp"
+
+#include <chrono>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace chicorylink::process_tests {
+
+/// @brief Daemons of the users' platform as separate processes, before a stand-in store.
+///
+/// Each VM has a loopback address of its own; the ports are the same on all. The VM at the first
+/// address is the seed of the others.
+class front_fleet {
+public:
+    static constexpr int callers_port = 21821;
+    static constexpr int ready_port = 21824;
+    static constexpr int directory_port = 21820;
+    static constexpr int control_port = 21829;
+    static constexpr int peer_port = 21760;
+    /// How long a withdrawn key may still work, as the settings say.
+    static constexpr std::chrono::milliseconds withdrawal_bound{5000};
+
+    /// @param binaries The build folder.
+    /// @param name Of the folder that holds settings and logs; it is removed at the end.
+    front_fleet(const std::string& binaries, const std::string& name);
+    ~front_fleet();
+    front_fleet(const front_fleet&) = delete;
+    front_fleet& operator=(const front_fleet&) = delete;
+    front_fleet(front_fleet&&) = delete;
+    front_fleet& operator=(front_fleet&&) = delete;
+
+    /// @brief Starts a daemon at a loopback address; a running one there is ended.
+    void start(const std::string& ip, const std::string& region);
+
+    /// @brief Publishes a target that is ready in data center `zone`.
+    void publish_target(const std::string& name, const std::string& address,
+                        const std::string& zone);
+
+    /// @brief Publishes routes `/safe/`, `/unsafe/`, `/stream/` and `/west/`, which runs in region
+    /// `west` only, and one team with these keys.
+    void publish_config(int version, const std::vector<std::string>& keys);
+
+    [[nodiscard]] static bool is_ready(const std::string& ip);
+
+    /// @brief The addresses that a VM names to callers of a region.
+    [[nodiscard]] static nlohmann::json directory(const std::string& ip, const std::string& region);
+
+    /// @brief A request of a caller to the VM at an address.
+    [[nodiscard]] static call request(const std::string& ip, const std::string& path,
+                                      const std::string& id, const std::string& key = "secret");
+
+    [[nodiscard]] child_process& at(const std::string& ip) { return *m_vms.at(ip); }
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<child_process>>& vms() const
+    {
+        return m_vms;
+    }
+    void end_all() { m_vms.clear(); }
+    [[nodiscard]] stand_ins::published_store& store() { return m_store; }
+    [[nodiscard]] const std::filesystem::path& folder() const { return m_folder; }
+
+private:
+    std::string m_program;
+    std::filesystem::path m_folder;
+    stand_ins::published_store m_store{"127.0.0.1:0"};
+    std::map<std::string, std::unique_ptr<child_process>> m_vms;
+};
+
+} // namespace chicorylink::process_tests
+
+#endif // CHICORYLINK_PROCESS_TESTS_SUPPORT_FRONT_FLEET_HPP
--- /dev/null
+++ b/process_tests/support/raw_exchange.cpp
@@ -0,0 +1,48 @@
+#include "raw_exchange.hpp"
+
+#include <array>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace chicorylink::process_tests {
+namespace {
+
+constexpr std::string_view answer_start = "HTTP/1.1 ";
+
+} // namespace
+
+int raw_answer::status() const
+{
+    return bytes.starts_with(answer_start) ? std::stoi(bytes.substr(answer_start.size(), 3)) : 0;
+}
+
+std::size_t raw_answer::answers() const
+{
+    std::size_t count = 0;
+    for (auto at = bytes.find(answer_start); at != std::string::npos;
+         at = bytes.find(answer_start, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+raw_answer exchange_raw(const std::string& address, const std::string& bytes,
+                        std::chrono::milliseconds longest)
+{
+    const auto colon = address.rfind(':');
+    boost::asio::ip::tcp::iostream stream;
+    stream.expires_after(longest);
+    stream.connect(address.substr(0, colon), address.substr(colon + 1));
+    stream << bytes << std::flush;
+    raw_answer answer;
+    std::array<char, 4096> block{};
+    while (stream.read(block.data(), 1)) {
+        answer.bytes.push_back(block[0]);
+    }
+    const auto problem = stream.error();
+    answer.closed = problem != boost::asio::error::operation_aborted &&
+                    problem != boost::asio::error::timed_out;
+    return answer;
+}
+
+} // namespace chicorylink::process_tests
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -10,3 +10,4 @@
     python3 scripts/benchmark_lines.py "$(basename "$program")"
 done
 CHICORYLINK_BINARIES="$build" "$build/process_tests/gateway_figures"
+CHICORYLINK_BINARIES="$build" "$build/process_tests/relay_figures"
