gateway, platform: heads that leave the end of a body in doubt are refused

Cause: chicorylinkd took the first of two lengths, a length beside a transfer coding and a name with a blank before its colon, so that what a caller hid behind the head could be read as another request on the connection.

Change: callers get 400 and the end of the connection, counted as `ambiguous_length`; the HTTP library is set to be strict, which does the same for folded lines. An answer with such a head is broken off before any of it is passed on. The client no longer calls a body without a type a form.

--- a/process_tests/path_test.cpp
+++ b/process_tests/path_test.cpp
@@ -1,3 +1,4 @@
+#include "raw_exchange.hpp"
 #include "suite.hpp"
 
 #include <atomic>
@@ -148,6 +149,44 @@
         200);
 }
 
+/// Sends a request with more header fields and another request behind it, as a smuggler would.
+raw_answer smuggle(const vm& to, const std::string& fields)
+{
+    return exchange_raw(to.callers,
+                        "POST " + std::string(chat_path) +
+                            " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + both_key + "\r\n" +
+                            fields + "\r\nGET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n",
+                        std::chrono::seconds{5});
+}
+
+TEST_F(path, head_that_leaves_the_end_of_its_body_in_doubt_is_refused_and_the_connection_closed)
+{
+    for (const std::string fields :
+         {"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 0\r\nContent-Length: 5\r\n", "Content-Length : 0\r\n"}) {
+        const auto answer = smuggle(north(), fields);
+        EXPECT_EQ(answer.status(), 400) << fields << answer.bytes;
+        EXPECT_EQ(answer.answers(), 1U) << fields << answer.bytes;
+        EXPECT_TRUE(answer.closed) << fields;
+        EXPECT_NE(answer.bytes.find("application/json"), std::string::npos) << answer.bytes;
+    }
+    const auto metrics = perform({.url = north().operators_url("/metrics")});
+    EXPECT_NE(metrics.body.find("chicorylink_bad_input_total{reason=\"ambiguous_length\"}"),
+              std::string::npos);
+}
+
+// The HTTP library answers these by itself, before the daemon sees them.
+TEST_F(path, head_that_no_reader_understands_is_refused_and_the_connection_closed)
+{
+    for (const std::string fields : {"Content-Length: 0, 0\r\n", "Content-Length: +0\r\n",
+                                     "X-Note: a\r\n Content-Length: 0\r\n"}) {
+        const auto answer = smuggle(north(), fields);
+        EXPECT_EQ(answer.status(), 400) << fields << answer.bytes;
+        EXPECT_EQ(answer.bytes.find("HTTP/1.1 404"), std::string::npos) << fields << answer.bytes;
+        EXPECT_TRUE(answer.closed) << fields;
+    }
+}
+
 TEST_F(path, caller_that_leaves_cancels_at_the_engine)
 {
     const auto before = all().counter("engine-north", "cancelled");
--- a/src/chicorylink/gateway/http_call.cpp
+++ b/src/chicorylink/gateway/http_call.cpp
@@ -56,6 +56,39 @@
         413, {{"Content-Type", "application/json"}, {"X-Chicorylink-Outcome", "not-run"}}, body};
 }
 
+http_answer ambiguous_head_answer()
+{
+    return {
+        400,
+        {{"Content-Type", "application/json"},
+         {"X-Chicorylink-Outcome", "not-run"},
+         {"Connection", "close"}},
+        R"({"error":{"kind":"bad_request","message":"the head leaves the end of the body in doubt; send one Content-Length or one Transfer-Encoding, without folded lines"}})"};
+}
+
+bool has_ambiguous_length(const header_list& headers)
+{
+    std::size_t lengths = 0;
+    std::size_t codings = 0;
+    bool numbers_only = true;
+    for (const auto& [name, value] : headers) {
+        // The library takes a blank before the colon for a part of the name.
+        if (name.find_first_of(" \t") != std::string::npos) {
+            return true;
+        }
+        if (name == "content-length") {
+            ++lengths;
+            numbers_only = numbers_only && !value.empty() &&
+                           std::all_of(value.begin(), value.end(),
+                                       [](unsigned char c) { return std::isdigit(c) != 0; });
+        }
+        else if (name == "transfer-encoding") {
+            ++codings;
+        }
+    }
+    return lengths + codings > 1 || !numbers_only;
+}
+
 bool is_closed_by_peer(int descriptor)
 {
     char byte = 0;
--- a/src/chicorylink/gateway/http_call.hpp
+++ b/src/chicorylink/gateway/http_call.hpp
@@ -32,6 +32,14 @@
 /// @param limit In bytes.
 [[nodiscard]] http_answer too_large_answer(std::size_t limit);
 
+/// @brief The refusal of a head that two readers could understand differently; it closes the
+/// connection, since what follows on it has no certain start.
+[[nodiscard]] http_answer ambiguous_head_answer();
+
+/// @brief Whether a head leaves the end of its body in doubt: a length beside a transfer coding,
+/// several lengths, or one that is not a plain number.
+[[nodiscard]] bool has_ambiguous_length(const header_list& headers);
+
 /// @brief Whether the other side of a socket has closed or reset its connection.
 [[nodiscard]] bool is_closed_by_peer(int descriptor);
 
--- a/src/chicorylink/gateway/http_server.cpp
+++ b/src/chicorylink/gateway/http_server.cpp
@@ -99,6 +99,7 @@
 base::result<void> http_server::implementation::start_daemon()
 {
     std::vector<MHD_OptionItem> options{
+        {MHD_OPTION_STRICT_FOR_CLIENT, 1, nullptr},
         {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(m_settings.idle_seconds), nullptr},
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(m_settings.max_connections), nullptr},
         {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
@@ -266,6 +267,10 @@
     call.head_checked = true;
     read_head(call, method);
     const auto& request = call.request->request();
+    if (has_ambiguous_length(request.headers)) {
+        bad_input("ambiguous_length");
+        return queue_answer(call.connection, ambiguous_head_answer());
+    }
     if (m_handlers.on_head) {
         if (const auto refusal = m_handlers.on_head(request)) {
             return queue_answer(call.connection, *refusal);
--- a/src/chicorylink/platform/http_transfer.cpp
+++ b/src/chicorylink/platform/http_transfer.cpp
@@ -29,6 +29,17 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+bool is_blank(char letter)
+{
+    return letter == ' ' || letter == '\t';
+}
+
+auto count_of(const header_list& headers, std::string_view lower_case_name)
+{
+    return std::count_if(headers.begin(), headers.end(),
+                         [&](const auto& field) { return field.first == lower_case_name; });
+}
+
 } // namespace
 
 http_transfer::http_transfer(transfer_id id, http_request request, http_handlers handlers)
@@ -73,6 +84,13 @@
         curl_easy_setopt(m_handle, CURLOPT_FORBID_REUSE, 1L);
     }
     m_header_lines = curl_slist_append(m_header_lines, "Expect:");
+    const bool typed =
+        std::any_of(m_request.headers.begin(), m_request.headers.end(),
+                    [](const auto& field) { return lower_case(field.first) == "content-type"; });
+    if (!typed) {
+        // The library would call the body of a POST a form.
+        m_header_lines = curl_slist_append(m_header_lines, "Content-Type:");
+    }
     for (const auto& [name, value] : m_request.headers) {
         std::string line = name;
         line.append(": ").append(value);
@@ -83,39 +101,53 @@
 
 std::size_t http_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self)
 {
-    static_cast<http_transfer*>(self)->add_header_line({data, size * count});
-    return size * count;
+    auto& transfer = *static_cast<http_transfer*>(self);
+    // Less than the whole line tells the library to break the call off.
+    return transfer.add_header_line({data, size * count}) ? size * count : 0;
 }
 
-void http_transfer::add_header_line(std::string_view line)
+bool http_transfer::add_header_line(std::string_view line)
 {
     if (line.starts_with("HTTP/")) {
         m_answer_headers.clear();
-        return;
+        return true;
     }
     const auto text = trim(line);
     if (text.empty()) {
-        report_head();
-        return;
+        return report_head();
     }
     const auto colon = text.find(':');
-    if (colon != std::string_view::npos) {
-        m_answer_headers.emplace_back(lower_case(text.substr(0, colon)),
-                                      std::string(trim(text.substr(colon + 1))));
+    if (colon == std::string_view::npos) {
+        return true;
     }
+    const auto name = text.substr(0, colon);
+    if (is_blank(line.front()) || name.empty() || is_blank(name.back())) {
+        // A folded line, or a blank before the colon: readers differ in what they take it for.
+        m_ambiguous_head = true;
+        return false;
+    }
+    m_answer_headers.emplace_back(lower_case(name), std::string(trim(text.substr(colon + 1))));
+    return true;
 }
 
-void http_transfer::report_head()
+bool http_transfer::report_head()
 {
     long status = 0;
     curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
     if (status < first_final_status || m_head_reported) {
-        return;
+        return true;
+    }
+    if (count_of(m_answer_headers, "content-length") +
+            count_of(m_answer_headers, "transfer-encoding") >
+        1) {
+        m_ambiguous_head = true;
+        return false;
     }
     m_head_reported = true;
     if (m_handlers.on_head) {
         m_handlers.on_head(static_cast<int>(status), m_answer_headers);
     }
+    return true;
 }
 
 std::size_t http_transfer::on_body(char* data, std::size_t size, std::size_t count, void* self)
@@ -167,7 +199,9 @@
 void http_transfer::finish(CURLcode code)
 {
     if (m_handlers.on_end) {
-        m_handlers.on_end({end_kind(code), m_possibly_sent, curl_easy_strerror(code)});
+        const char* detail = m_ambiguous_head ? "the head of the answer leaves its end in doubt"
+                                              : curl_easy_strerror(code);
+        m_handlers.on_end({end_kind(code), m_possibly_sent, detail});
     }
 }
 
--- a/src/chicorylink/platform/http_transfer.hpp
+++ b/src/chicorylink/platform/http_transfer.hpp
@@ -37,8 +37,9 @@
                              int local_port);
 
     void set_options();
-    void add_header_line(std::string_view line);
-    void report_head();
+    /// @brief Both return false when the head is ambiguous and the call must be broken off.
+    [[nodiscard]] bool add_header_line(std::string_view line);
+    [[nodiscard]] bool report_head();
     [[nodiscard]] http_end_kind end_kind(CURLcode code) const;
 
     transfer_id m_id;
@@ -48,6 +49,8 @@
     curl_slist* m_header_lines = nullptr;
     header_list m_answer_headers;
     bool m_head_reported = false;
+    /// Two readers could disagree about where the answer ends.
+    bool m_ambiguous_head = false;
     bool m_possibly_sent = false;
     bool m_stopped = false;
 };
