--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -25,6 +25,11 @@
     std::uint64_t spread = 0;
     /// VMs that send to the same targets, this one included.
     std::size_t sharers = 1;
+    /// Whether this VM places all requests of its region, so that what is reserved here is all
+    /// that there is; `sharers` is 1 then.
+    bool by_desk = false;
+    /// 0 is read first by engines.
+    std::uint8_t urgency = 0;
     /// Targets that earlier attempts used; they are chosen again only when no other is left.
     std::vector<target_name> tried;
     /// Whether a target that is still cold, or has no connection left, may be used now.
@@ -57,8 +62,9 @@
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now);
 
 /// @brief How long work waits at a service in this region, for the VMs of others.
+/// @param by_desk Whether this VM places all requests of its region.
 [[nodiscard]] service_outlook outlook_of(const target_pool& pool, const service_name& service,
-                                         base::time_point now);
+                                         bool by_desk, base::time_point now);
 
 } // namespace chicorylink::fleet
 
--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -52,6 +52,15 @@
                                  const std::vector<remote_region>& others,
                                  const region_request& request);
 
+/// @brief Up to where a request stays in its region.
+struct stay_limits {
+    base::milliseconds wait{0};
+    /// The longest when no other region is better.
+    base::milliseconds start{0};
+};
+[[nodiscard]] stay_limits limits_here(const std::vector<remote_region>& others,
+                                      const region_request& request);
+
 /// @brief The wait above which a request is refused at once.
 ///
 /// Short of capacity, a caller that came back as it was told goes before one that comes for the
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -25,6 +25,18 @@
     [[nodiscard]] const std::map<target_name, tracked_target>& targets() const { return m_targets; }
     [[nodiscard]] const tracked_target* find(const target_name& name) const;
 
+    [[nodiscard]] const tracked_target* find(base::target_id id) const;
+
+    /// @brief The desk gave a place at a target.
+    void on_reserved(const target_name& name, const prompt* asked, std::uint32_t unread,
+                     std::uint8_t urgency, base::time_point now);
+
+    /// @brief A reserved request began, or ended before it did.
+    void on_reserved_read(const target_name& name, std::uint32_t unread, std::uint8_t urgency);
+
+    /// @brief A reserved request is no longer at its target.
+    void on_reserved_ended(const target_name& name);
+
     /// @brief A request goes to a target.
     /// @param asked Its prompt; null at a plain service.
     /// @param unread Tokens of the prompt that the target is believed to have to read.
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -7,6 +7,8 @@
 #include "chicorylink/fleet/target_entry.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +23,16 @@
     base::time_point told_at{};
 };
 
+/// Urgencies of a request at an engine, which reads those with the lowest number first.
+inline constexpr std::size_t urgency_levels = 10;
+
+/// @brief Places that this VM's desk gave to its region's VMs at a target.
+struct reserved_use {
+    std::uint32_t in_flight = 0;
+    /// Prompt tokens of those that have not begun, by urgency.
+    std::array<std::uint64_t, urgency_levels> unread_tokens{};
+};
+
 /// @brief What all other VMs of the region have at a target.
 struct others_use {
     std::uint32_t in_flight = 0;
@@ -58,6 +70,8 @@
     /// What this VM told of itself in its last heartbeats; a delegate's sum holds the older one.
     others_use told_last;
     others_use told_before;
+    /// Kept only where this VM is its region's desk.
+    reserved_use reserved;
     reported_load load;
     /// Smoothed unread tokens of a request from here, and those sent since the reported load.
     double mean_unread = 0;
@@ -88,6 +102,10 @@
 /// @brief Requests of all VMs that are believed to be at a target.
 [[nodiscard]] std::uint32_t total_in_flight(const tracked_target& target, base::time_point now);
 
+/// @brief Reserved prompt tokens that a target reads before a new request of an urgency.
+[[nodiscard]] std::uint64_t reserved_tokens_before(const tracked_target& target,
+                                                   std::uint8_t urgency);
+
 /// @brief Prompt tokens of all VMs' requests that a target has yet to read.
 [[nodiscard]] std::uint64_t total_unread_tokens(const tracked_target& target, base::time_point now);
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -6,6 +6,7 @@
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/front/asked_request.hpp"
+#include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/resolution.hpp"
 #include "chicorylink/front/upstream_call.hpp"
 
@@ -56,6 +57,10 @@
         base::time_point last_sign{};
         std::uint32_t unread_tokens = 0;
         base::milliseconds expected_wait{0};
+        base::milliseconds expected_start{0};
+        /// The place that the region's desk keeps; none when this VM chose the target itself.
+        std::optional<reserved_place> place;
+        std::optional<fleet::target_outcome> outcome;
         message_head head;
         std::string held_body;
         /// Whether the target's work was taken back from the pool.
@@ -66,6 +71,13 @@
     [[nodiscard]] std::optional<refusal> check(base::time_point now);
     [[nodiscard]] std::optional<refusal> check_quota(base::time_point now);
     void dispatch(base::time_point now);
+    [[nodiscard]] fleet::placement_ask ask_for(base::time_point now) const;
+    void on_advice(const std::optional<placement_advice>& advice);
+    /// @brief Whether the target that a desk chose can be used from here.
+    [[nodiscard]] std::optional<fleet::placement_choice>
+    choice_of(const fleet::placement_answer& answer, base::time_point now) const;
+    /// @brief Sends the request to this region's best target, to another region, or refuses it.
+    void go_to(const std::optional<fleet::placement_choice>& here, base::time_point now);
     [[nodiscard]] std::optional<fleet::placement_choice> choose_here(base::time_point now) const;
     [[nodiscard]] std::vector<fleet::remote_region> choices_elsewhere(base::time_point now) const;
     [[nodiscard]] std::string peer_in(const fleet::region_name& region, base::time_point now) const;
@@ -74,7 +86,8 @@
     [[nodiscard]] bool may_use(const fleet::tracked_target& target,
                                const std::vector<std::string>& region_ips,
                                base::time_point now) const;
-    void send_to_target(const fleet::placement_choice& choice, base::time_point now);
+    void send_to_target(const fleet::placement_choice& choice, std::optional<reserved_place> place,
+                        base::time_point now);
     void send_to_peer(const fleet::place& where, const std::string& ip, base::time_point now);
     void send(std::string bytes, base::milliseconds connect_limit, base::time_point now);
     void note_sent(base::time_point now);
@@ -91,7 +104,7 @@
     // After an attempt.
     void end_attempt(fleet::attempt_end end, fleet::target_outcome outcome, std::string_view detail,
                      base::time_point now);
-    void release();
+    void release(base::time_point now);
     void carry_out(fleet::next_step step, std::string_view detail, base::time_point now);
     void pass_held_answer(base::time_point now);
     void refuse(const refusal& why, base::time_point now);
@@ -127,6 +140,8 @@
     bool m_answer_begun = false;
     bool m_paused = false;
     bool m_is_over = false;
+    /// The region's desk was asked for a place and has not answered.
+    bool m_is_asking = false;
 };
 
 } // namespace chicorylink::front
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -7,6 +7,7 @@
 #include "chicorylink/fleet/caller_patience.hpp"
 #include "chicorylink/fleet/cold_allowance.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
+#include "chicorylink/fleet/placement_desk.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_allowance.hpp"
@@ -15,6 +16,7 @@
 #include "chicorylink/front/connection_pool.hpp"
 #include "chicorylink/front/front_settings.hpp"
 #include "chicorylink/front/outer_protocol.hpp"
+#include "chicorylink/front/placement_link.hpp"
 
 #include <optional>
 #include <set>
@@ -39,6 +41,7 @@
     fleet::published_state state;
     fleet::roster members;
     fleet::target_pool pool;
+    fleet::placement_desk desk;
     fleet::fleet_quota quota;
     fleet::retry_allowance retries;
     fleet::cold_allowance cold;
@@ -46,6 +49,8 @@
     fleet::region_news news;
     fleet::caller_patience patience;
     connection_pool connections;
+    /// None until the daemon listens.
+    std::optional<placement_link> placements;
     /// Requests that are not answered yet.
     std::set<exchange*> exchanges;
     /// When the signal to stop came.
--- a/include/chicorylink/front/front_settings.hpp
+++ b/include/chicorylink/front/front_settings.hpp
@@ -33,6 +33,11 @@
     std::string control_address;
     /// Port of peers' requests by TCP and of heartbeats by UDP; the same on all VMs.
     std::uint16_t peer_port = 0;
+    /// @brief Port of the placement desk by UDP: the one after the peers'.
+    [[nodiscard]] std::uint16_t placement_port() const
+    {
+        return static_cast<std::uint16_t>(peer_port + 1);
+    }
     std::vector<std::string> seed_ips;
     std::string store_address;
     std::map<fleet::data_center_name, fleet::region_name> regions;
--- /dev/null
+++ b/include/chicorylink/front/placement_link.hpp
@@ -0,0 +1,93 @@
+#ifndef CHICORYLINK_FRONT_PLACEMENT_LINK_HPP
+#define CHICORYLINK_FRONT_PLACEMENT_LINK_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/placement_message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace chicorylink::front {
+
+struct front_core;
+
+/// @brief A place that a desk keeps for a request until it is told that the request has ended.
+struct reserved_place {
+    std::string desk_ip;
+    std::uint64_t number = 0;
+};
+
+/// @brief What a desk said of a request.
+struct placement_advice {
+    fleet::placement_answer answer;
+    std::string desk_ip;
+};
+
+/// @brief Asks the placement desk of this VM's region, and is the desk when it is this VM's turn.
+///
+/// Datagrams on a port of their own. A lost one costs little: an ask that is not answered in time
+/// is decided here, and notes are sent twice.
+class placement_link {
+public:
+    /// Called once; without advice the caller decides by itself.
+    using handler = std::function<void(const std::optional<placement_advice>&)>;
+
+    placement_link(front_core& core, boost::asio::ip::udp::socket socket);
+
+    /// @brief Asks for a place; the handler may be called before this function returns.
+    void ask(fleet::placement_ask ask, handler on_advice, base::time_point now);
+
+    /// @brief The request at a place began to be answered.
+    void note_begun(const reserved_place& place, base::time_point now);
+
+    /// @brief The request left its place.
+    void note_ended(const reserved_place& place, std::optional<fleet::target_outcome> outcome,
+                    base::milliseconds took, base::time_point now);
+
+    /// @brief Gives up asks that wait too long and sends notes.
+    void tick(base::time_point now);
+
+    /// @brief Whether this VM is the desk of its region and was asked of late.
+    [[nodiscard]] bool is_desk(base::time_point now) const;
+
+private:
+    struct waiting_ask {
+        std::string desk_ip;
+        base::time_point asked_at{};
+        handler on_advice;
+    };
+    struct outgoing_notes {
+        std::vector<fleet::placement_note> fresh;
+        /// Those of the last message, which are told once more.
+        std::vector<fleet::placement_note> told;
+    };
+
+    void receive();
+    void take_pending();
+    void take_datagram(std::size_t size, const boost::asio::ip::udp::endpoint& from);
+    void take_asks(const fleet::placement_message& message,
+                   const boost::asio::ip::udp::endpoint& from);
+    void take_answer(const fleet::placement_answer& answer);
+    void note(const reserved_place& place, fleet::placement_note note, base::time_point now);
+    void send(const fleet::placement_message& message, const boost::asio::ip::udp::endpoint& to);
+    [[nodiscard]] boost::asio::ip::udp::endpoint endpoint_of(const std::string& ip) const;
+    [[nodiscard]] std::string desk_ip(base::time_point now) const;
+
+    front_core& m_core;
+    boost::asio::ip::udp::socket m_socket;
+    std::uint64_t m_last_number = 0;
+    std::map<std::uint64_t, waiting_ask> m_waiting;
+    std::map<std::string, outgoing_notes> m_notes;
+    /// Desks that did not answer are not asked until then.
+    std::map<std::string, base::time_point> m_silent_until;
+};
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_PLACEMENT_LINK_HPP
--- a/include/chicorylink/front/resolution.hpp
+++ b/include/chicorylink/front/resolution.hpp
@@ -41,6 +41,9 @@
 [[nodiscard]] resolution resolve(const std::shared_ptr<const fleet::configuration>& config,
                                  const asked_request& asked, const wire_names& names);
 
+/// @brief How urgent a request is to an engine, 0 the most: engines read the most urgent first.
+[[nodiscard]] std::uint8_t urgency_of(const resolved_request& resolved);
+
 /// @brief What the request says of its prompt; none when it says nothing.
 [[nodiscard]] std::optional<fleet::prompt> prompt_of(const message_head& head,
                                                      const wire_names& names);
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -31,13 +31,29 @@
 /// VM did not send them there: the region's other VMs place it alike.
 constexpr double held_by_others = 0.7;
 
-double wait_ms(const tracked_target& target, base::time_point now)
+/// What stands before a new request at a target.
+struct work_before {
+    std::uint64_t in_flight = 0;
+    std::uint64_t unread_tokens = 0;
+};
+
+work_before told_work(const tracked_target& target, base::time_point now)
+{
+    return {total_in_flight(target, now), total_unread_tokens(target, now)};
+}
+
+work_before reserved_work(const tracked_target& target, std::uint8_t urgency)
+{
+    return {target.reserved.in_flight, reserved_tokens_before(target, urgency)};
+}
+
+double wait_ms(const tracked_target& target, const work_before& work)
 {
-    const auto running = static_cast<double>(total_in_flight(target, now));
+    const auto running = static_cast<double>(work.in_flight);
     const auto slots = static_cast<double>(std::max(target.entry.slots, 1U));
     const double over = std::max(0.0, running + 1 - slots);
     if (target.is_engine) {
-        return static_cast<double>(total_unread_tokens(target, now)) / default_prompt_speed +
+        return static_cast<double>(work.unread_tokens) / default_prompt_speed +
                running * step_ms_per_request + over * engine_slot_wait_ms;
     }
     const double each = target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
@@ -54,11 +70,11 @@
     return tokens;
 }
 
-std::uint32_t unread_tokens(const tracked_target& target, const prompt& asked, bool is_home,
+std::uint32_t unread_tokens(const tracked_target& target, const prompt& asked, bool may_hold,
                             base::time_point now)
 {
     auto cached = target.cache.cached_tokens(asked, now);
-    if (is_home) {
+    if (may_hold) {
         const double by_others = held_by_others * static_cast<double>(shared_tokens(asked));
         cached = std::max(cached, static_cast<std::uint32_t>(by_others));
     }
@@ -83,6 +99,20 @@
     return found;
 }
 
+/// The target that a session's requests go to first, by rendezvous hash.
+const tracked_target* home_of(const std::vector<candidate>& candidates, base::time_point now)
+{
+    const tracked_target* home = nullptr;
+    std::uint64_t home_weight = 0;
+    for (const auto& which : candidates) {
+        if (!is_ejected(which.target->health, now) && which.weight >= home_weight) {
+            home = which.target;
+            home_weight = which.weight;
+        }
+    }
+    return home;
+}
+
 /// Requests of all sharers that consider one target at a time when it looks idle; three VMs that
 /// consider all targets keep queues even.
 constexpr std::size_t considerations_per_target = 3;
@@ -106,15 +136,26 @@
     return std::find(request.tried.begin(), request.tried.end(), name) != request.tried.end();
 }
 
-placement_choice rate(const candidate& which, const placement_request& request, bool is_home,
+/// Whether a desk knows a target that holds all shared parts of a prompt; otherwise they may be
+/// from before it became the desk.
+bool is_held(const std::vector<candidate>& candidates, const prompt& asked, base::time_point now)
+{
+    const auto shared = shared_tokens(asked);
+    return shared > 0 && std::any_of(candidates.begin(), candidates.end(), [&](const auto& which) {
+               return which.target->cache.cached_tokens(asked, now) >= shared;
+           });
+}
+
+placement_choice rate(const candidate& which, const placement_request& request, bool may_hold,
                       base::time_point now)
 {
     const auto& target = *which.target;
     placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0};
-    const double wait = wait_ms(target, now);
+    const double wait = wait_ms(target, request.by_desk ? reserved_work(target, request.urgency)
+                                                        : told_work(target, now));
     double start = wait;
     if (request.asked != nullptr && target.is_engine) {
-        choice.unread_tokens = unread_tokens(target, *request.asked, is_home, now);
+        choice.unread_tokens = unread_tokens(target, *request.asked, may_hold, now);
         start += first_token_ms + static_cast<double>(choice.unread_tokens) / default_prompt_speed;
         const auto own_part = request.asked->prompt_tokens -
                               std::min(request.asked->prompt_tokens, shared_tokens(*request.asked));
@@ -159,16 +200,13 @@
 {
     const auto candidates = candidates_for(pool, request);
     const tracked_target* home = nullptr;
-    std::uint64_t home_weight = 0;
-    for (const auto& which : candidates) {
-        if (!is_ejected(which.target->health, now) && which.weight >= home_weight) {
-            home = which.target;
-            home_weight = which.weight;
-        }
+    if (!request.by_desk || request.asked == nullptr || !is_held(candidates, *request.asked, now)) {
+        home = home_of(candidates, now);
     }
     const auto sound = [&](const tracked_target& target) {
+        const auto in_flight = target.in_flight + target.reserved.in_flight;
         return !is_ejected(target.health, now) && !was_tried(request, target.entry.name) &&
-               !(is_on_probation(target.health) && target.in_flight > 0);
+               !(is_on_probation(target.health) && in_flight > 0);
     };
     std::vector<candidate> considered;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(considered),
@@ -189,7 +227,7 @@
     return best_of(candidates, request, home, now, [](const tracked_target&) { return true; });
 }
 
-service_outlook outlook_of(const target_pool& pool, const service_name& service,
+service_outlook outlook_of(const target_pool& pool, const service_name& service, bool by_desk,
                            base::time_point now)
 {
     service_outlook outlook;
@@ -199,7 +237,8 @@
         if (target.entry.service == service && takes_work(target) &&
             !is_ejected(target.health, now) && now >= target.cold_until) {
             ++outlook.usable_targets;
-            sum += wait_ms(target, now);
+            sum += wait_ms(target, by_desk ? reserved_work(target, urgency_levels - 1)
+                                           : told_work(target, now));
         }
     }
     if (outlook.usable_targets > 0) {
--- /dev/null
+++ b/src/chicorylink/fleet/placement_desk_test.cpp
@@ -0,0 +1,265 @@
+#include "chicorylink/fleet/placement.hpp"
+#include "chicorylink/fleet/placement_codec.hpp"
+#include "chicorylink/fleet/placement_desk.hpp"
+#include "chicorylink/fleet/pool_of_targets.hpp"
+
+#include <algorithm>
+#include <map>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test_support::at;
+using test_support::pool_of_targets;
+
+const base::incarnation first_run{1};
+
+placement_ask ask_for(std::uint64_t number, std::uint64_t session, std::uint32_t shared,
+                      std::uint32_t own)
+{
+    static std::uint64_t unique = 5'000'000;
+    prompt asked;
+    asked.prompt_tokens = shared + own;
+    asked.parts = {{session, shared}, {++unique, own}};
+    asked.session = session;
+    placement_ask ask;
+    ask.number = number;
+    ask.service = service_name{"engine"};
+    ask.asked = asked;
+    ask.longest_wait = seconds{5};
+    ask.longest_start = seconds{5};
+    return ask;
+}
+
+std::string vm(int number)
+{
+    return fmt::format("10.0.0.{}", number + 1);
+}
+
+target_name name_of(const target_pool& pool, const placement_answer& answer)
+{
+    return pool.find(answer.target.value())->entry.name;
+}
+
+// Grown sites: requests arrive in clumps at some twenty VMs of a region, faster than these hear of
+// each other. All took the target that looked idle, which then had a second of prompts to read.
+TEST(placement_desk, a_clump_at_many_vms_is_spread_evenly)
+{
+    constexpr int vms = 24;
+    constexpr int engines = 12;
+    pool_of_targets targets(engines);
+    placement_desk desk;
+    std::map<target_name, int> load;
+    for (int number = 0; number < 4 * engines; ++number) {
+        const auto ask = ask_for(static_cast<std::uint64_t>(number),
+                                 static_cast<std::uint64_t>(number) + 100, 0, 2000);
+        const auto answer = desk.place(targets.pool(), vm(number % vms), first_run, ask,
+                                       at(milliseconds{1000 + number}));
+        ASSERT_TRUE(answer.is_reserved);
+        ++load[name_of(targets.pool(), answer)];
+    }
+    EXPECT_EQ(load.size(), engines);
+    for (const auto& [name, count] : load) {
+        EXPECT_EQ(count, 4) << name.text();
+    }
+}
+
+// Grown sites: a third of what engines read were session parts that another engine of the region
+// had read for another VM.
+TEST(placement_desk, a_session_goes_where_another_vm_had_it_read)
+{
+    pool_of_targets targets(9);
+    placement_desk desk;
+    // The session's place by hash is busy when it is first asked for.
+    const auto home =
+        desk.place(targets.pool(), vm(0), first_run, ask_for(1, 42, 5000, 1000), at(seconds{1}));
+    desk.take_note(targets.pool(), vm(0), {1, placement_event::ended, std::nullopt, {}},
+                   at(seconds{1}));
+    pool_of_targets fresh(9);
+    placement_desk other;
+    auto busy = ask_for(1, 7, 0, 60'000);
+    for (const auto& [name, target] : fresh.pool().targets()) {
+        if (name != name_of(targets.pool(), home)) {
+            busy.avoided.push_back(target.id);
+        }
+    }
+    ASSERT_TRUE(other.place(fresh.pool(), vm(0), first_run, busy, at(seconds{1})).is_reserved);
+    const auto first =
+        other.place(fresh.pool(), vm(1), first_run, ask_for(2, 42, 5000, 1000), at(seconds{1}));
+    EXPECT_NE(first.target, home.target);
+    other.take_note(fresh.pool(), vm(0), {1, placement_event::begun, std::nullopt, {}},
+                    at(seconds{2}));
+    other.take_note(fresh.pool(), vm(1), {2, placement_event::begun, std::nullopt, {}},
+                    at(seconds{2}));
+    const auto second =
+        other.place(fresh.pool(), vm(2), first_run, ask_for(3, 42, 5000, 1000), at(seconds{3}));
+    EXPECT_EQ(second.target, first.target);
+    EXPECT_EQ(second.unread_tokens, 1000U);
+}
+
+TEST(placement_desk, a_place_counts_until_its_notes_come)
+{
+    pool_of_targets targets(1);
+    placement_desk desk;
+    const auto place = [&](std::uint64_t number, base::time_point now) {
+        return desk.place(targets.pool(), vm(0), first_run, ask_for(number, number, 0, 6000), now);
+    };
+    ASSERT_TRUE(place(1, at(seconds{1})).is_reserved);
+    EXPECT_GE(place(2, at(seconds{1})).wait, milliseconds{90});
+    desk.take_note(targets.pool(), vm(0), {1, placement_event::begun, std::nullopt, {}},
+                   at(seconds{1}));
+    desk.take_note(targets.pool(), vm(0), {2, placement_event::ended, std::nullopt, {}},
+                   at(seconds{1}));
+    // A note that comes twice takes nothing more away.
+    desk.take_note(targets.pool(), vm(0), {2, placement_event::ended, std::nullopt, {}},
+                   at(seconds{1}));
+    EXPECT_LT(place(3, at(seconds{1})).wait, milliseconds{10});
+    EXPECT_EQ(desk.reservations(), 2U);
+}
+
+TEST(placement_desk, places_whose_notes_are_lost_are_given_back)
+{
+    pool_of_targets targets(1);
+    placement_desk desk;
+    (void)desk.place(targets.pool(), vm(0), first_run, ask_for(1, 1, 0, 60'000), at(seconds{1}));
+    desk.tick(targets.pool(), at(seconds{8}));
+    EXPECT_EQ(reserved_tokens_before(targets.pool().targets().begin()->second, 9), 0U);
+    EXPECT_EQ(desk.reservations(), 1U);
+    desk.tick(targets.pool(), at(seconds{30}));
+    EXPECT_EQ(desk.reservations(), 0U);
+    EXPECT_EQ(targets.pool().targets().begin()->second.reserved.in_flight, 0U);
+}
+
+TEST(placement_desk, places_of_a_vm_that_is_gone_or_restarted_are_given_back)
+{
+    pool_of_targets targets(2);
+    placement_desk desk;
+    (void)desk.place(targets.pool(), vm(0), first_run, ask_for(1, 1, 0, 60'000), at(seconds{1}));
+    (void)desk.place(targets.pool(), vm(1), first_run, ask_for(1, 2, 0, 60'000), at(seconds{1}));
+    desk.forget(targets.pool(), vm(0));
+    EXPECT_EQ(desk.reservations(), 1U);
+    (void)desk.place(targets.pool(), vm(1), base::incarnation{2}, ask_for(1, 3, 0, 600),
+                     at(seconds{1}));
+    EXPECT_EQ(desk.reservations(), 1U);
+    std::uint64_t unread = 0;
+    for (const auto& [name, target] : targets.pool().targets()) {
+        unread += reserved_tokens_before(target, 9);
+    }
+    EXPECT_EQ(unread, 600U);
+}
+
+TEST(placement_desk, nothing_is_reserved_where_a_request_would_begin_too_late)
+{
+    pool_of_targets targets(1);
+    placement_desk desk;
+    (void)desk.place(targets.pool(), vm(0), first_run, ask_for(1, 1, 0, 60'000), at(seconds{1}));
+    auto late = ask_for(2, 2, 0, 2000);
+    late.longest_wait = milliseconds{420};
+    const auto answer = desk.place(targets.pool(), vm(1), first_run, late, at(seconds{1}));
+    EXPECT_FALSE(answer.is_reserved);
+    EXPECT_TRUE(answer.target);
+    EXPECT_GE(answer.wait, milliseconds{900});
+    EXPECT_EQ(desk.reservations(), 1U);
+}
+
+TEST(placement_desk, an_urgent_request_does_not_wait_for_less_urgent_ones)
+{
+    pool_of_targets targets(1);
+    placement_desk desk;
+    auto long_one = ask_for(1, 1, 0, 60'000);
+    long_one.urgency = 3;
+    (void)desk.place(targets.pool(), vm(0), first_run, long_one, at(seconds{1}));
+    auto urgent = ask_for(2, 2, 0, 2000);
+    urgent.longest_wait = milliseconds{420};
+    EXPECT_TRUE(desk.place(targets.pool(), vm(1), first_run, urgent, at(seconds{1})).is_reserved);
+}
+
+TEST(placement_desk, cold_and_avoided_targets_are_left_to_the_asker)
+{
+    pool_of_targets targets(1);
+    placement_desk desk;
+    auto ask = ask_for(1, 1, 0, 1000);
+    ask.avoided = {targets.pool().targets().begin()->second.id};
+    EXPECT_FALSE(desk.place(targets.pool(), vm(0), first_run, ask, at(seconds{1})).target);
+    pool_of_targets cold(0);
+    cold.publish("e0", "engine,cold");
+    EXPECT_FALSE(
+        desk.place(cold.pool(), vm(0), first_run, ask_for(1, 1, 0, 1000), at(seconds{2})).target);
+}
+
+// A VM that was cut off from all targets told of each that it can't be reached.
+TEST(placement_desk, one_vm_that_reaches_nothing_does_not_eject_the_regions_targets)
+{
+    pool_of_targets targets(3);
+    placement_desk desk;
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        auto ask = ask_for(number, number, 0, 1000);
+        const auto answer = desk.place(targets.pool(), vm(0), first_run, ask, at(seconds{1}));
+        ASSERT_TRUE(answer.is_reserved);
+        desk.take_note(targets.pool(), vm(0),
+                       {number, placement_event::ended, target_outcome::unreachable, {}},
+                       at(seconds{1}));
+    }
+    for (const auto& [name, target] : targets.pool().targets()) {
+        EXPECT_FALSE(is_ejected(target.health, at(seconds{1}))) << name.text();
+    }
+}
+
+TEST(placement_codec, a_message_comes_back_as_it_was)
+{
+    placement_message message;
+    message.run = base::incarnation{77};
+    message.asks = {ask_for(1, 42, 5000, 1000), ask_for(2, 1, 0, 0)};
+    message.asks[0].urgency = 4;
+    message.asks[0].longest_start = milliseconds::max();
+    message.asks[0].avoided = {base::target_id{9}};
+    message.asks[1].asked = std::nullopt;
+    message.answers = {{5, true, base::target_id{8}, milliseconds{1}, milliseconds{2}, 3}, {6}};
+    message.notes = {{7, placement_event::begun, std::nullopt, {}},
+                     {8, placement_event::ended, target_outcome::broken, milliseconds{30}}};
+    const auto bytes = encode(message);
+    bool read = false;
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(back, decode_placement(bytes));
+            read = true;
+            EXPECT_EQ(back.run, message.run);
+            EXPECT_EQ(back.asks.size(), 2U);
+            EXPECT_EQ(back.asks[0].asked->parts.size(), 2U);
+            EXPECT_EQ(back.asks[0].asked->session, 42U);
+            EXPECT_EQ(back.asks[0].urgency, 4);
+            EXPECT_GT(back.asks[0].longest_start, std::chrono::hours{24});
+            EXPECT_EQ(back.asks[0].avoided, message.asks[0].avoided);
+            EXPECT_FALSE(back.asks[1].asked);
+            EXPECT_EQ(back.answers[0].target, message.answers[0].target);
+            EXPECT_TRUE(back.answers[0].is_reserved);
+            EXPECT_FALSE(back.answers[1].target);
+            EXPECT_FALSE(back.notes[0].outcome);
+            EXPECT_EQ(back.notes[1].outcome, target_outcome::broken);
+            EXPECT_EQ(back.notes[1].took, milliseconds{30});
+            return {};
+        },
+        [](const base::error& problem) { ADD_FAILURE() << base::describe(problem); }, [] {});
+    EXPECT_TRUE(read);
+}
+
+TEST(placement_codec, other_bytes_are_refused)
+{
+    const std::vector<std::uint8_t> noise(100, 0x41);
+    bool refused = false;
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_CHECK(decode_placement(noise));
+            return {};
+        },
+        [&](const base::error&) { refused = true; }, [] {});
+    EXPECT_TRUE(refused);
+}
+
+} // namespace
+} // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/placement_test.cpp
+++ b/src/chicorylink/fleet/placement_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/fleet/placement.hpp"
+#include "chicorylink/fleet/pool_of_targets.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 
 #include <random>
@@ -12,72 +13,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-base::time_point at(milliseconds since_boot)
-{
-    return base::time_point{since_boot};
-}
-
-const region_name east{"east"};
-const std::map<data_center_name, region_name> places{
-    {data_center_name{"east-a"}, east}, {data_center_name{"west-a"}, region_name{"west"}}};
-
-/// Keys are the targets' names, values `engine` or `plain`, with `,leaving` or `,cold`.
-item_meaning decode(const published_item& item)
-{
-    if (item.key == "config") {
-        service engines;
-        engines.name = service_name{"engine"};
-        engines.is_engine = true;
-        engines.cold_time = milliseconds{3000};
-        engines.cold_requests_per_second = 2.9;
-        service plain;
-        plain.name = service_name{"plain"};
-        return configuration_item{std::make_shared<const configuration>(
-            base::config_version{1}, std::vector<route>{}, std::vector<service>{engines, plain},
-            std::vector<team>{}, caller_limits{})};
-    }
-    if (item.key.starts_with("evac/")) {
-        return evacuation_item{data_center_name{item.key.substr(5)}, !item.removed};
-    }
-    target_entry entry;
-    entry.name = target_name{item.key};
-    entry.service = service_name{item.value.substr(0, item.value.find(','))};
-    entry.address = "10.0.0.1:" + item.key;
-    entry.data_center = data_center_name{"east-a"};
-    entry.slots = entry.service.text() == "plain" ? 6 : 64;
-    entry.leaving = item.value.ends_with("leaving");
-    entry.cold_left = milliseconds{item.value.ends_with("cold") ? 3000 : 0};
-    return target_item{entry};
-}
-
-class pool_of_targets {
-public:
-    explicit pool_of_targets(int engines, int plain = 0) : m_state(&decode)
-    {
-        publish("config", "1");
-        for (int number = 0; number < engines; ++number) {
-            publish(fmt::format("e{}", number), "engine");
-        }
-        for (int number = 0; number < plain; ++number) {
-            publish(fmt::format("p{}", number), "plain");
-        }
-    }
-
-    void publish(const std::string& key, const std::string& value, bool removed = false,
-                 base::time_point now = at(seconds{1}))
-    {
-        ++m_revision;
-        (void)m_state.apply_changes({{key, value, m_revision, removed}}, m_revision, now, now);
-        m_pool.sync(m_state, east, places, now);
-    }
-
-    target_pool& pool() { return m_pool; }
-
-private:
-    published_state m_state;
-    target_pool m_pool;
-    std::uint64_t m_revision = 0;
-};
+using test_support::at;
+using test_support::pool_of_targets;
 
 prompt prompt_of(std::uint64_t session, std::uint32_t shared, std::uint32_t own)
 {
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -36,6 +36,16 @@
     return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
 }
 
+const remote_region* first_to_start(const std::vector<remote_region>& others,
+                                    const region_request& request)
+{
+    const auto best = std::min_element(others.begin(), others.end(),
+                                       [&](const remote_region& a, const remote_region& b) {
+                                           return start_at(a, request) < start_at(b, request);
+                                       });
+    return best == others.end() ? nullptr : &*best;
+}
+
 } // namespace
 
 base::milliseconds longest_wait(const region_request& request)
@@ -44,25 +54,26 @@
     return std::min(part_of(request.latency_objective, part), request.time_left);
 }
 
+stay_limits limits_here(const std::vector<remote_region>& others, const region_request& request)
+{
+    stay_limits limits{longest_wait(request), base::milliseconds::max()};
+    const auto* best = first_to_start(others, request);
+    if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
+        limits.start = std::max(part_of(request.latency_objective, stay_part_of_objective),
+                                start_at(*best, request) + leave_margin);
+    }
+    return limits;
+}
+
 place choose_place(const std::optional<placement_choice>& here,
                    const std::vector<remote_region>& others, const region_request& request)
 {
-    const auto limit = longest_wait(request);
-    const remote_region* best = nullptr;
-    for (const auto& other : others) {
-        if (best == nullptr || start_at(other, request) < start_at(*best, request)) {
-            best = &other;
-        }
-    }
-    const bool here_fits = here && here->wait <= limit;
-    const bool best_fits = best != nullptr && best->wait + best->round_trip <= limit;
-    if (here_fits) {
-        const bool soon = here->start <= part_of(request.latency_objective, stay_part_of_objective);
-        if (soon || !best_fits || here->start <= start_at(*best, request) + leave_margin) {
-            return {place_kind::here, {}, base::milliseconds{0}, here->wait};
-        }
+    const auto limits = limits_here(others, request);
+    if (here && here->wait <= limits.wait && here->start <= limits.start) {
+        return {place_kind::here, {}, base::milliseconds{0}, here->wait};
     }
-    if (best_fits) {
+    const auto* best = first_to_start(others, request);
+    if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
         return {place_kind::elsewhere, best->region, best->round_trip,
                 best->wait + best->round_trip};
     }
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -115,6 +115,40 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
+const tracked_target* target_pool::find(base::target_id id) const
+{
+    const auto found = m_names.find(id);
+    return found == m_names.end() ? nullptr : find(found->second);
+}
+
+void target_pool::on_reserved(const target_name& name, const prompt* asked, std::uint32_t unread,
+                              std::uint8_t urgency, base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        ++target->reserved.in_flight;
+        target->reserved.unread_tokens.at(urgency) += unread;
+        if (asked != nullptr) {
+            target->cache.note_read(*asked, now);
+        }
+    }
+}
+
+void target_pool::on_reserved_read(const target_name& name, std::uint32_t unread,
+                                   std::uint8_t urgency)
+{
+    if (auto* target = find_mutable(name)) {
+        auto& tokens = target->reserved.unread_tokens.at(urgency);
+        tokens -= std::min<std::uint64_t>(tokens, unread);
+    }
+}
+
+void target_pool::on_reserved_ended(const target_name& name)
+{
+    if (auto* target = find_mutable(name)) {
+        target->reserved.in_flight -= std::min(target->reserved.in_flight, 1U);
+    }
+}
+
 void target_pool::on_sent(const target_name& name, const prompt* asked, std::uint32_t unread,
                           base::time_point now)
 {
--- a/src/chicorylink/fleet/tracked_target.cpp
+++ b/src/chicorylink/fleet/tracked_target.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/fleet/tracked_target.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace chicorylink::fleet {
 namespace {
@@ -25,8 +26,21 @@
     return use;
 }
 
+/// What an engine reads between two steps of its batch; a more urgent request waits for its end.
+constexpr std::uint64_t chunk_tokens = 2048;
+
 } // namespace
 
+std::uint64_t reserved_tokens_before(const tracked_target& target, std::uint8_t urgency)
+{
+    const auto& unread = target.reserved.unread_tokens;
+    const auto level = std::min<std::size_t>(urgency, urgency_levels - 1) + 1;
+    const auto split = unread.begin() + static_cast<std::ptrdiff_t>(level);
+    const auto before = std::accumulate(unread.begin(), split, std::uint64_t{0});
+    const auto behind = std::accumulate(split, unread.end(), std::uint64_t{0});
+    return before + std::min(behind, chunk_tokens);
+}
+
 others_use told_by_members(const tracked_target& target, base::time_point now)
 {
     others_use sum;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -84,11 +84,16 @@
     dispatch(now);
 }
 
-void exchange::release()
+void exchange::release(base::time_point now)
 {
-    if (m_attempt && !m_attempt->target.empty() && !std::exchange(m_attempt->released, true)) {
-        m_core.pool.on_ended(m_attempt->target, m_attempt->unread_tokens);
-        m_attempt->unread_tokens = 0;
+    if (!m_attempt || m_attempt->target.empty() || std::exchange(m_attempt->released, true)) {
+        return;
+    }
+    m_core.pool.on_ended(m_attempt->target, m_attempt->unread_tokens);
+    m_attempt->unread_tokens = 0;
+    if (m_attempt->place) {
+        const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
+        m_core.placements->note_ended(*m_attempt->place, m_attempt->outcome, took, now);
     }
 }
 
@@ -106,7 +111,8 @@
     static constexpr std::array<std::string_view, 4> results{"not_sent", "rejected", "failed",
                                                              "unknown"};
     log_attempt(results.at(static_cast<std::size_t>(end)), detail, now);
-    release();
+    m_attempt->outcome = outcome;
+    release(now);
     m_last_end = end;
     // What the next attempt sends begins with a whole event.
     m_events.reset();
@@ -179,11 +185,11 @@
 void exchange::on_caller_gone(base::time_point now)
 {
     m_caller = nullptr;
-    if (m_attempt && m_attempt->call) {
+    if (!m_is_asking && m_attempt && m_attempt->call) {
         m_attempt->call->cancel();
     }
     if (!m_is_over) {
-        release();
+        release(now);
         finish("caller_left", 0, {}, now);
     }
 }
@@ -202,22 +208,25 @@
     }
     const auto keep_alive = shared_from_this();
     if (now >= m_deadline) {
-        if (m_attempt && m_attempt->call) {
+        if (!m_is_asking && m_attempt && m_attempt->call) {
             const bool arrived = m_attempt->call->may_have_arrived();
             m_attempt->call->cancel();
             log_attempt("unknown", "deadline", now);
-            release();
+            release(now);
             m_history.runs += arrived ? 1 : 0;
         }
         const auto status = m_history.runs > 0 ? gateway_timeout_status : unavailable_status;
         refuse({status, "deadline", std::nullopt}, now);
         return;
     }
-    if (!m_attempt || m_attempt->target.empty() || now - m_attempt->last_sign < silence_limit) {
+    if (m_is_asking || !m_attempt || m_attempt->target.empty() ||
+        now - m_attempt->last_sign < silence_limit + m_attempt->expected_start) {
         return;
     }
     const auto* target = m_core.pool.find(m_attempt->target);
-    const bool others_hear = target != nullptr && now - target->last_sign < silence_limit;
+    const bool others_hear =
+        target != nullptr &&
+        now - std::max(target->last_sign, target->load.told_at) < silence_limit;
     if (others_hear) {
         return;
     }
@@ -236,7 +245,7 @@
 
 void exchange::on_stop(base::time_point now)
 {
-    if (m_attempt && m_attempt->call) {
+    if (!m_is_asking && m_attempt && m_attempt->call) {
         m_attempt->call->cancel();
         m_history.runs += 1;
     }
@@ -266,7 +275,7 @@
         return;
     }
     if (outcome == "answered" || outcome == "cut") {
-        release();
+        release(now);
     }
     m_core.exchanges.erase(this);
     const auto ms_since = [&](base::time_point then) {
@@ -292,6 +301,8 @@
         line.add("target", m_attempt->target.text()).add("region", m_attempt->region.text());
         line.add("address", m_attempt->address);
         line.add("expected_wait_ms", m_attempt->expected_wait.count());
+        line.add("placed_by", m_attempt->place ? std::string_view{m_attempt->place->desk_ip}
+                                               : std::string_view{"self"});
     }
     if (m_refused_wait) {
         line.add("shortest_wait_ms", m_refused_wait->count());
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -116,6 +116,9 @@
         m_first_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
         m_attempt->unread_tokens = 0;
+        if (m_attempt->place) {
+            m_core.placements->note_begun(*m_attempt->place, now);
+        }
         begin_answer(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
     }
@@ -167,6 +170,7 @@
     const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
     if (status < first_server_error_status) {
         m_core.pool.on_outcome(m_attempt->target, target_outcome::answered, took, now);
+        m_attempt->outcome = target_outcome::answered;
     }
     if (!m_answer_begun) {
         m_first_at = now;
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -1,3 +1,4 @@
+#include "chicorylink/base/boot_clock.hpp"
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/front_core.hpp"
@@ -132,13 +133,91 @@
     return best;
 }
 
+fleet::placement_ask exchange::ask_for(base::time_point now) const
+{
+    const auto limits = fleet::limits_here(choices_elsewhere(now), needs(now));
+    fleet::placement_ask ask;
+    ask.service = m_resolved.service->name;
+    ask.asked = m_prompt;
+    ask.spread = base::hash_name(m_asked.id);
+    ask.urgency = urgency_of(m_resolved);
+    ask.longest_wait = limits.wait;
+    ask.longest_start = limits.start;
+    for (const auto& [name, target] : m_core.pool.targets()) {
+        const bool tried = std::find(m_tried.begin(), m_tried.end(), name) != m_tried.end();
+        if (tried || (target.entry.service == m_resolved.service->name &&
+                      fleet::is_ejected(target.health, now))) {
+            ask.avoided.push_back(target.id);
+        }
+    }
+    return ask;
+}
+
 void exchange::dispatch(base::time_point now)
 {
-    const auto here = choose_here(now);
+    if (!fleet::may_run_in(*m_resolved.route, m_resolved.team, m_core.settings.self.region)) {
+        go_to(std::nullopt, now);
+        return;
+    }
+    m_is_asking = true;
+    m_core.placements->ask(
+        ask_for(now),
+        [self = shared_from_this()](const std::optional<placement_advice>& advice) {
+            self->on_advice(advice);
+        },
+        now);
+}
+
+void exchange::on_advice(const std::optional<placement_advice>& advice)
+{
+    const auto now = base::boot_now();
+    m_is_asking = false;
+    std::optional<reserved_place> place;
+    if (advice && advice->answer.is_reserved) {
+        place = reserved_place{advice->desk_ip, advice->answer.number};
+    }
+    const auto give_back = [&] {
+        if (place) {
+            m_core.placements->note_ended(*place, std::nullopt, {}, now);
+        }
+    };
+    if (m_is_over || now >= m_deadline) {
+        give_back();
+        return;
+    }
+    // The process may have been frozen while it waited.
+    if (const auto refused = check(now)) {
+        give_back();
+        refuse(*refused, now);
+        return;
+    }
+    const auto chosen = advice ? choice_of(advice->answer, now) : std::nullopt;
+    if (chosen && place) {
+        send_to_target(*chosen, place, now);
+        return;
+    }
+    give_back();
+    go_to(chosen ? chosen : choose_here(now), now);
+}
+
+std::optional<fleet::placement_choice> exchange::choice_of(const fleet::placement_answer& answer,
+                                                           base::time_point now) const
+{
+    const auto* target = answer.target ? m_core.pool.find(*answer.target) : nullptr;
+    if (target == nullptr || target->entry.service != m_resolved.service->name ||
+        !fleet::takes_work(*target) || !may_use(*target, m_core.members.region_ips(now), now)) {
+        return std::nullopt;
+    }
+    return fleet::placement_choice{target->entry.name, target->entry.address, answer.wait,
+                                   answer.start,       answer.unread_tokens,  0};
+}
+
+void exchange::go_to(const std::optional<fleet::placement_choice>& here, base::time_point now)
+{
     const auto where = fleet::choose_place(here, choices_elsewhere(now), needs(now));
     switch (where.kind) {
     case fleet::place_kind::here:
-        send_to_target(*here, now);
+        send_to_target(*here, std::nullopt, now);
         return;
     case fleet::place_kind::elsewhere:
         send_to_peer(where, peer_in(where.region, now), now);
@@ -159,7 +238,8 @@
            now);
 }
 
-void exchange::send_to_target(const fleet::placement_choice& choice, base::time_point now)
+void exchange::send_to_target(const fleet::placement_choice& choice,
+                              std::optional<reserved_place> place, base::time_point now)
 {
     attempt next;
     next.target = choice.target;
@@ -167,6 +247,8 @@
     next.region = m_core.settings.self.region;
     next.unread_tokens = choice.unread_tokens;
     next.expected_wait = choice.wait;
+    next.expected_start = choice.start;
+    next.place = std::move(place);
     m_attempt = std::move(next);
     m_tried.push_back(choice.target);
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -63,6 +63,24 @@
     return acceptor;
 }
 
+base::result<udp::socket> open_datagrams(boost::asio::io_context& loop, const std::string& address)
+{
+    const auto endpoint = parse_endpoint(address);
+    udp::socket socket(loop);
+    boost::system::error_code problem;
+    socket.open(udp::v4(), problem);
+    if (!problem && endpoint) {
+        socket.bind({endpoint->address(), endpoint->port()}, problem);
+    }
+    if (problem || !endpoint) {
+        return base::fail(base::error_kind::invalid_setting,
+                          fmt::format("can't take datagrams on {}: {}", address,
+                                      problem ? problem.message() : "not IP:port"),
+                          "give a port that is free");
+    }
+    return socket;
+}
+
 } // namespace
 
 front_daemon::front_daemon(front_settings settings, const outer_protocol& protocol,
@@ -92,19 +110,11 @@
     BOOST_LEAF_AUTO(ready, open_acceptor(m_loop, settings.ready_address));
     BOOST_LEAF_AUTO(directory, open_acceptor(m_loop, settings.directory_address));
     BOOST_LEAF_AUTO(control, open_acceptor(m_loop, settings.control_address));
-    const auto peer_endpoint = parse_endpoint(peer_address);
-    udp::socket datagrams(m_loop);
-    boost::system::error_code problem;
-    datagrams.open(udp::v4(), problem);
-    if (!problem) {
-        datagrams.bind({peer_endpoint->address(), peer_endpoint->port()}, problem);
-    }
-    if (problem) {
-        return base::fail(
-            base::error_kind::invalid_setting,
-            fmt::format("can't take datagrams on {}: {}", peer_address, problem.message()),
-            "give a port that is free");
-    }
+    BOOST_LEAF_AUTO(datagrams, open_datagrams(m_loop, peer_address));
+    BOOST_LEAF_AUTO(
+        placement_datagrams,
+        open_datagrams(m_loop, fmt::format("{}:{}", settings.self.ip, settings.placement_port())));
+    m_core.placements.emplace(m_core, std::move(placement_datagrams));
     m_reader.emplace(m_core, [this] {
         const auto now = base::boot_now();
         sync_state(now);
@@ -220,6 +230,7 @@
             one->tick(now);
         }
     }
+    m_core.placements->tick(now);
     m_gossip->tick(now);
     m_reader->tick(now);
     if (now - m_slow_ticked_at >= slow_tick_interval) {
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -155,7 +155,8 @@
     }
     if (m_core.state.config()) {
         for (const auto& service : m_core.state.config()->services()) {
-            digest.outlook.push_back(fleet::outlook_of(m_core.pool, service.name, now));
+            digest.outlook.push_back(
+                fleet::outlook_of(m_core.pool, service.name, m_core.placements->is_desk(now), now));
         }
     }
     return digest;
@@ -229,6 +230,7 @@
     }
     for (const auto& ip : m_core.members.tick(now)) {
         write_log(m_core, log_event(m_core, "peer_silent").add("ip", ip));
+        m_core.desk.forget(m_core.pool, ip);
     }
 }
 
--- /dev/null
+++ b/src/chicorylink/front/placement_link.cpp
@@ -0,0 +1,230 @@
+#include "chicorylink/front/placement_link.hpp"
+
+#include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/fleet/placement_codec.hpp"
+#include "chicorylink/front/front_core.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace chicorylink::front {
+namespace {
+
+using udp = boost::asio::ip::udp;
+
+/// Fits a message with dozens of notes; a larger one is split by its sender.
+constexpr std::size_t datagram_bytes = 8UL * 1024;
+constexpr std::size_t notes_per_message = 128;
+
+/// A round trip within a region and the work of a desk take a few milliseconds; waiting longer
+/// costs the request more than a worse place.
+constexpr base::milliseconds ask_limit{30};
+
+/// A desk that let an ask wait is left alone for so long: it may be frozen, cut off or gone.
+constexpr base::milliseconds silent_time{500};
+
+std::array<std::uint8_t, datagram_bytes>& receive_buffer()
+{
+    static std::array<std::uint8_t, datagram_bytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+placement_link::placement_link(front_core& core, udp::socket socket)
+    : m_core(core), m_socket(std::move(socket))
+{
+    m_socket.non_blocking(true);
+    receive();
+}
+
+std::string placement_link::desk_ip(base::time_point now) const
+{
+    return m_core.members.delegates_of(m_core.settings.self.region, now).front();
+}
+
+bool placement_link::is_desk(base::time_point now) const
+{
+    return m_core.desk.is_in_use(now) && desk_ip(now) == m_core.settings.self.ip;
+}
+
+udp::endpoint placement_link::endpoint_of(const std::string& ip) const
+{
+    boost::system::error_code problem;
+    return {boost::asio::ip::make_address(ip, problem), m_core.settings.placement_port()};
+}
+
+void placement_link::ask(fleet::placement_ask ask, handler on_advice, base::time_point now)
+{
+    ask.number = ++m_last_number;
+    const auto ip = desk_ip(now);
+    const auto& self = m_core.settings.self;
+    if (ip == self.ip) {
+        const auto answer = m_core.desk.place(m_core.pool, self.ip, self.run, ask, now);
+        on_advice(placement_advice{answer, ip});
+        return;
+    }
+    const auto silent = m_silent_until.find(ip);
+    if (silent != m_silent_until.end() && now < silent->second) {
+        on_advice(std::nullopt);
+        return;
+    }
+    fleet::placement_message message;
+    message.run = self.run;
+    m_waiting.insert_or_assign(ask.number, waiting_ask{ip, now, std::move(on_advice)});
+    message.asks.push_back(std::move(ask));
+    send(message, endpoint_of(ip));
+}
+
+void placement_link::receive()
+{
+    m_socket.async_wait(udp::socket::wait_read, [this](boost::system::error_code stopped) {
+        if (stopped) {
+            return;
+        }
+        take_pending();
+        receive();
+    });
+}
+
+void placement_link::take_pending()
+{
+    boost::system::error_code problem;
+    while (!problem) {
+        udp::endpoint from;
+        const auto size =
+            m_socket.receive_from(boost::asio::buffer(receive_buffer()), from, 0, problem);
+        if (!problem) {
+            take_datagram(size, from);
+        }
+    }
+}
+
+void placement_link::take_datagram(std::size_t size, const udp::endpoint& from)
+{
+    base::leaf::try_handle_all(
+        [&]() -> base::result<void> {
+            BOOST_LEAF_AUTO(message, fleet::decode_placement({receive_buffer().data(), size}));
+            take_asks(message, from);
+            for (const auto& note : message.notes) {
+                m_core.desk.take_note(m_core.pool, from.address().to_string(), note,
+                                      base::boot_now());
+            }
+            for (const auto& answer : message.answers) {
+                take_answer(answer);
+            }
+            return {};
+        },
+        [&](const base::error& problem) {
+            m_core.counters.add("bad_datagrams_total");
+            write_log(m_core,
+                      log_event(m_core, "bad_datagram").add("reason", base::describe(problem)));
+        },
+        [] {});
+}
+
+void placement_link::take_asks(const fleet::placement_message& message, const udp::endpoint& from)
+{
+    if (message.asks.empty()) {
+        return;
+    }
+    fleet::placement_message reply;
+    reply.run = m_core.settings.self.run;
+    for (const auto& ask : message.asks) {
+        reply.answers.push_back(m_core.desk.place(m_core.pool, from.address().to_string(),
+                                                  message.run, ask, base::boot_now()));
+        m_core.counters.add("placements_total");
+    }
+    send(reply, from);
+}
+
+void placement_link::take_answer(const fleet::placement_answer& answer)
+{
+    const auto found = m_waiting.find(answer.number);
+    if (found == m_waiting.end()) {
+        // Its request was placed here in the meantime; the note that it ended is on its way.
+        m_core.counters.add("late_placements_total");
+        return;
+    }
+    const auto asked = std::move(found->second);
+    m_waiting.erase(found);
+    asked.on_advice(placement_advice{answer, asked.desk_ip});
+}
+
+void placement_link::note_begun(const reserved_place& place, base::time_point now)
+{
+    note(place, {place.number, fleet::placement_event::begun, std::nullopt, {}}, now);
+}
+
+void placement_link::note_ended(const reserved_place& place,
+                                std::optional<fleet::target_outcome> outcome,
+                                base::milliseconds took, base::time_point now)
+{
+    note(place, {place.number, fleet::placement_event::ended, outcome, took}, now);
+}
+
+void placement_link::note(const reserved_place& place, fleet::placement_note note,
+                          base::time_point now)
+{
+    const auto& self = m_core.settings.self;
+    if (place.desk_ip == self.ip) {
+        // The pool was already told the outcome of this VM's own attempt.
+        note.outcome = std::nullopt;
+        m_core.desk.take_note(m_core.pool, self.ip, note, now);
+        return;
+    }
+    m_notes[place.desk_ip].fresh.push_back(note);
+}
+
+void placement_link::tick(base::time_point now)
+{
+    // An answer that has arrived counts, however long this VM took to read it.
+    take_pending();
+    std::vector<std::pair<std::uint64_t, waiting_ask>> unanswered;
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        if (now - entry->second.asked_at < ask_limit) {
+            ++entry;
+            continue;
+        }
+        unanswered.emplace_back(entry->first, std::move(entry->second));
+        entry = m_waiting.erase(entry);
+    }
+    for (auto& [number, asked] : unanswered) {
+        m_silent_until[asked.desk_ip] = now + silent_time;
+        m_core.counters.add("placements_unanswered_total");
+        // The place may have been reserved all the same.
+        note_ended({asked.desk_ip, number}, std::nullopt, {}, now);
+        asked.on_advice(std::nullopt);
+    }
+    for (auto entry = m_notes.begin(); entry != m_notes.end();) {
+        auto& notes = entry->second;
+        fleet::placement_message message;
+        message.run = m_core.settings.self.run;
+        message.notes = std::move(notes.told);
+        const auto count = std::min(notes.fresh.size(), notes_per_message);
+        const auto end = notes.fresh.begin() + static_cast<std::ptrdiff_t>(count);
+        notes.told.assign(notes.fresh.begin(), end);
+        notes.fresh.erase(notes.fresh.begin(), end);
+        message.notes.insert(message.notes.end(), notes.told.begin(), notes.told.end());
+        send(message, endpoint_of(entry->first));
+        entry = notes.told.empty() ? m_notes.erase(entry) : std::next(entry);
+    }
+    m_core.desk.tick(m_core.pool, now);
+}
+
+void placement_link::send(const fleet::placement_message& message, const udp::endpoint& to)
+{
+    const auto bytes = fleet::encode(message);
+    boost::system::error_code problem;
+    m_socket.send_to(boost::asio::buffer(bytes), to, 0, problem);
+    if (problem) {
+        m_core.counters.add("placement_messages_not_sent_total");
+    }
+}
+
+} // namespace chicorylink::front
--- a/src/chicorylink/front/request_bytes.cpp
+++ b/src/chicorylink/front/request_bytes.cpp
@@ -9,9 +9,6 @@
 namespace chicorylink::front {
 namespace {
 
-/// The lowest urgency that targets know.
-constexpr int last_priority = 9;
-
 std::string to_bytes(const asked_request& asked, const header_fields& fields)
 {
     std::string bytes;
@@ -59,8 +56,7 @@
         fields.push_back({names.team, resolved.team->name.text()});
     }
     if (resolved.service->is_engine) {
-        const auto priority = std::clamp(resolved.priority, 0, last_priority);
-        fields.push_back({names.priority, std::to_string(priority)});
+        fields.push_back({names.priority, std::to_string(urgency_of(resolved))});
     }
     return to_bytes(asked, fields);
 }
--- a/src/chicorylink/front/resolution.cpp
+++ b/src/chicorylink/front/resolution.cpp
@@ -1,8 +1,10 @@
 #include "chicorylink/front/resolution.hpp"
 
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/fleet/tracked_target.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 
@@ -85,6 +87,12 @@
     return found;
 }
 
+std::uint8_t urgency_of(const resolved_request& resolved)
+{
+    constexpr int least_urgent = fleet::urgency_levels - 1;
+    return static_cast<std::uint8_t>(std::clamp(resolved.priority, 0, least_urgent));
+}
+
 std::optional<fleet::prompt> prompt_of(const message_head& head, const wire_names& names)
 {
     const auto* counts = find_field(head.fields, names.token_counts);
