--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -56,6 +56,8 @@
         base::time_point sent_at{};
         base::time_point last_sign{};
         std::uint32_t unread_tokens = 0;
+        /// The same as expected when the request was sent.
+        std::uint32_t unread_at_send = 0;
         base::milliseconds expected_wait{0};
         base::milliseconds expected_start{0};
         /// The place that the region's desk keeps; none when this VM chose the target itself.
@@ -72,7 +74,7 @@
     [[nodiscard]] std::optional<refusal> check_quota(base::time_point now);
     void dispatch(base::time_point now);
     [[nodiscard]] fleet::placement_ask ask_for(base::time_point now) const;
-    void on_advice(const std::optional<placement_advice>& advice);
+    void on_advice(const placement_advice& advice);
     /// @brief Whether the target that a desk chose can be used from here.
     [[nodiscard]] std::optional<fleet::placement_choice>
     choice_of(const fleet::placement_answer& answer, base::time_point now) const;
@@ -142,6 +144,8 @@
     bool m_is_over = false;
     /// The region's desk was asked for a place and has not answered.
     bool m_is_asking = false;
+    /// How the newest attempt's target was chosen, for the log.
+    std::string_view m_placed_by = "self";
 };
 
 } // namespace chicorylink::front
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/ip/udp.hpp>
@@ -25,8 +26,11 @@
 
 /// @brief What a desk said of a request.
 struct placement_advice {
-    fleet::placement_answer answer;
+    /// None when the desk did not answer.
+    std::optional<fleet::placement_answer> answer;
     std::string desk_ip;
+    /// How the advice came about, for the log.
+    std::string_view reason;
 };
 
 /// @brief Asks the placement desk of this VM's region, and is the desk when it is this VM's turn.
@@ -35,8 +39,8 @@
 /// is decided here, and notes are sent twice.
 class placement_link {
 public:
-    /// Called once; without advice the caller decides by itself.
-    using handler = std::function<void(const std::optional<placement_advice>&)>;
+    /// Called once; without an answer the caller decides by itself.
+    using handler = std::function<void(const placement_advice&)>;
 
     placement_link(front_core& core, boost::asio::ip::udp::socket socket);
 
--- a/include/chicorylink/front/state_reader.hpp
+++ b/include/chicorylink/front/state_reader.hpp
@@ -48,6 +48,8 @@
     void take_page(store_answer page, base::time_point sent_at);
     void watch_if_due();
     void on_watch(const read_result& result);
+    /// @brief Makes the next call to the store after a time.
+    void pause(base::milliseconds time);
     void retry_later(const read_result& result);
     void note_answer();
     void copy_from(const std::string& ip, std::uint64_t after);
@@ -58,7 +60,7 @@
     std::function<void()> m_on_change;
     reader_client m_store;
     std::unique_ptr<reader_client> m_peer;
-    boost::asio::steady_timer m_retry;
+    boost::asio::steady_timer m_pause;
     std::vector<fleet::published_item> m_page_items;
     /// Of the first page: changes that later pages missed are found by a watch from there.
     std::uint64_t m_snapshot_as_of = 0;
@@ -68,7 +70,7 @@
     std::optional<base::time_point> m_answered_at;
     base::time_point m_copied_at{};
     bool m_is_lost = false;
-    bool m_is_waiting_to_retry = false;
+    bool m_is_pausing = false;
 };
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -301,8 +301,11 @@
         line.add("target", m_attempt->target.text()).add("region", m_attempt->region.text());
         line.add("address", m_attempt->address);
         line.add("expected_wait_ms", m_attempt->expected_wait.count());
-        line.add("placed_by", m_attempt->place ? std::string_view{m_attempt->place->desk_ip}
-                                               : std::string_view{"self"});
+        line.add("placed_by", m_placed_by);
+        if (m_prompt) {
+            line.add("prompt_tokens", m_prompt->prompt_tokens);
+            line.add("unread_tokens", m_attempt->unread_at_send);
+        }
     }
     if (m_refused_wait) {
         line.add("shortest_wait_ms", m_refused_wait->count());
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -162,19 +162,17 @@
     m_is_asking = true;
     m_core.placements->ask(
         ask_for(now),
-        [self = shared_from_this()](const std::optional<placement_advice>& advice) {
-            self->on_advice(advice);
-        },
+        [self = shared_from_this()](const placement_advice& advice) { self->on_advice(advice); },
         now);
 }
 
-void exchange::on_advice(const std::optional<placement_advice>& advice)
+void exchange::on_advice(const placement_advice& advice)
 {
     const auto now = base::boot_now();
     m_is_asking = false;
     std::optional<reserved_place> place;
-    if (advice && advice->answer.is_reserved) {
-        place = reserved_place{advice->desk_ip, advice->answer.number};
+    if (advice.answer && advice.answer->is_reserved) {
+        place = reserved_place{advice.desk_ip, advice.answer->number};
     }
     const auto give_back = [&] {
         if (place) {
@@ -191,7 +189,8 @@
         refuse(*refused, now);
         return;
     }
-    const auto chosen = advice ? choice_of(advice->answer, now) : std::nullopt;
+    const auto chosen = advice.answer ? choice_of(*advice.answer, now) : std::nullopt;
+    m_placed_by = advice.answer && !chosen ? "self, no target of the desk" : advice.reason;
     if (chosen && place) {
         send_to_target(*chosen, place, now);
         return;
@@ -246,6 +245,7 @@
     next.address = choice.address;
     next.region = m_core.settings.self.region;
     next.unread_tokens = choice.unread_tokens;
+    next.unread_at_send = choice.unread_tokens;
     next.expected_wait = choice.wait;
     next.expected_start = choice.start;
     next.place = std::move(place);
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -66,12 +66,12 @@
     const auto& self = m_core.settings.self;
     if (ip == self.ip) {
         const auto answer = m_core.desk.place(m_core.pool, self.ip, self.run, ask, now);
-        on_advice(placement_advice{answer, ip});
+        on_advice({answer, ip, "desk"});
         return;
     }
     const auto silent = m_silent_until.find(ip);
     if (silent != m_silent_until.end() && now < silent->second) {
-        on_advice(std::nullopt);
+        on_advice({std::nullopt, ip, "desk_was_silent"});
         return;
     }
     fleet::placement_message message;
@@ -153,7 +153,7 @@
     }
     const auto asked = std::move(found->second);
     m_waiting.erase(found);
-    asked.on_advice(placement_advice{answer, asked.desk_ip});
+    asked.on_advice({answer, asked.desk_ip, "desk"});
 }
 
 void placement_link::note_begun(const reserved_place& place, base::time_point now)
@@ -199,7 +199,7 @@
         m_core.counters.add("placements_unanswered_total");
         // The place may have been reserved all the same.
         note_ended({asked.desk_ip, number}, std::nullopt, {}, now);
-        asked.on_advice(std::nullopt);
+        asked.on_advice({std::nullopt, asked.desk_ip, "desk_is_silent"});
     }
     for (auto entry = m_notes.begin(); entry != m_notes.end();) {
         auto& notes = entry->second;
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -17,9 +17,10 @@
 constexpr int history_gone = 410;
 
 /// How long the store may hold a watch without news, for the first delegate of a region and for the
-/// others. Each answer confirms the configuration; a fifth of the bound on withdrawn keys leaves
-/// room for a lost one.
-constexpr base::milliseconds first_watch_time{1000};
+/// others. Each answer confirms the configuration as of its question; with the time until the next
+/// one and that of a delegate's digests, the region's VMs stay under half of the bound on withdrawn
+/// keys.
+constexpr base::milliseconds first_watch_time{600};
 constexpr base::milliseconds other_watch_time{6000};
 
 /// What a watch may take beyond that, and a read in all, before its connection is taken to be dead.
@@ -31,10 +32,14 @@
 constexpr base::milliseconds first_retry{100};
 constexpr base::milliseconds longest_retry{800};
 
-/// A configuration that nobody confirmed for so long is confirmed by a watch of this VM's own, and
-/// a little later by a peer's copy; further copies follow at this interval.
-constexpr base::milliseconds unconfirmed_before_watch{1800};
-constexpr base::milliseconds unconfirmed_before_copy{2200};
+/// Changes come in bursts, as when targets start together; one call after this pause takes them
+/// all. A small part of the time in which a change must be in force.
+constexpr base::milliseconds pause_after_news{150};
+
+/// A configuration that nobody confirmed for so long is confirmed by a peer's copy, and a little
+/// later by a watch of this VM's own; further copies follow at this interval.
+constexpr base::milliseconds unconfirmed_before_copy{2400};
+constexpr base::milliseconds unconfirmed_before_watch{2800};
 constexpr base::milliseconds copy_interval{700};
 constexpr base::milliseconds copy_limit{600};
 
@@ -50,7 +55,7 @@
 
 state_reader::state_reader(front_core& core, std::function<void()> on_change)
     : m_core(core), m_on_change(std::move(on_change)),
-      m_store(core.loop, core.settings.store_address), m_retry(core.loop)
+      m_store(core.loop, core.settings.store_address), m_pause(core.loop)
 {
 }
 
@@ -127,7 +132,7 @@
 void state_reader::watch_if_due()
 {
     const auto wait = watch_time(base::boot_now());
-    if (!wait || m_watch_from == 0 || m_store.is_busy() || m_is_waiting_to_retry) {
+    if (!wait || m_watch_from == 0 || m_store.is_busy() || m_is_pausing) {
         return;
     }
     m_core.counters.add("store_reads_total");
@@ -154,7 +159,12 @@
                                                     base::boot_now()),
                          "store");
             m_watch_from = std::max(m_watch_from, news.as_of);
-            watch_if_due();
+            if (news.items.empty()) {
+                watch_if_due();
+            }
+            else {
+                pause(pause_after_news);
+            }
             return {};
         },
         [&](const base::error& problem) {
@@ -184,13 +194,18 @@
     }
     m_core.counters.add("store_failures_total");
     m_retry_after = std::clamp(m_retry_after * 2, first_retry, longest_retry);
-    m_retry.expires_after(m_retry_after);
-    m_is_waiting_to_retry = true;
-    m_retry.async_wait([this](boost::system::error_code stopped) {
+    pause(m_retry_after);
+}
+
+void state_reader::pause(base::milliseconds time)
+{
+    m_pause.expires_after(time);
+    m_is_pausing = true;
+    m_pause.async_wait([this](boost::system::error_code stopped) {
         if (stopped) {
             return;
         }
-        m_is_waiting_to_retry = false;
+        m_is_pausing = false;
         if (m_watch_from == 0) {
             read_snapshot({});
         }
@@ -209,7 +224,8 @@
         const base::time_point echoed{base::milliseconds{message.echo_ms}};
         m_core.state.confirm(echoed - *message.confirmed_age);
     }
-    const bool reads_itself = m_store.is_busy() && !m_is_lost && m_watch_from != 0;
+    const bool reads_itself =
+        (m_store.is_busy() || m_is_pausing) && !m_is_lost && m_watch_from != 0;
     if (vouches && message.items_revision > m_core.state.items_revision() && !reads_itself &&
         m_core.state.as_of() != 0) {
         copy_from(message.from.ip, m_core.state.items_revision());
