fleet: late targets get no more work; limits go by the expected start

Change: the desk adds to a target's wait how long its first waiting request is overdue. A request is refused when its start, not its wait, is expected after 0.85 of the objective (a returning one: the whole); a prompt that takes the objective by itself may still wait a quarter of it.

--- a/include/chicorylink/fleet/placement_desk.hpp
+++ b/include/chicorylink/fleet/placement_desk.hpp
@@ -32,7 +32,7 @@
     /// @brief Gives back all places of a VM that is gone.
     void forget(target_pool& pool, const std::string& asker);
 
-    /// @brief Gives back places whose notes were lost.
+    /// @brief Gives back places whose notes were lost, and notes which targets are late.
     void tick(target_pool& pool, base::time_point now);
 
     /// @brief Whether this VM was asked so recently that it knows what its region sends where.
@@ -47,6 +47,8 @@
         std::uint32_t unread_tokens = 0;
         std::uint8_t urgency = 0;
         base::time_point made_at{};
+        /// When its prompt should be read.
+        base::time_point due_at{};
     };
     using reservation_map = std::map<std::pair<std::string, std::uint64_t>, reservation>;
 
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -37,6 +37,9 @@
     /// @brief A reserved request is no longer at its target.
     void on_reserved_ended(const target_name& name);
 
+    /// @brief When the first reserved request that has not begun should have, by target.
+    void set_first_due(const std::map<target_name, base::time_point>& due);
+
     /// @brief A request goes to a target.
     /// @param asked Its prompt; null at a plain service.
     /// @param unread Tokens of the prompt that the target is believed to have to read.
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     std::uint32_t in_flight = 0;
     /// Prompt tokens of those that have not begun, by urgency.
     std::array<std::uint64_t, urgency_levels> unread_tokens{};
+    /// When the first of those should have begun; none when nothing is waiting.
+    std::optional<base::time_point> first_due;
 };
 
 /// @brief What all other VMs of the region have at a target.
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -35,6 +35,8 @@
 struct work_before {
     std::uint64_t in_flight = 0;
     std::uint64_t unread_tokens = 0;
+    /// How long the first request that waits there should have begun.
+    base::milliseconds overdue{0};
 };
 
 work_before told_work(const tracked_target& target, base::time_point now)
@@ -42,9 +44,14 @@
     return {total_in_flight(target, now), total_unread_tokens(target, now)};
 }
 
-work_before reserved_work(const tracked_target& target, std::uint8_t urgency)
+work_before reserved_work(const tracked_target& target, std::uint8_t urgency, base::time_point now)
 {
-    return {target.reserved.in_flight, reserved_tokens_before(target, urgency)};
+    work_before work{target.reserved.in_flight, reserved_tokens_before(target, urgency)};
+    if (target.reserved.first_due && now > *target.reserved.first_due) {
+        work.overdue =
+            std::chrono::duration_cast<base::milliseconds>(now - *target.reserved.first_due);
+    }
+    return work;
 }
 
 double wait_ms(const tracked_target& target, const work_before& work)
@@ -53,7 +60,9 @@
     const auto slots = static_cast<double>(std::max(target.entry.slots, 1U));
     const double over = std::max(0.0, running + 1 - slots);
     if (target.is_engine) {
-        return static_cast<double>(work.unread_tokens) / default_prompt_speed +
+        // A target that is late is slower than expected, or gone: it may stay so for as long again.
+        return static_cast<double>(work.overdue.count()) +
+               static_cast<double>(work.unread_tokens) / default_prompt_speed +
                running * step_ms_per_request + over * engine_slot_wait_ms;
     }
     const double each = target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
@@ -151,8 +160,9 @@
 {
     const auto& target = *which.target;
     placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0};
-    const double wait = wait_ms(target, request.by_desk ? reserved_work(target, request.urgency)
-                                                        : told_work(target, now));
+    const double wait =
+        wait_ms(target, request.by_desk ? reserved_work(target, request.urgency, now)
+                                        : told_work(target, now));
     double start = wait;
     if (request.asked != nullptr && target.is_engine) {
         choice.unread_tokens = unread_tokens(target, *request.asked, may_hold, now);
@@ -237,7 +247,7 @@
         if (target.entry.service == service && takes_work(target) &&
             !is_ejected(target.health, now) && now >= target.cold_until) {
             ++outlook.usable_targets;
-            sum += wait_ms(target, by_desk ? reserved_work(target, urgency_levels - 1)
+            sum += wait_ms(target, by_desk ? reserved_work(target, urgency_levels - 1, now)
                                            : told_work(target, now));
         }
     }
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -69,7 +69,8 @@
     if (answer.is_reserved) {
         pool.on_reserved(choice->target, request.asked, choice->unread_tokens, urgency, now);
         m_reservations.insert_or_assign(
-            {asker, ask.number}, reservation{choice->target, choice->unread_tokens, urgency, now});
+            {asker, ask.number},
+            reservation{choice->target, choice->unread_tokens, urgency, now, now + choice->start});
     }
     return answer;
 }
@@ -117,6 +118,7 @@
 
 void placement_desk::tick(target_pool& pool, base::time_point now)
 {
+    std::map<target_name, base::time_point> first_due;
     for (auto entry = m_reservations.begin(); entry != m_reservations.end();) {
         auto& place = entry->second;
         if (now - place.made_at > longest_held) {
@@ -128,8 +130,13 @@
             pool.on_reserved_read(place.target, std::exchange(place.unread_tokens, 0),
                                   place.urgency);
         }
+        if (place.unread_tokens > 0) {
+            const auto [due, is_first] = first_due.try_emplace(place.target, place.due_at);
+            due->second = std::min(due->second, place.due_at);
+        }
         ++entry;
     }
+    pool.set_first_due(first_due);
 }
 
 bool placement_desk::is_in_use(base::time_point now) const
--- a/src/chicorylink/fleet/placement_desk_test.cpp
+++ b/src/chicorylink/fleet/placement_desk_test.cpp
@@ -179,6 +179,28 @@
     EXPECT_TRUE(desk.place(targets.pool(), vm(1), first_run, urgent, at(seconds{1})).is_reserved);
 }
 
+// Grown Rihla, scale-2: twenty targets went dark and got the region's requests for a second more.
+TEST(placement_desk, a_target_that_lets_a_request_wait_gets_no_more)
+{
+    pool_of_targets targets(2);
+    placement_desk desk;
+    const auto first =
+        desk.place(targets.pool(), vm(0), first_run, ask_for(1, 1, 0, 600), at(seconds{1}));
+    desk.tick(targets.pool(), at(milliseconds{1250}));
+    for (std::uint64_t number = 2; number < 5; ++number) {
+        const auto next = desk.place(targets.pool(), vm(1), first_run,
+                                     ask_for(number, number, 0, 600), at(milliseconds{1250}));
+        EXPECT_NE(next.target, first.target);
+    }
+    desk.take_note(targets.pool(), vm(0), {1, placement_event::begun, std::nullopt, {}},
+                   at(milliseconds{1260}));
+    desk.tick(targets.pool(), at(milliseconds{1260}));
+    EXPECT_EQ(
+        desk.place(targets.pool(), vm(1), first_run, ask_for(9, 9, 0, 600), at(milliseconds{1260}))
+            .target,
+        first.target);
+}
+
 TEST(placement_desk, cold_and_avoided_targets_are_left_to_the_asker)
 {
     pool_of_targets targets(1);
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -7,9 +7,16 @@
 namespace chicorylink::fleet {
 namespace {
 
-/// Part of the latency objective that waiting may take; the rest is for the request's own work.
-constexpr double wait_part_of_objective = 0.7;
-constexpr double wait_part_of_return = 0.95;
+/// Part of the latency objective in which a request must be expected to begin; the rest is for what
+/// the expectation misses. A caller that came back has the whole.
+constexpr double start_part_of_objective = 0.85;
+constexpr double start_part_of_return = 1.0;
+
+/// Part of the objective that any request may wait, however long its own prompt takes.
+constexpr double least_wait_part = 0.25;
+
+/// From the end of a prompt to the first token with an idle batch.
+constexpr double first_token_ms = 36.0;
 
 /// Part of the objective up to which a request stays in its region whatever others promise: a
 /// region loses its cached prompts with each request that leaves it.
@@ -50,8 +57,15 @@
 
 base::milliseconds longest_wait(const region_request& request)
 {
-    const double part = request.is_return ? wait_part_of_return : wait_part_of_objective;
-    return std::min(part_of(request.latency_objective, part), request.time_left);
+    const double part = request.is_return ? start_part_of_return : start_part_of_objective;
+    const double own_ms =
+        request.is_engine
+            ? first_token_ms + static_cast<double>(request.prompt_tokens) / default_prompt_speed
+            : 0;
+    const auto own = base::milliseconds{static_cast<std::int64_t>(own_ms)};
+    const auto wait = std::max(part_of(request.latency_objective, part) - own,
+                               part_of(request.latency_objective, least_wait_part));
+    return std::min(wait, request.time_left);
 }
 
 stay_limits limits_here(const std::vector<remote_region>& others, const region_request& request)
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -149,6 +149,15 @@
     }
 }
 
+void target_pool::set_first_due(const std::map<target_name, base::time_point>& due)
+{
+    for (auto& [name, target] : m_targets) {
+        const auto found = due.find(name);
+        target.reserved.first_due =
+            found == due.end() ? std::nullopt : std::optional{found->second};
+    }
+}
+
 void target_pool::on_sent(const target_name& name, const prompt* asked, std::uint32_t unread,
                           base::time_point now)
 {
