front: requests of one rank are read in the order of their routes

Cause: engines got the team's rank alone.

Change: the urgency told to engines is the rank, then the route's.

--- a/src/chicorylink/front/resolution.cpp
+++ b/src/chicorylink/front/resolution.cpp
@@ -89,8 +89,13 @@
 
 std::uint8_t urgency_of(const resolved_request& resolved)
 {
+    // Among requests of the same rank, those of the more urgent route go first: a team's rank
+    // alone would let short questions wait behind its long ones.
     constexpr int least_urgent = fleet::urgency_levels - 1;
-    return static_cast<std::uint8_t>(std::clamp(resolved.priority, 0, least_urgent));
+    constexpr int routes_per_rank = 3;
+    const int route = std::clamp(resolved.route->priority, 0, routes_per_rank - 1);
+    return static_cast<std::uint8_t>(
+        std::clamp(resolved.priority * routes_per_rank + route, 0, least_urgent));
 }
 
 std::optional<fleet::prompt> prompt_of(const message_head& head, const wire_names& names)
