fleet: waits count the prompt in progress and those that will overtake

Sessions with long shared parts left for regions that had to read them again; the model of an engine's memory forgot half of it at once, so that the desk moved sessions away from parts that were there.

Change: both are counted; a region counts the shared parts as lost that another one may have to read; engines are taken to keep 0.85 of their memory, and a quarter is forgotten at a time.

--- a/include/chicorylink/fleet/placement_desk.hpp
+++ b/include/chicorylink/fleet/placement_desk.hpp
@@ -43,8 +43,9 @@
 private:
     struct reservation {
         target_name target;
-        /// Zero when the request has begun.
         std::uint32_t unread_tokens = 0;
+        /// Whether the request has begun, or its note was lost.
+        bool is_read = false;
         std::uint8_t urgency = 0;
         base::time_point made_at{};
         /// When its prompt should be read.
@@ -52,7 +53,8 @@
     };
     using reservation_map = std::map<std::pair<std::string, std::uint64_t>, reservation>;
 
-    void give_back(target_pool& pool, const reservation& place);
+    static void note_read(target_pool& pool, reservation& place);
+    static void give_back(target_pool& pool, reservation& place);
 
     reservation_map m_reservations;
     std::map<std::string, base::incarnation> m_runs;
--- a/include/chicorylink/fleet/prompt.hpp
+++ b/include/chicorylink/fleet/prompt.hpp
@@ -24,6 +24,9 @@
     std::uint64_t session = 0;
 };
 
+/// @brief Tokens of all parts but the last, which belongs to the request itself.
+[[nodiscard]] std::uint32_t shared_tokens(const prompt& asked);
+
 /// @brief Reads `PROMPT,ANSWER` token counts; none when the text is anything else.
 struct token_counts {
     std::uint32_t prompt_tokens = 0;
--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -27,6 +27,8 @@
     bool is_engine = false;
     /// Prompt tokens that another region would have to read.
     std::uint32_t prompt_tokens = 0;
+    /// Those of them that this region's targets may hold and another's may not.
+    std::uint32_t shared_tokens = 0;
     base::milliseconds latency_objective{0};
     base::milliseconds time_left{0};
     /// Whether the caller was refused before and came back.
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -32,6 +32,7 @@
     std::uint32_t in_flight = 0;
     /// Prompt tokens of those that have not begun, by urgency.
     std::array<std::uint64_t, urgency_levels> unread_tokens{};
+    std::array<std::uint32_t, urgency_levels> unread_requests{};
     /// When the first of those should have begun; none when nothing is waiting.
     std::optional<base::time_point> first_due;
 };
@@ -105,7 +106,9 @@
 /// @brief Requests of all VMs that are believed to be at a target.
 [[nodiscard]] std::uint32_t total_in_flight(const tracked_target& target, base::time_point now);
 
-/// @brief Reserved prompt tokens that a target reads before a new request of an urgency.
+/// @brief Reserved prompt tokens that a target is expected to read before a new request of an
+/// urgency: those at least as urgent, the prompt that it is reading, and as many more urgent ones
+/// to come as there are.
 [[nodiscard]] std::uint64_t reserved_tokens_before(const tracked_target& target,
                                                    std::uint8_t urgency);
 
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -20,10 +20,6 @@
 /// The answer time of a plain service that has not answered yet.
 constexpr double default_answer_ms = 30.0;
 
-/// How much more than its reading time a shared part costs that is read a second time: the memory
-/// that its copy takes evicts other parts, which are then read again too.
-constexpr double reread_factor = 3.0;
-
 /// What an expected failure costs, as time: a failed attempt and its repeat.
 constexpr double failure_cost_ms = 300.0;
 
@@ -69,16 +65,6 @@
     return over / slots * each;
 }
 
-/// Shared parts are all but the last, which belongs to the request itself.
-std::uint32_t shared_tokens(const prompt& asked)
-{
-    std::uint32_t tokens = 0;
-    for (std::size_t part = 0; part + 1 < asked.parts.size(); ++part) {
-        tokens += asked.parts[part].tokens;
-    }
-    return tokens;
-}
-
 std::uint32_t unread_tokens(const tracked_target& target, const prompt& asked, bool may_hold,
                             base::time_point now)
 {
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -68,9 +68,9 @@
     answer.is_reserved = choice->wait <= ask.longest_wait && choice->start <= ask.longest_start;
     if (answer.is_reserved) {
         pool.on_reserved(choice->target, request.asked, choice->unread_tokens, urgency, now);
-        m_reservations.insert_or_assign(
-            {asker, ask.number},
-            reservation{choice->target, choice->unread_tokens, urgency, now, now + choice->start});
+        m_reservations.insert_or_assign({asker, ask.number},
+                                        reservation{choice->target, choice->unread_tokens, false,
+                                                    urgency, now, now + choice->start});
     }
     return answer;
 }
@@ -84,8 +84,7 @@
     }
     auto& place = found->second;
     if (note.event == placement_event::begun) {
-        pool.on_reserved_read(place.target, place.unread_tokens, place.urgency);
-        place.unread_tokens = 0;
+        note_read(pool, place);
         return;
     }
     if (note.outcome) {
@@ -98,22 +97,31 @@
     m_reservations.erase(found);
 }
 
-void placement_desk::give_back(target_pool& pool, const reservation& place)
+void placement_desk::note_read(target_pool& pool, reservation& place)
+{
+    if (!std::exchange(place.is_read, true)) {
+        pool.on_reserved_read(place.target, place.unread_tokens, place.urgency);
+    }
+}
+
+void placement_desk::give_back(target_pool& pool, reservation& place)
 {
-    pool.on_reserved_read(place.target, place.unread_tokens, place.urgency);
+    note_read(pool, place);
     pool.on_reserved_ended(place.target);
 }
 
 void placement_desk::forget(target_pool& pool, const std::string& asker)
 {
     m_runs.erase(asker);
-    std::erase_if(m_reservations, [&](const auto& entry) {
-        if (entry.first.first != asker) {
-            return false;
+    for (auto entry = m_reservations.begin(); entry != m_reservations.end();) {
+        if (entry->first.first == asker) {
+            give_back(pool, entry->second);
+            entry = m_reservations.erase(entry);
         }
-        give_back(pool, entry.second);
-        return true;
-    });
+        else {
+            ++entry;
+        }
+    }
 }
 
 void placement_desk::tick(target_pool& pool, base::time_point now)
@@ -127,10 +135,9 @@
             continue;
         }
         if (now - place.made_at > longest_unread) {
-            pool.on_reserved_read(place.target, std::exchange(place.unread_tokens, 0),
-                                  place.urgency);
+            note_read(pool, place);
         }
-        if (place.unread_tokens > 0) {
+        if (!place.is_read) {
             const auto [due, is_first] = first_due.try_emplace(place.target, place.due_at);
             due->second = std::min(due->second, place.due_at);
         }
--- a/src/chicorylink/fleet/prompt.cpp
+++ b/src/chicorylink/fleet/prompt.cpp
@@ -20,6 +20,15 @@
 
 } // namespace
 
+std::uint32_t shared_tokens(const prompt& asked)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t part = 0; part + 1 < asked.parts.size(); ++part) {
+        tokens += asked.parts[part].tokens;
+    }
+    return tokens;
+}
+
 std::optional<token_counts> parse_token_counts(std::string_view text)
 {
     const auto comma = text.find(',');
--- a/src/chicorylink/fleet/prompt_cache.cpp
+++ b/src/chicorylink/fleet/prompt_cache.cpp
@@ -8,7 +8,7 @@
 
 /// Part of an engine's memory that cached prompts are taken to fill; running requests take the
 /// rest.
-constexpr double cached_part_of_memory = 0.5;
+constexpr double cached_part_of_memory = 0.85;
 
 /// What a process remembers of one engine when its memory is not known.
 constexpr std::uint64_t default_capacity_tokens = 400'000;
@@ -33,15 +33,17 @@
 
 void prompt_cache::evict(base::time_point now)
 {
-    // Drops the older half at once, so that the cost of sorting is rare.
+    // Drops the oldest quarter at once, so that the cost of sorting is rare.
+    constexpr std::size_t dropped_part = 4;
     std::vector<base::time_point> times;
     times.reserve(m_parts.size());
     for (const auto& [chain, part] : m_parts) {
         times.push_back(part.used_at);
     }
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    const auto bound = std::max(*middle, now - keep_time);
+    const auto oldest_kept =
+        times.begin() + static_cast<std::ptrdiff_t>(times.size() / dropped_part);
+    std::nth_element(times.begin(), oldest_kept, times.end());
+    const auto bound = std::max(*oldest_kept, now - keep_time);
     for (auto part = m_parts.begin(); part != m_parts.end();) {
         if (part->second.used_at < bound) {
             m_tokens -= part->second.tokens;
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -38,8 +38,11 @@
 
 base::milliseconds start_at(const remote_region& where, const region_request& request)
 {
-    const double reading =
-        request.is_engine ? static_cast<double>(request.prompt_tokens) / default_prompt_speed : 0;
+    const double reading = request.is_engine
+                               ? (static_cast<double>(request.prompt_tokens) +
+                                  reread_factor * static_cast<double>(request.shared_tokens)) /
+                                     default_prompt_speed
+                               : 0;
     return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
 }
 
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -127,6 +127,7 @@
     if (auto* target = find_mutable(name)) {
         ++target->reserved.in_flight;
         target->reserved.unread_tokens.at(urgency) += unread;
+        ++target->reserved.unread_requests.at(urgency);
         if (asked != nullptr) {
             target->cache.note_read(*asked, now);
         }
@@ -139,6 +140,8 @@
     if (auto* target = find_mutable(name)) {
         auto& tokens = target->reserved.unread_tokens.at(urgency);
         tokens -= std::min<std::uint64_t>(tokens, unread);
+        auto& requests = target->reserved.unread_requests.at(urgency);
+        requests -= std::min(requests, 1U);
     }
 }
 
--- a/src/chicorylink/fleet/tracked_target.cpp
+++ b/src/chicorylink/fleet/tracked_target.cpp
@@ -26,19 +26,23 @@
     return use;
 }
 
-/// What an engine reads between two steps of its batch; a more urgent request waits for its end.
-constexpr std::uint64_t chunk_tokens = 2048;
-
 } // namespace
 
 std::uint64_t reserved_tokens_before(const tracked_target& target, std::uint8_t urgency)
 {
-    const auto& unread = target.reserved.unread_tokens;
-    const auto level = std::min<std::size_t>(urgency, urgency_levels - 1) + 1;
-    const auto split = unread.begin() + static_cast<std::ptrdiff_t>(level);
-    const auto before = std::accumulate(unread.begin(), split, std::uint64_t{0});
-    const auto behind = std::accumulate(split, unread.end(), std::uint64_t{0});
-    return before + std::min(behind, chunk_tokens);
+    const auto& tokens = target.reserved.unread_tokens;
+    const auto& requests = target.reserved.unread_requests;
+    const auto own =
+        static_cast<std::ptrdiff_t>(std::min<std::size_t>(urgency, urgency_levels - 1));
+    const auto more_urgent =
+        std::accumulate(tokens.begin(), tokens.begin() + own, std::uint64_t{0});
+    const auto before = more_urgent + tokens.at(static_cast<std::size_t>(own));
+    const auto behind = std::accumulate(tokens.begin() + own + 1, tokens.end(), std::uint64_t{0});
+    const auto requests_behind =
+        std::accumulate(requests.begin() + own + 1, requests.end(), std::uint64_t{0});
+    // A prompt that is being read is read to its end.
+    const auto in_progress = requests_behind == 0 ? 0 : behind / requests_behind;
+    return before + more_urgent + in_progress;
 }
 
 others_use told_by_members(const tracked_target& target, base::time_point now)
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -54,8 +54,12 @@
 
 fleet::region_request exchange::needs(base::time_point now) const
 {
-    return {m_resolved.service->is_engine, m_prompt ? m_prompt->prompt_tokens : 0,
-            m_resolved.route->latency_objective, time_left(now), m_is_return};
+    return {m_resolved.service->is_engine,
+            m_prompt ? m_prompt->prompt_tokens : 0,
+            m_prompt ? fleet::shared_tokens(*m_prompt) : 0,
+            m_resolved.route->latency_objective,
+            time_left(now),
+            m_is_return};
 }
 
 bool exchange::may_use(const fleet::tracked_target& target,
