--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -27,6 +27,8 @@
     bool is_engine = false;
     /// Prompt tokens that another region would have to read.
     std::uint32_t prompt_tokens = 0;
+    /// Those of them that this region's targets may hold and another's may not.
+    std::uint32_t shared_tokens = 0;
     base::milliseconds latency_objective{0};
     base::milliseconds time_left{0};
     /// Whether the caller was refused before and came back.
@@ -52,6 +54,15 @@
                                  const std::vector<remote_region>& others,
                                  const region_request& request);
 
+/// @brief Up to where a request stays in its region.
+struct stay_limits {
+    base::milliseconds wait{0};
+    /// The longest when no other region is better.
+    base::milliseconds start{0};
+};
+[[nodiscard]] stay_limits limits_here(const std::vector<remote_region>& others,
+                                      const region_request& request);
+
 /// @brief The wait above which a request is refused at once.
 ///
 /// Short of capacity, a caller that came back as it was told goes before one that comes for the
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -7,9 +7,16 @@
 namespace chicorylink::fleet {
 namespace {
 
-/// Part of the latency objective that waiting may take; the rest is for the request's own work.
-constexpr double wait_part_of_objective = 0.7;
-constexpr double wait_part_of_return = 0.95;
+/// Part of the latency objective in which a request must be expected to begin; the rest is for what
+/// the expectation misses. A caller that came back has the whole.
+constexpr double start_part_of_objective = 0.85;
+constexpr double start_part_of_return = 1.0;
+
+/// Part of the objective that any request may wait, however long its own prompt takes.
+constexpr double least_wait_part = 0.25;
+
+/// From the end of a prompt to the first token with an idle batch.
+constexpr double first_token_ms = 36.0;
 
 /// Part of the objective up to which a request stays in its region whatever others promise: a
 /// region loses its cached prompts with each request that leaves it.
@@ -31,38 +38,59 @@
 
 base::milliseconds start_at(const remote_region& where, const region_request& request)
 {
-    const double reading =
-        request.is_engine ? static_cast<double>(request.prompt_tokens) / default_prompt_speed : 0;
+    const double reading = request.is_engine
+                               ? (static_cast<double>(request.prompt_tokens) +
+                                  reread_factor * static_cast<double>(request.shared_tokens)) /
+                                     default_prompt_speed
+                               : 0;
     return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
 }
 
+const remote_region* first_to_start(const std::vector<remote_region>& others,
+                                    const region_request& request)
+{
+    const auto best = std::min_element(others.begin(), others.end(),
+                                       [&](const remote_region& a, const remote_region& b) {
+                                           return start_at(a, request) < start_at(b, request);
+                                       });
+    return best == others.end() ? nullptr : &*best;
+}
+
 } // namespace
 
 base::milliseconds longest_wait(const region_request& request)
 {
-    const double part = request.is_return ? wait_part_of_return : wait_part_of_objective;
-    return std::min(part_of(request.latency_objective, part), request.time_left);
+    const double part = request.is_return ? start_part_of_return : start_part_of_objective;
+    const double own_ms =
+        request.is_engine
+            ? first_token_ms + static_cast<double>(request.prompt_tokens) / default_prompt_speed
+            : 0;
+    const auto own = base::milliseconds{static_cast<std::int64_t>(own_ms)};
+    const auto wait = std::max(part_of(request.latency_objective, part) - own,
+                               part_of(request.latency_objective, least_wait_part));
+    return std::min(wait, request.time_left);
+}
+
+stay_limits limits_here(const std::vector<remote_region>& others, const region_request& request)
+{
+    stay_limits limits{longest_wait(request), base::milliseconds::max()};
+    const auto* best = first_to_start(others, request);
+    if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
+        limits.start = std::max(part_of(request.latency_objective, stay_part_of_objective),
+                                start_at(*best, request) + leave_margin);
+    }
+    return limits;
 }
 
 place choose_place(const std::optional<placement_choice>& here,
                    const std::vector<remote_region>& others, const region_request& request)
 {
-    const auto limit = longest_wait(request);
-    const remote_region* best = nullptr;
-    for (const auto& other : others) {
-        if (best == nullptr || start_at(other, request) < start_at(*best, request)) {
-            best = &other;
-        }
-    }
-    const bool here_fits = here && here->wait <= limit;
-    const bool best_fits = best != nullptr && best->wait + best->round_trip <= limit;
-    if (here_fits) {
-        const bool soon = here->start <= part_of(request.latency_objective, stay_part_of_objective);
-        if (soon || !best_fits || here->start <= start_at(*best, request) + leave_margin) {
-            return {place_kind::here, {}, base::milliseconds{0}, here->wait};
-        }
+    const auto limits = limits_here(others, request);
+    if (here && here->wait <= limits.wait && here->start <= limits.start) {
+        return {place_kind::here, {}, base::milliseconds{0}, here->wait};
     }
-    if (best_fits) {
+    const auto* best = first_to_start(others, request);
+    if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
         return {place_kind::elsewhere, best->region, best->round_trip,
                 best->wait + best->round_trip};
     }
