fleet: other regions are told the wait at the less loaded half of a region's targets

Cause: a region's outlook was the mean wait of its targets as its least urgent request would see it, with all overtaking: about twice what a request that is forwarded there meets, since the desk gives it to one of the less loaded targets. Full regions refused requests that others had room for.

Change: the outlook of a desk is the mean over the less loaded half, for a request of middle urgency.

--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 
 namespace chicorylink::fleet {
 namespace {
@@ -27,6 +28,10 @@
 /// VM did not send them there: the region's other VMs place it alike.
 constexpr double held_by_others = 0.7;
 
+/// What other regions are told is for requests of about this urgency; those of a team of middle
+/// rank.
+constexpr std::uint8_t usual_urgency = 4;
+
 /// What stands before a new request at a target.
 struct work_before {
     std::uint64_t in_flight = 0;
@@ -228,17 +233,21 @@
 {
     service_outlook outlook;
     outlook.service = base::hash_name(service.text());
-    double sum = 0;
+    std::vector<double> waits;
     for (const auto& [name, target] : pool.targets()) {
         if (target.entry.service == service && takes_work(target) &&
             !is_ejected(target.health, now) && now >= target.cold_until) {
-            ++outlook.usable_targets;
-            sum += wait_ms(target, by_desk ? reserved_work(target, urgency_levels - 1, now)
-                                           : told_work(target, now));
+            waits.push_back(wait_ms(target, by_desk ? reserved_work(target, usual_urgency, now)
+                                                    : told_work(target, now)));
         }
     }
-    if (outlook.usable_targets > 0) {
-        const double mean = sum / outlook.usable_targets;
+    outlook.usable_targets = static_cast<std::uint32_t>(waits.size());
+    if (!waits.empty()) {
+        // A desk gives the next requests to the less loaded half.
+        std::sort(waits.begin(), waits.end());
+        waits.resize(by_desk ? (waits.size() + 1) / 2 : waits.size());
+        const double mean =
+            std::accumulate(waits.begin(), waits.end(), 0.0) / static_cast<double>(waits.size());
         outlook.wait = base::milliseconds{static_cast<std::int64_t>(mean)};
     }
     return outlook;
