fleet: a target is late only while nothing begins there

Requests of a low rank had waited so long, overtaken by others, and made their targets count as late.

Change: lateness is counted from the last begin at the target.

--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -31,7 +31,10 @@
     void on_reserved(const target_name& name, const prompt* asked, std::uint32_t unread,
                      std::uint8_t urgency, base::time_point now);
 
-    /// @brief A reserved request began, or ended before it did.
+    /// @brief A reserved request began.
+    void on_reserved_begun(const target_name& name, base::time_point now);
+
+    /// @brief The prompt of a reserved request needs to be read no more.
     void on_reserved_read(const target_name& name, std::uint32_t unread, std::uint8_t urgency);
 
     /// @brief A reserved request is no longer at its target.
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -35,6 +35,8 @@
     std::array<std::uint32_t, urgency_levels> unread_requests{};
     /// When the first of those should have begun; none when nothing is waiting.
     std::optional<base::time_point> first_due;
+    /// When a reserved request last began.
+    base::time_point begun_at{};
 };
 
 /// @brief What all other VMs of the region have at a target.
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -48,9 +48,11 @@
 work_before reserved_work(const tracked_target& target, std::uint8_t urgency, base::time_point now)
 {
     work_before work{target.reserved.in_flight, reserved_tokens_before(target, urgency)};
-    if (target.reserved.first_due && now > *target.reserved.first_due) {
-        work.overdue =
-            std::chrono::duration_cast<base::milliseconds>(now - *target.reserved.first_due);
+    if (target.reserved.first_due) {
+        // A request that others overtake may be late at a target that works well.
+        const auto due = std::max(*target.reserved.first_due, target.reserved.begun_at);
+        work.overdue = std::max(base::milliseconds{0},
+                                std::chrono::duration_cast<base::milliseconds>(now - due));
     }
     return work;
 }
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -84,6 +84,7 @@
     }
     auto& place = found->second;
     if (note.event == placement_event::begun) {
+        pool.on_reserved_begun(place.target, now);
         note_read(pool, place);
         return;
     }
--- a/src/chicorylink/fleet/placement_desk_test.cpp
+++ b/src/chicorylink/fleet/placement_desk_test.cpp
@@ -218,6 +218,24 @@
         first.target);
 }
 
+// Grown Rihla, scale-2: a team of low rank starved at busy targets, which then counted as late by
+// as much as it had waited, and got nothing though they were idle by then.
+TEST(placement_desk, a_request_that_is_overtaken_does_not_make_its_target_late)
+{
+    pool_of_targets targets(1);
+    placement_desk desk;
+    auto last = ask_for(1, 1, 0, 600);
+    last.urgency = 9;
+    (void)desk.place(targets.pool(), vm(0), first_run, last, at(seconds{1}));
+    (void)desk.place(targets.pool(), vm(0), first_run, ask_for(2, 2, 0, 600), at(seconds{1}));
+    desk.take_note(targets.pool(), vm(0), {2, placement_event::begun, std::nullopt, {}},
+                   at(milliseconds{1990}));
+    desk.tick(targets.pool(), at(seconds{2}));
+    const auto next =
+        desk.place(targets.pool(), vm(0), first_run, ask_for(3, 3, 0, 600), at(seconds{2}));
+    EXPECT_LT(next.wait, milliseconds{50});
+}
+
 TEST(placement_desk, cold_and_avoided_targets_are_left_to_the_asker)
 {
     pool_of_targets targets(1);
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -134,6 +134,13 @@
     }
 }
 
+void target_pool::on_reserved_begun(const target_name& name, base::time_point now)
+{
+    if (auto* target = find_mutable(name)) {
+        target->reserved.begun_at = now;
+    }
+}
+
 void target_pool::on_reserved_read(const target_name& name, std::uint32_t unread,
                                    std::uint8_t urgency)
 {
