fleet: requests of a session leave for the same region

Change: one other region, the first by rendezvous hash, is taken to hold a session's parts; another must start sooner by what it has to read again.

--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -29,6 +29,8 @@
     std::uint32_t prompt_tokens = 0;
     /// Those of them that this region's targets may hold and another's may not.
     std::uint32_t shared_tokens = 0;
+    /// Of the prompt's session; its requests leave for the same region.
+    std::uint64_t session = 0;
     base::milliseconds latency_objective{0};
     base::milliseconds time_left{0};
     /// Whether the caller was refused before and came back.
--- a/src/chicorylink/fleet/placement_test.cpp
+++ b/src/chicorylink/fleet/placement_test.cpp
@@ -2,6 +2,7 @@
 #include "chicorylink/fleet/pool_of_targets.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 
+#include <map>
 #include <random>
 
 #include <fmt/format.h>
@@ -190,7 +191,7 @@
 
 region_request needs_of(milliseconds objective)
 {
-    return {true, 6000, 0, objective, seconds{10}, false};
+    return {true, 6000, 0, 42, objective, seconds{10}, false};
 }
 
 TEST(region_choice, a_request_stays_while_its_region_serves_it_soon)
@@ -220,6 +221,25 @@
     EXPECT_EQ(where.wait, milliseconds{1610});
 }
 
+// Grown Rihla, scale-2: a third of the long prompts left their region, and both other regions read
+// the session's parts again.
+TEST(region_choice, requests_of_a_session_leave_for_the_same_region)
+{
+    auto needs = needs_of(milliseconds{1000});
+    needs.shared_tokens = 5000;
+    std::map<region_name, int> chosen;
+    for (int turn = 0; turn < 20; ++turn) {
+        const std::vector<remote_region> others{
+            {region_name{"west"}, milliseconds{turn * 5}, milliseconds{110}, 9},
+            {region_name{"south"}, milliseconds{100 - turn * 5}, milliseconds{110}, 9}};
+        const auto where =
+            choose_place(choice_with(milliseconds{900}, milliseconds{1100}), others, needs);
+        EXPECT_EQ(where.kind, place_kind::elsewhere);
+        ++chosen[where.region];
+    }
+    EXPECT_EQ(chosen.size(), 1U);
+}
+
 TEST(region_choice, a_caller_that_comes_back_may_wait_longer_than_a_new_one)
 {
     auto needs = needs_of(milliseconds{1000});
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -36,24 +36,48 @@
     return base::milliseconds{static_cast<std::int64_t>(static_cast<double>(whole.count()) * part)};
 }
 
-base::milliseconds start_at(const remote_region& where, const region_request& request)
+/// The region that a session's requests leave for, so that one other region reads its parts and not
+/// each of them: the first by rendezvous hash.
+const remote_region* second_home(const std::vector<remote_region>& others, std::uint64_t session)
 {
-    const double reading = request.is_engine
-                               ? (static_cast<double>(request.prompt_tokens) +
-                                  reread_factor * static_cast<double>(request.shared_tokens)) /
-                                     default_prompt_speed
-                               : 0;
+    const auto weight = [&](const remote_region& where) {
+        return base::hash_pair(session, base::hash_name(where.region.text()));
+    };
+    const auto best =
+        std::max_element(others.begin(), others.end(),
+                         [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
+    return best == others.end() ? nullptr : &*best;
+}
+
+base::milliseconds start_at(const remote_region& where, bool may_hold,
+                            const region_request& request)
+{
+    double tokens = 0;
+    if (request.is_engine) {
+        const double shared = request.shared_tokens;
+        tokens = request.prompt_tokens + (may_hold ? -shared : reread_factor * shared);
+    }
+    const double reading = std::max(0.0, tokens) / default_prompt_speed;
     return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
 }
 
-const remote_region* first_to_start(const std::vector<remote_region>& others,
-                                    const region_request& request)
+/// Another region and when a request would begin there.
+struct remote_start {
+    const remote_region* where = nullptr;
+    base::milliseconds start = base::milliseconds::max();
+};
+
+remote_start first_to_start(const std::vector<remote_region>& others, const region_request& request)
 {
-    const auto best = std::min_element(others.begin(), others.end(),
-                                       [&](const remote_region& a, const remote_region& b) {
-                                           return start_at(a, request) < start_at(b, request);
-                                       });
-    return best == others.end() ? nullptr : &*best;
+    const auto* home = second_home(others, request.session);
+    remote_start best;
+    for (const auto& other : others) {
+        const auto start = start_at(other, &other == home, request);
+        if (best.where == nullptr || start < best.start) {
+            best = {&other, start};
+        }
+    }
+    return best;
 }
 
 } // namespace
@@ -74,10 +98,10 @@
 stay_limits limits_here(const std::vector<remote_region>& others, const region_request& request)
 {
     stay_limits limits{longest_wait(request), base::milliseconds::max()};
-    const auto* best = first_to_start(others, request);
-    if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
+    const auto best = first_to_start(others, request);
+    if (best.where != nullptr && best.where->wait + best.where->round_trip <= limits.wait) {
         limits.start = std::max(part_of(request.latency_objective, stay_part_of_objective),
-                                start_at(*best, request) + leave_margin);
+                                best.start + leave_margin);
     }
     return limits;
 }
@@ -89,7 +113,7 @@
     if (here && here->wait <= limits.wait && here->start <= limits.start) {
         return {place_kind::here, {}, base::milliseconds{0}, here->wait};
     }
-    const auto* best = first_to_start(others, request);
+    const auto* best = first_to_start(others, request).where;
     if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
         return {place_kind::elsewhere, best->region, best->round_trip,
                 best->wait + best->round_trip};
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -57,6 +57,7 @@
     return {m_resolved.service->is_engine,
             m_prompt ? m_prompt->prompt_tokens : 0,
             m_prompt ? fleet::shared_tokens(*m_prompt) : 0,
+            m_prompt ? m_prompt->session : base::hash_name(m_asked.id),
             m_resolved.route->latency_objective,
             time_left(now),
             m_is_return};
