front: a region's digest is made once a round, the desk is looked up once a tick

Cause: gossip built the same digest for each receiver of a round, and each ask sorted the whole roster.

--- a/include/chicorylink/front/gossip.hpp
+++ b/include/chicorylink/front/gossip.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/heartbeat.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/roster.hpp"
 
 #include <cstdint>
@@ -36,12 +37,21 @@
     void send_to(const fleet::due_heartbeat& due, base::time_point now);
     [[nodiscard]] fleet::heartbeat message_to(const fleet::due_heartbeat& due,
                                               base::time_point now);
-    [[nodiscard]] fleet::region_digest own_digest(bool with_targets, base::time_point now);
+    /// @brief The region's digest, made once for all receivers of one round.
+    [[nodiscard]] const fleet::region_digest& own_digest(bool with_targets, base::time_point now);
+    [[nodiscard]] fleet::region_digest make_digest(bool with_targets, base::time_point now);
+
+    struct dated_digest {
+        fleet::region_digest digest;
+        base::time_point made_at{};
+    };
 
     front_core& m_core;
     boost::asio::ip::udp::socket m_socket;
     std::function<void(const fleet::heartbeat&)> m_on_heartbeat;
     std::uint64_t m_sequence = 0;
+    dated_digest m_near_digest;
+    dated_digest m_far_digest;
     /// When the region's VMs were last told of this VM's work.
     base::time_point m_told_at{};
 };
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -58,7 +58,7 @@
     void tick(base::time_point now);
 
     /// @brief Whether this VM is the desk of its region and was asked of late.
-    [[nodiscard]] bool is_desk(base::time_point now) const;
+    [[nodiscard]] bool is_desk(base::time_point now);
 
 private:
     struct waiting_ask {
@@ -81,10 +81,12 @@
     void note(const reserved_place& place, fleet::placement_note note, base::time_point now);
     void send(const fleet::placement_message& message, const boost::asio::ip::udp::endpoint& to);
     [[nodiscard]] boost::asio::ip::udp::endpoint endpoint_of(const std::string& ip) const;
-    [[nodiscard]] std::string desk_ip(base::time_point now) const;
+    [[nodiscard]] const std::string& desk_ip(base::time_point now);
 
     front_core& m_core;
     boost::asio::ip::udp::socket m_socket;
+    std::string m_desk_ip;
+    base::time_point m_desk_found_at{};
     std::uint64_t m_last_number = 0;
     std::map<std::uint64_t, waiting_ask> m_waiting;
     std::map<std::string, outgoing_notes> m_notes;
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -143,7 +143,16 @@
     m_core.news.note(digest, now);
 }
 
-fleet::region_digest gossip::own_digest(bool with_targets, base::time_point now)
+const fleet::region_digest& gossip::own_digest(bool with_targets, base::time_point now)
+{
+    auto& known = with_targets ? m_near_digest : m_far_digest;
+    if (known.made_at != now) {
+        known = {make_digest(with_targets, now), now};
+    }
+    return known.digest;
+}
+
+fleet::region_digest gossip::make_digest(bool with_targets, base::time_point now)
 {
     fleet::region_digest digest;
     digest.region = m_core.settings.self.region;
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -25,6 +25,10 @@
 /// costs the request more than a worse place.
 constexpr base::milliseconds ask_limit{30};
 
+/// How often the roster is searched for the desk; the silence of a delegate takes far longer to
+/// show.
+constexpr base::milliseconds desk_interval{25};
+
 /// A desk that let an ask wait is left alone for so long: it may be frozen, cut off or gone.
 constexpr base::milliseconds silent_time{500};
 
@@ -43,12 +47,16 @@
     receive();
 }
 
-std::string placement_link::desk_ip(base::time_point now) const
+const std::string& placement_link::desk_ip(base::time_point now)
 {
-    return m_core.members.delegates_of(m_core.settings.self.region, now).front();
+    if (m_desk_ip.empty() || now - m_desk_found_at >= desk_interval) {
+        m_desk_ip = m_core.members.delegates_of(m_core.settings.self.region, now).front();
+        m_desk_found_at = now;
+    }
+    return m_desk_ip;
 }
 
-bool placement_link::is_desk(base::time_point now) const
+bool placement_link::is_desk(base::time_point now)
 {
     return m_core.desk.is_in_use(now) && desk_ip(now) == m_core.settings.self.ip;
 }
@@ -62,7 +70,7 @@
 void placement_link::ask(fleet::placement_ask ask, handler on_advice, base::time_point now)
 {
     ask.number = ++m_last_number;
-    const auto ip = desk_ip(now);
+    const auto& ip = desk_ip(now);
     const auto& self = m_core.settings.self;
     if (ip == self.ip) {
         const auto answer = m_core.desk.place(m_core.pool, self.ip, self.run, ask, now);
