--- a/process_tests/relay_figures.cpp
+++ b/process_tests/relay_figures.cpp
@@ -156,6 +156,7 @@
 {
     static_cast<void>(measure(process, address, loads.front()));
     std::vector<sample> samples;
+    samples.reserve(loads.size());
     for (const auto& what : loads) {
         samples.push_back(measure(process, address, what));
     }
