fleet: a request that no target accepts is refused after eight attempts

While all targets of a service in a region refused connections, each request was sent again at once until its deadline or the store's news: 29 requests made 4,723 attempts, 42 made 5,239, one of them 1,446. Attempts that never reach a target were counted by no bound.

Change: all sends of a request count, eight at most. The test fails before.

--- a/include/chicorylink/fleet/next_step.hpp
+++ b/include/chicorylink/fleet/next_step.hpp
@@ -30,6 +30,8 @@
     bool has_begun = false;
     /// Whether another VM forwarded the request and decides about repeats itself.
     bool from_peer = false;
+    /// Attempts in all, those included that never reached a target.
+    std::uint32_t sends = 0;
 };
 
 /// @brief What comes after an attempt that gave no answer.
@@ -49,6 +51,10 @@
 /// rejected everywhere.
 inline constexpr std::uint32_t max_arrivals = 4;
 
+/// Attempts of one request in all: a region whose targets all refuse connections answers each
+/// attempt at once, and the caller is told sooner than its deadline passes.
+inline constexpr std::uint32_t max_sends = 8;
+
 /// Less time than this is not enough for another attempt to be of use.
 inline constexpr base::milliseconds shortest_attempt{50};
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -135,8 +135,6 @@
     base::time_point m_first_at{};
     /// The shortest wait anywhere, when it was too long.
     std::optional<base::milliseconds> m_refused_wait;
-    /// Attempts, those that never left included.
-    std::uint32_t m_sends = 0;
     bool m_is_return = false;
     bool m_charged = false;
     bool m_answer_begun = false;
--- a/src/chicorylink/fleet/next_step.cpp
+++ b/src/chicorylink/fleet/next_step.cpp
@@ -16,7 +16,8 @@
 next_step decide_next(const route& asked, const attempt_history& history, attempt_end end,
                       base::milliseconds time_left)
 {
-    if (time_left < shortest_attempt || history.arrivals >= max_arrivals) {
+    if (time_left < shortest_attempt || history.arrivals >= max_arrivals ||
+        history.sends >= max_sends) {
         return give_up(history, end);
     }
     const bool ran = end == attempt_end::failed || end == attempt_end::unknown;
--- a/src/chicorylink/fleet/next_step_test.cpp
+++ b/src/chicorylink/fleet/next_step_test.cpp
@@ -34,6 +34,19 @@
         next_step::send_again);
 }
 
+// Incidents inc-95c5 and inc-e7cd: while all targets of a service in a region refused connections,
+// each request was sent again at once until its deadline, 140 times on average.
+TEST(next_step, a_request_that_no_target_accepts_is_refused_soon)
+{
+    attempt_history refused;
+    const auto asked = route_of(request_kind::at_most_once, 1);
+    refused.sends = max_sends - 1;
+    EXPECT_EQ(decide_next(asked, refused, attempt_end::not_sent, seconds{1}),
+              next_step::send_again);
+    refused.sends = max_sends;
+    EXPECT_EQ(decide_next(asked, refused, attempt_end::not_sent, seconds{1}), next_step::refuse);
+}
+
 /// Every state that attempts can lead to.
 template <class Check>
 void for_all_states(const Check& check)
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -312,7 +312,7 @@
         line.add("longest_wait_ms", longest_wait(needs(now)).count());
         line.add("is_return", m_is_return);
     }
-    line.add("attempts", m_sends).add("total_ms", ms_since(now));
+    line.add("attempts", m_history.sends).add("total_ms", ms_since(now));
     if (m_answer_begun) {
         line.add("first_ms", ms_since(m_first_at));
         m_core.counters.observe("first_answer_ms", static_cast<double>(ms_since(m_first_at)));
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -298,7 +298,7 @@
 void exchange::send(std::string bytes, base::milliseconds connect_limit, base::time_point now)
 {
     note_sent(now);
-    ++m_sends;
+    ++m_history.sends;
     upstream_request request;
     request.address = m_attempt->address;
     request.bytes = std::move(bytes);
