--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -1,11 +1,11 @@
 #include "chicorylink/fleet/heartbeat_codec.hpp"
 
+#include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_heartbeat_generated.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
-#include <limits>
 
 namespace chicorylink::fleet {
 namespace {
@@ -29,12 +29,6 @@
     return ::inet_pton(AF_INET, ip.c_str(), &address) == 1 ? ntohl(address.s_addr) : 0;
 }
 
-std::uint32_t count_of(base::milliseconds value)
-{
-    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, most));
-}
-
 member_state state_of(std::uint8_t value)
 {
     return static_cast<member_state>(
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -1,8 +1,8 @@
 #include "chicorylink/fleet/placement_codec.hpp"
 
+#include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_placement_generated.h"
 
-#include <algorithm>
 #include <limits>
 
 namespace chicorylink::fleet {
@@ -12,12 +12,6 @@
 
 constexpr std::uint8_t no_outcome = std::numeric_limits<std::uint8_t>::max();
 
-std::uint32_t count_of(base::milliseconds value)
-{
-    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, most));
-}
-
 flatbuffers::Offset<codec::PlacementAsk> write_ask(builder& to, const placement_ask& ask)
 {
     std::vector<codec::PromptPart> part_list;
