base, platform: one lower_case, one check for several lengths

Three files had a lower_case of their own, and the callers' and the targets' side each counted lengths and transfer codings of a head. Both are one function now; what the callers' side checks beyond that stays. No behaviour; the tests are unchanged and pass.

--- a/include/chicorylink/base/text.hpp
+++ b/include/chicorylink/base/text.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORYLINK_BASE_TEXT_HPP
 #define CHICORYLINK_BASE_TEXT_HPP
 
+#include <string>
 #include <string_view>
 
 namespace chicorylink::base {
@@ -17,6 +18,9 @@
     return text;
 }
 
+/// @brief A text with its ASCII letters in lower case.
+[[nodiscard]] std::string lower_case(std::string_view text);
+
 } // namespace chicorylink::base
 
 #endif // CHICORYLINK_BASE_TEXT_HPP
--- a/include/chicorylink/platform/http_request.hpp
+++ b/include/chicorylink/platform/http_request.hpp
@@ -2,16 +2,12 @@
 #define CHICORYLINK_PLATFORM_HTTP_REQUEST_HPP
 
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/platform/header_list.hpp"
 
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace chicorylink::platform {
 
-/// @brief Header fields in the order in which they are sent; names in any case.
-using header_list = std::vector<std::pair<std::string, std::string>>;
-
 /// @brief One HTTP call to an outside system.
 struct http_request {
     std::string method = "GET";
--- a/src/chicorylink/gateway/credentials.cpp
+++ b/src/chicorylink/gateway/credentials.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace chicorylink::gateway {
 namespace {
@@ -16,14 +15,6 @@
 constexpr std::array<std::string_view, 5> passed_fields{"accept", "accept-language", "content-type",
                                                         "idempotency-key", "traceparent"};
 
-std::string lower_case(std::string_view text)
-{
-    std::string lowered(text);
-    std::transform(lowered.begin(), lowered.end(), lowered.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return lowered;
-}
-
 void add_key(std::vector<std::string>& keys, std::string_view key)
 {
     if (!key.empty() && std::find(keys.begin(), keys.end(), key) == keys.end()) {
@@ -48,13 +39,13 @@
 
 bool is_key_parameter(std::string_view name)
 {
-    return lower_case(decode_url(name)) == key_parameter;
+    return base::lower_case(decode_url(name)) == key_parameter;
 }
 
 void add_keys_of_header(std::vector<std::string>& keys, std::string_view name,
                         std::string_view value)
 {
-    if (name == "authorization" && lower_case(value).starts_with(bearer_scheme)) {
+    if (name == "authorization" && base::lower_case(value).starts_with(bearer_scheme)) {
         add_key(keys, base::trim_spaces(value.substr(bearer_scheme.size())));
     }
     if (name == "x-api-key") {
--- a/src/chicorylink/gateway/http_call.cpp
+++ b/src/chicorylink/gateway/http_call.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/gateway/http_call.hpp"
 
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/base/text.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -15,16 +16,9 @@
 namespace chicorylink::gateway {
 namespace {
 
-std::string lower_case(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 MHD_Result add_field(void* fields, MHD_ValueKind /*kind*/, const char* name, const char* value)
 {
-    static_cast<header_list*>(fields)->emplace_back(lower_case(name), value ? value : "");
+    static_cast<header_list*>(fields)->emplace_back(base::lower_case(name), value ? value : "");
     return MHD_YES;
 }
 
@@ -68,25 +62,15 @@
 
 bool has_ambiguous_length(const header_list& headers)
 {
-    std::size_t lengths = 0;
-    std::size_t codings = 0;
-    bool numbers_only = true;
-    for (const auto& [name, value] : headers) {
-        // The library takes a blank before the colon for a part of the name.
-        if (name.find_first_of(" \t") != std::string::npos) {
-            return true;
-        }
-        if (name == "content-length") {
-            ++lengths;
-            numbers_only = numbers_only && !value.empty() &&
-                           std::all_of(value.begin(), value.end(),
-                                       [](unsigned char c) { return std::isdigit(c) != 0; });
-        }
-        else if (name == "transfer-encoding") {
-            ++codings;
-        }
-    }
-    return lengths + codings > 1 || !numbers_only;
+    const auto is_digit = [](unsigned char c) { return std::isdigit(c) != 0; };
+    return platform::has_several_lengths(headers) ||
+           std::any_of(headers.begin(), headers.end(), [&](const auto& field) {
+               const auto& [name, value] = field;
+               // The library takes a blank before the colon for a part of the name.
+               return name.find_first_of(" \t") != std::string::npos ||
+                      (name == "content-length" &&
+                       (value.empty() || !std::all_of(value.begin(), value.end(), is_digit)));
+           });
 }
 
 bool is_closed_by_peer(int descriptor)
--- a/src/chicorylink/platform/http_transfer.cpp
+++ b/src/chicorylink/platform/http_transfer.cpp
@@ -1,7 +1,8 @@
 #include "chicorylink/platform/http_transfer.hpp"
 
+#include "chicorylink/base/text.hpp"
+
 #include <algorithm>
-#include <cctype>
 #include <cerrno>
 #include <utility>
 
@@ -11,14 +12,6 @@
 constexpr long connect_timeout_ms = 1'000;
 constexpr int first_final_status = 200;
 
-std::string lower_case(std::string_view text)
-{
-    std::string lowered(text);
-    std::transform(lowered.begin(), lowered.end(), lowered.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return lowered;
-}
-
 std::string_view trim(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r\n";
@@ -34,12 +27,6 @@
     return letter == ' ' || letter == '\t';
 }
 
-auto count_of(const header_list& headers, std::string_view lower_case_name)
-{
-    return std::count_if(headers.begin(), headers.end(),
-                         [&](const auto& field) { return field.first == lower_case_name; });
-}
-
 } // namespace
 
 http_transfer::http_transfer(transfer_id id, http_request request, http_handlers handlers)
@@ -85,8 +72,9 @@
     }
     m_header_lines = curl_slist_append(m_header_lines, "Expect:");
     const bool typed =
-        std::any_of(m_request.headers.begin(), m_request.headers.end(),
-                    [](const auto& field) { return lower_case(field.first) == "content-type"; });
+        std::any_of(m_request.headers.begin(), m_request.headers.end(), [](const auto& field) {
+            return base::lower_case(field.first) == "content-type";
+        });
     if (!typed) {
         // The library would call the body of a POST a form.
         m_header_lines = curl_slist_append(m_header_lines, "Content-Type:");
@@ -126,7 +114,8 @@
         m_ambiguous_head = true;
         return false;
     }
-    m_answer_headers.emplace_back(lower_case(name), std::string(trim(text.substr(colon + 1))));
+    m_answer_headers.emplace_back(base::lower_case(name),
+                                  std::string(trim(text.substr(colon + 1))));
     return true;
 }
 
@@ -137,9 +126,7 @@
     if (status < first_final_status || m_head_reported) {
         return true;
     }
-    if (count_of(m_answer_headers, "content-length") +
-            count_of(m_answer_headers, "transfer-encoding") >
-        1) {
+    if (has_several_lengths(m_answer_headers)) {
         m_ambiguous_head = true;
         return false;
     }
