fleet: a request's targets are filtered once a check

choose_target asked may_use up to four times a candidate and the other checks twice; each stage now filters what the one before left. The desk kept names of the targets to avoid beside the check that already left them out. first_token_ms stood twice.

--- a/include/chicorylink/fleet/service.hpp
+++ b/include/chicorylink/fleet/service.hpp
@@ -5,14 +5,12 @@
 #include "chicorylink/fleet/names.hpp"
 
 #include <cstdint>
-#include <string>
 
 namespace chicorylink::fleet {
 
 /// @brief A group of equal targets.
 struct service {
     service_name name;
-    std::string health_path;
     /// Connections that one target accepts from all VMs together; 0 when it is not bounded.
     std::uint32_t max_connections = 0;
     /// How long a target that was just started is cold.
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -9,9 +9,6 @@
 namespace chicorylink::fleet {
 namespace {
 
-/// The time from the end of the prompt to the first token with an idle batch.
-constexpr double first_token_ms = 36.0;
-
 /// What one step of a batch adds for each request that runs in it.
 constexpr double step_ms_per_request = 0.25;
 
@@ -174,17 +171,23 @@
     return choice;
 }
 
+/// The candidates whose targets pass a check.
+template <class Check>
+std::vector<candidate> filter(const std::vector<candidate>& candidates, const Check& check)
+{
+    std::vector<candidate> passed;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(passed),
+                 [&](const candidate& which) { return check(*which.target); });
+    return passed;
+}
+
 std::optional<placement_choice> best_of(const std::vector<candidate>& candidates,
                                         const placement_request& request,
-                                        const tracked_target* home, base::time_point now,
-                                        const std::function<bool(const tracked_target&)>& accept)
+                                        const tracked_target* home, base::time_point now)
 {
     std::optional<placement_choice> best;
     std::uint64_t best_weight = 0;
     for (const auto& which : candidates) {
-        if (!accept(*which.target) || (request.may_use && !request.may_use(*which.target))) {
-            continue;
-        }
         auto choice = rate(which, request, which.target == home, now);
         const bool better = !best || choice.cost < best->cost ||
                             (choice.cost == best->cost && which.weight > best_weight);
@@ -206,28 +209,23 @@
     if (!request.by_desk || request.asked == nullptr || !is_held(candidates, *request.asked, now)) {
         home = home_of(candidates, now);
     }
-    const auto sound = [&](const tracked_target& target) {
+    const auto usable = request.may_use ? filter(candidates, request.may_use) : candidates;
+    const auto untried = filter(usable, [&](const tracked_target& target) {
+        return !was_tried(request, target.entry.name);
+    });
+    auto sound = filter(untried, [&](const tracked_target& target) {
         const auto in_flight = target.in_flight + target.reserved.in_flight;
-        return !is_ejected(target.health, now) && !was_tried(request, target.entry.name) &&
+        return !is_ejected(target.health, now) &&
                !(is_on_probation(target.health) && in_flight > 0);
-    };
-    std::vector<candidate> considered;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(considered),
-                 [&](const candidate& which) {
-                     return sound(*which.target) &&
-                            (!request.may_use || request.may_use(*which.target));
-                 });
-    keep_first(considered, request.sharers);
-    if (auto choice = best_of(considered, request, home, now, sound)) {
+    });
+    keep_first(sound, request.sharers);
+    if (auto choice = best_of(sound, request, home, now)) {
         return choice;
     }
-    const auto untried = [&](const tracked_target& target) {
-        return !was_tried(request, target.entry.name);
-    };
-    if (auto choice = best_of(candidates, request, home, now, untried)) {
+    if (auto choice = best_of(untried, request, home, now)) {
         return choice;
     }
-    return best_of(candidates, request, home, now, [](const tracked_target&) { return true; });
+    return best_of(usable, request, home, now);
 }
 
 service_outlook outlook_of(const target_pool& pool, const service_name& service, bool by_desk,
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -18,18 +18,6 @@
 /// A desk that nobody asked for so long is one no more, or its region has no work.
 constexpr base::milliseconds use_memory{2'000};
 
-std::vector<target_name> names_of(const target_pool& pool,
-                                  const std::vector<base::target_id>& targets)
-{
-    std::vector<target_name> names;
-    for (const auto& id : targets) {
-        if (const auto* target = pool.find(id)) {
-            names.push_back(target->entry.name);
-        }
-    }
-    return names;
-}
-
 } // namespace
 
 placement_answer placement_desk::place(target_pool& pool, const std::string& asker,
@@ -49,11 +37,10 @@
     request.spread = ask.spread;
     request.by_desk = true;
     request.urgency = urgency;
-    request.tried = names_of(pool, ask.avoided);
     request.may_use = [&](const tracked_target& target) {
         // Work for a target that may be cold is shared out among the VMs in another way.
-        return !may_be_cold(target, now) && std::find(request.tried.begin(), request.tried.end(),
-                                                      target.entry.name) == request.tried.end();
+        return !may_be_cold(target, now) &&
+               std::find(ask.avoided.begin(), ask.avoided.end(), target.id) == ask.avoided.end();
     };
     placement_answer answer;
     answer.number = ask.number;
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -15,9 +15,6 @@
 /// Part of the objective that any request may wait, however long its own prompt takes.
 constexpr double least_wait_part = 0.25;
 
-/// From the end of a prompt to the first token with an idle batch.
-constexpr double first_token_ms = 36.0;
-
 /// Part of the objective up to which a request stays in its region whatever others promise: a
 /// region loses its cached prompts with each request that leaves it.
 constexpr double stay_part_of_objective = 0.5;
