front: one datagram socket for heartbeats and placement

Both had the same receive loop, log line and counter for unreadable bytes and the same send. Whether a region has a VM to ask no longer ranks all of its VMs by hash for each request; only the choice itself does. The guard for a call that runs is one function.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
+#include "chicorylink/fleet/roster.hpp"
 #include "chicorylink/front/asked_request.hpp"
 #include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/resolution.hpp"
@@ -82,6 +83,11 @@
     void go_to(const std::optional<fleet::placement_choice>& here, base::time_point now);
     [[nodiscard]] std::optional<fleet::placement_choice> choose_here(base::time_point now) const;
     [[nodiscard]] std::vector<fleet::remote_region> choices_elsewhere(base::time_point now) const;
+    /// @brief Whether a VM of another region may be sent this request.
+    [[nodiscard]] bool may_ask_peer(const std::string& ip, const fleet::member& who,
+                                    const fleet::region_name& region, base::time_point now) const;
+    [[nodiscard]] bool has_peer_in(const fleet::region_name& region, base::time_point now) const;
+    /// @brief The VM of another region that this request goes to.
     [[nodiscard]] std::string peer_in(const fleet::region_name& region, base::time_point now) const;
     [[nodiscard]] fleet::region_request needs(base::time_point now) const;
     /// @param region_ips The live VMs of this region, which share its targets.
@@ -95,6 +101,8 @@
     void note_sent(base::time_point now);
 
     // While an attempt runs.
+    /// @brief The call of the attempt that runs; null between two attempts.
+    [[nodiscard]] upstream_call* running_call() const;
     void on_head(const message_head& head);
     void on_body(std::string_view piece);
     void on_answer_end();
--- a/include/chicorylink/front/gossip.hpp
+++ b/include/chicorylink/front/gossip.hpp
@@ -5,9 +5,11 @@
 #include "chicorylink/fleet/heartbeat.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/front/datagram_socket.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 
 #include <boost/asio/ip/udp.hpp>
@@ -30,8 +32,7 @@
     void announce(base::time_point now);
 
 private:
-    void receive();
-    void take_datagram(std::size_t size);
+    base::result<void> take_heartbeat(std::span<const std::uint8_t> bytes);
     void take_digest(const fleet::region_digest& digest, const fleet::region_name& sender,
                      base::time_point now);
     void send_to(const fleet::due_heartbeat& due, base::time_point now);
@@ -47,7 +48,7 @@
     };
 
     front_core& m_core;
-    boost::asio::ip::udp::socket m_socket;
+    datagram_socket m_datagrams;
     std::function<void(const fleet::heartbeat&)> m_on_heartbeat;
     std::uint64_t m_sequence = 0;
     dated_digest m_near_digest;
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -3,11 +3,13 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/placement_message.hpp"
+#include "chicorylink/front/datagram_socket.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,19 +74,17 @@
         std::vector<fleet::placement_note> told;
     };
 
-    void receive();
-    void take_pending();
-    void take_datagram(std::size_t size, const boost::asio::ip::udp::endpoint& from);
-    void take_asks(const fleet::placement_message& message,
+    base::result<void> take_message(std::span<const std::uint8_t> bytes,
+                                    const boost::asio::ip::udp::endpoint& from);
+    void take_asks(const fleet::placement_message& message, const std::string& sender,
                    const boost::asio::ip::udp::endpoint& from);
     void take_answer(const fleet::placement_answer& answer);
     void note(const reserved_place& place, fleet::placement_note note, base::time_point now);
-    void send(const fleet::placement_message& message, const boost::asio::ip::udp::endpoint& to);
     [[nodiscard]] boost::asio::ip::udp::endpoint endpoint_of(const std::string& ip) const;
     [[nodiscard]] const std::string& desk_ip(base::time_point now);
 
     front_core& m_core;
-    boost::asio::ip::udp::socket m_socket;
+    datagram_socket m_datagrams;
     std::string m_desk_ip;
     base::time_point m_desk_found_at{};
     std::uint64_t m_last_number = 0;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -84,6 +84,11 @@
     dispatch(now);
 }
 
+upstream_call* exchange::running_call() const
+{
+    return m_is_asking || !m_attempt ? nullptr : m_attempt->call.get();
+}
+
 void exchange::release(base::time_point now)
 {
     if (!m_attempt || m_attempt->target.empty() || std::exchange(m_attempt->released, true)) {
@@ -185,8 +190,8 @@
 void exchange::on_caller_gone(base::time_point now)
 {
     m_caller = nullptr;
-    if (!m_is_asking && m_attempt && m_attempt->call) {
-        m_attempt->call->cancel();
+    if (auto* call = running_call()) {
+        call->cancel();
     }
     if (!m_is_over) {
         release(now);
@@ -208,9 +213,9 @@
     }
     const auto keep_alive = shared_from_this();
     if (now >= m_deadline) {
-        if (!m_is_asking && m_attempt && m_attempt->call) {
-            const bool arrived = m_attempt->call->may_have_arrived();
-            m_attempt->call->cancel();
+        if (auto* call = running_call()) {
+            const bool arrived = call->may_have_arrived();
+            call->cancel();
             log_attempt("unknown", "deadline", now);
             release(now);
             m_history.runs += arrived ? 1 : 0;
@@ -245,8 +250,8 @@
 
 void exchange::on_stop(base::time_point now)
 {
-    if (!m_is_asking && m_attempt && m_attempt->call) {
-        m_attempt->call->cancel();
+    if (auto* call = running_call()) {
+        call->cancel();
         m_history.runs += 1;
     }
     refuse({unavailable_status, "stopping", std::nullopt}, now);
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -111,11 +111,26 @@
     }
     std::erase_if(regions, [&](const fleet::remote_region& other) {
         return !fleet::may_run_in(*m_resolved.route, m_resolved.team, other.region) ||
-               peer_in(other.region, now).empty();
+               !has_peer_in(other.region, now);
     });
     return regions;
 }
 
+bool exchange::may_ask_peer(const std::string& ip, const fleet::member& who,
+                            const fleet::region_name& region, base::time_point now) const
+{
+    return who.region == region && fleet::roster::takes_requests(who, now) &&
+           std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) == m_tried_peers.end();
+}
+
+bool exchange::has_peer_in(const fleet::region_name& region, base::time_point now) const
+{
+    const auto& members = m_core.members.members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        return may_ask_peer(entry.first, entry.second, region, now);
+    });
+}
+
 std::string exchange::peer_in(const fleet::region_name& region, base::time_point now) const
 {
     // Weighted rendezvous hashing: a VM gets requests in proportion to its capacity.
@@ -123,8 +138,7 @@
     double best_weight = 0;
     const auto key = base::hash_name(m_asked.id);
     for (const auto& [ip, who] : m_core.members.members()) {
-        if (who.region != region || !fleet::roster::takes_requests(who, now) ||
-            std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) != m_tried_peers.end()) {
+        if (!may_ask_peer(ip, who, region, now)) {
             continue;
         }
         const auto bits = base::hash_pair(key, base::hash_name(ip));
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -6,10 +6,8 @@
 #include "chicorylink/front/front_core.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
 namespace chicorylink::front {
@@ -17,15 +15,6 @@
 
 using udp = boost::asio::ip::udp;
 
-/// Above the largest heartbeat of a region with hundreds of targets.
-constexpr std::size_t datagram_bytes = 16UL * 1024;
-
-std::array<std::uint8_t, datagram_bytes>& receive_buffer()
-{
-    static std::array<std::uint8_t, datagram_bytes> buffer;
-    return buffer;
-}
-
 std::uint64_t to_ms(base::time_point at)
 {
     return static_cast<std::uint64_t>(
@@ -67,66 +56,41 @@
 
 gossip::gossip(front_core& core, udp::socket socket,
                std::function<void(const fleet::heartbeat&)> on_heartbeat)
-    : m_core(core), m_socket(std::move(socket)), m_on_heartbeat(std::move(on_heartbeat))
+    : m_core(core),
+      m_datagrams(core, std::move(socket), "heartbeats_not_sent_total",
+                  [this](auto bytes, const auto& /*from*/) { return take_heartbeat(bytes); }),
+      m_on_heartbeat(std::move(on_heartbeat))
 {
-    m_socket.non_blocking(true);
-    receive();
 }
 
-void gossip::receive()
-{
-    m_socket.async_wait(udp::socket::wait_read, [this](boost::system::error_code stopped) {
-        if (stopped) {
-            return;
-        }
-        boost::system::error_code problem;
-        while (!problem) {
-            const auto size = m_socket.receive(boost::asio::buffer(receive_buffer()), 0, problem);
-            if (!problem) {
-                take_datagram(size);
-            }
-        }
-        receive();
-    });
-}
-
-void gossip::take_datagram(std::size_t size)
+base::result<void> gossip::take_heartbeat(std::span<const std::uint8_t> bytes)
 {
     const auto now = base::boot_now();
-    base::leaf::try_handle_all(
-        [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(message, fleet::decode_heartbeat({receive_buffer().data(), size}));
-            const auto effect = m_core.members.on_heartbeat(message, now);
-            if (effect == fleet::heartbeat_effect::ignored) {
-                return {};
-            }
-            const auto event = name_of(effect);
-            if (!event.empty()) {
-                write_log(m_core, log_event(m_core, event)
-                                      .add("peer", message.from.name.text())
-                                      .add("ip", message.from.ip)
-                                      .add("state", static_cast<int>(message.state))
-                                      .add("version", message.version.value()));
-            }
-            if (message.from.region == m_core.settings.self.region) {
-                m_core.quota.on_member_usage(message.from.ip, message.from.run, message.usage, now);
-                m_core.pool.on_peer_use(message.from.ip, message.targets, now);
-            }
-            for (const auto& digest : message.digests) {
-                take_digest(digest, message.from.region, now);
-            }
-            if (message.wants_digests) {
-                send_to({message.from.ip, fleet::digest_scope::all_regions, false}, now);
-            }
-            m_on_heartbeat(message);
-            return {};
-        },
-        [&](const base::error& problem) {
-            m_core.counters.add("bad_datagrams_total");
-            write_log(m_core,
-                      log_event(m_core, "bad_datagram").add("reason", base::describe(problem)));
-        },
-        [] {});
+    BOOST_LEAF_AUTO(message, fleet::decode_heartbeat(bytes));
+    const auto effect = m_core.members.on_heartbeat(message, now);
+    if (effect == fleet::heartbeat_effect::ignored) {
+        return {};
+    }
+    const auto event = name_of(effect);
+    if (!event.empty()) {
+        write_log(m_core, log_event(m_core, event)
+                              .add("peer", message.from.name.text())
+                              .add("ip", message.from.ip)
+                              .add("state", static_cast<int>(message.state))
+                              .add("version", message.version.value()));
+    }
+    if (message.from.region == m_core.settings.self.region) {
+        m_core.quota.on_member_usage(message.from.ip, message.from.run, message.usage, now);
+        m_core.pool.on_peer_use(message.from.ip, message.targets, now);
+    }
+    for (const auto& digest : message.digests) {
+        take_digest(digest, message.from.region, now);
+    }
+    if (message.wants_digests) {
+        send_to({message.from.ip, fleet::digest_scope::all_regions, false}, now);
+    }
+    m_on_heartbeat(message);
+    return {};
 }
 
 void gossip::take_digest(const fleet::region_digest& digest, const fleet::region_name& sender,
@@ -163,9 +127,9 @@
         digest.targets = m_core.pool.region_use(now);
     }
     if (m_core.state.config()) {
+        const bool by_desk = m_core.placements->is_desk(now);
         for (const auto& service : m_core.state.config()->services()) {
-            digest.outlook.push_back(
-                fleet::outlook_of(m_core.pool, service.name, m_core.placements->is_desk(now), now));
+            digest.outlook.push_back(fleet::outlook_of(m_core.pool, service.name, by_desk, now));
         }
     }
     return digest;
@@ -216,11 +180,7 @@
     if (problem) {
         return;
     }
-    const auto bytes = fleet::encode(message_to(due, now));
-    m_socket.send_to(boost::asio::buffer(bytes), {address, m_core.settings.peer_port}, 0, problem);
-    if (problem) {
-        m_core.counters.add("heartbeats_not_sent_total");
-    }
+    m_datagrams.send(fleet::encode(message_to(due, now)), {address, m_core.settings.peer_port});
 }
 
 void gossip::tick(base::time_point now)
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -5,11 +5,9 @@
 #include "chicorylink/front/front_core.hpp"
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <utility>
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
 namespace chicorylink::front {
@@ -17,8 +15,7 @@
 
 using udp = boost::asio::ip::udp;
 
-/// Fits a message with dozens of notes; a larger one is split by its sender.
-constexpr std::size_t datagram_bytes = 8UL * 1024;
+/// Keeps a message of notes well within a datagram.
 constexpr std::size_t notes_per_message = 128;
 
 /// A round trip within a region and the work of a desk take a few milliseconds; waiting longer
@@ -32,19 +29,13 @@
 /// A desk that let an ask wait is left alone for so long: it may be frozen, cut off or gone.
 constexpr base::milliseconds silent_time{500};
 
-std::array<std::uint8_t, datagram_bytes>& receive_buffer()
-{
-    static std::array<std::uint8_t, datagram_bytes> buffer;
-    return buffer;
-}
-
 } // namespace
 
 placement_link::placement_link(front_core& core, udp::socket socket)
-    : m_core(core), m_socket(std::move(socket))
+    : m_core(core),
+      m_datagrams(core, std::move(socket), "placement_messages_not_sent_total",
+                  [this](auto bytes, const auto& from) { return take_message(bytes, from); })
 {
-    m_socket.non_blocking(true);
-    receive();
 }
 
 const std::string& placement_link::desk_ip(base::time_point now)
@@ -86,57 +77,26 @@
     message.run = self.run;
     m_waiting.insert_or_assign(ask.number, waiting_ask{ip, now, std::move(on_advice)});
     message.asks.push_back(std::move(ask));
-    send(message, endpoint_of(ip));
+    m_datagrams.send(fleet::encode(message), endpoint_of(ip));
 }
 
-void placement_link::receive()
+base::result<void> placement_link::take_message(std::span<const std::uint8_t> bytes,
+                                                const udp::endpoint& from)
 {
-    m_socket.async_wait(udp::socket::wait_read, [this](boost::system::error_code stopped) {
-        if (stopped) {
-            return;
-        }
-        take_pending();
-        receive();
-    });
-}
-
-void placement_link::take_pending()
-{
-    boost::system::error_code problem;
-    while (!problem) {
-        udp::endpoint from;
-        const auto size =
-            m_socket.receive_from(boost::asio::buffer(receive_buffer()), from, 0, problem);
-        if (!problem) {
-            take_datagram(size, from);
-        }
+    BOOST_LEAF_AUTO(message, fleet::decode_placement(bytes));
+    const auto sender = from.address().to_string();
+    take_asks(message, sender, from);
+    for (const auto& note : message.notes) {
+        m_core.desk.take_note(m_core.pool, sender, note, base::boot_now());
     }
+    for (const auto& answer : message.answers) {
+        take_answer(answer);
+    }
+    return {};
 }
 
-void placement_link::take_datagram(std::size_t size, const udp::endpoint& from)
-{
-    base::leaf::try_handle_all(
-        [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(message, fleet::decode_placement({receive_buffer().data(), size}));
-            take_asks(message, from);
-            for (const auto& note : message.notes) {
-                m_core.desk.take_note(m_core.pool, from.address().to_string(), note,
-                                      base::boot_now());
-            }
-            for (const auto& answer : message.answers) {
-                take_answer(answer);
-            }
-            return {};
-        },
-        [&](const base::error& problem) {
-            m_core.counters.add("bad_datagrams_total");
-            write_log(m_core,
-                      log_event(m_core, "bad_datagram").add("reason", base::describe(problem)));
-        },
-        [] {});
-}
-
-void placement_link::take_asks(const fleet::placement_message& message, const udp::endpoint& from)
+void placement_link::take_asks(const fleet::placement_message& message, const std::string& sender,
+                               const udp::endpoint& from)
 {
     if (message.asks.empty()) {
         return;
@@ -144,11 +104,11 @@
     fleet::placement_message reply;
     reply.run = m_core.settings.self.run;
     for (const auto& ask : message.asks) {
-        reply.answers.push_back(m_core.desk.place(m_core.pool, from.address().to_string(),
-                                                  message.run, ask, base::boot_now()));
+        reply.answers.push_back(
+            m_core.desk.place(m_core.pool, sender, message.run, ask, base::boot_now()));
         m_core.counters.add("placements_total");
     }
-    send(reply, from);
+    m_datagrams.send(fleet::encode(reply), from);
 }
 
 void placement_link::take_answer(const fleet::placement_answer& answer)
@@ -192,7 +152,7 @@
 void placement_link::tick(base::time_point now)
 {
     // An answer that has arrived counts, however long this VM took to read it.
-    take_pending();
+    m_datagrams.take_pending();
     std::vector<std::pair<std::uint64_t, waiting_ask>> unanswered;
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
         if (now - entry->second.asked_at < ask_limit) {
@@ -219,20 +179,10 @@
         notes.told.assign(notes.fresh.begin(), end);
         notes.fresh.erase(notes.fresh.begin(), end);
         message.notes.insert(message.notes.end(), notes.told.begin(), notes.told.end());
-        send(message, endpoint_of(entry->first));
+        m_datagrams.send(fleet::encode(message), endpoint_of(entry->first));
         entry = notes.told.empty() ? m_notes.erase(entry) : std::next(entry);
     }
     m_core.desk.tick(m_core.pool, now);
 }
 
-void placement_link::send(const fleet::placement_message& message, const udp::endpoint& to)
-{
-    const auto bytes = fleet::encode(message);
-    boost::system::error_code problem;
-    m_socket.send_to(boost::asio::buffer(bytes), to, 0, problem);
-    if (problem) {
-        m_core.counters.add("placement_messages_not_sent_total");
-    }
-}
-
 } // namespace chicorylink::front
