--- a/process_tests/front_test.cpp
+++ b/process_tests/front_test.cpp
@@ -5,11 +5,11 @@
 #include "front_fleet.hpp"
 #include "http_call.hpp"
 #include "stand_ins/http_server.hpp"
+#include "suite.hpp"
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -118,12 +118,6 @@
     stand_ins::http_server m_server;
 };
 
-std::string binaries_folder()
-{
-    const char* binaries = std::getenv("CHICORYLINK_BINARIES");
-    return binaries == nullptr ? "." : binaries;
-}
-
 /// Two regions, `east` with two VMs and `west` with one; a target in each.
 class front : public testing::Test {
 protected:
@@ -160,7 +154,7 @@
 
     signing_target m_east{"i-east"};
     signing_target m_west{"i-west"};
-    front_fleet m_fleet{binaries_folder(), "chicorylink_front"};
+    front_fleet m_fleet{binaries(), "chicorylink_front"};
 };
 
 TEST_F(front, serves_and_keeps_the_key_from_the_target)
--- a/process_tests/relay_figures.cpp
+++ b/process_tests/relay_figures.cpp
@@ -5,6 +5,7 @@
 #include "front_fleet.hpp"
 #include "raw_exchange.hpp"
 #include "stand_ins/http_server.hpp"
+#include "suite.hpp"
 
 #include <array>
 #include <atomic>
@@ -169,10 +170,10 @@
     return found;
 }
 
-void run(const std::string& binaries)
+void run()
 {
     stand_ins::http_server target("127.0.0.1:0", {stream_of, {}});
-    front_fleet fleet(binaries, "chicorylink_relay_figures");
+    front_fleet fleet(binaries(), "chicorylink_relay_figures");
     fleet.publish_config(1, {"secret"});
     fleet.publish_target("i-figures", target.address(), "east-a");
     fleet.start(front_ip, "east");
@@ -180,7 +181,7 @@
         throw std::runtime_error("the daemon did not become ready");
     }
     const child_process relay(
-        {binaries + "/process_tests/bare_relay", relay_address, target.address()},
+        {binaries() + "/process_tests/bare_relay", relay_address, target.address()},
         (fleet.folder() / "relay.log").string());
     const auto bare = measure_all("bare_relay", relay.id(), relay_address);
     const auto ours = measure_all("chicorylink-front", fleet.at(front_ip).id(),
@@ -195,8 +196,7 @@
 int main()
 {
     try {
-        const char* binaries = std::getenv("CHICORYLINK_BINARIES");
-        chicorylink::process_tests::run(binaries == nullptr ? "build" : binaries);
+        chicorylink::process_tests::run();
     }
     catch (const std::exception& failure) {
         std::cerr << failure.what() << "\n";
