fleet: targets that leave or push back get nothing; a repeat prefers another region

Cause: what a target asks for itself with its answers was read nowhere, so a VM went on sending until the store said the same, and a server that wants nothing for a while was asked again at once.

target_restraint holds what one run of a target asked: leaving holds until the run ends, also when the entry lapses in an outage and returns; a wait is never shortened, is spread over the VMs at its end, and then lets one request through at a time until one is served. News of other VMs is a hint for waits and binding for leaving. Digests and placement messages carry both. Route times tell how long a sound stream may pause.

--- a/include/chicorylink/base/event_stream.hpp
+++ b/include/chicorylink/base/event_stream.hpp
@@ -14,6 +14,8 @@
     std::string_view bytes;
     /// The value of its `id` line; empty without one.
     std::string_view id;
+    /// Whether it holds nothing but comments.
+    bool is_comment = false;
 };
 
 /// @brief Cuts the body of an event stream into whole events.
--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -26,6 +26,8 @@
 
 struct DigestMember;
 
+struct TargetNotice;
+
 struct RegionDigest;
 struct RegionDigestBuilder;
 
@@ -186,6 +188,50 @@
 };
 FLATBUFFERS_STRUCT_END(DigestMember, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TargetNotice FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  int64_t started_ms_;
+  uint32_t wait_ms_;
+  uint8_t leaving_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  TargetNotice()
+      : target_(0),
+        started_ms_(0),
+        wait_ms_(0),
+        leaving_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  TargetNotice(uint64_t _target, int64_t _started_ms, uint32_t _wait_ms, bool _leaving)
+      : target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
+        leaving_(flatbuffers::EndianScalar(static_cast<uint8_t>(_leaving))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  uint32_t wait_ms() const {
+    return flatbuffers::EndianScalar(wait_ms_);
+  }
+  bool leaving() const {
+    return flatbuffers::EndianScalar(leaving_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(TargetNotice, 24);
+
 struct RegionDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RegionDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -196,7 +242,8 @@
     VT_MEMBERS = 12,
     VT_USAGE = 14,
     VT_TARGETS = 16,
-    VT_OUTLOOK = 18
+    VT_OUTLOOK = 18,
+    VT_NOTICES = 20
   };
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
@@ -222,6 +269,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *> *outlook() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *> *>(VT_OUTLOOK);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *> *notices() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *> *>(VT_NOTICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGION) &&
@@ -237,6 +287,8 @@
            verifier.VerifyVector(targets()) &&
            VerifyOffset(verifier, VT_OUTLOOK) &&
            verifier.VerifyVector(outlook()) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
            verifier.EndTable();
   }
 };
@@ -269,6 +321,9 @@
   void add_outlook(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook) {
     fbb_.AddOffset(RegionDigest::VT_OUTLOOK, outlook);
   }
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices) {
+    fbb_.AddOffset(RegionDigest::VT_NOTICES, notices);
+  }
   explicit RegionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -289,9 +344,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::DigestMember *>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices = 0) {
   RegionDigestBuilder builder_(_fbb);
   builder_.add_reporter(reporter);
+  builder_.add_notices(notices);
   builder_.add_outlook(outlook);
   builder_.add_targets(targets);
   builder_.add_usage(usage);
@@ -311,12 +368,14 @@
     const std::vector<chicorylink::fleet::codec::DigestMember> *members = nullptr,
     const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
-    const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr) {
+    const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr,
+    const std::vector<chicorylink::fleet::codec::TargetNotice> *notices = nullptr) {
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::DigestMember>(*members) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
   auto targets__ = targets ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetUse>(*targets) : 0;
   auto outlook__ = outlook ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceOutlook>(*outlook) : 0;
+  auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetNotice>(*notices) : 0;
   return chicorylink::fleet::codec::CreateRegionDigest(
       _fbb,
       region__,
@@ -326,7 +385,8 @@
       members__,
       usage__,
       targets__,
-      outlook__);
+      outlook__,
+      notices__);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -27,6 +27,8 @@
 
 struct PlacementNote;
 
+struct PlacementNotice;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -154,6 +156,50 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementNote, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementNotice FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  int64_t started_ms_;
+  uint32_t wait_ms_;
+  uint8_t leaving_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  PlacementNotice()
+      : target_(0),
+        started_ms_(0),
+        wait_ms_(0),
+        leaving_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  PlacementNotice(uint64_t _target, int64_t _started_ms, uint32_t _wait_ms, bool _leaving)
+      : target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
+        leaving_(flatbuffers::EndianScalar(static_cast<uint8_t>(_leaving))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  uint32_t wait_ms() const {
+    return flatbuffers::EndianScalar(wait_ms_);
+  }
+  bool leaving() const {
+    return flatbuffers::EndianScalar(leaving_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementNotice, 24);
+
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -347,7 +393,8 @@
     VT_RUN = 4,
     VT_ASKS = 6,
     VT_ANSWERS = 8,
-    VT_NOTES = 10
+    VT_NOTES = 10,
+    VT_NOTICES = 12
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -361,6 +408,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *> *notes() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *> *>(VT_NOTES);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *> *notices() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *> *>(VT_NOTICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -371,6 +421,8 @@
            verifier.VerifyVector(answers()) &&
            VerifyOffset(verifier, VT_NOTES) &&
            verifier.VerifyVector(notes()) &&
+           VerifyOffset(verifier, VT_NOTICES) &&
+           verifier.VerifyVector(notices()) &&
            verifier.EndTable();
   }
 };
@@ -391,6 +443,9 @@
   void add_notes(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *>> notes) {
     fbb_.AddOffset(PlacementMessage::VT_NOTES, notes);
   }
+  void add_notices(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices) {
+    fbb_.AddOffset(PlacementMessage::VT_NOTICES, notices);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -407,9 +462,11 @@
     uint64_t run = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>> asks = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementAnswer *>> answers = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *>> notes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *>> notes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_notices(notices);
   builder_.add_notes(notes);
   builder_.add_answers(answers);
   builder_.add_asks(asks);
@@ -421,16 +478,19 @@
     uint64_t run = 0,
     const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>> *asks = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementAnswer> *answers = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementNote> *notes = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementNote> *notes = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementNotice> *notices = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
+  auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNotice>(*notices) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
       asks__,
       answers__,
-      notes__);
+      notes__,
+      notices__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -55,6 +55,8 @@
     std::uint32_t unread_tokens = 0;
     /// `start` in milliseconds, with what the choice costs later requests.
     double cost = 0;
+    /// Whether an earlier attempt of the request went to the same target.
+    bool is_repeat = false;
 };
 
 /// @brief Chooses the target where a request is expected to begin first.
@@ -63,7 +65,9 @@
 /// besides the targets that this VM sent them to. What other VMs sent is known late; if all of them
 /// took the least loaded target at the same moment, they would flood it. So the more VMs share the
 /// targets, the fewer of them a request considers: the first ones by its own rendezvous hash.
-/// Targets that were ejected are used only when no other is left.
+/// Targets that were ejected are used only when no other is left. A target that asked this VM to
+/// wait gets nothing, one that asked another VM or whose wait is just over gets one request at a
+/// time.
 /// @return None when no target of the region takes the request.
 [[nodiscard]] std::optional<placement_choice>
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now);
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -6,6 +6,7 @@
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/prompt.hpp"
 #include "chicorylink/fleet/target_health.hpp"
+#include "chicorylink/fleet/target_notice.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -64,6 +65,8 @@
     std::vector<placement_ask> asks;
     std::vector<placement_answer> answers;
     std::vector<placement_note> notes;
+    /// What targets asked of the sender.
+    std::vector<target_notice> notices;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
+#include "chicorylink/fleet/target_notice.hpp"
 
 #include <cstdint>
 #include <string>
@@ -76,6 +77,8 @@
     /// Sums over all VMs of the region; only told within it.
     std::vector<target_use> targets;
     std::vector<service_outlook> outlook;
+    /// What targets asked of VMs of late; only told within the region.
+    std::vector<target_notice> notices;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/retry_allowance.hpp
+++ b/include/chicorylink/fleet/retry_allowance.hpp
@@ -37,6 +37,9 @@
     /// @brief Notes a request that a caller sent for a service.
     void note_request(const service_name& service, base::time_point now);
 
+    /// @brief Whether a repeat could be taken now.
+    [[nodiscard]] bool has_room(const service_name& service, std::size_t vms, base::time_point now);
+
     /// @brief Takes one repeat; false when the share is used up.
     /// @param vms The VMs that share the slack, this one included.
     [[nodiscard]] bool take(const service_name& service, std::size_t vms, base::time_point now);
--- a/include/chicorylink/fleet/route.hpp
+++ b/include/chicorylink/fleet/route.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
     base::milliseconds timeout{0};
     /// The latency objective, to the end of an answer or the first event of a stream.
     base::milliseconds latency_objective{0};
+    /// The longest pause between two events of a stream that is still on time; 0 when not told.
+    base::milliseconds pause_objective{0};
     /// 0 is the most urgent.
     int priority = 0;
     /// Regions where its requests may be handled; empty when all may.
@@ -56,6 +59,16 @@
            (asked.kind == request_kind::stream && asked.resumable);
 }
 
+/// @brief How long a target may show a request no progress before it is taken to be silent. A
+/// stream may pause for longer than its objective and still be sound.
+[[nodiscard]] inline base::milliseconds silence_limit(const route& asked)
+{
+    // Several times the pause between two events at the fullest batch.
+    constexpr base::milliseconds shortest{1000};
+    constexpr int pauses = 2;
+    return std::max(shortest, asked.pause_objective * pauses);
+}
+
 } // namespace chicorylink::fleet
 
 #endif // CHICORYLINK_FLEET_ROUTE_HPP
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -5,10 +5,12 @@
 #include "chicorylink/fleet/configuration.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
+#include "chicorylink/fleet/target_notice.hpp"
 #include "chicorylink/fleet/tracked_target.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,6 +72,26 @@
     void on_load(const target_name& name, std::uint32_t running, std::uint32_t waiting,
                  base::time_point now);
 
+    /// @brief An answer said that its target leaves. Returns whether that is news.
+    bool on_leaving(const target_name& name, base::time_point now);
+
+    /// @brief An answer asked this VM to send nothing for some time.
+    /// @param seed Of this VM; the VMs of a region return at different times.
+    void on_wait_asked(const target_name& name, base::milliseconds wait, std::uint64_t seed,
+                       base::time_point now);
+
+    /// @brief What a target asked of another VM. Returns whether it is news that the target leaves.
+    /// @param pass_on Whether this VM tells the region.
+    bool on_notice(const target_notice& notice, bool pass_on, base::time_point now);
+
+    /// @brief What the region is to be told of its targets.
+    [[nodiscard]] std::vector<target_notice> notices(base::time_point now) const;
+
+    /// @brief How long until the first target of a service wants requests from this VM again, when
+    /// all that could serve asked it to wait; none when one of them did not.
+    [[nodiscard]] std::optional<base::milliseconds> shortest_wait(const service_name& service,
+                                                                  base::time_point now) const;
+
     /// @brief Another target answered at its address.
     void on_displaced(const target_name& name);
 
@@ -91,9 +113,12 @@
 
 private:
     [[nodiscard]] tracked_target* find_mutable(const target_name& name);
+    void keep_restraints(const std::map<target_name, tracked_target>& next, base::time_point now);
 
     std::map<target_name, tracked_target> m_targets;
     std::map<base::target_id, target_name> m_names;
+    /// Restraints of runs that have no entry at present; it may come back.
+    std::map<base::target_id, target_restraint> m_departed;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -6,6 +6,7 @@
 #include "chicorylink/fleet/prompt_cache.hpp"
 #include "chicorylink/fleet/target_entry.hpp"
 #include "chicorylink/fleet/target_health.hpp"
+#include "chicorylink/fleet/target_restraint.hpp"
 
 #include <array>
 #include <cstddef>
@@ -66,6 +67,8 @@
     /// How long targets of its service are cold after a start.
     base::milliseconds cold_time{0};
     target_health health;
+    /// What it asked for itself with its answers.
+    target_restraint restraint;
 
     /// Requests from here that are not finished, and prompt tokens of those that have not begun.
     std::uint32_t in_flight = 0;
@@ -92,7 +95,8 @@
 /// @brief Whether a target may be given work at all.
 [[nodiscard]] inline bool takes_work(const tracked_target& target)
 {
-    return !target.entry.leaving && !target.evacuated && !target.displaced;
+    return !target.entry.leaving && !target.restraint.leaving && !target.evacuated &&
+           !target.displaced;
 }
 
 /// @brief The sum of what the other VMs told this one themselves.
--- a/src/chicorylink/base/event_stream.cpp
+++ b/src/chicorylink/base/event_stream.cpp
@@ -37,6 +37,19 @@
     return {};
 }
 
+/// Whether all lines are empty or comments.
+bool has_only_comments(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 void event_stream::feed(std::string_view bytes)
@@ -55,7 +68,7 @@
     }
     m_read += end;
     const auto bytes = rest.substr(0, end);
-    return stream_event{bytes, id_of(bytes)};
+    return stream_event{bytes, id_of(bytes), has_only_comments(bytes)};
 }
 
 void event_stream::reset()
--- a/src/chicorylink/base/event_stream_test.cpp
+++ b/src/chicorylink/base/event_stream_test.cpp
@@ -21,6 +21,16 @@
     EXPECT_FALSE(events.has_partial());
 }
 
+TEST(event_stream, tells_comments_from_events)
+{
+    event_stream events;
+    events.feed(": ping\n\n:\r\n\r\n: note\ndata: a\n\nid: 7\n\n");
+    EXPECT_TRUE(events.next()->is_comment);
+    EXPECT_TRUE(events.next()->is_comment);
+    EXPECT_FALSE(events.next()->is_comment);
+    EXPECT_FALSE(events.next()->is_comment);
+}
+
 TEST(event_stream, an_event_without_an_end_is_bounded)
 {
     event_stream events;
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/fleet/heartbeat_codec.hpp"
 
+#include "chicorylink/fleet/codec_notices.hpp"
 #include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_heartbeat_generated.h"
 
@@ -81,6 +82,7 @@
                 {entry->service(), entry->usable_targets(), base::milliseconds{entry->wait_ms()}});
         }
     }
+    digest.notices = read_notices(from.notices());
     return digest;
 }
 
@@ -125,9 +127,10 @@
     const auto usage = write_usage(to, digest.usage);
     const auto targets = write_targets(to, digest.targets);
     const auto outlook_list = to.CreateVectorOfStructs(outlook);
+    const auto notices = write_notices<codec::TargetNotice>(to, digest.notices);
     return codec::CreateRegionDigest(to, region, digest.reporter.value(), count_of(digest.age),
                                      count_of(digest.round_trip), member_list, usage, targets,
-                                     outlook_list);
+                                     outlook_list, notices);
 }
 
 } // namespace
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -130,6 +130,23 @@
     }
 }
 
+bool is_idle(const tracked_target& target)
+{
+    return target.in_flight + target.reserved.in_flight == 0;
+}
+
+/// Whether a target that asked VMs to wait may be sent a request at all. A desk places for others,
+/// who name the targets that want nothing from them; to it, each wait is a sign of overload.
+bool bears_request(const tracked_target& target, bool by_desk, base::time_point now)
+{
+    if (!by_desk && wants_nothing(target.restraint, now)) {
+        return false;
+    }
+    const bool is_restrained =
+        pushes_back(target.restraint, now) || is_returning(target.restraint, now);
+    return !is_restrained || is_idle(target);
+}
+
 bool was_tried(const placement_request& request, const target_name& name)
 {
     return std::find(request.tried.begin(), request.tried.end(), name) != request.tried.end();
@@ -149,7 +166,7 @@
                       base::time_point now)
 {
     const auto& target = *which.target;
-    placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0};
+    placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0, false};
     const double wait =
         wait_ms(target, request.by_desk ? reserved_work(target, request.urgency, now)
                                         : told_work(target, now));
@@ -209,14 +226,16 @@
     if (!request.by_desk || request.asked == nullptr || !is_held(candidates, *request.asked, now)) {
         home = home_of(candidates, now);
     }
-    const auto usable = request.may_use ? filter(candidates, request.may_use) : candidates;
+    const auto usable = filter(candidates, [&](const tracked_target& target) {
+        return bears_request(target, request.by_desk, now) &&
+               (!request.may_use || request.may_use(target));
+    });
     const auto untried = filter(usable, [&](const tracked_target& target) {
         return !was_tried(request, target.entry.name);
     });
     auto sound = filter(untried, [&](const tracked_target& target) {
-        const auto in_flight = target.in_flight + target.reserved.in_flight;
-        return !is_ejected(target.health, now) &&
-               !(is_on_probation(target.health) && in_flight > 0);
+        return !is_ejected(target.health, now) && !pushes_back(target.restraint, now) &&
+               (!is_on_probation(target.health) || is_idle(target));
     });
     keep_first(sound, request.sharers);
     if (auto choice = best_of(sound, request, home, now)) {
@@ -225,7 +244,11 @@
     if (auto choice = best_of(untried, request, home, now)) {
         return choice;
     }
-    return best_of(usable, request, home, now);
+    auto choice = best_of(usable, request, home, now);
+    if (choice) {
+        choice->is_repeat = true;
+    }
+    return choice;
 }
 
 service_outlook outlook_of(const target_pool& pool, const service_name& service, bool by_desk,
@@ -236,7 +259,8 @@
     std::vector<double> waits;
     for (const auto& [name, target] : pool.targets()) {
         if (target.entry.service == service && takes_work(target) &&
-            !is_ejected(target.health, now) && now >= target.cold_until) {
+            !is_ejected(target.health, now) && !pushes_back(target.restraint, now) &&
+            now >= target.cold_until) {
             waits.push_back(wait_ms(target, by_desk ? reserved_work(target, usual_urgency, now)
                                                     : told_work(target, now)));
         }
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/fleet/placement_codec.hpp"
 
+#include "chicorylink/fleet/codec_notices.hpp"
 #include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_placement_generated.h"
 
@@ -113,8 +114,9 @@
     const auto asks = to.CreateVector(ask_list);
     const auto answers = to.CreateVectorOfStructs(answer_list);
     const auto notes = to.CreateVectorOfStructs(note_list);
+    const auto notices = write_notices<codec::PlacementNotice>(to, message.notices);
     codec::FinishPlacementMessageBuffer(
-        to, codec::CreatePlacementMessage(to, message.run.value(), asks, answers, notes));
+        to, codec::CreatePlacementMessage(to, message.run.value(), asks, answers, notes, notices));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
@@ -152,6 +154,7 @@
             message.notes.push_back(read_note(*note));
         }
     }
+    message.notices = read_notices(from->notices());
     return message;
 }
 
--- a/src/chicorylink/fleet/pool_of_targets.hpp
+++ b/src/chicorylink/fleet/pool_of_targets.hpp
@@ -25,7 +25,8 @@
 inline const std::map<data_center_name, region_name> places{
     {data_center_name{"east-a"}, east}, {data_center_name{"west-a"}, region_name{"west"}}};
 
-/// Keys are the targets' names, values `engine` or `plain`, with `,leaving` or `,cold`.
+/// Keys are the targets' names, values `engine` or `plain`, with `,leaving` or `,cold`, and the
+/// start of the run behind an `@`.
 inline item_meaning decode(const published_item& item)
 {
     if (item.key == "config") {
@@ -43,9 +44,15 @@
     if (item.key.starts_with("evac/")) {
         return evacuation_item{data_center_name{item.key.substr(5)}, !item.removed};
     }
+    if (item.removed) {
+        return target_gone_item{target_name{item.key}, {}};
+    }
     target_entry entry;
     entry.name = target_name{item.key};
-    entry.service = service_name{item.value.substr(0, item.value.find(','))};
+    entry.service = service_name{item.value.substr(0, item.value.find_first_of(",@"))};
+    if (const auto run = item.value.find('@'); run != std::string::npos) {
+        entry.started_ms = std::stoll(item.value.substr(run + 1));
+    }
     entry.address = "10.0.0.1:" + item.key;
     entry.data_center = data_center_name{"east-a"};
     entry.slots = entry.service.text() == "plain" ? 6 : 64;
@@ -75,6 +82,12 @@
         m_pool.sync(m_state, east, places, now);
     }
 
+    void publish_run(const std::string& key, const std::string& service, std::int64_t started_ms,
+                     base::time_point now)
+    {
+        publish(key, fmt::format("{}@{}", service, started_ms), false, now);
+    }
+
     target_pool& pool() { return m_pool; }
 
 private:
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -107,14 +107,19 @@
                    const std::vector<remote_region>& others, const region_request& request)
 {
     const auto limits = limits_here(others, request);
-    if (here && here->wait <= limits.wait && here->start <= limits.start) {
+    const bool fits_here = here && here->wait <= limits.wait && here->start <= limits.start;
+    if (fits_here && !here->is_repeat) {
         return {place_kind::here, {}, base::milliseconds{0}, here->wait};
     }
+    // What failed at a target is more likely to fail there again than at another one.
     const auto* best = first_to_start(others, request).where;
     if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
         return {place_kind::elsewhere, best->region, best->round_trip,
                 best->wait + best->round_trip};
     }
+    if (fits_here) {
+        return {place_kind::here, {}, base::milliseconds{0}, here->wait};
+    }
     auto shortest = here ? here->wait : base::milliseconds::max();
     if (best != nullptr) {
         shortest = std::min(shortest, best->wait + best->round_trip);
--- a/src/chicorylink/fleet/retry_allowance.cpp
+++ b/src/chicorylink/fleet/retry_allowance.cpp
@@ -22,7 +22,7 @@
     entry.requests.push_back(now);
 }
 
-bool retry_allowance::take(const service_name& service, std::size_t vms, base::time_point now)
+bool retry_allowance::has_room(const service_name& service, std::size_t vms, base::time_point now)
 {
     auto& entry = m_services[service];
     forget_old(entry, now);
@@ -30,10 +30,15 @@
         m_bound.ratio * used_ratio * static_cast<double>(entry.requests.size());
     const double by_slack =
         m_bound.slack * used_slack / static_cast<double>(std::max<std::size_t>(vms, 1));
-    if (static_cast<double>(entry.repeats.size()) + 1 > by_requests + by_slack) {
+    return static_cast<double>(entry.repeats.size()) + 1 <= by_requests + by_slack;
+}
+
+bool retry_allowance::take(const service_name& service, std::size_t vms, base::time_point now)
+{
+    if (!has_room(service, vms, now)) {
         return false;
     }
-    entry.repeats.push_back(now);
+    m_services[service].repeats.push_back(now);
     return true;
 }
 
