--- a/include/chicorylink/front/asked_request.hpp
+++ b/include/chicorylink/front/asked_request.hpp
@@ -19,7 +19,12 @@
     /// Set when another VM forwarded it: the version under which that VM decided.
     std::optional<base::config_version> forwarded_under;
 
+    /// Whether the address that it came from is a known VM's. One that claims to forward and is
+    /// not known is charged like a caller.
+    bool from_member = false;
+
     [[nodiscard]] bool from_peer() const { return forwarded_under.has_value(); }
+    [[nodiscard]] bool is_charged_elsewhere() const { return from_peer() && from_member; }
 };
 
 } // namespace chicorylink::front
--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -53,6 +53,12 @@
     /// @brief Closes the connection when it is idle for too long, or idle while the VM leaves.
     void tick(base::time_point now);
 
+    /// @brief Whether the process would cut something off if it ended now: a request that is being
+    /// served or read, one that is expected on a new connection, or an answer not yet sent.
+    [[nodiscard]] bool is_busy(base::time_point now) const;
+
+    [[nodiscard]] const std::shared_ptr<tcp_channel>& channel() const { return m_channel; }
+
     /// @brief Ends the connection whatever it is doing.
     void close();
 
@@ -77,6 +83,7 @@
     std::string m_early;
     /// When the first byte of the present request came, or the last answer ended.
     base::time_point m_since{};
+    bool m_has_asked = false;
     bool m_in_chunks = false;
     bool m_asked_to_close = false;
     bool m_is_closed = false;
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -32,6 +32,8 @@
     exchange(exchange&&) = delete;
     exchange& operator=(exchange&&) = delete;
 
+    [[nodiscard]] const std::string& request_id() const { return m_asked.id; }
+
     void begin(base::time_point now);
 
     /// @brief The caller closed its connection: whatever works for it is stopped at once.
@@ -55,6 +57,7 @@
         std::string address;
         fleet::region_name region;
         base::time_point sent_at{};
+        /// The last progress: a head, a whole event of a stream, bytes of a plain answer.
         base::time_point last_sign{};
         std::uint32_t unread_tokens = 0;
         /// The same as expected when the request was sent.
@@ -65,6 +68,7 @@
         std::optional<reserved_place> place;
         std::optional<fleet::target_outcome> outcome;
         message_head head;
+        /// Bytes that wait for the answer's end, or for a stream's first event.
         std::string held_body;
         /// Whether the target's work was taken back from the pool.
         bool released = false;
@@ -99,6 +103,8 @@
     void send_to_peer(const fleet::place& where, const std::string& ip, base::time_point now);
     void send(std::string bytes, base::milliseconds connect_limit, base::time_point now);
     void note_sent(base::time_point now);
+    /// @brief Whether an earlier attempt went to the same address.
+    [[nodiscard]] bool was_sent_to(const std::string& address) const;
 
     // While an attempt runs.
     /// @brief The call of the attempt that runs; null between two attempts.
@@ -107,10 +113,21 @@
     void on_body(std::string_view piece);
     void on_answer_end();
     void on_failure(const upstream_failure& failure);
-    void take_event(const base::stream_event& event);
+    void take_event(const base::stream_event& event, base::time_point now);
+    void note_progress(base::time_point now);
+    void pause_for_slow_caller();
     void read_load(const message_head& head, base::time_point now);
+    /// @brief Takes in what the target asks for itself: that it leaves, or wants nothing for a
+    /// while.
+    void read_notices(const message_head& head, base::time_point now);
+    /// @brief Whether an answer's head is that of a target and of this request.
+    [[nodiscard]] bool is_targets_answer(const message_head& head) const;
     void flush_held(base::time_point now);
 
+    /// @brief Whether a request whose target is silent can go on at another one.
+    [[nodiscard]] bool can_move(base::time_point now) const;
+    [[nodiscard]] bool is_silent(base::time_point now) const;
+
     // After an attempt.
     void end_attempt(fleet::attempt_end end, fleet::target_outcome outcome, std::string_view detail,
                      base::time_point now);
@@ -124,7 +141,12 @@
 
     [[nodiscard]] bool is_stream() const;
     [[nodiscard]] base::milliseconds time_left(base::time_point now) const;
+    /// @brief When to come back after an expected wait; spread over the callers.
     [[nodiscard]] base::milliseconds retry_after(base::milliseconds wait) const;
+    /// @brief The same for a wait that the targets themselves asked for.
+    [[nodiscard]] base::milliseconds retry_after_asked(base::milliseconds wait) const;
+    /// @brief When to come back to this region's targets or to those of a VM that refused.
+    [[nodiscard]] base::milliseconds retry_after_rejected(base::time_point now) const;
     void log_attempt(std::string_view result, std::string_view detail, base::time_point now) const;
 
     front_core& m_core;
@@ -138,12 +160,18 @@
     fleet::attempt_end m_last_end = fleet::attempt_end::not_sent;
     std::vector<fleet::target_name> m_tried;
     std::vector<std::string> m_tried_peers;
+    /// The addresses of all attempts.
+    std::vector<std::string> m_sent_to;
+    /// The shortest time to come back that a VM of another region told.
+    std::optional<base::milliseconds> m_peer_wait;
     base::event_stream m_events;
     std::string m_last_event_id;
     base::time_point m_first_at{};
     /// The shortest wait anywhere, when it was too long.
     std::optional<base::milliseconds> m_refused_wait;
     bool m_is_return = false;
+    /// The silence of the present attempt's target was noted.
+    bool m_silence_told = false;
     bool m_charged = false;
     bool m_answer_begun = false;
     bool m_paused = false;
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -18,6 +18,7 @@
 #include "chicorylink/front/outer_protocol.hpp"
 #include "chicorylink/front/placement_link.hpp"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -53,6 +54,9 @@
     std::optional<placement_link> placements;
     /// Requests that are not answered yet.
     std::set<exchange*> exchanges;
+    /// When the process last went on after it had stood still, or did its work far too late. What
+    /// others sent in the meantime may not be read yet.
+    base::time_point awake_since{};
     /// When the signal to stop came.
     std::optional<base::time_point> leaving_since;
 };
@@ -75,6 +79,16 @@
 /// key can't be in force beyond its bound.
 [[nodiscard]] bool keys_are_fresh(const front_core& core, base::time_point now);
 
+/// @brief Takes in what a target asked of another VM of the region, and logs what is news.
+/// @param pass_on Whether this VM tells the rest of the region.
+void take_target_notice(front_core& core, const fleet::target_notice& notice,
+                        std::string_view source, bool pass_on, base::time_point now);
+
+/// @brief Does a part of the daemon's work. An unexpected exception is logged and ends that part
+/// only: one request or message must not take the others down.
+/// @return Whether it was done to its end.
+bool run_guarded(front_core& core, std::string_view part, const std::function<void()>& work);
+
 /// @brief Adds a line with the VM's name and the time of day to the log.
 void write_log(front_core& core, const base::log_line& line);
 
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -42,10 +42,14 @@
     void reload_settings();
     void schedule_tick();
     void tick();
+    /// @brief Notes when the process stood still. Returns whether it did since the last tick.
+    bool note_pause(base::time_point now);
+    void tick_parts(base::time_point now);
+    void tick_exchanges(base::time_point now);
     void slow_tick(base::time_point now);
     void sync_state(base::time_point now);
     void note_readiness(base::time_point now);
-    [[nodiscard]] bool may_end(base::time_point now) const;
+    [[nodiscard]] bool may_end(base::time_point now);
     [[nodiscard]] status_answer answer_ready(const message_head& head) const;
     [[nodiscard]] status_answer answer_directory(const message_head& head);
     [[nodiscard]] status_answer answer_control(const message_head& head) const;
@@ -67,6 +71,10 @@
     std::shared_ptr<const fleet::configuration> m_synced_config;
     std::uint64_t m_synced_generation = 0;
     readiness m_told_readiness = readiness::no_configuration;
+    std::optional<base::time_point> m_ticked_at;
+    bool m_has_stopped_accepting = false;
+    /// When ending would last have cut something off.
+    base::time_point m_busy_at{};
     base::time_point m_slow_ticked_at{};
     base::time_point m_settings_read_at{};
     base::time_point m_started_at{};
--- a/include/chicorylink/front/gossip.hpp
+++ b/include/chicorylink/front/gossip.hpp
@@ -28,11 +28,15 @@
     /// @brief Sends the heartbeats that are due.
     void tick(base::time_point now);
 
+    /// @brief Takes heartbeats that have arrived, without waiting for the loop.
+    void take_pending() { m_datagrams.take_pending(); }
+
     /// @brief Tells the VMs of the region at once, such as that this one leaves.
     void announce(base::time_point now);
 
 private:
-    base::result<void> take_heartbeat(std::span<const std::uint8_t> bytes);
+    base::result<void> take_heartbeat(std::span<const std::uint8_t> bytes,
+                                      const boost::asio::ip::udp::endpoint& from);
     void take_digest(const fleet::region_digest& digest, const fleet::region_name& sender,
                      base::time_point now);
     void send_to(const fleet::due_heartbeat& due, base::time_point now);
--- a/include/chicorylink/front/message_parser.hpp
+++ b/include/chicorylink/front/message_parser.hpp
@@ -23,7 +23,7 @@
 /// lengths, a length beside chunks, folded lines and blanks before a colon are malformed.
 class message_parser {
 public:
-    /// @param header_limit Bytes of the head that are accepted.
+    /// @param header_limit Bytes of the head that are accepted, and of a line between two chunks.
     /// @param body_limit Bytes of the body that are accepted; without one all are.
     message_parser(message_direction direction, std::size_t header_limit,
                    std::optional<std::uint64_t> body_limit);
@@ -65,6 +65,7 @@
     std::string m_body;
     message_head m_head;
     std::size_t m_header_limit;
+    std::size_t m_blank_bytes = 0;
     bool m_is_request;
     bool m_has_begun = false;
     bool m_has_head = false;
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -56,6 +56,9 @@
     void note_ended(const reserved_place& place, std::optional<fleet::target_outcome> outcome,
                     base::milliseconds took, base::time_point now);
 
+    /// @brief Tells the region's delegates what a target asked of this VM; they tell the others.
+    void tell(const fleet::target_notice& notice, base::time_point now);
+
     /// @brief Gives up asks that wait too long and sends notes.
     void tick(base::time_point now);
 
@@ -74,11 +77,24 @@
         std::vector<fleet::placement_note> told;
     };
 
+    /// A notice that is told with the next messages.
+    struct outgoing_notice {
+        fleet::target_notice notice;
+        base::time_point noted_at{};
+        int times_told = 0;
+    };
+
+    /// @brief Whether a VM of this region sends from an address.
+    [[nodiscard]] bool is_near(const std::string& ip) const;
+    void give_up_asks(base::time_point now);
+    void send_notes();
+    void send_notices(base::time_point now);
+
     base::result<void> take_message(std::span<const std::uint8_t> bytes,
                                     const boost::asio::ip::udp::endpoint& from);
     void take_asks(const fleet::placement_message& message, const std::string& sender,
                    const boost::asio::ip::udp::endpoint& from);
-    void take_answer(const fleet::placement_answer& answer);
+    void take_answer(const fleet::placement_answer& answer, const std::string& sender);
     void note(const reserved_place& place, fleet::placement_note note, base::time_point now);
     [[nodiscard]] boost::asio::ip::udp::endpoint endpoint_of(const std::string& ip) const;
     [[nodiscard]] const std::string& desk_ip(base::time_point now);
@@ -90,6 +106,7 @@
     std::uint64_t m_last_number = 0;
     std::map<std::uint64_t, waiting_ask> m_waiting;
     std::map<std::string, outgoing_notes> m_notes;
+    std::vector<outgoing_notice> m_notices;
     /// Desks that did not answer are not asked until then.
     std::map<std::string, base::time_point> m_silent_until;
 };
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -27,13 +28,24 @@
     void tick(base::time_point now);
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
 
+    /// @brief Takes no more connections: callers are refused at once and go to another VM. Those
+    /// that have arrived are served.
+    void stop_accepting();
+
+    /// @brief Whether any connection would be cut off if the process ended now.
+    [[nodiscard]] bool is_busy(base::time_point now) const;
+
 private:
     void accept();
+    void take(boost::asio::ip::tcp::socket socket);
+    void on_closed(const caller_connection* key);
 
     front_core& m_core;
     boost::asio::ip::tcp::acceptor m_acceptor;
     connection_side m_side;
     std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
+    /// Connections that end when the rest of their last answer is sent.
+    std::vector<std::weak_ptr<tcp_channel>> m_closing;
 };
 
 } // namespace chicorylink::front
--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -24,7 +24,8 @@
 
 /// @brief One TCP connection on the loop of the process.
 ///
-/// All members are called on the loop's thread. No handler is called after `close` or `abort`.
+/// All members are called on the loop's thread. No handler is called after `close` or `abort`. An
+/// exception of `on_data` ends this connection as broken and goes on to the loop.
 class tcp_channel : public std::enable_shared_from_this<tcp_channel> {
 public:
     struct handlers {
@@ -68,6 +69,9 @@
 
     [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
 
+    /// @brief IP number of the other side; empty when the connection has ended.
+    [[nodiscard]] std::string remote_ip() const;
+
 private:
     void wait_readable();
     void read_ready();
--- a/include/chicorylink/front/upstream_call.hpp
+++ b/include/chicorylink/front/upstream_call.hpp
@@ -29,6 +29,9 @@
     base::milliseconds connect_limit{300};
     /// Kept connections that were idle for longer are not used.
     base::milliseconds max_idle{60'000};
+    /// Whether a kept connection must not be used. A second send of one request to the same place
+    /// could not tell a late copy of the first answer from its own.
+    bool on_new_connection = false;
 };
 
 /// @brief One request to a target or a peer, and its answer.
@@ -72,6 +75,8 @@
     void deliver_body();
     /// Whether the answer that comes in is an interim one or belongs to an earlier request.
     [[nodiscard]] bool is_foreign_answer() const;
+    /// Whether nothing tells that an answer on a used connection is not an earlier request's.
+    [[nodiscard]] bool is_unidentified_answer() const;
     bool skip_foreign_answer();
     void finish();
     void fail(std::string detail);
@@ -82,6 +87,11 @@
     handlers m_handlers;
     std::shared_ptr<tcp_channel> m_channel;
     std::unique_ptr<message_parser> m_parser;
+    /// Bytes of interim answers and of those to other requests.
+    std::size_t m_foreign_bytes = 0;
+    bool m_is_reused = false;
+    /// No answer of another request came on the connection.
+    bool m_is_clean = true;
     bool m_sent = false;
     bool m_head_delivered = false;
     bool m_is_discarded = false;
--- a/include/chicorylink/front/wire_names.hpp
+++ b/include/chicorylink/front/wire_names.hpp
@@ -29,6 +29,8 @@
     std::string load;
     /// Present when a target states that it did not run the request.
     std::string not_run;
+    /// Present and `1` when a target finishes what it has and ends.
+    std::string leaving;
     /// Urgency of a request at a target, 0 first.
     std::string priority;
     /// A caller's key.
--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -69,17 +69,11 @@
 void front_fleet::publish_config(int version, const std::vector<std::string>& keys)
 {
     const auto route = [](const std::string& path, const std::string& kind) {
-        return nlohmann::json{{"name", path},
-                              {"host", "h"},
-                              {"pathPrefix", path},
-                              {"kind", kind},
-                              {"timeoutMs", 4000},
-                              {"goalMs", 400},
-                              {"service", "app"},
-                              {"maxAttempts", 2},
-                              {"public", false},
-                              {"resumable", true},
-                              {"allowedRegions", nlohmann::json::array()}};
+        return nlohmann::json{
+            {"name", path},     {"host", "h"},       {"pathPrefix", path},
+            {"kind", kind},     {"timeoutMs", 4000}, {"goalMs", 400},
+            {"gapGoalMs", 400}, {"service", "app"},  {"maxAttempts", 2},
+            {"public", false},  {"resumable", true}, {"allowedRegions", nlohmann::json::array()}};
     };
     auto west_only = route("/west/", "safe");
     west_only["allowedRegions"] = {"west"};
--- a/scripts/check_platform_names.sh
+++ b/scripts/check_platform_names.sh
@@ -2,7 +2,7 @@
 # Fails when a name of the users' platform is spelled outside platform/, its tests and stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='X-Chicorylink-(Request|Deadline|Server|Tenant|Expect|Instance|Prompt|Token-Count|Key|Model|Pin|Hold|Kv|Weight|Not-Run|Cold|Length)|Kv-From|Kv-Fetch|/kv-(key|range|watch)|/readiness|/resolve\b|seedAddrs|internalPorts|CHICORYLINK_BOOT|pathPrefix|apiKeys|ratePerS|coldPerS|coldLeftMs|allowedRegions|"tombstone"|"asOf"|"op/'
+names='X-Chicorylink-(Request|Deadline|Server|Tenant|Expect|Instance|Prompt|Token-Count|Key|Model|Pin|Hold|Kv|Weight|Not-Run|Cold|Length)|Server-Leaving|Kv-From|Kv-Fetch|/kv-(key|range|watch)|/readiness|/resolve\b|seedAddrs|internalPorts|CHICORYLINK_BOOT|pathPrefix|apiKeys|ratePerS|coldPerS|coldLeftMs|allowedRegions|"tombstone"|"asOf"|"op/'
 if git ls-files --cached --others --exclude-standard src include programs | grep -v '_generated.h' |
   xargs grep -nE "$names"; then
   echo "names of the users' platform belong into platform/" >&2
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <charconv>
@@ -20,6 +21,10 @@
 /// How long peers keep connections between VMs; told to them in `Keep-Alive`.
 constexpr base::milliseconds peer_idle_time{30'000};
 
+/// A caller that has just connected sends its first request within about this time: a round trip
+/// to callers, and what a loaded VM takes to read it.
+constexpr base::milliseconds first_request_time{300};
+
 /// An idle connection is closed so long after its bound, since the other side measures too.
 constexpr base::milliseconds idle_margin{500};
 
@@ -99,12 +104,17 @@
     asked.body = m_parser->take_body();
     asked.arrived_at = base::boot_now();
     m_early = m_parser->take_rest();
+    m_has_asked = true;
     m_asked_to_close = !asked.head.keep_alive;
     if (const auto* id = find_field(asked.head.fields, m_core.protocol.names.request_id)) {
         asked.id = *id;
     }
     if (m_side == connection_side::peer) {
         asked.forwarded_under = version_of(asked.head);
+        asked.from_member = m_core.members.find(m_channel->remote_ip()) != nullptr;
+        if (!asked.from_member) {
+            m_core.counters.add("requests_of_unknown_peers_total");
+        }
     }
     m_exchange = std::make_shared<exchange>(m_core, *this, std::move(asked));
     const auto running = m_exchange;
@@ -187,9 +197,13 @@
 void caller_connection::refuse(const refusal& why, std::string_view outcome)
 {
     header_fields fields{{"Content-Type", "application/json"}};
+    // Names the request, so that another VM can't take a late refusal for the answer to its next.
+    if (m_exchange && !m_exchange->request_id().empty()) {
+        fields.push_back({m_core.protocol.names.request_id, m_exchange->request_id()});
+    }
     if (why.retry_after) {
         const double seconds = static_cast<double>(why.retry_after->count()) / 1000;
-        fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
+        fields.push_back({std::string{retry_after_field}, fmt::format("{:.3f}", seconds)});
     }
     if (m_side == connection_side::peer) {
         fields.push_back({std::string{outcome_field}, std::string{outcome}});
@@ -260,6 +274,12 @@
     closed();
 }
 
+bool caller_connection::is_busy(base::time_point now) const
+{
+    const bool is_new = !m_has_asked && now - m_since < first_request_time;
+    return is_new || m_exchange || m_parser->has_begun() || m_channel->unsent() > 0;
+}
+
 void caller_connection::tick(base::time_point now)
 {
     if (m_exchange || m_is_closed) {
--- a/src/chicorylink/front/datagram_socket.cpp
+++ b/src/chicorylink/front/datagram_socket.cpp
@@ -58,16 +58,19 @@
 
 void datagram_socket::take(std::size_t size, const udp::endpoint& from)
 {
-    base::leaf::try_handle_all(
-        [&]() -> base::result<void> {
-            return m_on_datagram({receive_buffer().data(), size}, from);
-        },
-        [&](const base::error& problem) {
-            m_core.counters.add("bad_datagrams_total");
-            write_log(m_core,
-                      log_event(m_core, "bad_datagram").add("reason", base::describe(problem)));
-        },
-        [] {});
+    run_guarded(m_core, "datagram", [&] {
+        base::leaf::try_handle_all(
+            [&]() -> base::result<void> {
+                return m_on_datagram({receive_buffer().data(), size}, from);
+            },
+            [&](const base::error& problem) {
+                m_core.counters.add("bad_datagrams_total");
+                write_log(m_core, log_event(m_core, "bad_datagram")
+                                      .add("from", from.address().to_string())
+                                      .add("reason", base::describe(problem)));
+            },
+            [] {});
+    });
 }
 
 void datagram_socket::send(std::span<const std::uint8_t> bytes, const udp::endpoint& to)
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -21,9 +21,10 @@
 using fleet::next_step;
 using fleet::target_outcome;
 
-/// A target that shows no sign to any request for so long is taken to be gone: several times the
-/// pause between two events at the fullest batch.
-constexpr base::milliseconds silence_limit{1000};
+/// Refused callers return within this time after the one that they were told at the earliest.
+constexpr base::milliseconds return_spread{500};
+
+constexpr std::int64_t percent = 100;
 
 } // namespace
 
@@ -53,8 +54,24 @@
 {
     // Spread by the request's id, so that those refused together do not return together.
     const auto base_wait = std::clamp(wait, shortest_retry_after, longest_retry_after);
-    const auto spread = base::hash_name(m_asked.id) % 100;
-    return base_wait + base_wait * static_cast<std::int64_t>(spread) / 100;
+    const auto spread = static_cast<std::int64_t>(base::hash_name(m_asked.id) % percent);
+    return base_wait + base_wait * spread / percent;
+}
+
+base::milliseconds exchange::retry_after_asked(base::milliseconds wait) const
+{
+    const auto base_wait = std::clamp(wait, shortest_retry_after, longest_told_wait);
+    const auto spread = static_cast<std::int64_t>(base::hash_name(m_asked.id) % percent);
+    return base_wait + std::min(base_wait, return_spread) * spread / percent;
+}
+
+base::milliseconds exchange::retry_after_rejected(base::time_point now) const
+{
+    auto wait = m_core.pool.shortest_wait(m_resolved.service->name, now);
+    if (m_peer_wait) {
+        wait = std::min(wait.value_or(*m_peer_wait), *m_peer_wait);
+    }
+    return wait ? retry_after_asked(*wait) : retry_after(shortest_retry_after);
 }
 
 void exchange::begin(base::time_point now)
@@ -151,7 +168,7 @@
         pass_held_answer(now);
         return;
     case next_step::refuse:
-        refuse({unavailable_status, "targets_rejected", retry_after(shortest_retry_after)}, now);
+        refuse({unavailable_status, "targets_rejected", retry_after_rejected(now)}, now);
         return;
     case next_step::fail:
         refuse({bad_gateway_status, detail, std::nullopt}, now);
@@ -202,6 +219,7 @@
 void exchange::on_caller_drained()
 {
     if (std::exchange(m_paused, false) && m_attempt && m_attempt->call) {
+        m_attempt->last_sign = base::boot_now();
         m_attempt->call->resume_reading();
     }
 }
@@ -224,37 +242,57 @@
         refuse({status, "deadline", std::nullopt}, now);
         return;
     }
-    if (m_is_asking || !m_attempt || m_attempt->target.empty() ||
-        now - m_attempt->last_sign < silence_limit + m_attempt->expected_start) {
-        return;
-    }
-    const auto* target = m_core.pool.find(m_attempt->target);
-    const bool others_hear =
-        target != nullptr &&
-        now - std::max(target->last_sign, target->load.told_at) < silence_limit;
-    if (others_hear) {
+    if (!is_silent(now)) {
         return;
     }
-    if (m_core.pool.on_silence(m_attempt->target, now)) {
+    if (!std::exchange(m_silence_told, true) && m_core.pool.on_silence(m_attempt->target, now)) {
         m_core.connections.drop(m_attempt->address);
         write_log(m_core, log_event(m_core, "target_ejected")
                               .add("target", m_attempt->target.text())
                               .add("reason", "silent"));
     }
-    if (!m_asked.from_peer() && fleet::may_repeat(*m_resolved.route) &&
-        m_history.runs + 1 < m_resolved.route->max_attempts) {
+    if (can_move(now)) {
         m_attempt->call->cancel();
         end_attempt(attempt_end::unknown, target_outcome::broken, "the target is silent", now);
     }
 }
 
+bool exchange::is_silent(base::time_point now) const
+{
+    // While the caller is slow, nothing is read from the target.
+    if (m_is_asking || m_paused || !m_attempt || m_attempt->target.empty()) {
+        return false;
+    }
+    const auto limit = fleet::silence_limit(*m_resolved.route);
+    const auto since = std::max(m_attempt->last_sign, m_core.awake_since);
+    if (now - since < limit + m_attempt->expected_start) {
+        return false;
+    }
+    const auto* target = m_core.pool.find(m_attempt->target);
+    const bool others_hear =
+        target != nullptr && now - std::max(target->last_sign, target->load.told_at) < limit;
+    return !others_hear;
+}
+
+bool exchange::can_move(base::time_point now) const
+{
+    if (m_asked.from_peer() || !fleet::may_repeat(*m_resolved.route) ||
+        m_history.runs + 1 >= m_resolved.route->max_attempts ||
+        !m_core.retries.has_room(m_resolved.service->name, m_core.members.size(now).known, now)) {
+        return false;
+    }
+    // What waits at a silent target may still be answered; what has nowhere to go stays there.
+    const auto here = choose_here(now);
+    return (here && !here->is_repeat) || !choices_elsewhere(now).empty();
+}
+
 void exchange::on_stop(base::time_point now)
 {
     if (auto* call = running_call()) {
+        m_history.runs += call->may_have_arrived() ? 1 : 0;
         call->cancel();
-        m_history.runs += 1;
     }
-    refuse({unavailable_status, "stopping", std::nullopt}, now);
+    refuse({unavailable_status, "stopping", shortest_retry_after}, now);
 }
 
 void exchange::log_attempt(std::string_view result, std::string_view detail,
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -1,10 +1,13 @@
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/base/ids.hpp"
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // The part of an exchange that reads an attempt's answer and passes it to the caller.
@@ -18,6 +21,9 @@
 /// Bytes that may wait for a slow caller before no more of the answer is read.
 constexpr std::size_t unsent_limit = 256UL * 1024;
 
+/// Bytes of a field's value that the log shows.
+constexpr std::size_t logged_text = 64;
+
 } // namespace
 
 void exchange::read_load(const message_head& head, base::time_point now)
@@ -34,6 +40,54 @@
     }
 }
 
+void exchange::read_notices(const message_head& head, base::time_point now)
+{
+    const auto* target = m_core.pool.find(m_attempt->target);
+    if (target == nullptr) {
+        return;
+    }
+    fleet::target_notice notice{target->id, target->restraint.started_ms, false, {}};
+    const auto* leaving = find_field(head.fields, m_core.protocol.names.leaving);
+    if (leaving != nullptr && *leaving == "1") {
+        notice.leaving = m_core.pool.on_leaving(m_attempt->target, now);
+    }
+    const auto* told = find_field(head.fields, retry_after_field);
+    if (told != nullptr && head.status == unavailable_status) {
+        const auto wait = parse_retry_after(*told);
+        notice.wait = wait.value_or(base::milliseconds{0});
+        write_log(m_core, log_event(m_core, wait ? "target_pushes_back" : "retry_after_ignored")
+                              .add("request", m_asked.id)
+                              .add("target", m_attempt->target.text())
+                              .add("told", std::string_view{*told}.substr(0, logged_text)));
+    }
+    if (notice.wait.count() > 0) {
+        m_core.pool.on_wait_asked(m_attempt->target, notice.wait,
+                                  base::hash_name(m_core.settings.self.ip), now);
+    }
+    if (notice.leaving) {
+        write_log(m_core, log_event(m_core, "target_leaving")
+                              .add("request", m_asked.id)
+                              .add("target", m_attempt->target.text())
+                              .add("told_by", "answer"));
+    }
+    if (notice.leaving || notice.wait.count() > 0) {
+        m_core.placements->tell(notice, now);
+    }
+}
+
+bool exchange::is_targets_answer(const message_head& head) const
+{
+    const auto& names = m_core.protocol.names;
+    const bool is_signed = find_field(head.fields, names.signature) != nullptr;
+    const bool is_coded = find_field(head.fields, "Content-Encoding") != nullptr;
+    const bool is_own_error =
+        head.status >= first_error_status && head.status < first_server_error_status;
+    // A success must also name the request that it answers.
+    const bool is_named =
+        head.status >= first_error_status || find_field(head.fields, names.request_id) != nullptr;
+    return !is_coded && is_named && (is_signed || is_own_error);
+}
+
 void exchange::on_head(const message_head& head)
 {
     const auto now = base::boot_now();
@@ -43,9 +97,14 @@
     running.last_sign = now;
     m_core.pool.on_sign(running.target, now);
     read_load(head, now);
+    read_notices(head, now);
     const auto* peer_outcome =
         running.target.empty() ? find_field(head.fields, outcome_field) : nullptr;
     if (peer_outcome != nullptr) {
+        const auto* told = find_field(head.fields, retry_after_field);
+        if (const auto wait = told == nullptr ? std::nullopt : parse_retry_after(*told)) {
+            m_peer_wait = std::min(m_peer_wait.value_or(*wait), *wait);
+        }
         running.call->discard();
         end_attempt(*peer_outcome == outcome_not_run ? attempt_end::rejected : attempt_end::unknown,
                     target_outcome::broken, "the other VM has no answer", now);
@@ -63,10 +122,7 @@
                     now);
         return;
     }
-    const bool is_signed = find_field(head.fields, names.signature) != nullptr;
-    const bool is_coded = find_field(head.fields, "Content-Encoding") != nullptr;
-    if (is_coded || (!is_signed && head.status < first_error_status) ||
-        (!is_signed && head.status >= first_server_error_status)) {
+    if (!is_targets_answer(head)) {
         running.call->cancel();
         end_attempt(attempt_end::unknown, target_outcome::broken, "not a target's answer", now);
         return;
@@ -79,40 +135,63 @@
     }
 }
 
-void exchange::on_body(std::string_view piece)
+void exchange::note_progress(base::time_point now)
 {
-    const auto now = base::boot_now();
     m_attempt->last_sign = now;
     m_core.pool.on_sign(m_attempt->target, now);
+}
+
+void exchange::pause_for_slow_caller()
+{
+    if (m_caller != nullptr && m_caller->unsent() > unsent_limit && !m_paused) {
+        m_paused = true;
+        m_attempt->call->pause_reading();
+    }
+}
+
+void exchange::on_body(std::string_view piece)
+{
+    const auto now = base::boot_now();
     if (!is_stream() || m_attempt->head.status >= first_error_status) {
+        note_progress(now);
         m_attempt->held_body.append(piece);
         if (m_attempt->held_body.size() > unsent_limit) {
             flush_held(now);
         }
+        pause_for_slow_caller();
         return;
     }
     m_events.feed(piece);
     while (const auto event = m_events.next()) {
-        take_event(*event);
+        take_event(*event, now);
     }
-    if (m_events.overflowed()) {
+    if (m_events.overflowed() || m_attempt->held_body.size() > unsent_limit) {
         m_attempt->call->cancel();
-        end_attempt(attempt_end::unknown, target_outcome::broken, "an event has no end", now);
+        end_attempt(attempt_end::unknown, target_outcome::broken,
+                    m_events.overflowed() ? "an event has no end" : "comments without an event",
+                    now);
         return;
     }
-    if (m_caller != nullptr && m_caller->unsent() > unsent_limit && !m_paused) {
-        m_paused = true;
-        m_attempt->call->pause_reading();
-    }
+    pause_for_slow_caller();
 }
 
-void exchange::take_event(const base::stream_event& event)
+void exchange::take_event(const base::stream_event& event, base::time_point now)
 {
     if (m_caller == nullptr) {
         return;
     }
+    if (event.is_comment) {
+        // Keeps a connection open and says nothing of the work: no progress, no begin of an answer.
+        if (m_answer_begun) {
+            m_caller->send_body(event.bytes);
+        }
+        else {
+            m_attempt->held_body.append(event.bytes);
+        }
+        return;
+    }
+    note_progress(now);
     if (!m_answer_begun) {
-        const auto now = base::boot_now();
         m_first_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
         m_attempt->unread_tokens = 0;
@@ -122,6 +201,7 @@
         begin_answer(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
     }
+    m_caller->send_body(std::exchange(m_attempt->held_body, {}));
     m_caller->send_body(event.bytes);
     if (!event.id.empty()) {
         m_last_event_id = event.id;
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -44,7 +44,7 @@
 
 std::optional<refusal> exchange::check_quota(base::time_point now)
 {
-    if (m_asked.from_peer() || m_resolved.team == nullptr || m_charged ||
+    if (m_asked.is_charged_elsewhere() || m_resolved.team == nullptr || m_charged ||
         m_core.quota.has_room(*m_resolved.team, now)) {
         return std::nullopt;
     }
@@ -164,8 +164,9 @@
     ask.longest_start = limits.start;
     for (const auto& [name, target] : m_core.pool.targets()) {
         const bool tried = std::find(m_tried.begin(), m_tried.end(), name) != m_tried.end();
-        if (tried || (target.entry.service == m_resolved.service->name &&
-                      fleet::is_ejected(target.health, now))) {
+        const bool unusable = fleet::is_ejected(target.health, now) || target.restraint.leaving ||
+                              fleet::wants_nothing(target.restraint, now);
+        if (tried || (target.entry.service == m_resolved.service->name && unusable)) {
             ask.avoided.push_back(target.id);
         }
     }
@@ -223,11 +224,17 @@
 {
     const auto* target = answer.target ? m_core.pool.find(*answer.target) : nullptr;
     if (target == nullptr || target->entry.service != m_resolved.service->name ||
-        !fleet::takes_work(*target) || !may_use(*target, m_core.members.region_ips(now), now)) {
+        !fleet::takes_work(*target) || fleet::wants_nothing(target->restraint, now) ||
+        !may_use(*target, m_core.members.region_ips(now), now)) {
         return std::nullopt;
     }
-    return fleet::placement_choice{target->entry.name, target->entry.address, answer.wait,
-                                   answer.start,       answer.unread_tokens,  0};
+    return fleet::placement_choice{target->entry.name,
+                                   target->entry.address,
+                                   answer.wait,
+                                   answer.start,
+                                   answer.unread_tokens,
+                                   0,
+                                   false};
 }
 
 void exchange::go_to(const std::optional<fleet::placement_choice>& here, base::time_point now)
@@ -251,6 +258,11 @@
     if (any) {
         m_refused_wait = where.wait;
     }
+    if (const auto asked =
+            any ? std::nullopt : m_core.pool.shortest_wait(m_resolved.service->name, now)) {
+        refuse({unavailable_status, "targets_push_back", retry_after_asked(*asked)}, now);
+        return;
+    }
     refuse({unavailable_status, any ? "too_much_waiting" : "no_target",
             retry_after(any ? where.wait - longest_wait(needs(now)) : not_ready_retry_after)},
            now);
@@ -269,6 +281,7 @@
     next.expected_start = choice.start;
     next.place = std::move(place);
     m_attempt = std::move(next);
+    m_silence_told = false;
     m_tried.push_back(choice.target);
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
     const auto* target = m_core.pool.find(choice.target);
@@ -299,7 +312,7 @@
 
 void exchange::note_sent(base::time_point now)
 {
-    if (!m_charged && !m_asked.from_peer() && m_resolved.team != nullptr) {
+    if (!m_charged && !m_asked.is_charged_elsewhere() && m_resolved.team != nullptr) {
         std::optional<std::uint64_t> tokens;
         if (m_prompt) {
             tokens = std::uint64_t{m_prompt->prompt_tokens} + m_prompt->answer_tokens;
@@ -309,6 +322,11 @@
     m_charged = true;
 }
 
+bool exchange::was_sent_to(const std::string& address) const
+{
+    return std::find(m_sent_to.begin(), m_sent_to.end(), address) != m_sent_to.end();
+}
+
 void exchange::send(std::string bytes, base::milliseconds connect_limit, base::time_point now)
 {
     note_sent(now);
@@ -319,6 +337,8 @@
     request.request_id = m_asked.id;
     request.request_id_field = m_core.protocol.names.request_id;
     request.connect_limit = std::min(connect_limit, time_left(now));
+    request.on_new_connection = m_history.sends > 1 && was_sent_to(m_attempt->address);
+    m_sent_to.push_back(m_attempt->address);
     m_attempt->sent_at = now;
     m_attempt->last_sign = now;
     m_attempt->call = std::make_shared<upstream_call>(m_core.connections, std::move(request));
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/front/front_core.hpp"
 
 #include <chrono>
+#include <exception>
 #include <unistd.h>
 #include <utility>
 
@@ -74,6 +75,33 @@
     return "unknown";
 }
 
+void take_target_notice(front_core& core, const fleet::target_notice& notice,
+                        std::string_view source, bool pass_on, base::time_point now)
+{
+    if (!core.pool.on_notice(notice, pass_on, now)) {
+        return;
+    }
+    const auto* target = core.pool.find(notice.target);
+    write_log(core, log_event(core, "target_leaving")
+                        .add("target", target->entry.name.text())
+                        .add("told_by", source));
+}
+
+bool run_guarded(front_core& core, std::string_view part, const std::function<void()>& work)
+{
+    try {
+        work();
+        return true;
+    }
+    catch (const std::exception& problem) {
+        core.counters.add("unexpected_errors_total");
+        write_log(
+            core,
+            log_event(core, "unexpected_error").add("part", part).add("what", problem.what()));
+    }
+    return false;
+}
+
 base::log_line log_event(const front_core& core, std::string_view event)
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -29,6 +29,13 @@
 /// How often the settings file is looked at without a signal.
 constexpr base::milliseconds settings_interval{2000};
 
+/// A tick that comes so late shows that the process stood still or got no processor: twenty ticks.
+constexpr base::milliseconds pause_bound{500};
+
+/// A stopping process ends when nothing was asked or answered for so long: requests on their way
+/// through the system's buffers arrive in that time.
+constexpr base::milliseconds quiet_time{150};
+
 /// The process ends so long before it would be killed.
 constexpr base::milliseconds end_margin{400};
 
@@ -148,7 +155,10 @@
     m_reader->start();
     wait_for_signal();
     schedule_tick();
-    m_loop.run();
+    // An exception leaves the loop; what it did not concern goes on.
+    while (!m_loop.stopped()) {
+        run_guarded(m_core, "loop", [this] { m_loop.run(); });
+    }
     write_log(m_core, log_event(m_core, "stopped"));
     m_core.log.flush();
 }
@@ -215,20 +225,51 @@
     });
 }
 
+bool front_daemon::note_pause(base::time_point now)
+{
+    const auto before = std::exchange(m_ticked_at, now);
+    if (!before || now - *before < pause_bound) {
+        return false;
+    }
+    m_core.awake_since = now;
+    m_core.counters.add("pauses_total");
+    write_log(m_core,
+              log_event(m_core, "process_paused")
+                  .add("paused_ms",
+                       std::chrono::duration_cast<base::milliseconds>(now - *before).count()));
+    return true;
+}
+
 void front_daemon::tick()
 {
     const auto now = base::boot_now();
+    run_guarded(m_core, "tick", [&] { tick_parts(now); });
+    m_core.log.flush();
+    if (may_end(now)) {
+        for (auto* one : std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
+            one->on_stop(now);
+        }
+        m_loop.stop();
+        return;
+    }
+    schedule_tick();
+}
+
+void front_daemon::tick_parts(base::time_point now)
+{
+    const bool was_paused = note_pause(now);
+    if (was_paused) {
+        m_gossip->take_pending();
+    }
     for (const auto& change : m_core.state.tick(now)) {
         write_log(
             m_core,
             log_event(m_core, change.what).add("name", change.name).add("detail", change.detail));
     }
     sync_state(now);
-    const std::vector<exchange*> running(m_core.exchanges.begin(), m_core.exchanges.end());
-    for (auto* one : running) {
-        if (m_core.exchanges.contains(one)) {
-            one->tick(now);
-        }
+    if (!was_paused) {
+        // After a pause, answers that have arrived are read before anything is given up.
+        tick_exchanges(now);
     }
     m_core.placements->tick(now);
     m_gossip->tick(now);
@@ -236,15 +277,16 @@
     if (now - m_slow_ticked_at >= slow_tick_interval) {
         slow_tick(now);
     }
-    m_core.log.flush();
-    if (may_end(now)) {
-        for (auto* one : std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
-            one->on_stop(now);
+}
+
+void front_daemon::tick_exchanges(base::time_point now)
+{
+    const std::vector<exchange*> running(m_core.exchanges.begin(), m_core.exchanges.end());
+    for (auto* one : running) {
+        if (m_core.exchanges.contains(one)) {
+            run_guarded(m_core, "exchange", [&] { one->tick(now); });
         }
-        m_loop.stop();
-        return;
     }
-    schedule_tick();
 }
 
 void front_daemon::slow_tick(base::time_point now)
@@ -287,16 +329,23 @@
     }
 }
 
-bool front_daemon::may_end(base::time_point now) const
+bool front_daemon::may_end(base::time_point now)
 {
     if (!m_core.leaving_since) {
         return false;
     }
-    const auto since = now - *m_core.leaving_since;
-    if (since >= m_core.settings.bounds.stop_time - end_margin) {
-        return true;
+    if (takes_new_requests(m_core, now)) {
+        m_busy_at = now;
+    }
+    else if (!std::exchange(m_has_stopped_accepting, true)) {
+        m_callers->stop_accepting();
+        m_peers->stop_accepting();
     }
-    return !takes_new_requests(m_core, now) && m_core.exchanges.empty();
+    if (!m_core.exchanges.empty() || m_callers->is_busy(now) || m_peers->is_busy(now)) {
+        m_busy_at = now;
+    }
+    const auto since = now - *m_core.leaving_since;
+    return since >= m_core.settings.bounds.stop_time - end_margin || now - m_busy_at >= quiet_time;
 }
 
 status_answer front_daemon::answer_ready(const message_head& head) const
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include <boost/asio/ip/address.hpp>
+#include <fmt/format.h>
 
 namespace chicorylink::front {
 namespace {
@@ -58,15 +59,21 @@
                std::function<void(const fleet::heartbeat&)> on_heartbeat)
     : m_core(core),
       m_datagrams(core, std::move(socket), "heartbeats_not_sent_total",
-                  [this](auto bytes, const auto& /*from*/) { return take_heartbeat(bytes); }),
+                  [this](auto bytes, const auto& from) { return take_heartbeat(bytes, from); }),
       m_on_heartbeat(std::move(on_heartbeat))
 {
 }
 
-base::result<void> gossip::take_heartbeat(std::span<const std::uint8_t> bytes)
+base::result<void> gossip::take_heartbeat(std::span<const std::uint8_t> bytes,
+                                          const udp::endpoint& from)
 {
     const auto now = base::boot_now();
     BOOST_LEAF_AUTO(message, fleet::decode_heartbeat(bytes));
+    if (from.address().to_string() != message.from.ip) {
+        return base::fail(base::error_kind::invalid_message,
+                          fmt::format("heartbeat of {} from another address", message.from.ip),
+                          "check who can send to the port of the VMs");
+    }
     const auto effect = m_core.members.on_heartbeat(message, now);
     if (effect == fleet::heartbeat_effect::ignored) {
         return {};
@@ -101,6 +108,9 @@
     if (digest.region == m_core.settings.self.region) {
         if (sender == digest.region) {
             m_core.pool.on_region_use(digest.targets, now);
+            for (const auto& notice : digest.notices) {
+                take_target_notice(m_core, notice, sender.text(), false, now);
+            }
         }
         return;
     }
@@ -125,6 +135,7 @@
     digest.usage = m_core.quota.region_usage();
     if (with_targets) {
         digest.targets = m_core.pool.region_use(now);
+        digest.notices = m_core.pool.notices(now);
     }
     if (m_core.state.config()) {
         const bool by_desk = m_core.placements->is_desk(now);
--- a/src/chicorylink/front/message_parser.cpp
+++ b/src/chicorylink/front/message_parser.cpp
@@ -13,6 +13,11 @@
 using error_code = boost::beast::error_code;
 
 constexpr std::string_view end_of_head = "\r\n\r\n";
+constexpr std::string_view blank_line = "\r\n";
+
+/// Bytes of blank lines before a message that are passed over. Some senders end a body with one;
+/// more are no message.
+constexpr std::size_t blank_limit = 16;
 
 std::string to_string(boost::beast::string_view text)
 {
@@ -139,8 +144,15 @@
 
 bool message_parser::begin_head()
 {
-    while (m_buffer.starts_with("\r\n")) {
-        m_buffer.erase(0, 2);
+    std::size_t blank = 0;
+    while (std::string_view{m_buffer}.substr(blank).starts_with(blank_line)) {
+        blank += blank_line.size();
+    }
+    m_buffer.erase(0, blank);
+    m_blank_bytes += blank;
+    if (m_blank_bytes > blank_limit) {
+        fail(parse_problem::malformed);
+        return false;
     }
     m_has_begun = !m_buffer.empty();
     const auto end = m_buffer.find(end_of_head);
@@ -206,6 +218,10 @@
         }
     }
     m_is_complete = m_engine->is_done();
+    // What is left is a line of a chunk's size or of a trailer; such a line may have no end.
+    if (!m_is_complete && m_buffer.size() > m_header_limit) {
+        fail(parse_problem::malformed);
+    }
 }
 
 void message_parser::feed_end()
--- a/src/chicorylink/front/message_parser_test.cpp
+++ b/src/chicorylink/front/message_parser_test.cpp
@@ -73,6 +73,40 @@
               parse_problem::body_too_large);
 }
 
+/// Feeds a piece again and again, as a sender without end does, up to 1 MB.
+parse_problem problem_of_endless(std::string_view begin, std::string_view piece)
+{
+    message_parser parser(message_direction::answer, head_limit, std::nullopt);
+    parser.feed(begin);
+    constexpr std::size_t most = 1024UL * 1024;
+    for (std::size_t fed = 0; fed < most && parser.problem() == parse_problem::none;
+         fed += piece.size()) {
+        parser.feed(piece);
+        (void)parser.take_body();
+    }
+    return parser.problem();
+}
+
+TEST(message_parser, bytes_without_end_that_are_no_message_are_refused)
+{
+    constexpr std::string_view chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EXPECT_NE(problem_of_endless("", "\r\n"), parse_problem::none);
+    EXPECT_NE(problem_of_endless("HTTP/1.1 200 OK\r\n", "X: y\r\n"), parse_problem::none);
+    EXPECT_NE(problem_of_endless("HTTP/1.1 200 OK\r\nX: ", "yyyyyyyy"), parse_problem::none);
+    EXPECT_NE(problem_of_endless(chunked, "0"), parse_problem::none);
+    EXPECT_NE(problem_of_endless(std::string{chunked} + "5;x=", "yyyyyyyy"), parse_problem::none);
+    EXPECT_NE(problem_of_endless(std::string{chunked} + "0\r\n", "X: y\r\n"), parse_problem::none);
+    EXPECT_NE(problem_of_endless(std::string{chunked} + "10000000000000000\r\n", "y"),
+              parse_problem::none);
+}
+
+TEST(message_parser, a_blank_line_or_two_before_a_message_are_passed_over)
+{
+    auto parser = request_parser();
+    parser.feed("\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(parser.is_complete());
+}
+
 TEST(message_parser, an_answer_without_a_length_ends_with_its_connection)
 {
     message_parser parser(message_direction::answer, head_limit, std::nullopt);
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -26,6 +26,9 @@
 /// show.
 constexpr base::milliseconds desk_interval{25};
 
+/// Datagrams get lost; a notice of a target is told so often.
+constexpr int times_told_each = 2;
+
 /// A desk that let an ask wait is left alone for so long: it may be frozen, cut off or gone.
 constexpr base::milliseconds silent_time{500};
 
@@ -85,16 +88,30 @@
 {
     BOOST_LEAF_AUTO(message, fleet::decode_placement(bytes));
     const auto sender = from.address().to_string();
+    if (!is_near(sender)) {
+        return base::fail(base::error_kind::invalid_message,
+                          "placement message of an address that is no VM of the region",
+                          "check who can send to the placement port");
+    }
     take_asks(message, sender, from);
+    for (const auto& notice : message.notices) {
+        take_target_notice(m_core, notice, sender, true, base::boot_now());
+    }
     for (const auto& note : message.notes) {
         m_core.desk.take_note(m_core.pool, sender, note, base::boot_now());
     }
     for (const auto& answer : message.answers) {
-        take_answer(answer);
+        take_answer(answer, sender);
     }
     return {};
 }
 
+bool placement_link::is_near(const std::string& ip) const
+{
+    const auto* who = m_core.members.find(ip);
+    return who != nullptr && who->region == m_core.settings.self.region;
+}
+
 void placement_link::take_asks(const fleet::placement_message& message, const std::string& sender,
                                const udp::endpoint& from)
 {
@@ -111,10 +128,10 @@
     m_datagrams.send(fleet::encode(reply), from);
 }
 
-void placement_link::take_answer(const fleet::placement_answer& answer)
+void placement_link::take_answer(const fleet::placement_answer& answer, const std::string& sender)
 {
     const auto found = m_waiting.find(answer.number);
-    if (found == m_waiting.end()) {
+    if (found == m_waiting.end() || found->second.desk_ip != sender) {
         // Its request was placed here in the meantime; the note that it ended is on its way.
         m_core.counters.add("late_placements_total");
         return;
@@ -149,10 +166,26 @@
     m_notes[place.desk_ip].fresh.push_back(note);
 }
 
+void placement_link::tell(const fleet::target_notice& notice, base::time_point now)
+{
+    std::erase_if(m_notices, [&](const outgoing_notice& older) {
+        return older.notice.target == notice.target;
+    });
+    m_notices.push_back({notice, now, 0});
+}
+
 void placement_link::tick(base::time_point now)
 {
     // An answer that has arrived counts, however long this VM took to read it.
     m_datagrams.take_pending();
+    give_up_asks(now);
+    send_notes();
+    send_notices(now);
+    m_core.desk.tick(m_core.pool, now);
+}
+
+void placement_link::give_up_asks(base::time_point now)
+{
     std::vector<std::pair<std::uint64_t, waiting_ask>> unanswered;
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
         if (now - entry->second.asked_at < ask_limit) {
@@ -169,6 +202,10 @@
         note_ended({asked.desk_ip, number}, std::nullopt, {}, now);
         asked.on_advice({std::nullopt, asked.desk_ip, "desk_is_silent"});
     }
+}
+
+void placement_link::send_notes()
+{
     for (auto entry = m_notes.begin(); entry != m_notes.end();) {
         auto& notes = entry->second;
         fleet::placement_message message;
@@ -182,7 +219,31 @@
         m_datagrams.send(fleet::encode(message), endpoint_of(entry->first));
         entry = notes.told.empty() ? m_notes.erase(entry) : std::next(entry);
     }
-    m_core.desk.tick(m_core.pool, now);
+}
+
+void placement_link::send_notices(base::time_point now)
+{
+    if (m_notices.empty()) {
+        return;
+    }
+    fleet::placement_message message;
+    message.run = m_core.settings.self.run;
+    for (auto& outgoing : m_notices) {
+        auto notice = outgoing.notice;
+        const auto since = std::chrono::duration_cast<base::milliseconds>(now - outgoing.noted_at);
+        notice.wait = std::max(base::milliseconds{0}, notice.wait - since);
+        message.notices.push_back(notice);
+        ++outgoing.times_told;
+    }
+    std::erase_if(m_notices, [](const outgoing_notice& outgoing) {
+        return outgoing.times_told >= times_told_each;
+    });
+    const auto bytes = fleet::encode(message);
+    for (const auto& ip : m_core.members.delegates_of(m_core.settings.self.region, now)) {
+        if (ip != m_core.settings.self.ip) {
+            m_datagrams.send(bytes, endpoint_of(ip));
+        }
+    }
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorylink/front/front_core.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -32,18 +33,65 @@
             write_log(m_core, log_event(m_core, "accept_failed").add("reason", problem.message()));
         }
         else {
-            auto connection = std::make_shared<caller_connection>(
-                m_core, std::make_shared<tcp_channel>(std::move(socket)), m_side);
-            const auto* key = connection.get();
-            m_connections.emplace(key, connection);
-            connection->start([this, key] { m_connections.erase(key); });
+            take(std::move(socket));
         }
         accept();
     });
 }
 
+void request_listener::take(boost::asio::ip::tcp::socket socket)
+{
+    auto connection = std::make_shared<caller_connection>(
+        m_core, std::make_shared<tcp_channel>(std::move(socket)), m_side);
+    const auto* key = connection.get();
+    m_connections.emplace(key, connection);
+    connection->start([this, key] { on_closed(key); });
+}
+
+void request_listener::stop_accepting()
+{
+    // Closing a listener resets the connections that wait in it.
+    boost::system::error_code problem;
+    m_acceptor.non_blocking(true, problem);
+    while (!problem) {
+        boost::asio::ip::tcp::socket socket(m_core.loop);
+        m_acceptor.accept(socket, problem);
+        if (!problem) {
+            take(std::move(socket));
+        }
+    }
+    m_acceptor.close(problem);
+}
+
+void request_listener::on_closed(const caller_connection* key)
+{
+    const auto found = m_connections.find(key);
+    if (found == m_connections.end()) {
+        return;
+    }
+    if (const auto& channel = found->second->channel(); channel->unsent() > 0) {
+        m_closing.push_back(channel);
+    }
+    m_connections.erase(found);
+}
+
+bool request_listener::is_busy(base::time_point now) const
+{
+    const bool is_sending =
+        std::any_of(m_closing.begin(), m_closing.end(), [](const auto& closing) {
+            const auto channel = closing.lock();
+            return channel && channel->is_open() && channel->unsent() > 0;
+        });
+    return is_sending || std::any_of(m_connections.begin(), m_connections.end(),
+                                     [&](const auto& entry) { return entry.second->is_busy(now); });
+}
+
 void request_listener::tick(base::time_point now)
 {
+    std::erase_if(m_closing, [](const auto& closing) {
+        const auto channel = closing.lock();
+        return !channel || !channel->is_open() || channel->unsent() == 0;
+    });
     std::vector<std::shared_ptr<caller_connection>> all;
     all.reserve(m_connections.size());
     for (const auto& [key, connection] : m_connections) {
--- a/src/chicorylink/front/retry_times.hpp
+++ b/src/chicorylink/front/retry_times.hpp
@@ -10,6 +10,10 @@
 inline constexpr base::milliseconds shortest_retry_after{150};
 inline constexpr base::milliseconds longest_retry_after{2000};
 
+/// The longest time that a caller is told when the targets themselves asked for it. Callers come
+/// back sooner than that whatever they are told.
+inline constexpr base::milliseconds longest_told_wait{60'000};
+
 /// While a VM waits for a configuration, the store and the peers answer within about this time.
 inline constexpr base::milliseconds not_ready_retry_after{500};
 
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -128,7 +128,13 @@
     if (m_handlers.on_data) {
         // The handler may replace the handlers while it runs.
         const auto on_data = m_handlers.on_data;
-        on_data(std::string_view{buffer.data(), count});
+        try {
+            on_data(std::string_view{buffer.data(), count});
+        }
+        catch (...) {
+            end(channel_end::broken);
+            throw;
+        }
     }
     wait_readable();
 }
@@ -231,6 +237,13 @@
     m_socket.close(ignored);
 }
 
+std::string tcp_channel::remote_ip() const
+{
+    error_code problem;
+    const auto from = m_socket.remote_endpoint(problem);
+    return problem ? std::string{} : from.address().to_string();
+}
+
 void tcp_channel::abort()
 {
     error_code ignored;
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -12,6 +12,10 @@
 /// Bytes of an answer's head that are accepted.
 constexpr std::size_t answer_head_limit = 32UL * 1024;
 
+/// Bytes of interim and foreign answers that are passed over: several heads, or one answer that is
+/// as large as those of plain services.
+constexpr std::size_t foreign_limit = 256UL * 1024;
+
 /// Answers below are interim ones; the real answer follows.
 constexpr int first_final_status = 200;
 
@@ -53,9 +57,12 @@
 {
     m_handlers = std::move(to);
     new_parser();
-    if (auto kept = m_pool.take_kept(m_request.address, m_request.max_idle, now)) {
-        use(std::move(kept));
-        return;
+    if (!m_request.on_new_connection) {
+        if (auto kept = m_pool.take_kept(m_request.address, m_request.max_idle, now)) {
+            m_is_reused = true;
+            use(std::move(kept));
+            return;
+        }
     }
     m_pool.open(m_request.address, m_request.connect_limit,
                 [self = shared_from_this()](std::shared_ptr<tcp_channel> channel,
@@ -88,6 +95,9 @@
 void upstream_call::on_data(std::string_view bytes)
 {
     const auto keep_alive = shared_from_this();
+    if (!m_head_delivered) {
+        m_foreign_bytes += bytes.size();
+    }
     m_parser->feed(bytes);
     deliver();
 }
@@ -99,6 +109,12 @@
     return head.status < first_final_status || (id != nullptr && *id != m_request.request_id);
 }
 
+bool upstream_call::is_unidentified_answer() const
+{
+    return m_is_reused &&
+           find_field(m_parser->head().fields, m_request.request_id_field) == nullptr;
+}
+
 bool upstream_call::skip_foreign_answer()
 {
     [[maybe_unused]] const auto dropped = m_parser->take_body();
@@ -122,11 +138,20 @@
             return;
         }
         if (!m_head_delivered && is_foreign_answer()) {
+            if (m_foreign_bytes > foreign_limit) {
+                fail("answers to other requests without end");
+                return;
+            }
+            m_is_clean = m_is_clean && m_parser->head().status < first_final_status;
             if (!skip_foreign_answer()) {
                 return;
             }
             continue;
         }
+        if (!m_head_delivered && is_unidentified_answer()) {
+            fail("an answer on a used connection names no request");
+            return;
+        }
         if (!m_head_delivered) {
             m_head_delivered = true;
             // The handler may give the call up, which clears the handlers while it runs.
@@ -162,7 +187,7 @@
 {
     m_is_over = true;
     const auto& head = m_parser->head();
-    const bool clean = m_parser->take_rest().empty() && m_channel->unsent() == 0;
+    const bool clean = m_is_clean && m_parser->take_rest().empty() && m_channel->unsent() == 0;
     const auto channel = std::exchange(m_channel, nullptr);
     if (channel->is_open() && head.keep_alive && clean) {
         m_pool.keep(m_request.address, channel, keep_time_of(head.fields), base::boot_now());
--- a/src/chicorylink/front/upstream_call_test.cpp
+++ b/src/chicorylink/front/upstream_call_test.cpp
@@ -46,6 +46,27 @@
             });
     }
 
+    /// Accepts a connection and answers its requests one after the other.
+    void answer_by_turns(std::vector<std::string> answers)
+    {
+        m_acceptor.async_accept(
+            [this, answers](boost::system::error_code problem, tcp::socket socket) {
+                if (problem) {
+                    return;
+                }
+                ++m_accepted;
+                m_channel = std::make_shared<tcp_channel>(std::move(socket));
+                const auto turn = std::make_shared<std::size_t>(0);
+                m_channel->start({[this, answers, turn](std::string_view) {
+                                      if (*turn < answers.size()) {
+                                          m_channel->send(answers[(*turn)++]);
+                                      }
+                                  },
+                                  [](channel_end) {},
+                                  {}});
+            });
+    }
+
     [[nodiscard]] int accepted() const { return m_accepted; }
     tcp_channel& channel() { return *m_channel; }
 
@@ -64,10 +85,11 @@
 
 class upstream_call_test : public testing::Test {
 protected:
-    outcome call(const std::string& address)
+    outcome call(const std::string& address, bool on_new_connection = false)
     {
         outcome seen;
         upstream_request request;
+        request.on_new_connection = on_new_connection;
         request.address = address;
         request.bytes = "GET / HTTP/1.1\r\nHost: h\r\nId: mine\r\n\r\n";
         request.request_id = "mine";
@@ -111,6 +133,87 @@
     EXPECT_EQ(seen.body, "ok");
 }
 
+TEST_F(upstream_call_test, a_connection_that_said_another_answer_is_not_kept)
+{
+    other_side server(m_loop);
+    server.answer("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+                  "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+                  false);
+    EXPECT_EQ(call(server.address()).body, "ok");
+    EXPECT_FALSE(m_pool.has_kept(server.address()));
+}
+
+TEST_F(upstream_call_test, an_interim_answer_costs_nothing)
+{
+    other_side server(m_loop);
+    server.answer("HTTP/1.1 102 Processing\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+                  false);
+    EXPECT_EQ(call(server.address()).body, "ok");
+    EXPECT_TRUE(m_pool.has_kept(server.address()));
+}
+
+// A second copy of an answer that came late on a used connection, without the id of its request.
+TEST_F(upstream_call_test, an_answer_without_id_on_a_used_connection_is_not_taken)
+{
+    other_side server(m_loop);
+    server.answer_by_turns({"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"});
+    EXPECT_EQ(call(server.address()).body, "ok");
+    const auto second = call(server.address());
+    EXPECT_EQ(server.accepted(), 1);
+    ASSERT_TRUE(second.failure);
+    EXPECT_TRUE(second.failure->may_have_arrived);
+    EXPECT_EQ(second.body, "");
+}
+
+TEST_F(upstream_call_test, a_second_send_of_a_request_opens_a_connection_of_its_own)
+{
+    other_side server(m_loop);
+    server.answer("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", false);
+    EXPECT_EQ(call(server.address()).body, "ok");
+    server.answer("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 3\r\n\r\nnew", false);
+    EXPECT_EQ(call(server.address(), true).body, "new");
+    EXPECT_EQ(server.accepted(), 2);
+}
+
+TEST_F(upstream_call_test, answers_to_others_without_end_are_given_up)
+{
+    other_side server(m_loop);
+    std::string many;
+    for (int number = 0; number < 20; ++number) {
+        many += "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 20000\r\n\r\n" +
+                std::string(20'000, 'x');
+    }
+    server.answer(many, false);
+    const auto seen = call(server.address());
+    ASSERT_TRUE(seen.failure);
+    EXPECT_EQ(m_pool.open_count(server.address()), 0U);
+}
+
+// An unexpected error in the work on one connection ends that connection and nothing else.
+TEST_F(upstream_call_test, an_exception_ends_its_connection_only)
+{
+    other_side server(m_loop);
+    server.answer("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", false);
+    upstream_request request;
+    request.address = server.address();
+    request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    request.request_id = "mine";
+    request.request_id_field = "Id";
+    const auto one = std::make_shared<upstream_call>(m_pool, request);
+    bool failed = false;
+    one->start({[](const message_head&) { throw std::runtime_error("unexpected"); },
+                [](std::string_view) {}, [] {}, [&](const upstream_failure&) { failed = true; }},
+               base::boot_now());
+    EXPECT_THROW(m_loop.run_for(seconds{5}), std::runtime_error);
+    EXPECT_TRUE(failed);
+    EXPECT_EQ(m_pool.open_count(server.address()), 0U);
+    other_side other(m_loop);
+    other.answer("HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", false);
+    EXPECT_EQ(call(other.address()).body, "ok");
+}
+
 TEST_F(upstream_call_test, bytes_behind_an_answer_cost_the_connection)
 {
     other_side server(m_loop);
