fleet: digests to the VMs of a region are spread over their interval

A delegate told all hundred VMs of its region in one tick; a megabyte of datagrams at once does not fit the queue of its link, and the answers of the desk, which is the same VM, waited behind it for longer than an ask waits.

Change: the first heartbeat to a VM is followed by the next ones at a phase of its own. The receive buffer takes the largest datagram there is; the digests of all regions would not have fitted 16 KB at some 400 VMs.

--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/fleet/roster.hpp"
 
+#include "chicorylink/base/ids.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -154,6 +156,11 @@
 {
     auto [sent, is_new] = m_sent_at.try_emplace(ip, now);
     if (is_new) {
+        // Spreads what follows over the interval: digests to all VMs of a large region at once are
+        // more than links and queues take.
+        const auto bits = base::hash_pair(base::hash_name(m_self.ip), base::hash_name(ip));
+        sent->second -= base::milliseconds{
+            static_cast<std::int64_t>(bits % static_cast<std::uint64_t>(interval.count()))};
         return true;
     }
     if (now - sent->second < interval) {
--- a/src/chicorylink/fleet/roster_test.cpp
+++ b/src/chicorylink/fleet/roster_test.cpp
@@ -261,5 +261,37 @@
     EXPECT_EQ(members.round_trip_to(region_name{"west"}), milliseconds{110});
 }
 
+// Large fleets: a delegate told all hundred VMs of its region in the same tick; the datagrams of
+// over a megabyte were lost on its link, its region's VMs seemed silent, and its desk's answers
+// came too late.
+TEST(roster, digests_to_a_large_region_are_spread_over_their_interval)
+{
+    constexpr int vms = 98;
+    const std::string delegate = "10.0.0.1";
+    roster members(identity(delegate, "east", 1, 500), {}, all_regions);
+    std::uint64_t sequence = 0;
+    std::size_t most = 0;
+    std::size_t all = 0;
+    constexpr milliseconds tick{25};
+    constexpr milliseconds warm_up{2000};
+    for (milliseconds now{0}; now < seconds{10}; now += tick) {
+        ++sequence;
+        for (int number = 2; number <= vms; ++number) {
+            const auto from = identity(fmt::format("10.0.0.{}", number), "east",
+                                       static_cast<std::uint64_t>(number));
+            (void)members.on_heartbeat(heartbeat_of(from, sequence, member_state::ready), at(now));
+        }
+        const auto due = members.take_due(at(now));
+        if (now >= warm_up) {
+            most = std::max(most, due.size());
+            all += due.size();
+        }
+    }
+    const auto ticks = static_cast<std::size_t>((seconds{10} - warm_up) / tick);
+    const auto mean = all / ticks;
+    EXPECT_GT(mean, 0U);
+    EXPECT_LE(most, 4 * mean);
+}
+
 } // namespace
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/datagram_socket.cpp
+++ b/src/chicorylink/front/datagram_socket.cpp
@@ -12,8 +12,9 @@
 
 using udp = boost::asio::ip::udp;
 
-/// Above the largest heartbeat of a region with hundreds of targets.
-constexpr std::size_t datagram_bytes = 16UL * 1024;
+/// The largest datagram that there is. A heartbeat with the digests of all regions holds some 40
+/// bytes for each VM of the fleet.
+constexpr std::size_t datagram_bytes = 64UL * 1024;
 
 std::array<std::uint8_t, datagram_bytes>& receive_buffer()
 {
