fleet, front: a few VMs of a region ask the store while nobody is confirmed

Change: delegates ask as before, and so does a VM that hears no delegate, or hears one with a fresh proof that does not reach it.

--- a/include/chicorylink/front/state_reader.hpp
+++ b/include/chicorylink/front/state_reader.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/heartbeat.hpp"
 #include "chicorylink/fleet/published_state.hpp"
+#include "chicorylink/fleet/roster.hpp"
 #include "chicorylink/front/outer_protocol.hpp"
 #include "chicorylink/front/reader_client.hpp"
 
@@ -43,6 +44,9 @@
 private:
     /// How long the store may hold a watch of this VM; none when others watch for it.
     [[nodiscard]] std::optional<base::milliseconds> watch_time(base::time_point now) const;
+    /// @brief The VM whose configuration was proved to be the newest one last; none that is fresh.
+    [[nodiscard]] const std::pair<const std::string, fleet::member>*
+    confirmed_peer(base::time_point now) const;
     void read_snapshot(const std::string& after);
     void on_snapshot_page(const read_result& result);
     void take_page(store_answer page, base::time_point sent_at);
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/front/state_reader.hpp"
 
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/fleet/store_watch.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/item_copy.hpp"
 
@@ -36,10 +37,11 @@
 /// all. A small part of the time in which a change must be in force.
 constexpr base::milliseconds pause_after_news{150};
 
-/// A configuration that nobody confirmed for so long is confirmed by a peer's copy, and a little
-/// later by a watch of this VM's own; further copies follow at this interval.
+/// A configuration that nobody confirmed for so long is confirmed by a peer's copy or by the store;
+/// further copies follow at this interval. A third of the bound on withdrawn keys is left for the
+/// calls of a few VMs and for the way of their answers to the others.
 constexpr base::milliseconds unconfirmed_before_copy{2400};
-constexpr base::milliseconds unconfirmed_before_watch{2800};
+constexpr base::milliseconds unconfirmed_before_watch{2600};
 constexpr base::milliseconds copy_interval{700};
 constexpr base::milliseconds copy_limit{600};
 
@@ -71,13 +73,43 @@
     if (delegates.front() == self.ip) {
         return first_watch_time;
     }
-    const auto confirmed = m_core.state.confirmed_at();
-    if (!confirmed || now - *confirmed > unconfirmed_before_watch) {
-        return first_watch_time;
-    }
     const bool is_delegate =
         std::find(delegates.begin(), delegates.end(), self.ip) != delegates.end();
-    return is_delegate ? std::optional{other_watch_time} : std::nullopt;
+    const auto confirmed = m_core.state.confirmed_at();
+    if (confirmed && now - *confirmed <= unconfirmed_before_watch) {
+        return is_delegate ? std::optional{other_watch_time} : std::nullopt;
+    }
+    fleet::unconfirmed_vm who;
+    who.ip = self.ip;
+    who.region_vms = m_core.members.region_ips(now).size();
+    who.is_delegate = is_delegate;
+    who.hears_delegate =
+        std::any_of(delegates.begin(), delegates.end(), [&](const std::string& ip) {
+            const auto* delegate = m_core.members.find(ip);
+            return delegate != nullptr && fleet::roster::is_heard(*delegate, now);
+        });
+    const auto* best = confirmed_peer(now);
+    who.hears_confirmed = best != nullptr && best->second.direct_at &&
+                          *best->second.confirmed_age + (now - *best->second.direct_at) <
+                              unconfirmed_before_watch / 2;
+    return fleet::asks_store(who, now) ? std::optional{first_watch_time} : std::nullopt;
+}
+
+const std::pair<const std::string, fleet::member>*
+state_reader::confirmed_peer(base::time_point now) const
+{
+    const std::pair<const std::string, fleet::member>* best = nullptr;
+    for (const auto& entry : m_core.members.members()) {
+        const auto& who = entry.second;
+        if (!fleet::roster::is_heard(who, now) || !who.confirmed_age ||
+            *who.confirmed_age > useful_age) {
+            continue;
+        }
+        if (best == nullptr || *who.confirmed_age < *best->second.confirmed_age) {
+            best = &entry;
+        }
+    }
+    return best;
 }
 
 void state_reader::read_snapshot(const std::string& after)
@@ -241,20 +273,8 @@
     if (!unconfirmed || !tried_store || now - m_copied_at < copy_interval) {
         return;
     }
-    const fleet::member* best = nullptr;
-    std::string best_ip;
-    for (const auto& [ip, who] : m_core.members.members()) {
-        if (!fleet::roster::is_heard(who, now) || !who.confirmed_age ||
-            *who.confirmed_age > useful_age) {
-            continue;
-        }
-        if (best == nullptr || *who.confirmed_age < *best->confirmed_age) {
-            best = &who;
-            best_ip = ip;
-        }
-    }
-    if (best != nullptr) {
-        copy_from(best_ip, 0);
+    if (const auto* best = confirmed_peer(now)) {
+        copy_from(best->first, 0);
     }
 }
 
