fleet: each session has a region of its own, which reads its shared parts

Change: sessions have a region by rendezvous hash weighted by the regions' targets. A request whose shared parts take longer to read than the way there goes to it, unless this region holds the parts already or that region is loaded. The desk is told, so that it reserves nothing for such a request. What leaves is counted there by what it has to read. A forwarded request whose region nobody has heard of for long goes on elsewhere when it may run twice.

--- a/include/chicorylink/base/ids.hpp
+++ b/include/chicorylink/base/ids.hpp
@@ -38,6 +38,12 @@
 /// @brief Hash of two values, for rendezvous hashing.
 [[nodiscard]] std::uint64_t hash_pair(std::uint64_t a, std::uint64_t b);
 
+/// @brief The rank of a place in weighted rendezvous hashing. The place with the highest rank is
+/// chosen, each in proportion to its weight.
+/// @param bits `hash_pair` of the key and the place.
+/// @param weight Above zero.
+[[nodiscard]] double rendezvous_rank(std::uint64_t bits, double weight);
+
 /// @brief The id of a named thing, such as `id_of<team_id>("support")`.
 template <class Id>
 [[nodiscard]] Id id_of(std::string_view name)
--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -214,7 +214,8 @@
     VT_URGENCY = 20,
     VT_LONGEST_WAIT_MS = 22,
     VT_LONGEST_START_MS = 24,
-    VT_AVOIDED = 26
+    VT_AVOIDED = 26,
+    VT_MOST_REREAD_TOKENS = 28
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -252,6 +253,9 @@
   const flatbuffers::Vector<uint64_t> *avoided() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AVOIDED);
   }
+  uint32_t most_reread_tokens() const {
+    return GetField<uint32_t>(VT_MOST_REREAD_TOKENS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -269,6 +273,7 @@
            VerifyField<uint32_t>(verifier, VT_LONGEST_START_MS, 4) &&
            VerifyOffset(verifier, VT_AVOIDED) &&
            verifier.VerifyVector(avoided()) &&
+           VerifyField<uint32_t>(verifier, VT_MOST_REREAD_TOKENS, 4) &&
            verifier.EndTable();
   }
 };
@@ -313,6 +318,9 @@
   void add_avoided(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoided) {
     fbb_.AddOffset(PlacementAsk::VT_AVOIDED, avoided);
   }
+  void add_most_reread_tokens(uint32_t most_reread_tokens) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_MOST_REREAD_TOKENS, most_reread_tokens, 4294967295);
+  }
   explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -337,11 +345,13 @@
     uint8_t urgency = 0,
     uint32_t longest_wait_ms = 0,
     uint32_t longest_start_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoided = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoided = 0,
+    uint32_t most_reread_tokens = 4294967295) {
   PlacementAskBuilder builder_(_fbb);
   builder_.add_session(session);
   builder_.add_spread(spread);
   builder_.add_number(number);
+  builder_.add_most_reread_tokens(most_reread_tokens);
   builder_.add_avoided(avoided);
   builder_.add_longest_start_ms(longest_start_ms);
   builder_.add_longest_wait_ms(longest_wait_ms);
@@ -367,7 +377,8 @@
     uint8_t urgency = 0,
     uint32_t longest_wait_ms = 0,
     uint32_t longest_start_ms = 0,
-    const std::vector<uint64_t> *avoided = nullptr) {
+    const std::vector<uint64_t> *avoided = nullptr,
+    uint32_t most_reread_tokens = 4294967295) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PromptPart>(*parts) : 0;
   auto avoided__ = avoided ? _fbb.CreateVector<uint64_t>(*avoided) : 0;
@@ -384,7 +395,8 @@
       urgency,
       longest_wait_ms,
       longest_start_ms,
-      avoided__);
+      avoided__,
+      most_reread_tokens);
 }
 
 struct PlacementMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/fleet/prompt.hpp"
 #include "chicorylink/fleet/target_pool.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -72,6 +73,18 @@
 [[nodiscard]] std::optional<placement_choice>
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now);
 
+/// @brief The shared tokens of a prompt among those that a target has yet to read.
+[[nodiscard]] inline std::uint32_t
+reread_tokens(std::uint32_t prompt_tokens, std::uint32_t shared_tokens, std::uint32_t unread_tokens)
+{
+    const auto own = prompt_tokens - std::min(prompt_tokens, shared_tokens);
+    return unread_tokens - std::min(unread_tokens, own);
+}
+
+/// @brief Targets of a service in this region that take work now and are not cold.
+[[nodiscard]] std::uint32_t usable_targets(const target_pool& pool, const service_name& service,
+                                           base::time_point now);
+
 /// @brief How long work waits at a service in this region, for the VMs of others.
 /// @param by_desk Whether this VM places all requests of its region.
 [[nodiscard]] service_outlook outlook_of(const target_pool& pool, const service_name& service,
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -9,6 +9,7 @@
 #include "chicorylink/fleet/target_notice.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -28,6 +29,8 @@
     /// Nothing is reserved when the request would wait or start later than this.
     base::milliseconds longest_wait{0};
     base::milliseconds longest_start{0};
+    /// The same when more shared tokens than these would have to be read.
+    std::uint32_t most_reread_tokens = std::numeric_limits<std::uint32_t>::max();
     /// Targets that failed this request or that the asker can't use now.
     std::vector<base::target_id> avoided;
 };
--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -6,6 +6,7 @@
 #include "chicorylink/fleet/region_digest.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -29,12 +30,17 @@
     std::uint32_t prompt_tokens = 0;
     /// Those of them that this region's targets may hold and another's may not.
     std::uint32_t shared_tokens = 0;
-    /// Of the prompt's session; its requests leave for the same region.
+    /// Of the prompt's session; its requests go to the same region when they may.
     std::uint64_t session = 0;
     base::milliseconds latency_objective{0};
     base::milliseconds time_left{0};
     /// Whether the caller was refused before and came back.
     bool is_return = false;
+    region_name own_region;
+    /// Targets of this region that could serve it.
+    std::uint32_t own_targets = 0;
+    /// Whether another region refused it or failed: it is not sent away for its parts' sake again.
+    bool was_sent_away = false;
 };
 
 enum class place_kind { here, elsewhere, nowhere };
@@ -47,9 +53,17 @@
     base::milliseconds round_trip{0};
     /// The expected wait there, or the shortest wait anywhere when it goes nowhere.
     base::milliseconds wait{0};
+    /// In another region: when it should begin, and the prompt tokens that have to be read.
+    base::milliseconds start{0};
+    std::uint32_t tokens = 0;
 };
 
 /// @brief Chooses between this region, others and none.
+///
+/// Each session has a region of its own, by rendezvous hash weighted by the regions' targets. A
+/// request whose shared parts take longer to read than the way to that region goes there, unless
+/// this region holds them too or that region is loaded: otherwise each region reads the parts of
+/// all sessions, and at its peak a region has only its own targets.
 /// @param here The best target of this region; none when it has none or is not allowed.
 /// @param others Regions that the request may go to.
 [[nodiscard]] place choose_place(const std::optional<placement_choice>& here,
@@ -61,6 +75,8 @@
     base::milliseconds wait{0};
     /// The longest when no other region is better.
     base::milliseconds start{0};
+    /// Shared prompt tokens that may be read here though the session's own region holds them.
+    std::uint32_t reread_tokens = std::numeric_limits<std::uint32_t>::max();
 };
 [[nodiscard]] stay_limits limits_here(const std::vector<remote_region>& others,
                                       const region_request& request);
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -174,9 +174,8 @@
     if (request.asked != nullptr && target.is_engine) {
         choice.unread_tokens = unread_tokens(target, *request.asked, may_hold, now);
         start += first_token_ms + static_cast<double>(choice.unread_tokens) / default_prompt_speed;
-        const auto own_part = request.asked->prompt_tokens -
-                              std::min(request.asked->prompt_tokens, shared_tokens(*request.asked));
-        const auto reread = choice.unread_tokens - std::min(choice.unread_tokens, own_part);
+        const auto reread = reread_tokens(request.asked->prompt_tokens,
+                                          shared_tokens(*request.asked), choice.unread_tokens);
         choice.cost += reread_factor * static_cast<double>(reread) / default_prompt_speed;
     }
     else {
@@ -251,6 +250,25 @@
     return choice;
 }
 
+namespace {
+
+bool is_usable(const tracked_target& target, const service_name& service, base::time_point now)
+{
+    return target.entry.service == service && takes_work(target) &&
+           !is_ejected(target.health, now) && !pushes_back(target.restraint, now) &&
+           now >= target.cold_until;
+}
+
+} // namespace
+
+std::uint32_t usable_targets(const target_pool& pool, const service_name& service,
+                             base::time_point now)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(pool.targets().begin(), pool.targets().end(),
+                      [&](const auto& entry) { return is_usable(entry.second, service, now); }));
+}
+
 service_outlook outlook_of(const target_pool& pool, const service_name& service, bool by_desk,
                            base::time_point now)
 {
@@ -258,9 +276,7 @@
     outlook.service = base::hash_name(service.text());
     std::vector<double> waits;
     for (const auto& [name, target] : pool.targets()) {
-        if (target.entry.service == service && takes_work(target) &&
-            !is_ejected(target.health, now) && !pushes_back(target.restraint, now) &&
-            now >= target.cold_until) {
+        if (is_usable(target, service, now)) {
             waits.push_back(wait_ms(target, by_desk ? reserved_work(target, usual_urgency, now)
                                                     : told_work(target, now)));
         }
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -44,6 +44,7 @@
     table.add_longest_wait_ms(count_of(ask.longest_wait));
     table.add_longest_start_ms(count_of(ask.longest_start));
     table.add_avoided(avoided);
+    table.add_most_reread_tokens(ask.most_reread_tokens);
     return table.Finish();
 }
 
@@ -56,6 +57,7 @@
     ask.urgency = from.urgency();
     ask.longest_wait = base::milliseconds{from.longest_wait_ms()};
     ask.longest_start = base::milliseconds{from.longest_start_ms()};
+    ask.most_reread_tokens = from.most_reread_tokens();
     if (from.has_prompt()) {
         prompt asked;
         asked.session = from.session();
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -52,7 +52,11 @@
     answer.wait = choice->wait;
     answer.start = choice->start;
     answer.unread_tokens = choice->unread_tokens;
-    answer.is_reserved = choice->wait <= ask.longest_wait && choice->start <= ask.longest_start;
+    const auto reread = ask.asked ? reread_tokens(ask.asked->prompt_tokens,
+                                                  shared_tokens(*ask.asked), choice->unread_tokens)
+                                  : 0;
+    answer.is_reserved = choice->wait <= ask.longest_wait && choice->start <= ask.longest_start &&
+                         reread <= ask.most_reread_tokens;
     if (answer.is_reserved) {
         pool.on_reserved(choice->target, request.asked, choice->unread_tokens, urgency, now);
         m_reservations.insert_or_assign({asker, ask.number},
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -33,28 +33,50 @@
     return base::milliseconds{static_cast<std::int64_t>(static_cast<double>(whole.count()) * part)};
 }
 
-/// The region that a session's requests leave for, so that one other region reads its parts and not
-/// each of them: the first by rendezvous hash.
-const remote_region* second_home(const std::vector<remote_region>& others, std::uint64_t session)
+/// Part of a session's shared tokens that may be read here though its own region holds them: parts
+/// that all sessions begin with, and what an engine has evicted.
+constexpr double reread_part = 0.2;
+
+double rank_of(const region_name& region, std::uint32_t targets, std::uint64_t session)
+{
+    return base::rendezvous_rank(base::hash_pair(session, base::hash_name(region.text())),
+                                 std::max(targets, 1U));
+}
+
+/// The other region that a session's requests leave for, so that one other region reads its parts
+/// and not each of them.
+const remote_region* holder_elsewhere(const std::vector<remote_region>& others,
+                                      std::uint64_t session)
 {
-    const auto weight = [&](const remote_region& where) {
-        return base::hash_pair(session, base::hash_name(where.region.text()));
+    const auto rank = [&](const remote_region& where) {
+        return rank_of(where.region, where.usable_targets, session);
     };
     const auto best =
         std::max_element(others.begin(), others.end(),
-                         [&](const auto& a, const auto& b) { return weight(a) < weight(b); });
+                         [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
     return best == others.end() ? nullptr : &*best;
 }
 
+double reading_ms(double tokens)
+{
+    return tokens / default_prompt_speed;
+}
+
+/// The tokens of a prompt that count against another region; those that are read again there weigh
+/// more.
+double tokens_at(bool may_hold, const region_request& request)
+{
+    if (!request.is_engine) {
+        return 0;
+    }
+    const double shared = request.shared_tokens;
+    return std::max(0.0, request.prompt_tokens + (may_hold ? -shared : reread_factor * shared));
+}
+
 base::milliseconds start_at(const remote_region& where, bool may_hold,
                             const region_request& request)
 {
-    double tokens = 0;
-    if (request.is_engine) {
-        const double shared = request.shared_tokens;
-        tokens = request.prompt_tokens + (may_hold ? -shared : reread_factor * shared);
-    }
-    const double reading = std::max(0.0, tokens) / default_prompt_speed;
+    const double reading = reading_ms(tokens_at(may_hold, request));
     return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
 }
 
@@ -62,21 +84,52 @@
 struct remote_start {
     const remote_region* where = nullptr;
     base::milliseconds start = base::milliseconds::max();
+    bool may_hold = false;
 };
 
 remote_start first_to_start(const std::vector<remote_region>& others, const region_request& request)
 {
-    const auto* home = second_home(others, request.session);
+    const auto* holder = holder_elsewhere(others, request.session);
     remote_start best;
     for (const auto& other : others) {
-        const auto start = start_at(other, &other == home, request);
+        const bool may_hold = &other == holder;
+        const auto start = start_at(other, may_hold, request);
         if (best.where == nullptr || start < best.start) {
-            best = {&other, start};
+            best = {&other, start, may_hold};
         }
     }
     return best;
 }
 
+/// Whether a request should go to its session's own region, which is not this one.
+bool belongs_elsewhere(const std::vector<remote_region>& others, const region_request& request,
+                       base::milliseconds wait_limit)
+{
+    const auto* holder = holder_elsewhere(others, request.session);
+    if (holder == nullptr || !request.is_engine || request.was_sent_away ||
+        rank_of(request.own_region, request.own_targets, request.session) >=
+            rank_of(holder->region, holder->usable_targets, request.session)) {
+        return false;
+    }
+    const auto saved = base::milliseconds{
+        static_cast<std::int64_t>(reading_ms(reread_factor * request.shared_tokens))};
+    return saved > holder->round_trip + leave_margin &&
+           holder->wait + holder->round_trip <= wait_limit &&
+           start_at(*holder, true, request) <=
+               part_of(request.latency_objective, stay_part_of_objective);
+}
+
+place place_in(const remote_start& there, const region_request& request)
+{
+    const auto held = there.may_hold ? request.shared_tokens : 0;
+    return {place_kind::elsewhere,
+            there.where->region,
+            there.where->round_trip,
+            there.where->wait + there.where->round_trip,
+            there.start,
+            request.prompt_tokens - std::min(request.prompt_tokens, held)};
+}
+
 } // namespace
 
 base::milliseconds longest_wait(const region_request& request)
@@ -100,6 +153,10 @@
         limits.start = std::max(part_of(request.latency_objective, stay_part_of_objective),
                                 best.start + leave_margin);
     }
+    if (belongs_elsewhere(others, request, limits.wait)) {
+        limits.reread_tokens =
+            static_cast<std::uint32_t>(reread_part * static_cast<double>(request.shared_tokens));
+    }
     return limits;
 }
 
@@ -108,21 +165,25 @@
 {
     const auto limits = limits_here(others, request);
     const bool fits_here = here && here->wait <= limits.wait && here->start <= limits.start;
-    if (fits_here && !here->is_repeat) {
-        return {place_kind::here, {}, base::milliseconds{0}, here->wait};
-    }
+    const place stays{
+        place_kind::here, {}, base::milliseconds{0}, fits_here ? here->wait : limits.wait};
+    const bool is_held_here =
+        fits_here && reread_tokens(request.prompt_tokens, request.shared_tokens,
+                                   here->unread_tokens) <= limits.reread_tokens;
     // What failed at a target is more likely to fail there again than at another one.
-    const auto* best = first_to_start(others, request).where;
-    if (best != nullptr && best->wait + best->round_trip <= limits.wait) {
-        return {place_kind::elsewhere, best->region, best->round_trip,
-                best->wait + best->round_trip};
+    if (is_held_here && !here->is_repeat) {
+        return stays;
+    }
+    const auto best = first_to_start(others, request);
+    if (best.where != nullptr && best.where->wait + best.where->round_trip <= limits.wait) {
+        return place_in(best, request);
     }
     if (fits_here) {
-        return {place_kind::here, {}, base::milliseconds{0}, here->wait};
+        return stays;
     }
     auto shortest = here ? here->wait : base::milliseconds::max();
-    if (best != nullptr) {
-        shortest = std::min(shortest, best->wait + best->round_trip);
+    if (best.where != nullptr) {
+        shortest = std::min(shortest, best.where->wait + best.where->round_trip);
     }
     return {place_kind::nowhere, {}, base::milliseconds{0}, shortest};
 }
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -260,7 +260,7 @@
 bool exchange::is_silent(base::time_point now) const
 {
     // While the caller is slow, nothing is read from the target.
-    if (m_is_asking || m_paused || !m_attempt || m_attempt->target.empty()) {
+    if (m_is_asking || m_paused || !m_attempt) {
         return false;
     }
     const auto limit = fleet::silence_limit(*m_resolved.route);
@@ -268,6 +268,10 @@
     if (now - since < limit + m_attempt->expected_start) {
         return false;
     }
+    if (m_attempt->target.empty()) {
+        // The VM may be slow; the region is cut off when nobody has heard of it for long.
+        return !m_core.news.knows(m_attempt->region, now);
+    }
     const auto* target = m_core.pool.find(m_attempt->target);
     const bool others_hear =
         target != nullptr && now - std::max(target->last_sign, target->load.told_at) < limit;
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -7,7 +7,6 @@
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include <fmt/format.h>
@@ -23,9 +22,6 @@
 /// The same between regions, for a loaded link.
 constexpr base::milliseconds far_connect_limit{800};
 
-/// One more than the largest hash.
-constexpr double hash_range = 18446744073709551616.0;
-
 } // namespace
 
 std::optional<refusal> exchange::check(base::time_point now)
@@ -60,7 +56,10 @@
             m_prompt ? m_prompt->session : base::hash_name(m_asked.id),
             m_resolved.route->latency_objective,
             time_left(now),
-            m_is_return};
+            m_is_return,
+            m_core.settings.self.region,
+            fleet::usable_targets(m_core.pool, m_resolved.service->name, now),
+            !m_tried_peers.empty()};
 }
 
 bool exchange::may_use(const fleet::tracked_target& target,
@@ -135,18 +134,17 @@
 {
     // Weighted rendezvous hashing: a VM gets requests in proportion to its capacity.
     std::string best;
-    double best_weight = 0;
+    double best_rank = 0;
     const auto key = base::hash_name(m_asked.id);
     for (const auto& [ip, who] : m_core.members.members()) {
         if (!may_ask_peer(ip, who, region, now)) {
             continue;
         }
-        const auto bits = base::hash_pair(key, base::hash_name(ip));
-        const double point = (static_cast<double>(bits) + 1) / hash_range;
-        const double weight = -static_cast<double>(who.capacity.value() + 1) / std::log(point);
-        if (best.empty() || weight > best_weight) {
+        const double rank = base::rendezvous_rank(base::hash_pair(key, base::hash_name(ip)),
+                                                  who.capacity.value() + 1);
+        if (best.empty() || rank > best_rank) {
             best = ip;
-            best_weight = weight;
+            best_rank = rank;
         }
     }
     return best;
@@ -162,6 +160,7 @@
     ask.urgency = urgency_of(m_resolved);
     ask.longest_wait = limits.wait;
     ask.longest_start = limits.start;
+    ask.most_reread_tokens = limits.reread_tokens;
     for (const auto& [name, target] : m_core.pool.targets()) {
         const bool tried = std::find(m_tried.begin(), m_tried.end(), name) != m_tried.end();
         const bool unusable = fleet::is_ejected(target.health, now) || target.restraint.leaving ||
@@ -299,11 +298,12 @@
     next.address = fmt::format("{}:{}", ip, m_core.settings.peer_port);
     next.region = where.region;
     next.expected_wait = where.wait;
+    next.expected_start = where.start;
     m_attempt = std::move(next);
+    m_silence_told = false;
     m_tried_peers.push_back(ip);
     const auto way = where.round_trip / 2;
-    m_core.remote.note(where.region, m_resolved.service->name,
-                       m_prompt ? m_prompt->prompt_tokens : 0, now);
+    m_core.remote.note(where.region, m_resolved.service->name, where.tokens, now);
     send(bytes_for_peer(m_asked, m_resolved,
                         {std::max(base::milliseconds{1}, time_left(now) - way), m_last_event_id},
                         m_core.protocol.names),
