fleet: a request prefers a target in the data center of its VM

Change: the asker tells the desk its data center, and a way to another one counts 25 ms. A wait or shared parts that are held elsewhere weigh more, so that a peak is still spread over both. Ruled out: naming callers the VMs of their own data center in the directory. Without effect where a region has one data center.

--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -215,7 +215,8 @@
     VT_LONGEST_WAIT_MS = 22,
     VT_LONGEST_START_MS = 24,
     VT_AVOIDED = 26,
-    VT_MOST_REREAD_TOKENS = 28
+    VT_MOST_REREAD_TOKENS = 28,
+    VT_DATA_CENTER = 30
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -256,6 +257,9 @@
   uint32_t most_reread_tokens() const {
     return GetField<uint32_t>(VT_MOST_REREAD_TOKENS, 4294967295);
   }
+  uint32_t data_center() const {
+    return GetField<uint32_t>(VT_DATA_CENTER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -274,6 +278,7 @@
            VerifyOffset(verifier, VT_AVOIDED) &&
            verifier.VerifyVector(avoided()) &&
            VerifyField<uint32_t>(verifier, VT_MOST_REREAD_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_DATA_CENTER, 4) &&
            verifier.EndTable();
   }
 };
@@ -321,6 +326,9 @@
   void add_most_reread_tokens(uint32_t most_reread_tokens) {
     fbb_.AddElement<uint32_t>(PlacementAsk::VT_MOST_REREAD_TOKENS, most_reread_tokens, 4294967295);
   }
+  void add_data_center(uint32_t data_center) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_DATA_CENTER, data_center, 0);
+  }
   explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -346,11 +354,13 @@
     uint32_t longest_wait_ms = 0,
     uint32_t longest_start_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoided = 0,
-    uint32_t most_reread_tokens = 4294967295) {
+    uint32_t most_reread_tokens = 4294967295,
+    uint32_t data_center = 0) {
   PlacementAskBuilder builder_(_fbb);
   builder_.add_session(session);
   builder_.add_spread(spread);
   builder_.add_number(number);
+  builder_.add_data_center(data_center);
   builder_.add_most_reread_tokens(most_reread_tokens);
   builder_.add_avoided(avoided);
   builder_.add_longest_start_ms(longest_start_ms);
@@ -378,7 +388,8 @@
     uint32_t longest_wait_ms = 0,
     uint32_t longest_start_ms = 0,
     const std::vector<uint64_t> *avoided = nullptr,
-    uint32_t most_reread_tokens = 4294967295) {
+    uint32_t most_reread_tokens = 4294967295,
+    uint32_t data_center = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PromptPart>(*parts) : 0;
   auto avoided__ = avoided ? _fbb.CreateVector<uint64_t>(*avoided) : 0;
@@ -396,7 +407,8 @@
       longest_wait_ms,
       longest_start_ms,
       avoided__,
-      most_reread_tokens);
+      most_reread_tokens,
+      data_center);
 }
 
 struct PlacementMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/prompt.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_pool.hpp"
 
 #include <algorithm>
@@ -24,6 +25,10 @@
 /// memory that its copy takes evicts other parts, which are then read again too.
 inline constexpr double reread_factor = 3.0;
 
+/// @brief What a request's way to another data center of the region counts, as time. The way itself
+/// takes a few milliseconds; its bytes share a link with those of all others.
+inline constexpr double crossing_cost_ms = 25.0;
+
 /// @brief What a request needs of a target.
 struct placement_request {
     service_name service;
@@ -38,6 +43,8 @@
     bool by_desk = false;
     /// 0 is read first by engines.
     std::uint8_t urgency = 0;
+    /// Of the VM that sends the request; unknown is near all targets.
+    data_center_mark data_center;
     /// Targets that earlier attempts used; they are chosen again only when no other is left.
     std::vector<target_name> tried;
     /// Whether a target that is still cold, or has no connection left, may be used now.
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/prompt.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
 
@@ -26,6 +27,8 @@
     std::uint64_t spread = 0;
     /// 0 is read first; see `urgency_of`.
     std::uint8_t urgency = 0;
+    /// Where the asker is.
+    data_center_mark data_center;
     /// Nothing is reserved when the request would wait or start later than this.
     base::milliseconds longest_wait{0};
     base::milliseconds longest_start{0};
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -26,6 +26,17 @@
 /// A measure of a VM's processor and network; only its order and proportion count.
 using vm_capacity = base::strong_id<vm_capacity_tag, std::uint16_t>;
 
+struct data_center_mark_tag;
+
+/// Tells data centers apart in messages: the low bits of the hash of the name, 0 when unknown. Only
+/// preferences depend on it, so that two names with one mark do no harm.
+using data_center_mark = base::strong_id<data_center_mark_tag, std::uint32_t>;
+
+[[nodiscard]] inline data_center_mark mark_of(const data_center_name& name)
+{
+    return data_center_mark{static_cast<std::uint32_t>(base::hash_name(name.text()))};
+}
+
 /// @brief The units of a team's quota that were admitted since some start.
 struct team_usage {
     base::team_id team;
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/prompt_cache.hpp"
+#include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_entry.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_restraint.hpp"
@@ -58,6 +59,7 @@
 struct tracked_target {
     target_entry entry;
     base::target_id id;
+    data_center_mark data_center;
     bool is_engine = false;
     /// Whether its data center is evacuated.
     bool evacuated = false;
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -182,6 +182,9 @@
         start += target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
     }
     choice.cost += start + target.health.failure_rate * failure_cost_ms;
+    if (request.data_center.value() != 0 && request.data_center != target.data_center) {
+        choice.cost += crossing_cost_ms;
+    }
     choice.wait = base::milliseconds{static_cast<std::int64_t>(wait)};
     choice.start = base::milliseconds{static_cast<std::int64_t>(start)};
     return choice;
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -45,6 +45,7 @@
     table.add_longest_start_ms(count_of(ask.longest_start));
     table.add_avoided(avoided);
     table.add_most_reread_tokens(ask.most_reread_tokens);
+    table.add_data_center(ask.data_center.value());
     return table.Finish();
 }
 
@@ -58,6 +59,7 @@
     ask.longest_wait = base::milliseconds{from.longest_wait_ms()};
     ask.longest_start = base::milliseconds{from.longest_start_ms()};
     ask.most_reread_tokens = from.most_reread_tokens();
+    ask.data_center = data_center_mark{from.data_center()};
     if (from.has_prompt()) {
         prompt asked;
         asked.session = from.session();
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -37,6 +37,7 @@
     request.spread = ask.spread;
     request.by_desk = true;
     request.urgency = urgency;
+    request.data_center = ask.data_center;
     request.may_use = [&](const tracked_target& target) {
         // Work for a target that may be cold is shared out among the VMs in another way.
         return !may_be_cold(target, now) &&
--- a/src/chicorylink/fleet/pool_of_targets.hpp
+++ b/src/chicorylink/fleet/pool_of_targets.hpp
@@ -23,10 +23,12 @@
 
 inline const region_name east{"east"};
 inline const std::map<data_center_name, region_name> places{
-    {data_center_name{"east-a"}, east}, {data_center_name{"west-a"}, region_name{"west"}}};
+    {data_center_name{"east-a"}, east},
+    {data_center_name{"east-b"}, east},
+    {data_center_name{"west-a"}, region_name{"west"}}};
 
-/// Keys are the targets' names, values `engine` or `plain`, with `,leaving` or `,cold`, and the
-/// start of the run behind an `@`.
+/// Keys are the targets' names, values `engine` or `plain`, with `,leaving`, `,cold` or `,b` for
+/// the second data center, and the start of the run behind an `@`.
 inline item_meaning decode(const published_item& item)
 {
     if (item.key == "config") {
@@ -54,7 +56,7 @@
         entry.started_ms = std::stoll(item.value.substr(run + 1));
     }
     entry.address = "10.0.0.1:" + item.key;
-    entry.data_center = data_center_name{"east-a"};
+    entry.data_center = data_center_name{item.value.ends_with(",b") ? "east-b" : "east-a"};
     entry.slots = entry.service.text() == "plain" ? 6 : 64;
     entry.leaving = item.value.ends_with("leaving");
     entry.cold_left = std::chrono::milliseconds{item.value.ends_with("cold") ? 3000 : 0};
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -90,6 +90,7 @@
     request.asked = m_prompt ? &*m_prompt : nullptr;
     request.spread = base::hash_name(m_asked.id);
     request.sharers = region_ips.size();
+    request.data_center = fleet::mark_of(m_core.settings.self.data_center);
     request.tried = m_tried;
     request.may_use = [&](const fleet::tracked_target& target) {
         return may_use(target, region_ips, now);
@@ -158,6 +159,7 @@
     ask.asked = m_prompt;
     ask.spread = base::hash_name(m_asked.id);
     ask.urgency = urgency_of(m_resolved);
+    ask.data_center = fleet::mark_of(m_core.settings.self.data_center);
     ask.longest_wait = limits.wait;
     ask.longest_start = limits.start;
     ask.most_reread_tokens = limits.reread_tokens;
