fleet: digests stay in their data center

Cause: both delegates of a region told its digest to all of its VMs, half of them across the link between the data centers. Change: the second delegate is of another data center when that has an equally large VM; a VM whose data center has a delegate hears the other one once a second only, often enough to bridge the loss of the nearer. Digests name each VM's data center, in bytes that were padding before. Test: three cases in roster_test, which count the digests that cross and end a delegate.

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -145,7 +145,8 @@
   uint32_t age_ms_;
   uint16_t capacity_;
   uint8_t state_;
-  int8_t padding0__;  int32_t padding1__;
+  int8_t padding0__;
+  uint32_t data_center_;
 
  public:
   DigestMember()
@@ -155,20 +156,18 @@
         capacity_(0),
         state_(0),
         padding0__(0),
-        padding1__(0) {
+        data_center_(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  DigestMember(uint64_t _run, uint32_t _ip, uint32_t _age_ms, uint16_t _capacity, uint8_t _state)
+  DigestMember(uint64_t _run, uint32_t _ip, uint32_t _age_ms, uint16_t _capacity, uint8_t _state, uint32_t _data_center)
       : run_(flatbuffers::EndianScalar(_run)),
         ip_(flatbuffers::EndianScalar(_ip)),
         age_ms_(flatbuffers::EndianScalar(_age_ms)),
         capacity_(flatbuffers::EndianScalar(_capacity)),
         state_(flatbuffers::EndianScalar(_state)),
         padding0__(0),
-        padding1__(0) {
+        data_center_(flatbuffers::EndianScalar(_data_center)) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t run() const {
     return flatbuffers::EndianScalar(run_);
@@ -185,6 +184,9 @@
   uint8_t state() const {
     return flatbuffers::EndianScalar(state_);
   }
+  uint32_t data_center() const {
+    return flatbuffers::EndianScalar(data_center_);
+  }
 };
 FLATBUFFERS_STRUCT_END(DigestMember, 24);
 
@@ -408,7 +410,8 @@
     VT_ITEMS_REVISION = 30,
     VT_USAGE = 32,
     VT_TARGETS = 34,
-    VT_DIGESTS = 36
+    VT_DIGESTS = 36,
+    VT_DATA_CENTER = 38
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -461,6 +464,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *>(VT_DIGESTS);
   }
+  uint32_t data_center() const {
+    return GetField<uint32_t>(VT_DATA_CENTER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -487,6 +493,7 @@
            VerifyOffset(verifier, VT_DIGESTS) &&
            verifier.VerifyVector(digests()) &&
            verifier.VerifyVectorOfTables(digests()) &&
+           VerifyField<uint32_t>(verifier, VT_DATA_CENTER, 4) &&
            verifier.EndTable();
   }
 };
@@ -546,6 +553,9 @@
   void add_digests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests) {
     fbb_.AddOffset(Heartbeat::VT_DIGESTS, digests);
   }
+  void add_data_center(uint32_t data_center) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_DATA_CENTER, data_center, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -575,7 +585,8 @@
     uint64_t items_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests = 0,
+    uint32_t data_center = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_items_revision(items_revision);
   builder_.add_confirmed_age_ms(confirmed_age_ms);
@@ -584,6 +595,7 @@
   builder_.add_sent_ms(sent_ms);
   builder_.add_sequence(sequence);
   builder_.add_run(run);
+  builder_.add_data_center(data_center);
   builder_.add_digests(digests);
   builder_.add_targets(targets);
   builder_.add_usage(usage);
@@ -615,7 +627,8 @@
     uint64_t items_revision = 0,
     const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
-    const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests = nullptr) {
+    const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests = nullptr,
+    uint32_t data_center = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -640,7 +653,8 @@
       items_revision,
       usage__,
       targets__,
-      digests__);
+      digests__,
+      data_center);
 }
 
 inline const chicorylink::fleet::codec::Heartbeat *GetHeartbeat(const void *buf) {
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -26,8 +26,9 @@
 
 /// @brief What a VM tells another, several times a second, in one datagram.
 struct heartbeat {
-    /// Without the data center, which only its own VM needs.
+    /// Without the name of the data center, of which others need the mark only.
     member_identity from;
+    data_center_mark data_center;
     member_state state = member_state::not_ready;
     std::uint64_t sequence = 0;
     /// The sender's clock; the receiver echoes it.
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -70,6 +70,7 @@
     member_state state = member_state::not_ready;
     /// How long ago a VM of its region heard it.
     base::milliseconds age{0};
+    data_center_mark data_center;
 };
 
 /// @brief What one delegate knows of its region. Delegates exchange digests and pass them on to
--- a/include/chicorylink/fleet/roster.hpp
+++ b/include/chicorylink/fleet/roster.hpp
@@ -17,6 +17,7 @@
 /// @brief What is known of another VM.
 struct member {
     region_name region;
+    data_center_mark data_center;
     base::incarnation run;
     vm_capacity capacity;
     member_state state = member_state::not_ready;
@@ -48,7 +49,8 @@
 /// @brief The VMs that this process knows: found by seeds, then by digests of their regions.
 ///
 /// No list of VMs is published anywhere. In each region the VMs of the largest capacity, and among
-/// equals the first ones by hash, are its delegates. All VMs of the region tell them their news,
+/// equals the first ones by hash, are its delegates; the second one is of another data center when
+/// that has an equal one. All VMs of the region tell them their news,
 /// they tell the region's digest to all its VMs and to the delegates of other regions. A VM that
 /// falls silent leaves the directory after `silence_bound` and is called for `memory` before it is
 /// forgotten.
@@ -65,6 +67,9 @@
     static constexpr base::milliseconds near_interval{250};
     static constexpr base::milliseconds far_interval{500};
     static constexpr base::milliseconds silent_interval{1000};
+    /// Of digests to VMs of another data center that has a delegate itself: often enough that its
+    /// VMs hear of each other within `silence_bound` when that delegate fails.
+    static constexpr base::milliseconds crossing_digest_interval{1000};
     /// A delegate's digests go out more rarely in a large region.
     static constexpr base::milliseconds digest_interval_per_vm{20};
 
@@ -125,6 +130,8 @@
     [[nodiscard]] bool is_due(const std::string& ip, base::milliseconds interval,
                               base::time_point now);
     [[nodiscard]] bool is_alone(base::time_point now) const;
+    [[nodiscard]] bool has_nearer_delegate(const member& who,
+                                           const std::vector<std::string>& delegates) const;
     void add_near(std::vector<due_heartbeat>& due, base::time_point now);
     void add_far(std::vector<due_heartbeat>& due, base::time_point now);
     void add_seeds(std::vector<due_heartbeat>& due, base::time_point now);
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -73,7 +73,8 @@
         for (const auto* entry : *from.members()) {
             digest.members.push_back({ip_text(entry->ip()), base::incarnation{entry->run()},
                                       vm_capacity{entry->capacity()}, state_of(entry->state()),
-                                      base::milliseconds{entry->age_ms()}});
+                                      base::milliseconds{entry->age_ms()},
+                                      data_center_mark{entry->data_center()}});
         }
     }
     if (from.outlook() != nullptr) {
@@ -116,7 +117,8 @@
     std::vector<codec::DigestMember> members;
     for (const auto& entry : digest.members) {
         members.emplace_back(entry.run.value(), ip_bits(entry.ip), count_of(entry.age),
-                             entry.capacity.value(), static_cast<std::uint8_t>(entry.state));
+                             entry.capacity.value(), static_cast<std::uint8_t>(entry.state),
+                             entry.data_center.value());
     }
     std::vector<codec::ServiceOutlook> outlook;
     for (const auto& entry : digest.outlook) {
@@ -153,7 +155,8 @@
         to, vm, ip, region, message.from.run.value(), message.from.capacity.value(),
         static_cast<std::uint8_t>(message.state), message.sequence, message.sent_ms,
         message.echo_ms, count_of(message.echo_held), message.version.value(), age,
-        message.wants_digests, message.items_revision, usage, targets, digest_list);
+        message.wants_digests, message.items_revision, usage, targets, digest_list,
+        message.data_center.value());
     codec::FinishHeartbeatBuffer(to, root);
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
@@ -172,6 +175,7 @@
     message.from.region = region_name{text_of(from->region())};
     message.from.run = base::incarnation{from->run()};
     message.from.capacity = vm_capacity{from->capacity()};
+    message.data_center = data_center_mark{from->data_center()};
     message.state = state_of(from->state());
     message.sequence = from->sequence();
     message.sent_ms = from->sent_ms();
--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -28,6 +28,30 @@
         base::milliseconds{static_cast<std::int64_t>(before + newest_weight * (measured - before))};
 }
 
+/// Largest capacity first, then by hash.
+struct ranked_vm {
+    int rank = 0;
+    std::uint64_t hash = 0;
+    std::string ip;
+    data_center_mark data_center;
+};
+
+/// Moves the best VM of another data center than the first one's to the second place, if it is as
+/// large as the VM there.
+void prefer_another_data_center(std::vector<ranked_vm>& ranked)
+{
+    if (ranked.size() < 2) {
+        return;
+    }
+    const auto second = ranked.begin() + 1;
+    const auto elsewhere = std::find_if(second, ranked.end(), [&](const ranked_vm& vm) {
+        return vm.data_center != ranked.front().data_center;
+    });
+    if (elsewhere != ranked.end() && elsewhere->rank == second->rank) {
+        std::rotate(second, elsewhere, elsewhere + 1);
+    }
+}
+
 } // namespace
 
 roster::roster(member_identity self, std::vector<std::string> seed_ips,
@@ -67,6 +91,7 @@
         effect = heartbeat_effect::state_changed;
     }
     known.region = message.from.region;
+    known.data_center = message.data_center;
     known.run = message.from.run;
     known.capacity = message.from.capacity;
     known.state = message.state;
@@ -99,6 +124,7 @@
             known = member{};
         }
         known.region = digest.region;
+        known.data_center = told.data_center;
         known.run = told.run;
         known.capacity = told.capacity;
         known.state = told.state;
@@ -120,27 +146,29 @@
 
 std::vector<std::string> roster::delegates_of(const region_name& region, base::time_point now) const
 {
-    // Largest capacity first, then by hash.
-    std::vector<std::tuple<int, std::uint64_t, std::string>> ranked;
-    const auto add = [&](const std::string& ip, vm_capacity capacity) {
-        ranked.emplace_back(-int{capacity.value()}, base::hash_name(ip), ip);
+    std::vector<ranked_vm> ranked;
+    const auto add = [&](const std::string& ip, vm_capacity capacity, data_center_mark place) {
+        ranked.push_back({-int{capacity.value()}, base::hash_name(ip), ip, place});
     };
     const auto heard_only = std::any_of(m_members.begin(), m_members.end(), [&](const auto& entry) {
         return entry.second.region == region && is_heard(entry.second, now);
     });
     for (const auto& [ip, who] : m_members) {
         if (who.region == region && (!heard_only || is_heard(who, now))) {
-            add(ip, who.capacity);
+            add(ip, who.capacity, who.data_center);
         }
     }
     if (region == m_self.region) {
-        add(m_self.ip, m_self.capacity);
+        add(m_self.ip, m_self.capacity, mark_of(m_self.data_center));
     }
-    std::sort(ranked.begin(), ranked.end());
+    std::sort(ranked.begin(), ranked.end(), [](const ranked_vm& a, const ranked_vm& b) {
+        return std::tie(a.rank, a.hash, a.ip) < std::tie(b.rank, b.hash, b.ip);
+    });
+    prefer_another_data_center(ranked);
     std::vector<std::string> first;
-    for (const auto& [rank, hash, ip] : ranked) {
+    for (const auto& vm : ranked) {
         if (first.size() < delegate_count) {
-            first.push_back(ip);
+            first.push_back(vm.ip);
         }
     }
     return first;
@@ -175,6 +203,15 @@
     return region_ips(now).size() == 1;
 }
 
+bool roster::has_nearer_delegate(const member& who, const std::vector<std::string>& delegates) const
+{
+    return who.data_center != mark_of(m_self.data_center) &&
+           std::any_of(delegates.begin(), delegates.end(), [&](const std::string& ip) {
+               const auto* delegate = find(ip);
+               return delegate != nullptr && delegate->data_center == who.data_center;
+           });
+}
+
 void roster::add_near(std::vector<due_heartbeat>& due, base::time_point now)
 {
     const auto delegates = delegates_of(m_self.region, now);
@@ -185,6 +222,10 @@
     const auto count = static_cast<std::int64_t>(region_ips(now).size());
     const auto digest_interval =
         std::clamp(digest_interval_per_vm * count, near_interval, far_interval);
+    const auto interval_to = [&](const std::string& ip, const member& who) {
+        return !is_one(ip) && has_nearer_delegate(who, delegates) ? crossing_digest_interval
+                                                                  : digest_interval;
+    };
     for (const auto& [ip, who] : m_members) {
         if (who.region != m_self.region) {
             continue;
@@ -194,7 +235,7 @@
                 due.push_back({ip, digest_scope::all_regions, false});
             }
         }
-        else if (self_is_one && is_due(ip, digest_interval, now)) {
+        else if (self_is_one && is_due(ip, interval_to(ip, who), now)) {
             due.push_back({ip, digest_scope::all_regions, false});
         }
         else if (!self_is_one && is_one(ip) && is_due(ip, near_interval, now)) {
@@ -305,12 +346,12 @@
 std::vector<digest_member> roster::region_members(member_state own_state,
                                                   base::time_point now) const
 {
-    std::vector<digest_member> told{
-        {m_self.ip, m_self.run, m_self.capacity, own_state, base::milliseconds{0}}};
+    std::vector<digest_member> told{{m_self.ip, m_self.run, m_self.capacity, own_state,
+                                     base::milliseconds{0}, mark_of(m_self.data_center)}};
     for (const auto& [ip, who] : m_members) {
         if (who.region == m_self.region && is_heard(who, now)) {
             const auto age = std::chrono::duration_cast<base::milliseconds>(now - who.heard_at);
-            told.push_back({ip, who.run, who.capacity, who.state, age});
+            told.push_back({ip, who.run, who.capacity, who.state, age, who.data_center});
         }
     }
     return told;
--- a/src/chicorylink/fleet/roster_test.cpp
+++ b/src/chicorylink/fleet/roster_test.cpp
@@ -21,12 +21,12 @@
 const std::set<region_name> all_regions{region_name{"east"}, region_name{"west"}};
 
 member_identity identity(const std::string& ip, const std::string& region, std::uint64_t run,
-                         std::uint16_t capacity = 25)
+                         std::uint16_t capacity = 25, const std::string& data_center = "-a")
 {
     return {vm_name{ip},
             ip,
             region_name{region},
-            data_center_name{region + "-a"},
+            data_center_name{region + data_center},
             base::incarnation{run},
             vm_capacity{capacity}};
 }
@@ -35,6 +35,7 @@
 {
     heartbeat message;
     message.from = from;
+    message.data_center = mark_of(from.data_center);
     message.sequence = sequence;
     message.state = state;
     return message;
@@ -44,9 +45,9 @@
 class small_fleet {
 public:
     void add(const std::string& ip, const std::string& region, std::vector<std::string> seeds,
-             std::uint16_t capacity = 25)
+             std::uint16_t capacity = 25, const std::string& data_center = "-a")
     {
-        m_vms[ip] = {std::make_unique<roster>(identity(ip, region, ++m_runs, capacity),
+        m_vms[ip] = {std::make_unique<roster>(identity(ip, region, ++m_runs, capacity, data_center),
                                               std::move(seeds), all_regions),
                      0};
     }
@@ -67,6 +68,8 @@
 
     [[nodiscard]] const roster& of(const std::string& ip) const { return *m_vms.at(ip).members; }
     [[nodiscard]] std::size_t sent() const { return m_sent; }
+    /// Digests from one data center of a region to another.
+    [[nodiscard]] std::size_t digests_crossed() const { return m_digests_crossed; }
 
     [[nodiscard]] std::size_t ready_seen_by(const std::string& ip) const
     {
@@ -99,6 +102,10 @@
             message.digests.push_back(digest);
         }
         auto& receiver = *to->second.members;
+        const auto& self = sender.members->self();
+        const bool crosses = self.region == receiver.self().region &&
+                             self.data_center != receiver.self().data_center;
+        m_digests_crossed += crosses && due.scope != digest_scope::none ? 1 : 0;
         (void)receiver.on_heartbeat(message, m_now);
         if (due.scope == digest_scope::all_regions) {
             for (auto& digest : m_news[from].recent(m_now)) {
@@ -121,6 +128,7 @@
     base::time_point m_now = at(seconds{1});
     std::uint64_t m_runs = 0;
     std::size_t m_sent = 0;
+    std::size_t m_digests_crossed = 0;
 };
 
 std::string ip_of(int number)
@@ -199,6 +207,65 @@
     }
 }
 
+small_fleet two_data_centers(int vms)
+{
+    small_fleet fleet;
+    for (int number = 1; number <= vms; ++number) {
+        fleet.add(ip_of(number), "east", {ip_of(1), ip_of(2)}, 25, number % 2 == 0 ? "-a" : "-b");
+    }
+    return fleet;
+}
+
+// Grown deployment: two thirds of the bytes between data centers were digests, since both delegates
+// of a region told all of its VMs; on a quiet day they cost more than all that callers sent.
+TEST(roster, digests_cross_between_data_centers_rarely)
+{
+    constexpr int vms = 28;
+    auto fleet = two_data_centers(vms);
+    fleet.run(seconds{5});
+    const auto before = fleet.digests_crossed();
+    constexpr seconds observed{10};
+    fleet.run(observed);
+    // Each VM hears the delegate of the other data center once a second, the two delegates each
+    // other at each interval.
+    const auto intervals = static_cast<std::size_t>(observed / roster::far_interval);
+    EXPECT_LE(fleet.digests_crossed() - before, vms * 10U + 3 * intervals);
+    for (int number = 1; number <= vms; ++number) {
+        EXPECT_EQ(fleet.ready_seen_by(ip_of(number)), vms - 1U) << number;
+    }
+}
+
+TEST(roster, each_data_center_has_a_delegate_when_its_vms_are_equal)
+{
+    auto fleet = two_data_centers(12);
+    fleet.run(seconds{3});
+    const auto delegates = fleet.of(ip_of(1)).delegates_of(region_name{"east"}, at(seconds{4}));
+    ASSERT_EQ(delegates.size(), 2U);
+    EXPECT_NE(fleet.of(delegates[0]).self().data_center, fleet.of(delegates[1]).self().data_center);
+    for (int number = 1; number <= 12; ++number) {
+        EXPECT_EQ(fleet.of(ip_of(number)).delegates_of(region_name{"east"}, at(seconds{4})),
+                  delegates);
+    }
+}
+
+TEST(roster, a_data_center_whose_delegate_ends_hears_of_all_others_meanwhile)
+{
+    constexpr int vms = 12;
+    auto fleet = two_data_centers(vms);
+    fleet.run(seconds{3});
+    const auto delegates = fleet.of(ip_of(1)).delegates_of(region_name{"east"}, at(seconds{4}));
+    fleet.stop(delegates[0]);
+    for (milliseconds passed{0}; passed < seconds{6}; passed += milliseconds{100}) {
+        fleet.run(milliseconds{100});
+        for (int number = 1; number <= vms; ++number) {
+            if (ip_of(number) != delegates[0]) {
+                ASSERT_GE(fleet.ready_seen_by(ip_of(number)), vms - 2U)
+                    << number << " after " << passed.count() << " ms";
+            }
+        }
+    }
+}
+
 TEST(roster, traffic_grows_with_the_vms_and_not_with_their_pairs)
 {
     const auto sent_by = [](int vms) {
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -150,6 +150,7 @@
 {
     fleet::heartbeat message;
     message.from = m_core.settings.self;
+    message.data_center = fleet::mark_of(m_core.settings.self.data_center);
     message.state = state_of(m_core, now);
     message.sequence = ++m_sequence;
     message.sent_ms = to_ms(now);
