fleet: the time to come back is decided in one place and never before the known wait

Cause: front clamped what a refused caller was told to two seconds, so that callers of a team beyond its quota, or before a longer queue, were sent back into the next refusal. Change: fleet::return_time; the wait that is known is the earliest time told, up to a minute, and callers refused together are spread behind it as before, over two seconds at most. Test: return_time_test names the team beyond its quota and the peak that is refused at once.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
+#include "chicorylink/fleet/return_time.hpp"
 #include "chicorylink/fleet/roster.hpp"
 #include "chicorylink/front/asked_request.hpp"
 #include "chicorylink/front/placement_link.hpp"
@@ -141,12 +142,11 @@
 
     [[nodiscard]] bool is_stream() const;
     [[nodiscard]] base::milliseconds time_left(base::time_point now) const;
-    /// @brief When to come back after an expected wait; spread over the callers.
-    [[nodiscard]] base::milliseconds retry_after(base::milliseconds wait) const;
-    /// @brief The same for a wait that the targets themselves asked for.
-    [[nodiscard]] base::milliseconds retry_after_asked(base::milliseconds wait) const;
+    /// @brief When the caller is told to come back after a wait.
+    [[nodiscard]] base::milliseconds return_after(base::milliseconds wait,
+                                                  fleet::return_spread spread) const;
     /// @brief When to come back to this region's targets or to those of a VM that refused.
-    [[nodiscard]] base::milliseconds retry_after_rejected(base::time_point now) const;
+    [[nodiscard]] base::milliseconds return_after_rejection(base::time_point now) const;
     void log_attempt(std::string_view result, std::string_view detail, base::time_point now) const;
 
     front_core& m_core;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -5,7 +5,6 @@
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
-#include "chicorylink/front/retry_times.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
@@ -21,10 +20,8 @@
 using fleet::next_step;
 using fleet::target_outcome;
 
-/// Refused callers return within this time after the one that they were told at the earliest.
-constexpr base::milliseconds return_spread{500};
-
-constexpr std::int64_t percent = 100;
+/// Until the route of a request is known: longer than anything before that takes.
+constexpr base::milliseconds first_deadline{2000};
 
 } // namespace
 
@@ -50,35 +47,27 @@
     return std::chrono::duration_cast<base::milliseconds>(m_deadline - now);
 }
 
-base::milliseconds exchange::retry_after(base::milliseconds wait) const
-{
-    // Spread by the request's id, so that those refused together do not return together.
-    const auto base_wait = std::clamp(wait, shortest_retry_after, longest_retry_after);
-    const auto spread = static_cast<std::int64_t>(base::hash_name(m_asked.id) % percent);
-    return base_wait + base_wait * spread / percent;
-}
-
-base::milliseconds exchange::retry_after_asked(base::milliseconds wait) const
+base::milliseconds exchange::return_after(base::milliseconds wait,
+                                          fleet::return_spread spread) const
 {
-    const auto base_wait = std::clamp(wait, shortest_retry_after, longest_told_wait);
-    const auto spread = static_cast<std::int64_t>(base::hash_name(m_asked.id) % percent);
-    return base_wait + std::min(base_wait, return_spread) * spread / percent;
+    return fleet::return_time(wait, spread, base::hash_name(m_asked.id));
 }
 
-base::milliseconds exchange::retry_after_rejected(base::time_point now) const
+base::milliseconds exchange::return_after_rejection(base::time_point now) const
 {
     auto wait = m_core.pool.shortest_wait(m_resolved.service->name, now);
     if (m_peer_wait) {
         wait = std::min(wait.value_or(*m_peer_wait), *m_peer_wait);
     }
-    return wait ? retry_after_asked(*wait) : retry_after(shortest_retry_after);
+    return wait ? return_after(*wait, fleet::return_spread::asked)
+                : return_after(fleet::shortest_return, fleet::return_spread::queue);
 }
 
 void exchange::begin(base::time_point now)
 {
-    m_deadline = now + longest_retry_after;
+    m_deadline = now + first_deadline;
     if (!takes_new_requests(m_core, now)) {
-        refuse({unavailable_status, "leaving", shortest_retry_after}, now);
+        refuse({unavailable_status, "leaving", fleet::shortest_return}, now);
         return;
     }
     if (const auto refused = check(now)) {
@@ -168,7 +157,7 @@
         pass_held_answer(now);
         return;
     case next_step::refuse:
-        refuse({unavailable_status, "targets_rejected", retry_after_rejected(now)}, now);
+        refuse({unavailable_status, "targets_rejected", return_after_rejection(now)}, now);
         return;
     case next_step::fail:
         refuse({bad_gateway_status, detail, std::nullopt}, now);
@@ -296,7 +285,7 @@
         m_history.runs += call->may_have_arrived() ? 1 : 0;
         call->cancel();
     }
-    refuse({unavailable_status, "stopping", shortest_retry_after}, now);
+    refuse({unavailable_status, "stopping", fleet::shortest_return}, now);
 }
 
 void exchange::log_attempt(std::string_view result, std::string_view detail,
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -3,7 +3,6 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/request_bytes.hpp"
-#include "chicorylink/front/retry_times.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
@@ -33,7 +32,7 @@
     }
     m_resolved = std::get<resolved_request>(found);
     if (m_resolved.team != nullptr && !keys_are_fresh(m_core, now)) {
-        return refusal{unavailable_status, "configuration_not_confirmed", not_ready_retry_after};
+        return refusal{unavailable_status, "configuration_not_confirmed", fleet::not_ready_return};
     }
     return std::nullopt;
 }
@@ -44,8 +43,9 @@
         m_core.quota.has_room(*m_resolved.team, now)) {
         return std::nullopt;
     }
-    return refusal{too_many_requests_status, "quota",
-                   retry_after(m_core.quota.room_in(*m_resolved.team, now))};
+    return refusal{
+        too_many_requests_status, "quota",
+        return_after(m_core.quota.room_in(*m_resolved.team, now), fleet::return_spread::queue)};
 }
 
 fleet::region_request exchange::needs(base::time_point now) const
@@ -262,11 +262,14 @@
     }
     if (const auto asked =
             any ? std::nullopt : m_core.pool.shortest_wait(m_resolved.service->name, now)) {
-        refuse({unavailable_status, "targets_push_back", retry_after_asked(*asked)}, now);
+        refuse({unavailable_status, "targets_push_back",
+                return_after(*asked, fleet::return_spread::asked)},
+               now);
         return;
     }
     refuse({unavailable_status, any ? "too_much_waiting" : "no_target",
-            retry_after(any ? where.wait - longest_wait(needs(now)) : not_ready_retry_after)},
+            return_after(any ? where.wait - longest_wait(needs(now)) : fleet::not_ready_return,
+                         fleet::return_spread::queue)},
            now);
 }
 
