scripts: lint remembers the files that it passed

Cause: the linter takes longer than build and tests together, although most files are as before. Change: lint_files.py keeps one mark for each state of a file that clang-tidy passed: version, checks, flags and the whole preprocessed text with its comments. Findings are never kept. A file without a compile command is a failure now; the linter guessed its flags before.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,6 +8,4 @@
 scripts/format.sh --check
 scripts/check_platform_names.sh
 git ls-files --cached --others --exclude-standard '*.cpp' | grep -v '^fuzz/' | grep -E "$pattern" |
-  xargs -r -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/tmp/chicorylink_lint.$$ ||
-  { cat /tmp/chicorylink_lint.$$ >&2; rm -f /tmp/chicorylink_lint.$$; exit 1; }
-rm -f /tmp/chicorylink_lint.$$
+  xargs -r scripts/lint_files.py "$build"
