--- a/src/chicorylink/fleet/engine_pace.cpp
+++ b/src/chicorylink/fleet/engine_pace.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <iterator>
-#include <span>
 #include <utility>
 
 namespace chicorylink::fleet {
@@ -12,7 +11,7 @@
 /// The lengths must differ by so much for a slope: several times what a token step hides.
 constexpr double least_spread_tokens = 500;
 
-/// The part of the requests that tells the pace; the others were held up by something else.
+/// The part of the requests that may seem slower, or faster, than their engine is.
 constexpr double faster_part = 0.25;
 
 double quantile(std::vector<double> values, double part)
@@ -55,18 +54,18 @@
     if (count < fewest) {
         return;
     }
+    const auto middle = static_cast<std::ptrdiff_t>(count);
     std::vector<double> short_times;
-    for (const auto& each : std::span{sorted}.first(count)) {
-        short_times.push_back(each.took_ms);
-    }
+    std::for_each(sorted.begin(), sorted.begin() + middle,
+                  [&](const sample& each) { short_times.push_back(each.took_ms); });
     const double short_tokens = sorted[count / 2].tokens;
-    const double short_ms = quantile(std::move(short_times), faster_part);
+    const double short_ms = quantile(short_times, faster_part);
     std::vector<double> speeds;
-    for (const auto& each : std::span{sorted}.last(count)) {
+    std::for_each(sorted.end() - middle, sorted.end(), [&](const sample& each) {
         if (each.tokens - short_tokens >= least_spread_tokens && each.took_ms > short_ms) {
             speeds.push_back((each.tokens - short_tokens) / (each.took_ms - short_ms));
         }
-    }
+    });
     if (speeds.size() < fewest) {
         return;
     }
