--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -114,23 +114,17 @@
   uint64_t service_;
   uint32_t usable_targets_;
   uint32_t wait_ms_;
-  uint32_t tokens_per_s_;
-  uint32_t first_token_ms_;
 
  public:
   ServiceOutlook()
       : service_(0),
         usable_targets_(0),
-        wait_ms_(0),
-        tokens_per_s_(0),
-        first_token_ms_(0) {
+        wait_ms_(0) {
   }
-  ServiceOutlook(uint64_t _service, uint32_t _usable_targets, uint32_t _wait_ms, uint32_t _tokens_per_s, uint32_t _first_token_ms)
+  ServiceOutlook(uint64_t _service, uint32_t _usable_targets, uint32_t _wait_ms)
       : service_(flatbuffers::EndianScalar(_service)),
         usable_targets_(flatbuffers::EndianScalar(_usable_targets)),
-        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
-        tokens_per_s_(flatbuffers::EndianScalar(_tokens_per_s)),
-        first_token_ms_(flatbuffers::EndianScalar(_first_token_ms)) {
+        wait_ms_(flatbuffers::EndianScalar(_wait_ms)) {
   }
   uint64_t service() const {
     return flatbuffers::EndianScalar(service_);
@@ -141,14 +135,8 @@
   uint32_t wait_ms() const {
     return flatbuffers::EndianScalar(wait_ms_);
   }
-  uint32_t tokens_per_s() const {
-    return flatbuffers::EndianScalar(tokens_per_s_);
-  }
-  uint32_t first_token_ms() const {
-    return flatbuffers::EndianScalar(first_token_ms_);
-  }
 };
-FLATBUFFERS_STRUCT_END(ServiceOutlook, 24);
+FLATBUFFERS_STRUCT_END(ServiceOutlook, 16);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) DigestMember FLATBUFFERS_FINAL_CLASS {
  private:
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -15,6 +15,12 @@
 
 namespace chicorylink::fleet {
 
+/// @brief Prompt tokens that an engine reads in a millisecond, before any was measured.
+inline constexpr double default_prompt_speed = 60.0;
+
+/// @brief Milliseconds from the end of a prompt to its first token with an idle batch.
+inline constexpr double first_token_ms = 36.0;
+
 /// @brief How much more than its reading time a shared part costs that is read a second time: the
 /// memory that its copy takes evicts other parts, which are then read again too.
 inline constexpr double reread_factor = 3.0;
--- a/include/chicorylink/fleet/placement_desk.hpp
+++ b/include/chicorylink/fleet/placement_desk.hpp
@@ -50,8 +50,6 @@
         base::time_point made_at{};
         /// When its prompt should be read.
         base::time_point due_at{};
-        /// Prompt tokens that stood before it, its own included.
-        std::uint64_t tokens_to_read = 0;
     };
     using reservation_map = std::map<std::pair<std::string, std::uint64_t>, reservation>;
 
--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -21,8 +21,6 @@
     base::milliseconds wait{0};
     base::milliseconds round_trip{0};
     std::uint32_t usable_targets = 0;
-    /// Of its engines.
-    engine_pace pace;
 };
 
 /// @brief What a request needs, for the choice of a region.
@@ -43,8 +41,6 @@
     std::uint32_t own_targets = 0;
     /// Whether another region refused it or failed: it is not sent away for its parts' sake again.
     bool was_sent_away = false;
-    /// Of this region's engines.
-    engine_pace pace;
 };
 
 enum class place_kind { here, elsewhere, nowhere };
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -3,12 +3,10 @@
 
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
-#include "chicorylink/fleet/engine_pace.hpp"
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,8 +60,6 @@
     std::uint64_t service = 0;
     std::uint32_t usable_targets = 0;
     base::milliseconds wait{0};
-    /// None while it was not measured there, and at plain services.
-    std::optional<engine_pace> pace;
 };
 
 /// @brief A VM as a digest tells of it.
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -3,7 +3,6 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/configuration.hpp"
-#include "chicorylink/fleet/engine_pace.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
@@ -35,20 +34,7 @@
                      std::uint8_t urgency, base::time_point now);
 
     /// @brief A reserved request began.
-    /// @param tokens Those that its engine had to read before, its own included.
-    /// @param took Since it was sent; zero when that was not told.
-    void on_reserved_begun(const target_name& name, std::uint64_t tokens, base::milliseconds took,
-                           base::time_point now);
-
-    /// @brief The pace of a service's engines: as measured here, as a delegate told it, or the
-    /// default.
-    [[nodiscard]] engine_pace pace_of(const service_name& service) const;
-
-    /// @brief The same as measured here.
-    [[nodiscard]] std::optional<engine_pace> measured_pace(const service_name& service) const;
-
-    /// @brief A delegate of the region told what its desk measured.
-    void on_told_pace(std::uint64_t service, const engine_pace& pace);
+    void on_reserved_begun(const target_name& name, base::time_point now);
 
     /// @brief The prompt of a reserved request needs to be read no more.
     void on_reserved_read(const target_name& name, std::uint32_t unread, std::uint8_t urgency);
@@ -130,9 +116,6 @@
     void keep_restraints(const std::map<target_name, tracked_target>& next, base::time_point now);
 
     std::map<target_name, tracked_target> m_targets;
-    /// By the hash of the service's name.
-    std::map<std::uint64_t, pace_meter> m_pace_meters;
-    std::map<std::uint64_t, engine_pace> m_told_paces;
     std::map<base::target_id, target_name> m_names;
     /// Restraints of runs that have no entry at present; it may come back.
     std::map<base::target_id, target_restraint> m_departed;
--- a/include/chicorylink/front/gossip.hpp
+++ b/include/chicorylink/front/gossip.hpp
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <span>
 #include <string>
 
@@ -47,9 +46,6 @@
     [[nodiscard]] const fleet::region_digest& own_digest(bool with_targets, base::time_point now);
     [[nodiscard]] fleet::region_digest make_digest(bool with_targets, base::time_point now);
 
-    /// @brief Logs what this VM's desk measured of the engines of a service when that has changed.
-    void log_pace(const fleet::service_name& service, const fleet::engine_pace& pace);
-
     struct dated_digest {
         fleet::region_digest digest;
         base::time_point made_at{};
@@ -61,8 +57,6 @@
     std::uint64_t m_sequence = 0;
     dated_digest m_near_digest;
     dated_digest m_far_digest;
-    /// The pace of each service's engines as last logged.
-    std::map<fleet::service_name, fleet::engine_pace> m_logged_paces;
     /// When the region's VMs were last told of this VM's work.
     base::time_point m_told_at{};
 };
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -50,7 +50,7 @@
     void ask(fleet::placement_ask ask, handler on_advice, base::time_point now);
 
     /// @brief The request at a place began to be answered.
-    void note_begun(const reserved_place& place, base::milliseconds took, base::time_point now);
+    void note_begun(const reserved_place& place, base::time_point now);
 
     /// @brief The request left its place.
     void note_ended(const reserved_place& place, std::optional<fleet::target_outcome> outcome,
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -11,8 +11,6 @@
 namespace chicorylink::fleet {
 namespace {
 
-constexpr double ms_per_second = 1000;
-
 std::string text_of(const flatbuffers::String* value)
 {
     return value == nullptr ? std::string{} : value->str();
@@ -81,17 +79,8 @@
     }
     if (from.outlook() != nullptr) {
         for (const auto* entry : *from.outlook()) {
-            service_outlook outlook{entry->service(),
-                                    entry->usable_targets(),
-                                    base::milliseconds{entry->wait_ms()},
-                                    {}};
-            if (entry->tokens_per_s() > 0) {
-                outlook.pace = engine_pace{
-                    std::clamp(entry->tokens_per_s() / ms_per_second, least_tokens_per_ms,
-                               most_tokens_per_ms),
-                    std::min(static_cast<double>(entry->first_token_ms()), most_first_token_ms)};
-            }
-            digest.outlook.push_back(outlook);
+            digest.outlook.push_back(
+                {entry->service(), entry->usable_targets(), base::milliseconds{entry->wait_ms()}});
         }
     }
     digest.notices = read_notices(from.notices());
@@ -133,10 +122,7 @@
     }
     std::vector<codec::ServiceOutlook> outlook;
     for (const auto& entry : digest.outlook) {
-        outlook.emplace_back(
-            entry.service, entry.usable_targets, count_of(entry.wait),
-            entry.pace ? static_cast<std::uint32_t>(entry.pace->tokens_per_ms * ms_per_second) : 0U,
-            entry.pace ? static_cast<std::uint32_t>(entry.pace->first_token_ms) : 0U);
+        outlook.emplace_back(entry.service, entry.usable_targets, count_of(entry.wait));
     }
     const auto region = to.CreateString(digest.region.text());
     const auto member_list = to.CreateVectorOfStructs(members);
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -54,7 +54,7 @@
     return work;
 }
 
-double wait_ms(const tracked_target& target, const work_before& work, const engine_pace& pace)
+double wait_ms(const tracked_target& target, const work_before& work)
 {
     const auto running = static_cast<double>(work.in_flight);
     const auto slots = static_cast<double>(std::max(target.entry.slots, 1U));
@@ -62,7 +62,7 @@
     if (target.is_engine) {
         // A target that is late is slower than expected, or gone: it may stay so for as long again.
         return static_cast<double>(work.overdue.count()) +
-               pace.reading_ms(static_cast<double>(work.unread_tokens)) +
+               static_cast<double>(work.unread_tokens) / default_prompt_speed +
                running * step_ms_per_request + over * engine_slot_wait_ms;
     }
     const double each = target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
@@ -163,21 +163,20 @@
 }
 
 placement_choice rate(const candidate& which, const placement_request& request, bool may_hold,
-                      const engine_pace& pace, base::time_point now)
+                      base::time_point now)
 {
     const auto& target = *which.target;
     placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0, false};
-    const double wait = wait_ms(target,
-                                request.by_desk ? reserved_work(target, request.urgency, now)
-                                                : told_work(target, now),
-                                pace);
+    const double wait =
+        wait_ms(target, request.by_desk ? reserved_work(target, request.urgency, now)
+                                        : told_work(target, now));
     double start = wait;
     if (request.asked != nullptr && target.is_engine) {
         choice.unread_tokens = unread_tokens(target, *request.asked, may_hold, now);
-        start += pace.first_token_ms + pace.reading_ms(choice.unread_tokens);
+        start += first_token_ms + static_cast<double>(choice.unread_tokens) / default_prompt_speed;
         const auto reread = reread_tokens(request.asked->prompt_tokens,
                                           shared_tokens(*request.asked), choice.unread_tokens);
-        choice.cost += reread_factor * pace.reading_ms(reread);
+        choice.cost += reread_factor * static_cast<double>(reread) / default_prompt_speed;
     }
     else {
         start += target.answer_ms > 0 ? target.answer_ms : default_answer_ms;
@@ -203,13 +202,12 @@
 
 std::optional<placement_choice> best_of(const std::vector<candidate>& candidates,
                                         const placement_request& request,
-                                        const tracked_target* home, const engine_pace& pace,
-                                        base::time_point now)
+                                        const tracked_target* home, base::time_point now)
 {
     std::optional<placement_choice> best;
     std::uint64_t best_weight = 0;
     for (const auto& which : candidates) {
-        auto choice = rate(which, request, which.target == home, pace, now);
+        auto choice = rate(which, request, which.target == home, now);
         const bool better = !best || choice.cost < best->cost ||
                             (choice.cost == best->cost && which.weight > best_weight);
         if (better) {
@@ -226,7 +224,6 @@
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now)
 {
     const auto candidates = candidates_for(pool, request);
-    const auto pace = pool.pace_of(request.service);
     const tracked_target* home = nullptr;
     if (!request.by_desk || request.asked == nullptr || !is_held(candidates, *request.asked, now)) {
         home = home_of(candidates, now);
@@ -243,13 +240,13 @@
                (!is_on_probation(target.health) || is_idle(target));
     });
     keep_first(sound, request.sharers);
-    if (auto choice = best_of(sound, request, home, pace, now)) {
+    if (auto choice = best_of(sound, request, home, now)) {
         return choice;
     }
-    if (auto choice = best_of(untried, request, home, pace, now)) {
+    if (auto choice = best_of(untried, request, home, now)) {
         return choice;
     }
-    auto choice = best_of(usable, request, home, pace, now);
+    auto choice = best_of(usable, request, home, now);
     if (choice) {
         choice->is_repeat = true;
     }
@@ -280,15 +277,11 @@
 {
     service_outlook outlook;
     outlook.service = base::hash_name(service.text());
-    const auto pace = pool.pace_of(service);
-    outlook.pace = by_desk ? pool.measured_pace(service) : std::nullopt;
     std::vector<double> waits;
     for (const auto& [name, target] : pool.targets()) {
         if (is_usable(target, service, now)) {
-            waits.push_back(wait_ms(target,
-                                    by_desk ? reserved_work(target, usual_urgency, now)
-                                            : told_work(target, now),
-                                    pace));
+            waits.push_back(wait_ms(target, by_desk ? reserved_work(target, usual_urgency, now)
+                                                    : told_work(target, now)));
         }
     }
     outlook.usable_targets = static_cast<std::uint32_t>(waits.size());
--- a/src/chicorylink/fleet/placement_desk.cpp
+++ b/src/chicorylink/fleet/placement_desk.cpp
@@ -59,12 +59,10 @@
     answer.is_reserved = choice->wait <= ask.longest_wait && choice->start <= ask.longest_start &&
                          reread <= ask.most_reread_tokens;
     if (answer.is_reserved) {
-        const auto tokens =
-            reserved_tokens_before(*pool.find(choice->target), urgency) + choice->unread_tokens;
         pool.on_reserved(choice->target, request.asked, choice->unread_tokens, urgency, now);
         m_reservations.insert_or_assign({asker, ask.number},
                                         reservation{choice->target, choice->unread_tokens, false,
-                                                    urgency, now, now + choice->start, tokens});
+                                                    urgency, now, now + choice->start});
     }
     return answer;
 }
@@ -78,8 +76,7 @@
     }
     auto& place = found->second;
     if (note.event == placement_event::begun) {
-        pool.on_reserved_begun(place.target, place.tokens_to_read,
-                               place.is_read ? base::milliseconds{0} : note.took, now);
+        pool.on_reserved_begun(place.target, now);
         note_read(pool, place);
         return;
     }
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -57,6 +57,11 @@
     return best == others.end() ? nullptr : &*best;
 }
 
+double reading_ms(double tokens)
+{
+    return tokens / default_prompt_speed;
+}
+
 /// The tokens of a prompt that count against another region; those that are read again there weigh
 /// more.
 double tokens_at(bool may_hold, const region_request& request)
@@ -71,7 +76,7 @@
 base::milliseconds start_at(const remote_region& where, bool may_hold,
                             const region_request& request)
 {
-    const double reading = where.pace.reading_ms(tokens_at(may_hold, request));
+    const double reading = reading_ms(tokens_at(may_hold, request));
     return where.wait + where.round_trip + base::milliseconds{static_cast<std::int64_t>(reading)};
 }
 
@@ -107,25 +112,13 @@
         return false;
     }
     const auto saved = base::milliseconds{
-        static_cast<std::int64_t>(request.pace.reading_ms(reread_factor * request.shared_tokens))};
+        static_cast<std::int64_t>(reading_ms(reread_factor * request.shared_tokens))};
     return saved > holder->round_trip + leave_margin &&
            holder->wait + holder->round_trip <= wait_limit &&
            start_at(*holder, true, request) <=
                part_of(request.latency_objective, stay_part_of_objective);
 }
 
-/// From the end of the wait to the first token when only the request's own part of the prompt has
-/// to be read, which it has anywhere.
-base::milliseconds own_start(const region_request& request)
-{
-    if (!request.is_engine) {
-        return base::milliseconds{0};
-    }
-    const auto own = request.prompt_tokens - std::min(request.prompt_tokens, request.shared_tokens);
-    return base::milliseconds{
-        static_cast<std::int64_t>(request.pace.first_token_ms + request.pace.reading_ms(own))};
-}
-
 place place_in(const remote_start& there, const region_request& request)
 {
     const auto held = there.may_hold ? request.shared_tokens : 0;
@@ -142,7 +135,12 @@
 base::milliseconds longest_wait(const region_request& request)
 {
     const double part = request.is_return ? start_part_of_return : start_part_of_objective;
-    const auto wait = std::max(part_of(request.latency_objective, part) - own_start(request),
+    const double own_ms =
+        request.is_engine
+            ? first_token_ms + static_cast<double>(request.prompt_tokens) / default_prompt_speed
+            : 0;
+    const auto own = base::milliseconds{static_cast<std::int64_t>(own_ms)};
+    const auto wait = std::max(part_of(request.latency_objective, part) - own,
                                part_of(request.latency_objective, least_wait_part));
     return std::min(wait, request.time_left);
 }
@@ -152,8 +150,7 @@
     stay_limits limits{longest_wait(request), base::milliseconds::max()};
     const auto best = first_to_start(others, request);
     if (best.where != nullptr && best.where->wait + best.where->round_trip <= limits.wait) {
-        limits.start = std::max(part_of(request.latency_objective, stay_part_of_objective) +
-                                    own_start(request),
+        limits.start = std::max(part_of(request.latency_objective, stay_part_of_objective),
                                 best.start + leave_margin);
     }
     if (belongs_elsewhere(others, request, limits.wait)) {
@@ -254,15 +251,13 @@
             if (told.service != wanted || told.usable_targets == 0) {
                 continue;
             }
-            const auto pace = told.pace.value_or(engine_pace{});
-            const auto own = pace.reading_ms(static_cast<double>(
-                                 sends.recent_tokens(digest.region, service, now))) /
-                             told.usable_targets;
+            const auto own = static_cast<double>(sends.recent_tokens(digest.region, service, now)) /
+                             (default_prompt_speed * told.usable_targets);
             const auto round_trip =
                 digest.round_trip.count() > 0 ? digest.round_trip : unknown_round_trip;
             regions.push_back({digest.region,
                                told.wait + base::milliseconds{static_cast<std::int64_t>(own)},
-                               round_trip, told.usable_targets, pace});
+                               round_trip, told.usable_targets});
         }
     }
     return regions;
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -1,7 +1,5 @@
 #include "chicorylink/fleet/target_pool.hpp"
 
-#include "chicorylink/base/ids.hpp"
-
 #include <algorithm>
 #include <utility>
 
@@ -147,38 +145,11 @@
     }
 }
 
-void target_pool::on_reserved_begun(const target_name& name, std::uint64_t tokens,
-                                    base::milliseconds took, base::time_point now)
+void target_pool::on_reserved_begun(const target_name& name, base::time_point now)
 {
     if (auto* target = find_mutable(name)) {
         target->reserved.begun_at = now;
-        if (target->is_engine && took.count() > 0) {
-            m_pace_meters[base::hash_name(target->entry.service.text())].note_begun(tokens, took,
-                                                                                    now);
-        }
-    }
-}
-
-engine_pace target_pool::pace_of(const service_name& service) const
-{
-    if (const auto measured = measured_pace(service)) {
-        return *measured;
     }
-    const auto told = m_told_paces.find(base::hash_name(service.text()));
-    return told == m_told_paces.end() ? engine_pace{} : told->second;
-}
-
-std::optional<engine_pace> target_pool::measured_pace(const service_name& service) const
-{
-    const auto meter = m_pace_meters.find(base::hash_name(service.text()));
-    return meter == m_pace_meters.end() ? std::nullopt : meter->second.measured();
-}
-
-void target_pool::on_told_pace(std::uint64_t service, const engine_pace& pace)
-{
-    m_told_paces[service] = pace;
-    // The desk is another VM now.
-    m_pace_meters.erase(service);
 }
 
 void target_pool::on_reserved_read(const target_name& name, std::uint32_t unread,
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -196,9 +196,7 @@
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
         m_attempt->unread_tokens = 0;
         if (m_attempt->place) {
-            const auto took =
-                std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
-            m_core.placements->note_begun(*m_attempt->place, took, now);
+            m_core.placements->note_begun(*m_attempt->place, now);
         }
         begin_answer(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -59,8 +59,7 @@
             m_is_return,
             m_core.settings.self.region,
             fleet::usable_targets(m_core.pool, m_resolved.service->name, now),
-            !m_tried_peers.empty(),
-            m_core.pool.pace_of(m_resolved.service->name)};
+            !m_tried_peers.empty()};
 }
 
 bool exchange::may_use(const fleet::tracked_target& target,
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -6,7 +6,6 @@
 #include "chicorylink/front/front_core.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include <boost/asio/ip/address.hpp>
@@ -17,11 +16,6 @@
 
 using udp = boost::asio::ip::udp;
 
-/// A measured pace is logged when it has changed by more than this part.
-constexpr double logged_change = 0.2;
-
-constexpr double ms_per_second = 1000;
-
 std::uint64_t to_ms(base::time_point at)
 {
     return static_cast<std::uint64_t>(
@@ -114,11 +108,6 @@
     if (digest.region == m_core.settings.self.region) {
         if (sender == digest.region) {
             m_core.pool.on_region_use(digest.targets, now);
-            for (const auto& outlook : digest.outlook) {
-                if (outlook.pace) {
-                    m_core.pool.on_told_pace(outlook.service, *outlook.pace);
-                }
-            }
             for (const auto& notice : digest.notices) {
                 take_target_notice(m_core, notice, sender.text(), false, now);
             }
@@ -152,29 +141,11 @@
         const bool by_desk = m_core.placements->is_desk(now);
         for (const auto& service : m_core.state.config()->services()) {
             digest.outlook.push_back(fleet::outlook_of(m_core.pool, service.name, by_desk, now));
-            if (const auto& pace = digest.outlook.back().pace) {
-                log_pace(service.name, *pace);
-            }
         }
     }
     return digest;
 }
 
-void gossip::log_pace(const fleet::service_name& service, const fleet::engine_pace& pace)
-{
-    auto& logged = m_logged_paces[service];
-    const auto change = std::abs(pace.tokens_per_ms - logged.tokens_per_ms);
-    if (change <= logged_change * logged.tokens_per_ms) {
-        return;
-    }
-    write_log(m_core, log_event(m_core, "engine_pace")
-                          .add("service", service.text())
-                          .add("tokens_per_s", std::lround(pace.tokens_per_ms * ms_per_second))
-                          .add("before", std::lround(logged.tokens_per_ms * ms_per_second))
-                          .add("first_token_ms", std::lround(pace.first_token_ms)));
-    logged = pace;
-}
-
 fleet::heartbeat gossip::message_to(const fleet::due_heartbeat& due, base::time_point now)
 {
     fleet::heartbeat message;
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -141,10 +141,9 @@
     asked.on_advice({answer, asked.desk_ip, "desk"});
 }
 
-void placement_link::note_begun(const reserved_place& place, base::milliseconds took,
-                                base::time_point now)
+void placement_link::note_begun(const reserved_place& place, base::time_point now)
 {
-    note(place, {place.number, fleet::placement_event::begun, std::nullopt, took}, now);
+    note(place, {place.number, fleet::placement_event::begun, std::nullopt, {}}, now);
 }
 
 void placement_link::note_ended(const reserved_place& place,
