--- a/src/chicorylink/fleet/roster_test.cpp
+++ b/src/chicorylink/fleet/roster_test.cpp
@@ -229,7 +229,7 @@
     // Each VM hears the delegate of the other data center once a second, the two delegates each
     // other at each interval.
     const auto intervals = static_cast<std::size_t>(observed / roster::far_interval);
-    EXPECT_LE(fleet.digests_crossed() - before, vms * 10U + 3 * intervals);
+    EXPECT_LE(fleet.digests_crossed() - before, std::size_t{vms} * 10 + 3 * intervals);
     for (int number = 1; number <= vms; ++number) {
         EXPECT_EQ(fleet.ready_seen_by(ip_of(number)), vms - 1U) << number;
     }
