fleet: nearer delegates are looked up once a round; tests share one maker of asks

Cause: read again, a delegate looked up its fellow delegates and hashed its data center's name for each VM of the region at each tick, and data_centers_test wrote the desk tests' ask anew. Change: the data centers that have a delegate of their own are collected once in add_near; ask_for stands in placement_asks.hpp for both tests. No change of behavior, no assertion touched.

--- a/include/chicorylink/fleet/roster.hpp
+++ b/include/chicorylink/fleet/roster.hpp
@@ -130,8 +130,6 @@
     [[nodiscard]] bool is_due(const std::string& ip, base::milliseconds interval,
                               base::time_point now);
     [[nodiscard]] bool is_alone(base::time_point now) const;
-    [[nodiscard]] bool has_nearer_delegate(const member& who,
-                                           const std::vector<std::string>& delegates) const;
     void add_near(std::vector<due_heartbeat>& due, base::time_point now);
     void add_far(std::vector<due_heartbeat>& due, base::time_point now);
     void add_seeds(std::vector<due_heartbeat>& due, base::time_point now);
--- a/src/chicorylink/fleet/data_centers_test.cpp
+++ b/src/chicorylink/fleet/data_centers_test.cpp
@@ -1,4 +1,4 @@
-#include "chicorylink/fleet/placement.hpp"
+#include "chicorylink/fleet/placement_asks.hpp"
 #include "chicorylink/fleet/placement_codec.hpp"
 #include "chicorylink/fleet/placement_desk.hpp"
 #include "chicorylink/fleet/pool_of_targets.hpp"
@@ -31,16 +31,7 @@
     placement_answer place(std::uint64_t session, std::uint32_t shared, std::uint32_t own,
                            data_center_mark asker)
     {
-        placement_ask ask;
-        ask.number = ++m_last;
-        ask.service = service_name{"engine"};
-        prompt asked;
-        asked.prompt_tokens = shared + own;
-        asked.parts = {{session, shared}, {9'000'000 + m_last, own}};
-        asked.session = session;
-        ask.asked = asked;
-        ask.longest_wait = seconds{5};
-        ask.longest_start = seconds{5};
+        auto ask = test_support::ask_for(++m_last, session, shared, own);
         ask.data_center = asker;
         return m_desk.place(m_targets.pool(), "10.0.0.1", base::incarnation{1}, ask,
                             at(seconds{1}));
--- a/src/chicorylink/fleet/placement_desk_test.cpp
+++ b/src/chicorylink/fleet/placement_desk_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/fleet/placement.hpp"
+#include "chicorylink/fleet/placement_asks.hpp"
 #include "chicorylink/fleet/placement_codec.hpp"
 #include "chicorylink/fleet/placement_desk.hpp"
 #include "chicorylink/fleet/pool_of_targets.hpp"
@@ -15,28 +16,12 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test_support::ask_for;
 using test_support::at;
 using test_support::pool_of_targets;
 
 const base::incarnation first_run{1};
 
-placement_ask ask_for(std::uint64_t number, std::uint64_t session, std::uint32_t shared,
-                      std::uint32_t own)
-{
-    static std::uint64_t unique = 5'000'000;
-    prompt asked;
-    asked.prompt_tokens = shared + own;
-    asked.parts = {{session, shared}, {++unique, own}};
-    asked.session = session;
-    placement_ask ask;
-    ask.number = number;
-    ask.service = service_name{"engine"};
-    ask.asked = asked;
-    ask.longest_wait = seconds{5};
-    ask.longest_start = seconds{5};
-    return ask;
-}
-
 std::string vm(int number)
 {
     return fmt::format("10.0.0.{}", number + 1);
--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -203,15 +203,6 @@
     return region_ips(now).size() == 1;
 }
 
-bool roster::has_nearer_delegate(const member& who, const std::vector<std::string>& delegates) const
-{
-    return who.data_center != mark_of(m_self.data_center) &&
-           std::any_of(delegates.begin(), delegates.end(), [&](const std::string& ip) {
-               const auto* delegate = find(ip);
-               return delegate != nullptr && delegate->data_center == who.data_center;
-           });
-}
-
 void roster::add_near(std::vector<due_heartbeat>& due, base::time_point now)
 {
     const auto delegates = delegates_of(m_self.region, now);
@@ -222,9 +213,18 @@
     const auto count = static_cast<std::int64_t>(region_ips(now).size());
     const auto digest_interval =
         std::clamp(digest_interval_per_vm * count, near_interval, far_interval);
+    // Data centers other than this VM's that have a delegate themselves.
+    std::vector<data_center_mark> told_by_others;
+    for (const auto& ip : delegates) {
+        const auto* delegate = find(ip);
+        if (delegate != nullptr && delegate->data_center != mark_of(m_self.data_center)) {
+            told_by_others.push_back(delegate->data_center);
+        }
+    }
     const auto interval_to = [&](const std::string& ip, const member& who) {
-        return !is_one(ip) && has_nearer_delegate(who, delegates) ? crossing_digest_interval
-                                                                  : digest_interval;
+        const bool has_nearer = std::find(told_by_others.begin(), told_by_others.end(),
+                                          who.data_center) != told_by_others.end();
+        return has_nearer && !is_one(ip) ? crossing_digest_interval : digest_interval;
     };
     for (const auto& [ip, who] : m_members) {
         if (who.region != m_self.region) {
