front: log and count the rate limits that targets state

The field is read now, kept with the target's run and logged on each change (target_limit, target_limit_ended; target_limit_ignored for a value that is no number). target_limit_changes_total and requests_to_limited_targets_total count. No decision uses the limit yet.

--- a/include/chicorylink/base/log_line.hpp
+++ b/include/chicorylink/base/log_line.hpp
@@ -30,6 +30,8 @@
         return add(name, static_cast<std::uint64_t>(value));
     }
     log_line& add(std::string_view name, bool value);
+    /// @brief Adds a finite number.
+    log_line& add(std::string_view name, double value);
 
     /// @brief Returns the line without a newline.
     [[nodiscard]] std::string text() const { return m_text + '}'; }
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -84,6 +84,12 @@
     void on_wait_requested(const target_name& name, base::milliseconds wait, std::uint64_t seed,
                            base::time_point now);
 
+    /// @brief A response stated a limit on the requests per second of all VMs, or none.
+    /// @param at See `note_stated`.
+    /// @return Whether the limit changed.
+    bool on_limit_stated(const target_name& name, std::optional<double> per_second,
+                         base::time_point at);
+
     /// @brief Records what a target asked of another VM.
     /// @param pass_on Whether this VM passes the notice on to the region.
     /// @return Whether it was unknown that the target is leaving.
--- a/include/chicorylink/fleet/target_pushback.hpp
+++ b/include/chicorylink/fleet/target_pushback.hpp
@@ -2,6 +2,7 @@
 #define CHICORYLINK_FLEET_TARGET_PUSHBACK_HPP
 
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/rate_limit.hpp"
 
 #include <cstdint>
 
@@ -17,6 +18,7 @@
     base::time_point wait_until{};
     /// End of the wait asked of other VMs; a hint that the target is overloaded.
     base::time_point peers_wait_until{};
+    rate_limit limit;
     /// When this VM last heard of the pushback, from the target or from another VM.
     base::time_point reported_at{};
     /// Until when this VM repeats it to the other VMs of the region.
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -127,6 +127,8 @@
     /// @brief Applies what the target's response says about itself: that it is leaving, or that
     /// it must get no requests for some time.
     void read_notices(const message_head& head, base::time_point now);
+    /// @brief Records the limit that the target's response states for the requests of all VMs.
+    void read_limit(const message_head& head, base::time_point now);
     /// @brief Whether a response head comes from a target and belongs to this request.
     [[nodiscard]] bool is_target_response(const message_head& head) const;
     void flush_buffered(base::time_point now);
--- a/include/chicorylink/front/header_names.hpp
+++ b/include/chicorylink/front/header_names.hpp
@@ -31,6 +31,8 @@
     std::string not_run;
     /// `1` when the target finishes its current requests and then exits.
     std::string leaving;
+    /// Requests per second that the responding target takes from all VMs together.
+    std::string rate_limit;
     /// Priority of a request at a target; 0 is served first.
     std::string priority;
     /// A caller's API key.
--- a/src/chicorylink/base/log_line.cpp
+++ b/src/chicorylink/base/log_line.cpp
@@ -53,6 +53,13 @@
     return *this;
 }
 
+log_line& log_line::add(std::string_view name, double value)
+{
+    append_key(name);
+    fmt::format_to(std::back_inserter(m_text), "{}", value);
+    return *this;
+}
+
 log_line& log_line::add(std::string_view name, std::int64_t value)
 {
     append_key(name);
--- a/src/chicorylink/fleet/target_pool_pushback.cpp
+++ b/src/chicorylink/fleet/target_pool_pushback.cpp
@@ -46,6 +46,13 @@
     }
 }
 
+bool target_pool::on_limit_stated(const target_name& name, std::optional<double> per_second,
+                                  base::time_point at)
+{
+    auto* target = find_mutable(name);
+    return target != nullptr && note_stated(target->pushback.limit, per_second, at);
+}
+
 bool target_pool::on_notice(const target_notice& notice, bool pass_on, base::time_point now)
 {
     const auto name = m_names.find(notice.target);
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -4,6 +4,7 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/plain_number.hpp"
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
@@ -76,6 +77,37 @@
     }
 }
 
+void exchange::read_limit(const message_head& head, base::time_point now)
+{
+    if (m_attempt->target.empty()) {
+        return;
+    }
+    const auto* text = find_field(head.fields, m_core.protocol.names.rate_limit);
+    const auto per_second = text == nullptr ? std::nullopt : parse_plain_number(*text);
+    if (text != nullptr && !per_second) {
+        write_log(m_core, log_event(m_core, "target_limit_ignored")
+                              .add("request", m_request.id)
+                              .add("target", m_attempt->target.text())
+                              .add("told", std::string_view{*text}.substr(0, max_logged_bytes)));
+        return;
+    }
+    // Rejections and failures without a limit may come from something before the target.
+    const bool is_served = head.status < first_error_status && is_target_response(head);
+    if (!per_second && !is_served) {
+        return;
+    }
+    if (m_core.pool.on_limit_stated(m_attempt->target, per_second,
+                                    per_second ? now : m_attempt->sent_at)) {
+        auto line = log_event(m_core, per_second ? "target_limit" : "target_limit_ended");
+        line.add("request", m_request.id).add("target", m_attempt->target.text());
+        if (per_second) {
+            line.add("per_second", *per_second);
+        }
+        write_log(m_core, line.add("told_by", "answer"));
+        m_core.counters.add("target_limit_changes_total");
+    }
+}
+
 bool exchange::is_target_response(const message_head& head) const
 {
     const auto& names = m_core.protocol.names;
@@ -99,6 +131,7 @@
     m_core.pool.on_bytes_received(current.target, now);
     read_load(head, now);
     read_notices(head, now);
+    read_limit(head, now);
     const auto* peer_outcome =
         current.target.empty() ? find_field(head.fields, outcome_field) : nullptr;
     if (peer_outcome != nullptr) {
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -300,6 +300,9 @@
     if (target != nullptr && fleet::may_be_cold(*target, now)) {
         m_core.cold_limiter.note_sent(choice.target, now);
     }
+    if (target != nullptr && target->pushback.limit.per_second) {
+        m_core.counters.add("requests_to_limited_targets_total");
+    }
     send(serialize_for_target(m_request, m_resolved, choice.target.text(),
                               {time_left(now), m_last_event_id}, m_core.protocol.names),
          local_connect_timeout, now);
