process_tests: failing test of the rate that a target states

Three VMs of a region, two targets, one states a limit of one request a second: it gets 917 requests in four seconds, the promise allows 11.

The VMs' metrics tell the hypotheses of the incident apart: each VM has read the limit (target_limit_changes_total 1), the coordinator that places the requests (placements_total 2677) too, and each sent the target about 670 of its 1,340 requests. So the coordinator does not lack the news (H2), and no VM keeps the limit for itself (H3): no decision uses what was read (H1).

--- /dev/null
+++ b/process_tests/support/limited_target.cpp
@@ -0,0 +1,79 @@
+#include "limited_target.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace chicorylink::process_tests {
+namespace {
+
+/// The promise: this many times the limit, and a few requests more.
+constexpr double promised_overage = 1.5;
+constexpr std::size_t promised_slack = 5;
+
+constexpr std::chrono::milliseconds work_time{20};
+
+} // namespace
+
+limited_target::limited_target(std::string name)
+    : m_name(std::move(name)),
+      m_target([this](scripted_target::http_exchange& exchange) { return respond(exchange); })
+{
+}
+
+void limited_target::state_limit(std::string value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_limit = std::move(value);
+}
+
+bool limited_target::respond(scripted_target::http_exchange& exchange)
+{
+    std::string fields;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(clock::now());
+        if (!m_limit.empty()) {
+            fields = fmt::format("Server-Limit: {}\r\n", m_limit);
+            m_first_stated_at = m_first_stated_at.value_or(m_arrivals.back());
+        }
+    }
+    return exchange.pause(work_time) && exchange.send(exchange.response(m_name, fields));
+}
+
+std::size_t limited_target::arrivals_since(clock::time_point from)
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(),
+                                                  [&](auto arrival) { return arrival >= from; }));
+}
+
+std::size_t limited_target::most_arrivals(clock::duration window, clock::time_point from)
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t most = 0;
+    for (auto first = m_arrivals.begin(); first != m_arrivals.end(); ++first) {
+        if (*first >= from) {
+            const auto count = std::count_if(
+                first, m_arrivals.end(), [&](auto arrival) { return arrival < *first + window; });
+            most = std::max(most, static_cast<std::size_t>(count));
+        }
+    }
+    return most;
+}
+
+std::optional<limited_target::clock::time_point> limited_target::first_stated_at()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_first_stated_at;
+}
+
+std::size_t promised_arrivals(double per_second, std::chrono::seconds window)
+{
+    return static_cast<std::size_t>(promised_overage * per_second *
+                                    static_cast<double>(window.count())) +
+           promised_slack;
+}
+
+} // namespace chicorylink::process_tests
