fleet, front: a region keeps the rate that a target states

Cause: the field was not read, and no decision had a place for it. A rate for all VMs together can't be kept by one that decides alone: the coordinator places most requests, each VM some by itself. The class of fault: a bound for the whole fleet that nobody counts.

The limit belongs to the region now, since only its VMs reach the target. The coordinator places 0.8 of it and says in its answers which requests it counted; the two first VMs by rendezvous hash may choose the target by themselves at 0.1 each, other VMs don't. So the parts add up to the limit without agreement, whoever is silent or has just taken over. Statements go to the delegates at once and once a second, and to the region with each digest; they carry their age, so the newest one holds. The allowance of cold targets had the same split for its case: cold_target_limiter became target_pacer and serves both; its tests hold the same bounds there (28 VMs, 2.9 a second, seven in any second; nothing for 2.5 s after a start).

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -28,6 +28,8 @@
 
 struct TargetNotice;
 
+struct TargetLimit;
+
 struct RegionDigest;
 struct RegionDigestBuilder;
 
@@ -234,6 +236,46 @@
 };
 FLATBUFFERS_STRUCT_END(TargetNotice, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TargetLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  int64_t started_ms_;
+  double per_second_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  TargetLimit()
+      : target_(0),
+        started_ms_(0),
+        per_second_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  TargetLimit(uint64_t _target, int64_t _started_ms, double _per_second, uint32_t _age_ms)
+      : target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        per_second_(flatbuffers::EndianScalar(_per_second)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  double per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TargetLimit, 32);
+
 struct RegionDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RegionDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -245,7 +287,8 @@
     VT_USAGE = 14,
     VT_TARGETS = 16,
     VT_OUTLOOK = 18,
-    VT_NOTICES = 20
+    VT_NOTICES = 20,
+    VT_LIMITS = 22
   };
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
@@ -274,6 +317,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *> *notices() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *> *>(VT_NOTICES);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGION) &&
@@ -291,6 +337,8 @@
            verifier.VerifyVector(outlook()) &&
            VerifyOffset(verifier, VT_NOTICES) &&
            verifier.VerifyVector(notices()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
 };
@@ -326,6 +374,9 @@
   void add_notices(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices) {
     fbb_.AddOffset(RegionDigest::VT_NOTICES, notices);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *>> limits) {
+    fbb_.AddOffset(RegionDigest::VT_LIMITS, limits);
+  }
   explicit RegionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -347,9 +398,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *>> limits = 0) {
   RegionDigestBuilder builder_(_fbb);
   builder_.add_reporter(reporter);
+  builder_.add_limits(limits);
   builder_.add_notices(notices);
   builder_.add_outlook(outlook);
   builder_.add_targets(targets);
@@ -371,13 +424,15 @@
     const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
     const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr,
-    const std::vector<chicorylink::fleet::codec::TargetNotice> *notices = nullptr) {
+    const std::vector<chicorylink::fleet::codec::TargetNotice> *notices = nullptr,
+    const std::vector<chicorylink::fleet::codec::TargetLimit> *limits = nullptr) {
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::DigestMember>(*members) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
   auto targets__ = targets ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetUse>(*targets) : 0;
   auto outlook__ = outlook ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceOutlook>(*outlook) : 0;
   auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetNotice>(*notices) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetLimit>(*limits) : 0;
   return chicorylink::fleet::codec::CreateRegionDigest(
       _fbb,
       region__,
@@ -388,7 +443,8 @@
       usage__,
       targets__,
       outlook__,
-      notices__);
+      notices__,
+      limits__);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -29,6 +29,8 @@
 
 struct PlacementNotice;
 
+struct PlacementLimit;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -68,7 +70,8 @@
   uint32_t start_ms_;
   uint32_t unread_tokens_;
   uint8_t reserved_;
-  int8_t padding0__;  int16_t padding1__;
+  uint8_t paced_;
+  int16_t padding0__;
 
  public:
   PlacementAnswer()
@@ -78,22 +81,20 @@
         start_ms_(0),
         unread_tokens_(0),
         reserved_(0),
-        padding0__(0),
-        padding1__(0) {
+        paced_(0),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  PlacementAnswer(uint64_t _number, uint64_t _target, uint32_t _wait_ms, uint32_t _start_ms, uint32_t _unread_tokens, bool _reserved)
+  PlacementAnswer(uint64_t _number, uint64_t _target, uint32_t _wait_ms, uint32_t _start_ms, uint32_t _unread_tokens, bool _reserved, bool _paced)
       : number_(flatbuffers::EndianScalar(_number)),
         target_(flatbuffers::EndianScalar(_target)),
         wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
         start_ms_(flatbuffers::EndianScalar(_start_ms)),
         unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)),
         reserved_(flatbuffers::EndianScalar(static_cast<uint8_t>(_reserved))),
-        padding0__(0),
-        padding1__(0) {
+        paced_(flatbuffers::EndianScalar(static_cast<uint8_t>(_paced))),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t number() const {
     return flatbuffers::EndianScalar(number_);
@@ -113,6 +114,9 @@
   bool reserved() const {
     return flatbuffers::EndianScalar(reserved_) != 0;
   }
+  bool paced() const {
+    return flatbuffers::EndianScalar(paced_) != 0;
+  }
 };
 FLATBUFFERS_STRUCT_END(PlacementAnswer, 32);
 
@@ -200,6 +204,46 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementNotice, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  int64_t started_ms_;
+  double per_second_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PlacementLimit()
+      : target_(0),
+        started_ms_(0),
+        per_second_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PlacementLimit(uint64_t _target, int64_t _started_ms, double _per_second, uint32_t _age_ms)
+      : target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        per_second_(flatbuffers::EndianScalar(_per_second)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  double per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementLimit, 32);
+
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -418,7 +462,8 @@
     VT_ASKS = 6,
     VT_ANSWERS = 8,
     VT_NOTES = 10,
-    VT_NOTICES = 12
+    VT_NOTICES = 12,
+    VT_LIMITS = 14
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -435,6 +480,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *> *notices() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *> *>(VT_NOTICES);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -447,6 +495,8 @@
            verifier.VerifyVector(notes()) &&
            VerifyOffset(verifier, VT_NOTICES) &&
            verifier.VerifyVector(notices()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
            verifier.EndTable();
   }
 };
@@ -470,6 +520,9 @@
   void add_notices(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices) {
     fbb_.AddOffset(PlacementMessage::VT_NOTICES, notices);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *>> limits) {
+    fbb_.AddOffset(PlacementMessage::VT_LIMITS, limits);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -487,9 +540,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>> asks = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementAnswer *>> answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *>> notes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *>> limits = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_limits(limits);
   builder_.add_notices(notices);
   builder_.add_notes(notes);
   builder_.add_answers(answers);
@@ -503,18 +558,21 @@
     const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>> *asks = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementAnswer> *answers = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementNote> *notes = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementNotice> *notices = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementNotice> *notices = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementLimit> *limits = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
   auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNotice>(*notices) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementLimit>(*limits) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
       asks__,
       answers__,
       notes__,
-      notices__);
+      notices__,
+      limits__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -66,6 +66,8 @@
     double cost = 0;
     /// Whether an earlier attempt of the request used the same target.
     bool is_repeat = false;
+    /// Whether the coordinator counted the request toward the rate that the target states.
+    bool is_paced = false;
 };
 
 /// @brief Chooses the target with the lowest expected cost.
@@ -89,7 +91,8 @@
     return unread_tokens - std::min(unread_tokens, own);
 }
 
-/// @brief Number of targets of a service in this region that take requests now and are not cold.
+/// @brief Number of targets of a service in this region that take requests now, are not cold and
+/// state no limit on their rate.
 [[nodiscard]] std::uint32_t usable_targets(const target_pool& pool, const service_name& service,
                                            base::time_point now);
 
--- a/include/chicorylink/fleet/placement_coordinator.hpp
+++ b/include/chicorylink/fleet/placement_coordinator.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/placement_message.hpp"
+#include "chicorylink/fleet/target_pacer.hpp"
 #include "chicorylink/fleet/target_pool.hpp"
 
 #include <cstdint>
@@ -16,7 +17,9 @@
 /// idle target and a session goes to a target that has read its parts for any VM.
 ///
 /// The coordinator of a region is the first of its delegates. It only advises: a VM that gets no
-/// answer in time chooses by itself, from heartbeats that are some hundred milliseconds old.
+/// answer in time chooses by itself, from heartbeats that are some hundred milliseconds old. To a
+/// target that states a limit on its rate, a VM sends only what the coordinator counted, or its own
+/// part of the rest.
 class placement_coordinator {
 public:
     /// @brief Chooses a target and reserves a place there if the request would begin in time.
@@ -60,6 +63,8 @@
     reservation_map m_reservations;
     std::map<std::string, base::incarnation> m_runs;
     base::time_point m_last_query_at{};
+    /// For the targets that state a limit on their rate.
+    target_pacer m_pacer;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/prompt.hpp"
+#include "chicorylink/fleet/rate_limit.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
@@ -48,6 +49,8 @@
     base::milliseconds wait{0};
     base::milliseconds start{0};
     std::uint32_t unread_tokens = 0;
+    /// Whether the request counts toward the rate that the target states.
+    bool is_paced = false;
 };
 
 enum class placement_event : std::uint8_t {
@@ -73,6 +76,8 @@
     std::vector<placement_note> notes;
     /// Notices that targets gave to the sender.
     std::vector<target_notice> notices;
+    /// What targets stated to the sender about the rate that they take.
+    std::vector<limit_report> limits;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
+#include "chicorylink/fleet/rate_limit.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
 
 #include <cstdint>
@@ -91,6 +92,8 @@
     std::vector<service_outlook> outlook;
     /// Recent notices of targets to VMs; only sent within the region.
     std::vector<target_notice> notices;
+    /// What targets stated about the rate that they take; only sent within the region.
+    std::vector<limit_report> limits;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -16,6 +16,14 @@
 
 namespace chicorylink::fleet {
 
+/// @brief What a target's statement about its rate means for this VM.
+struct limit_update {
+    /// Whether it changes the rate that the target is known to take.
+    bool is_new = false;
+    /// To be sent to the region's delegates now; none if they heard of it a short time ago.
+    std::optional<limit_report> report;
+};
+
 /// @brief The targets of this VM's region and their load.
 class target_pool {
 public:
@@ -84,11 +92,17 @@
     void on_wait_requested(const target_name& name, base::milliseconds wait, std::uint64_t seed,
                            base::time_point now);
 
-    /// @brief A response stated a limit on the requests per second of all VMs, or none.
-    /// @param at See `note_stated`.
-    /// @return Whether the limit changed.
-    bool on_limit_stated(const target_name& name, std::optional<double> per_second,
-                         base::time_point at);
+    /// @brief Records what a response stated about the rate that its target takes.
+    limit_update on_limit_stated(const target_name& name, const limit_statement& statement,
+                                 base::time_point now);
+
+    /// @brief Records what a target stated to another VM.
+    /// @param is_relayed Whether the report comes from a digest and not from that VM itself.
+    /// @return Whether this changes the rate that the target is known to take.
+    bool on_limit_report(const limit_report& report, bool is_relayed, base::time_point now);
+
+    /// @brief What the targets stated recently to this VM and to those that reported to it.
+    [[nodiscard]] std::vector<limit_report> limit_reports(base::time_point now) const;
 
     /// @brief Records what a target asked of another VM.
     /// @param pass_on Whether this VM passes the notice on to the region.
@@ -99,10 +113,14 @@
     [[nodiscard]] std::vector<target_notice> notices(base::time_point now) const;
 
     /// @brief Time until this VM may send to the first target of a service again, when all usable
-    /// targets asked it to wait; none when one of them did not.
+    /// targets asked it to wait or limit their rate; none when one of them does neither.
     [[nodiscard]] std::optional<base::milliseconds> shortest_wait(const service_name& service,
                                                                   base::time_point now) const;
 
+    /// @brief Requests per second that the targets of a service take from all VMs together, of
+    /// those that limit their rate and don't ask this VM to wait; zero if there is none.
+    [[nodiscard]] double limited_rate(const service_name& service, base::time_point now) const;
+
     /// @brief Another target answered at the address of this one.
     void on_displaced(const target_name& name);
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -101,9 +101,12 @@
                                           base::time_point now) const;
     [[nodiscard]] fleet::region_request make_region_request(base::time_point now) const;
     /// @param region_ips The live VMs of this region, which share its targets.
+    /// @param is_paced Whether the coordinator counted the request toward the target's rate.
     [[nodiscard]] bool may_use(const fleet::tracked_target& target,
-                               const std::vector<std::string>& region_ips,
+                               const std::vector<std::string>& region_ips, bool is_paced,
                                base::time_point now) const;
+    /// @brief Counts a request that is being sent toward the rate of its target.
+    void note_paced(const fleet::placement_choice& choice, base::time_point now);
     void send_to_target(const fleet::placement_choice& choice, std::optional<reserved_place> place,
                         base::time_point now);
     void send_to_peer(const fleet::region_decision& decision, const std::string& ip,
@@ -153,9 +156,12 @@
     /// @brief The retry delay to send to the caller, given the expected wait.
     [[nodiscard]] base::milliseconds retry_delay(base::milliseconds wait,
                                                  fleet::retry_jitter spread) const;
+    /// @brief Time until the caller should return when all usable targets of this region asked for
+    /// a wait or limit their rate; none when one of them does neither.
+    [[nodiscard]] std::optional<base::milliseconds> wait_for_targets(base::time_point now);
     /// @brief The retry delay after a rejection: the shorter of the wait for this region's
     /// targets and the one that a refusing VM sent.
-    [[nodiscard]] base::milliseconds retry_delay_after_rejection(base::time_point now) const;
+    [[nodiscard]] base::milliseconds retry_delay_after_rejection(base::time_point now);
     void log_attempt(std::string_view result, std::string_view detail, base::time_point now) const;
 
     front_core& m_core;
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -4,14 +4,15 @@
 #include "chicorylink/base/line_buffer.hpp"
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/metrics.hpp"
-#include "chicorylink/fleet/cold_target_limiter.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
 #include "chicorylink/fleet/placement_coordinator.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_budget.hpp"
 #include "chicorylink/fleet/retry_detector.hpp"
+#include "chicorylink/fleet/return_schedule.hpp"
 #include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/fleet/target_pacer.hpp"
 #include "chicorylink/fleet/target_pool.hpp"
 #include "chicorylink/front/connection_pool.hpp"
 #include "chicorylink/front/front_settings.hpp"
@@ -45,7 +46,9 @@
     fleet::placement_coordinator coordinator;
     fleet::fleet_quota quota;
     fleet::retry_budget retries;
-    fleet::cold_target_limiter cold_limiter;
+    /// For cold targets and targets that state a limit, when this VM chooses them by itself.
+    fleet::target_pacer pacer;
+    fleet::return_schedule returns;
     fleet::remote_sends remote_traffic;
     fleet::region_digests remote_digests;
     fleet::retry_detector caller_retries;
@@ -86,6 +89,18 @@
 void apply_target_notice(front_core& core, const fleet::target_notice& notice,
                          std::string_view source, bool forward, base::time_point now);
 
+/// @brief Applies what a target stated to another VM of the region about the rate that it takes,
+/// and logs a change.
+/// @param source The sender, for the log.
+/// @param is_relayed Whether the report comes from a digest.
+void apply_limit_report(front_core& core, const fleet::limit_report& report,
+                        std::string_view source, bool is_relayed, base::time_point now);
+
+/// @brief Logs and counts a change of the rate that a target takes.
+/// @param request The request whose response told; empty when another VM did.
+void log_limit_change(front_core& core, const fleet::tracked_target& target,
+                      std::string_view request, std::string_view source, base::time_point now);
+
 /// @brief Runs one task of the daemon. An unexpected exception is logged and ends only that task,
 /// so that one request or message can't take down the others.
 /// @param part The task's name, for the log.
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -63,6 +63,9 @@
     /// @brief Queues a target's notice for the region's delegates, which forward it to the others.
     void queue_notice(const fleet::target_notice& notice, base::time_point now);
 
+    /// @brief Queues what a target stated about its rate, for the region's delegates.
+    void queue_limit(const fleet::limit_report& report, base::time_point now);
+
     /// @brief Times out unanswered queries, and sends queued notes and notices.
     void tick(base::time_point now);
 
@@ -88,6 +91,12 @@
         int times_sent = 0;
     };
 
+    struct outgoing_limit {
+        fleet::limit_report report;
+        base::time_point queued_at{};
+        int times_sent = 0;
+    };
+
     /// @brief Whether the address belongs to a known VM of this region.
     [[nodiscard]] bool is_region_member(const std::string& ip) const;
     void expire_queries(base::time_point now);
@@ -111,6 +120,7 @@
     std::map<std::uint64_t, pending_query> m_pending_queries;
     std::map<std::string, outgoing_notes> m_notes;
     std::vector<outgoing_notice> m_notices;
+    std::vector<outgoing_limit> m_limits;
     /// Coordinators that didn't answer, and until when they are not queried.
     std::map<std::string, base::time_point> m_silent_until;
 };
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -84,6 +84,7 @@
         }
     }
     digest.notices = read_notices(from.notices());
+    digest.limits = read_limits(from.limits());
     return digest;
 }
 
@@ -130,9 +131,10 @@
     const auto targets = write_targets(to, digest.targets);
     const auto outlook_list = to.CreateVectorOfStructs(outlook);
     const auto notices = write_notices<codec::TargetNotice>(to, digest.notices);
+    const auto limits = write_limits<codec::TargetLimit>(to, digest.limits);
     return codec::CreateRegionDigest(to, region, digest.reporter.value(), to_wire_ms(digest.age),
                                      to_wire_ms(digest.round_trip), member_list, usage, targets,
-                                     outlook_list, notices);
+                                     outlook_list, notices, limits);
 }
 
 } // namespace
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -168,7 +168,9 @@
                        bool may_be_cached, base::time_point now)
 {
     const auto& target = *option.target;
-    placement_choice choice{target.entry.name, target.entry.address, {}, {}, 0, 0, false};
+    placement_choice choice;
+    choice.target = target.entry.name;
+    choice.address = target.entry.address;
     const double wait =
         wait_ms(target, request.by_coordinator ? reserved_work(target, request.urgency, now)
                                                : reported_work(target, now));
@@ -260,11 +262,13 @@
 
 namespace {
 
+/// Whether a target has capacity for requests of other regions. One that limits its rate is in need
+/// and has none to spare.
 bool is_usable(const tracked_target& target, const service_name& service, base::time_point now)
 {
     return target.entry.service == service && takes_work(target) &&
            !is_ejected(target.health, now) && !pushes_back(target.pushback, now) &&
-           now >= target.cold_until;
+           !limit_at(target.pushback.limit, now) && now >= target.cold_until;
 }
 
 } // namespace
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -107,7 +107,7 @@
     for (const auto& answer : message.answers) {
         answer_list.emplace_back(answer.number, answer.target ? answer.target->value() : 0,
                                  to_wire_ms(answer.wait), to_wire_ms(answer.start),
-                                 answer.unread_tokens, answer.is_reserved);
+                                 answer.unread_tokens, answer.is_reserved, answer.is_paced);
     }
     std::vector<codec::PlacementNote> note_list;
     for (const auto& note : message.notes) {
@@ -119,9 +119,10 @@
     const auto answers = to.CreateVectorOfStructs(answer_list);
     const auto notes = to.CreateVectorOfStructs(note_list);
     const auto notices = write_notices<codec::PlacementNotice>(to, message.notices);
-    codec::FinishPlacementMessageBuffer(
-        to,
-        codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices));
+    const auto limits = write_limits<codec::PlacementLimit>(to, message.limits);
+    codec::FinishPlacementMessageBuffer(to, codec::CreatePlacementMessage(to, message.run.value(),
+                                                                          queries, answers, notes,
+                                                                          notices, limits));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
@@ -147,7 +148,8 @@
                                   std::nullopt,
                                   base::milliseconds{answer->wait_ms()},
                                   base::milliseconds{answer->start_ms()},
-                                  answer->unread_tokens()};
+                                  answer->unread_tokens(),
+                                  answer->paced()};
             if (answer->target() != 0) {
                 read.target = base::target_id{answer->target()};
             }
@@ -160,6 +162,7 @@
         }
     }
     message.notices = read_notices(from->notices());
+    message.limits = read_limits(from->limits());
     return message;
 }
 
--- a/src/chicorylink/fleet/placement_coordinator.cpp
+++ b/src/chicorylink/fleet/placement_coordinator.cpp
@@ -39,9 +39,12 @@
     request.urgency = urgency;
     request.data_center = query.data_center;
     request.may_use = [&](const tracked_target& target) {
+        const auto limit = limit_at(target.pushback.limit, now);
         // Requests for a target that may be cold are divided among the VMs in another way.
-        return !may_be_cold(target, now) && std::find(query.avoided.begin(), query.avoided.end(),
-                                                      target.id) == query.avoided.end();
+        return !may_be_cold(target, now) &&
+               (!limit || m_pacer.allows(target.entry.name, coordinated_rate(*limit), now)) &&
+               std::find(query.avoided.begin(), query.avoided.end(), target.id) ==
+                   query.avoided.end();
     };
     placement_answer answer;
     answer.number = query.number;
@@ -60,6 +63,10 @@
     answer.is_reserved = choice->wait <= query.longest_wait &&
                          choice->start <= query.longest_start && reread <= query.most_reread_tokens;
     if (answer.is_reserved) {
+        if (const auto limit = limit_at(pool.find(choice->target)->pushback.limit, now)) {
+            m_pacer.note_sent(choice->target, coordinated_rate(*limit), now);
+            answer.is_paced = true;
+        }
         pool.on_reserved(choice->target, request.engine_prompt, choice->unread_tokens, urgency,
                          now);
         m_reservations.insert_or_assign({sender, query.number},
--- a/src/chicorylink/fleet/rate_limit.cpp
+++ b/src/chicorylink/fleet/rate_limit.cpp
@@ -1,16 +1,33 @@
 #include "chicorylink/fleet/rate_limit.hpp"
 
-#include <utility>
+#include <algorithm>
 
 namespace chicorylink::fleet {
 
-bool note_stated(rate_limit& limit, std::optional<double> per_second, base::time_point at)
+bool is_recent(const limit_statement& statement, base::time_point now)
 {
-    if (at <= limit.stated_at) {
-        return false;
+    return statement.at != base::time_point{} && now - statement.at < limit_lifetime;
+}
+
+std::optional<double> limit_at(const rate_limit& limit, base::time_point now)
+{
+    const auto& newest = limit.relayed.at > limit.told.at ? limit.relayed : limit.told;
+    if (!newest.per_second || !is_recent(newest, now)) {
+        return std::nullopt;
+    }
+    return std::max(*newest.per_second, min_requests_per_second);
+}
+
+base::milliseconds request_interval(double per_second)
+{
+    return std::chrono::ceil<base::milliseconds>(std::chrono::duration<double>{1 / per_second});
+}
+
+void update_statement(limit_statement& known, const limit_statement& newer)
+{
+    if (newer.at > known.at) {
+        known = newer;
     }
-    limit.stated_at = at;
-    return std::exchange(limit.per_second, per_second) != per_second;
 }
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -52,9 +52,21 @@
     return fleet::retry_after_delay(wait, spread, base::hash_name(m_request.id));
 }
 
-base::milliseconds exchange::retry_delay_after_rejection(base::time_point now) const
+std::optional<base::milliseconds> exchange::wait_for_targets(base::time_point now)
 {
-    auto wait = m_core.pool.shortest_wait(m_resolved.service->name, now);
+    const auto& service = m_resolved.service->name;
+    const auto wait = m_core.pool.shortest_wait(service, now);
+    const double rate = m_core.pool.limited_rate(service, now);
+    if (!wait || rate <= 0) {
+        return wait;
+    }
+    const auto vm_count = static_cast<double>(m_core.members.region_ips(now).size());
+    return m_core.returns.next(service, rate / vm_count, now);
+}
+
+base::milliseconds exchange::retry_delay_after_rejection(base::time_point now)
+{
+    auto wait = wait_for_targets(now);
     if (m_peer_retry_after) {
         wait = std::min(wait.value_or(*m_peer_retry_after), *m_peer_retry_after);
     }
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -96,15 +96,13 @@
     if (!per_second && !is_served) {
         return;
     }
-    if (m_core.pool.on_limit_stated(m_attempt->target, per_second,
-                                    per_second ? now : m_attempt->sent_at)) {
-        auto line = log_event(m_core, per_second ? "target_limit" : "target_limit_ended");
-        line.add("request", m_request.id).add("target", m_attempt->target.text());
-        if (per_second) {
-            line.add("per_second", *per_second);
-        }
-        write_log(m_core, line.add("told_by", "answer"));
-        m_core.counters.add("target_limit_changes_total");
+    const auto update = m_core.pool.on_limit_stated(
+        m_attempt->target, {per_second, per_second ? now : m_attempt->sent_at}, now);
+    if (update.is_new) {
+        log_limit_change(m_core, *m_core.pool.find(m_attempt->target), m_request.id, "answer", now);
+    }
+    if (update.report) {
+        m_core.placements->queue_limit(*update.report, now);
     }
 }
 
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -64,14 +64,16 @@
 }
 
 bool exchange::may_use(const fleet::tracked_target& target,
-                       const std::vector<std::string>& region_ips, base::time_point now) const
+                       const std::vector<std::string>& region_ips, bool is_paced,
+                       base::time_point now) const
 {
     const auto& service = *m_resolved.service;
-    if (fleet::may_be_cold(target, now) && service.cold_requests_per_second > 0) {
-        if (!fleet::is_cold_sender(target.entry.name, m_core.settings.self.ip, region_ips) ||
-            !m_core.cold_limiter.allows(target.entry.name, service.cold_requests_per_second, now)) {
-            return false;
-        }
+    const auto& name = target.entry.name;
+    const auto rate =
+        fleet::designated_rate(target, service.cold_requests_per_second, is_paced, now);
+    if (rate && (!fleet::is_designated_sender(name, m_core.settings.self.ip, region_ips) ||
+                 !m_core.pacer.allows(name, *rate, now))) {
+        return false;
     }
     if (service.max_connections == 0 || m_core.connections.has_idle(target.entry.address)) {
         return true;
@@ -94,7 +96,7 @@
     request.data_center = fleet::hash_of(m_core.settings.self.data_center);
     request.tried = m_tried_targets;
     request.may_use = [&](const fleet::tracked_target& target) {
-        return may_use(target, region_ips, now);
+        return may_use(target, region_ips, false, now);
     };
     return fleet::choose_target(m_core.pool, request, now);
 }
@@ -231,16 +233,17 @@
     const auto* target = answer.target ? m_core.pool.find(*answer.target) : nullptr;
     if (target == nullptr || target->entry.service != m_resolved.service->name ||
         !fleet::takes_work(*target) || fleet::must_back_off(target->pushback, now) ||
-        !may_use(*target, m_core.members.region_ips(now), now)) {
+        !may_use(*target, m_core.members.region_ips(now), answer.is_paced, now)) {
         return std::nullopt;
     }
-    return fleet::placement_choice{target->entry.name,
-                                   target->entry.address,
-                                   answer.wait,
-                                   answer.start,
-                                   answer.unread_tokens,
-                                   0,
-                                   false};
+    fleet::placement_choice choice;
+    choice.target = target->entry.name;
+    choice.address = target->entry.address;
+    choice.wait = answer.wait;
+    choice.start = answer.start;
+    choice.unread_tokens = answer.unread_tokens;
+    choice.is_paced = answer.is_paced;
+    return choice;
 }
 
 void exchange::send_or_refuse(const std::optional<fleet::placement_choice>& local_choice,
@@ -266,10 +269,9 @@
     if (has_targets) {
         m_shortest_wait = decision.wait;
     }
-    if (const auto pushback_wait =
-            has_targets ? std::nullopt : m_core.pool.shortest_wait(m_resolved.service->name, now)) {
+    if (const auto targets_wait = has_targets ? std::nullopt : wait_for_targets(now)) {
         refuse({unavailable_status, "targets_push_back",
-                retry_delay(*pushback_wait, fleet::retry_jitter::requested_wait)},
+                retry_delay(*targets_wait, fleet::retry_jitter::requested_wait)},
                now);
         return;
     }
@@ -280,6 +282,23 @@
            now);
 }
 
+void exchange::note_paced(const fleet::placement_choice& choice, base::time_point now)
+{
+    const auto* target = m_core.pool.find(choice.target);
+    if (target == nullptr) {
+        return;
+    }
+    if (const auto rate = fleet::designated_rate(
+            *target, m_resolved.service->cold_requests_per_second, choice.is_paced, now)) {
+        m_core.pacer.note_sent(choice.target, *rate, now);
+    }
+    if (fleet::limit_at(target->pushback.limit, now)) {
+        m_core.counters.add(choice.is_paced
+                                ? "limited_target_requests_total{placed_by=\"coordinator\"}"
+                                : "limited_target_requests_total{placed_by=\"vm\"}");
+    }
+}
+
 void exchange::send_to_target(const fleet::placement_choice& choice,
                               std::optional<reserved_place> place, base::time_point now)
 {
@@ -296,13 +315,7 @@
     m_silence_reported = false;
     m_tried_targets.push_back(choice.target);
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
-    const auto* target = m_core.pool.find(choice.target);
-    if (target != nullptr && fleet::may_be_cold(*target, now)) {
-        m_core.cold_limiter.note_sent(choice.target, now);
-    }
-    if (target != nullptr && target->pushback.limit.per_second) {
-        m_core.counters.add("requests_to_limited_targets_total");
-    }
+    note_paced(choice, now);
     send(serialize_for_target(m_request, m_resolved, choice.target.text(),
                               {time_left(now), m_last_event_id}, m_core.protocol.names),
          local_connect_timeout, now);
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -20,8 +20,8 @@
     : loop(event_loop), settings(std::move(initial_settings)), protocol(platform),
       log(STDOUT_FILENO), state(platform.decode_item),
       members(settings.self, settings.seed_ips, region_names(settings)),
-      quota(settings.self.region, now), retries(settings.bounds.retries), cold_limiter(now),
-      connections(event_loop)
+      quota(settings.self.region, now), retries(settings.bounds.retries),
+      pacer(now + fleet::designation_delay), connections(event_loop)
 {
 }
 
@@ -88,6 +88,30 @@
                         .add("told_by", source));
 }
 
+void log_limit_change(front_core& core, const fleet::tracked_target& target,
+                      std::string_view request, std::string_view source, base::time_point now)
+{
+    const auto limit = fleet::limit_at(target.pushback.limit, now);
+    auto line = log_event(core, limit ? "target_limit" : "target_limit_ended");
+    line.add("target", target.entry.name.text());
+    if (limit) {
+        line.add("per_second", *limit);
+    }
+    if (!request.empty()) {
+        line.add("request", request);
+    }
+    write_log(core, line.add("told_by", source));
+    core.counters.add("target_limit_changes_total");
+}
+
+void apply_limit_report(front_core& core, const fleet::limit_report& report,
+                        std::string_view source, bool is_relayed, base::time_point now)
+{
+    if (core.pool.on_limit_report(report, is_relayed, now)) {
+        log_limit_change(core, *core.pool.find(report.target), {}, source, now);
+    }
+}
+
 bool run_guarded(front_core& core, std::string_view part, const std::function<void()>& work)
 {
     try {
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -112,6 +112,9 @@
             for (const auto& notice : digest.notices) {
                 apply_target_notice(m_core, notice, sender.text(), false, now);
             }
+            for (const auto& report : digest.limits) {
+                apply_limit_report(m_core, report, sender.text(), true, now);
+            }
         }
         return;
     }
@@ -137,6 +140,7 @@
     if (with_targets) {
         digest.targets = m_core.pool.region_use(now);
         digest.notices = m_core.pool.notices(now);
+        digest.limits = m_core.pool.limit_reports(now);
     }
     if (m_core.state.config()) {
         const bool is_coordinating = m_core.placements->is_coordinator(now);
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -99,6 +99,9 @@
     for (const auto& notice : message.notices) {
         apply_target_notice(m_core, notice, sender, true, base::boot_now());
     }
+    for (const auto& report : message.limits) {
+        apply_limit_report(m_core, report, sender, false, base::boot_now());
+    }
     for (const auto& note : message.notes) {
         m_core.coordinator.apply_note(m_core.pool, sender, note, base::boot_now());
     }
@@ -176,6 +179,14 @@
     m_notices.push_back({notice, now, 0});
 }
 
+void placement_link::queue_limit(const fleet::limit_report& report, base::time_point now)
+{
+    std::erase_if(m_limits, [&](const outgoing_limit& older) {
+        return older.report.target == report.target;
+    });
+    m_limits.push_back({report, now, 0});
+}
+
 void placement_link::tick(base::time_point now)
 {
     // Answers that have arrived are handled before queries time out, however late they are read.
@@ -225,21 +236,31 @@
 
 void placement_link::send_notices(base::time_point now)
 {
-    if (m_notices.empty()) {
+    if (m_notices.empty() && m_limits.empty()) {
         return;
     }
+    const auto since = [&](base::time_point then) {
+        return std::chrono::duration_cast<base::milliseconds>(now - then);
+    };
+    const auto is_sent = [](const auto& outgoing) {
+        return outgoing.times_sent >= sends_per_notice;
+    };
     fleet::placement_message message;
     message.run = m_core.settings.self.run;
     for (auto& outgoing : m_notices) {
         auto notice = outgoing.notice;
-        const auto since = std::chrono::duration_cast<base::milliseconds>(now - outgoing.queued_at);
-        notice.wait = std::max(base::milliseconds{0}, notice.wait - since);
+        notice.wait = std::max(base::milliseconds{0}, notice.wait - since(outgoing.queued_at));
         message.notices.push_back(notice);
         ++outgoing.times_sent;
     }
-    std::erase_if(m_notices, [](const outgoing_notice& outgoing) {
-        return outgoing.times_sent >= sends_per_notice;
-    });
+    for (auto& outgoing : m_limits) {
+        auto report = outgoing.report;
+        report.age += since(outgoing.queued_at);
+        message.limits.push_back(report);
+        ++outgoing.times_sent;
+    }
+    std::erase_if(m_notices, is_sent);
+    std::erase_if(m_limits, is_sent);
     const auto bytes = fleet::encode(message);
     for (const auto& ip : m_core.members.delegates_of(m_core.settings.self.region, now)) {
         if (ip != m_core.settings.self.ip) {
