front: metrics and process tests of the limits that targets state

limit_watch counts what this VM really sends to a limited target, apart from the pacing, and tells when that alone breaks the promise (target_limit_exceeded, also as a counter). limited_target_requests_total tells who placed such requests.

New tests in process_limit: a killed coordinator under load, two targets at 40 a second whose rate is used, both at 3 a second (callers are refused within 500 ms with a time to return), the end of a limit, values that are no number. An answer of another target at the address (421) states nothing for the one that was meant. Outgoing notices and limits share one queue type.

--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
+#include "chicorylink/fleet/limit_watch.hpp"
 #include "chicorylink/fleet/placement_coordinator.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
@@ -48,6 +49,7 @@
     fleet::retry_budget retries;
     /// For cold targets and targets that state a limit, when this VM chooses them by itself.
     fleet::target_pacer pacer;
+    fleet::limit_watch limits;
     fleet::return_schedule returns;
     fleet::remote_sends remote_traffic;
     fleet::region_digests remote_digests;
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -84,15 +84,10 @@
         std::vector<fleet::placement_note> to_resend;
     };
 
-    /// A notice to send with the next messages.
-    struct outgoing_notice {
-        fleet::target_notice notice;
-        base::time_point queued_at{};
-        int times_sent = 0;
-    };
-
-    struct outgoing_limit {
-        fleet::limit_report report;
+    /// What a target said, to send with the next messages.
+    template <class Content>
+    struct outgoing {
+        Content content;
         base::time_point queued_at{};
         int times_sent = 0;
     };
@@ -119,8 +114,8 @@
     std::uint64_t m_last_query_number = 0;
     std::map<std::uint64_t, pending_query> m_pending_queries;
     std::map<std::string, outgoing_notes> m_notes;
-    std::vector<outgoing_notice> m_notices;
-    std::vector<outgoing_limit> m_limits;
+    std::vector<outgoing<fleet::target_notice>> m_notices;
+    std::vector<outgoing<fleet::limit_report>> m_limits;
     /// Coordinators that didn't answer, and until when they are not queried.
     std::map<std::string, base::time_point> m_silent_until;
 };
--- a/process_tests/limit_test.cpp
+++ b/process_tests/limit_test.cpp
@@ -6,6 +6,7 @@
 #include "limited_target.hpp"
 #include "suite.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -35,6 +36,17 @@
     std::atomic<int> slowest_refusal_ms{0};
 };
 
+/// The number of requests that a VM placed as the coordinator of its region.
+int placements(const std::string& ip)
+{
+    call outgoing;
+    outgoing.url = fmt::format("http://{}:{}/metrics", ip, front_fleet::control_port);
+    const auto text = perform(outgoing).body;
+    const std::string name = "\nplacements_total ";
+    const auto begin = text.find(name);
+    return begin == std::string::npos ? 0 : std::stoi(text.substr(begin + name.size()));
+}
+
 /// Three VMs of one region before two targets.
 class limit : public testing::Test {
 protected:
@@ -124,5 +136,93 @@
     EXPECT_EQ(seen.other, 0);
 }
 
+// Guards against a limit that is exceeded while the VMs of a region disagree on who places their
+// requests: the coordinator is killed under load, and another VM takes over.
+TEST_F(limit, is_kept_when_the_coordinator_is_killed)
+{
+    m_first.state_limit("1.1");
+    start();
+    outcomes seen;
+    std::thread load([&] { send_requests(limit_grace + limit_window * 2, seen); });
+    EXPECT_TRUE(wait_until([&] { return m_first.first_stated_at().has_value(); }, seconds{3}));
+    std::this_thread::sleep_for(limit_grace + seconds{1});
+    const auto coordinator =
+        std::max_element(east_vms.begin(), east_vms.end(), [](const auto& a, const auto& b) {
+            return placements(a) < placements(b);
+        });
+    ASSERT_GT(placements(*coordinator), 0);
+    m_fleet.at(*coordinator).kill();
+    load.join();
+    EXPECT_LE(m_first.most_arrivals(limit_window, *m_first.first_stated_at() + limit_grace),
+              promised_arrivals(1.1, limit_window));
+    EXPECT_GT(seen.answered, 300);
+}
+
+// The share of each VM must add up to the rate; a part of it that nobody may use helps no caller.
+TEST_F(limit, a_high_rate_is_used)
+{
+    m_first.state_limit("40");
+    m_second.state_limit("40");
+    start();
+    outcomes seen;
+    send_requests(limit_grace + limit_window + seconds{1}, seen);
+    ASSERT_TRUE(m_first.first_stated_at());
+    for (auto* target : {&m_first, &m_second}) {
+        const auto most =
+            target->most_arrivals(limit_window, *m_first.first_stated_at() + limit_grace);
+        EXPECT_LE(most, promised_arrivals(40, limit_window));
+        EXPECT_GE(most, 120U);
+    }
+}
+
+// Guards against callers that wait for a target that takes no more requests, or that are told to
+// return at once.
+TEST_F(limit, callers_are_refused_at_once_when_all_targets_limit_their_rate)
+{
+    m_first.state_limit("3");
+    m_second.state_limit("3");
+    start();
+    outcomes seen;
+    send_requests(limit_grace + limit_window + seconds{1}, seen);
+    ASSERT_TRUE(m_first.first_stated_at());
+    for (auto* target : {&m_first, &m_second}) {
+        EXPECT_LE(target->most_arrivals(limit_window, *m_first.first_stated_at() + limit_grace),
+                  promised_arrivals(3, limit_window));
+    }
+    EXPECT_GE(seen.answered, 36);
+    EXPECT_GT(seen.refused, 100);
+    EXPECT_EQ(seen.other, 0);
+    EXPECT_EQ(seen.without_retry_after, 0);
+    EXPECT_LT(seen.slowest_refusal_ms, 500);
+}
+
+TEST_F(limit, ends_when_the_target_states_none_any_more)
+{
+    m_first.state_limit("1");
+    start();
+    outcomes seen;
+    send_requests(seconds{4}, seen);
+    m_first.state_limit("");
+    // One request a second tells when the limit has ended.
+    send_requests(seconds{3}, seen);
+    const auto begin = clock::now();
+    send_requests(seconds{2}, seen);
+    EXPECT_GT(m_first.arrivals_since(begin), 50U);
+    EXPECT_EQ(seen.refused, 0);
+}
+
+// A value that is no rate must neither limit the target nor harm the VM.
+TEST_F(limit, a_value_that_is_no_number_is_ignored)
+{
+    m_first.state_limit("-1");
+    m_second.state_limit("1e999 requests");
+    start();
+    outcomes seen;
+    send_requests(seconds{2}, seen);
+    EXPECT_GT(m_first.arrivals_since({}), 50U);
+    EXPECT_GT(m_second.arrivals_since({}), 50U);
+    EXPECT_EQ(seen.refused + seen.other, 0);
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -79,7 +79,8 @@
 
 void exchange::read_limit(const message_head& head, base::time_point now)
 {
-    if (m_attempt->target.empty()) {
+    // A misdirected request was answered by another target than the one it was sent to.
+    if (m_attempt->target.empty() || head.status == misdirected_status) {
         return;
     }
     const auto* text = find_field(head.fields, m_core.protocol.names.rate_limit);
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -292,10 +292,18 @@
             *target, m_resolved.service->cold_requests_per_second, choice.is_paced, now)) {
         m_core.pacer.note_sent(choice.target, *rate, now);
     }
-    if (fleet::limit_at(target->pushback.limit, now)) {
-        m_core.counters.add(choice.is_paced
-                                ? "limited_target_requests_total{placed_by=\"coordinator\"}"
-                                : "limited_target_requests_total{placed_by=\"vm\"}");
+    const auto limit = fleet::limit_at(target->pushback.limit, now);
+    if (!limit) {
+        return;
+    }
+    m_core.counters.add(choice.is_paced ? "limited_target_requests_total{placed_by=\"coordinator\"}"
+                                        : "limited_target_requests_total{placed_by=\"vm\"}");
+    if (m_core.limits.note_sent(choice.target, *limit, now)) {
+        m_core.counters.add("target_limit_exceeded_total");
+        write_log(m_core, log_event(m_core, "target_limit_exceeded")
+                              .add("request", m_request.id)
+                              .add("target", choice.target.text())
+                              .add("per_second", *limit));
     }
 }
 
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -33,6 +33,14 @@
 /// gone.
 constexpr base::milliseconds silent_coordinator_pause{500};
 
+/// Queues what a target said in place of what it said before.
+template <class Queue, class Content>
+void replace_queued(Queue& queue, const Content& content, base::time_point now)
+{
+    std::erase_if(queue, [&](const auto& older) { return older.content.target == content.target; });
+    queue.push_back({content, now, 0});
+}
+
 } // namespace
 
 placement_link::placement_link(front_core& core, udp::socket socket)
@@ -173,18 +181,12 @@
 
 void placement_link::queue_notice(const fleet::target_notice& notice, base::time_point now)
 {
-    std::erase_if(m_notices, [&](const outgoing_notice& older) {
-        return older.notice.target == notice.target;
-    });
-    m_notices.push_back({notice, now, 0});
+    replace_queued(m_notices, notice, now);
 }
 
 void placement_link::queue_limit(const fleet::limit_report& report, base::time_point now)
 {
-    std::erase_if(m_limits, [&](const outgoing_limit& older) {
-        return older.report.target == report.target;
-    });
-    m_limits.push_back({report, now, 0});
+    replace_queued(m_limits, report, now);
 }
 
 void placement_link::tick(base::time_point now)
@@ -242,22 +244,20 @@
     const auto since = [&](base::time_point then) {
         return std::chrono::duration_cast<base::milliseconds>(now - then);
     };
-    const auto is_sent = [](const auto& outgoing) {
-        return outgoing.times_sent >= sends_per_notice;
-    };
+    const auto is_sent = [](const auto& queued) { return queued.times_sent >= sends_per_notice; };
     fleet::placement_message message;
     message.run = m_core.settings.self.run;
-    for (auto& outgoing : m_notices) {
-        auto notice = outgoing.notice;
-        notice.wait = std::max(base::milliseconds{0}, notice.wait - since(outgoing.queued_at));
+    for (auto& queued : m_notices) {
+        auto notice = queued.content;
+        notice.wait = std::max(base::milliseconds{0}, notice.wait - since(queued.queued_at));
         message.notices.push_back(notice);
-        ++outgoing.times_sent;
+        ++queued.times_sent;
     }
-    for (auto& outgoing : m_limits) {
-        auto report = outgoing.report;
-        report.age += since(outgoing.queued_at);
+    for (auto& queued : m_limits) {
+        auto report = queued.content;
+        report.age += since(queued.queued_at);
         message.limits.push_back(report);
-        ++outgoing.times_sent;
+        ++queued.times_sent;
     }
     std::erase_if(m_notices, is_sent);
     std::erase_if(m_limits, is_sent);
