--- a/process_tests/limit_test.cpp
+++ b/process_tests/limit_test.cpp
@@ -9,7 +9,11 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <cstdlib>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -90,6 +94,24 @@
         ++m_round;
     }
 
+    /// Kills and restarts a VM, stops and restarts it, or lets it stand still for a while.
+    void disturb(const std::string& ip, std::uint_fast32_t kind)
+    {
+        auto& vm = m_fleet.at(ip);
+        if (kind == 0) {
+            vm.signal(SIGSTOP);
+            std::this_thread::sleep_for(milliseconds{1500});
+            vm.signal(SIGCONT);
+            return;
+        }
+        if (kind == 1) {
+            vm.signal(SIGTERM);
+            EXPECT_EQ(vm.wait(seconds{8}), 0);
+        }
+        vm.kill();
+        m_fleet.start(ip, "east");
+    }
+
     limited_target m_first{"first"};
     limited_target m_second{"second"};
     front_fleet m_fleet{binaries(), "chicorylink_limit"};
@@ -211,6 +233,31 @@
     EXPECT_EQ(seen.refused, 0);
 }
 
+// Guards against VMs that forget a limit, or count it twice, when they or others stop, restart or
+// stand still under load. More runs by hand: CHICORYLINK_SEED=N.
+TEST_F(limit, is_kept_through_restarts_and_pauses)
+{
+    const auto* given = std::getenv("CHICORYLINK_SEED");
+    const auto seed = given == nullptr ? 1U : static_cast<unsigned>(std::stoul(given));
+    std::mt19937 random(seed);
+    m_first.state_limit("2");
+    start();
+    outcomes seen;
+    std::thread load([&] { send_requests(seconds{25}, seen); });
+    const auto end = clock::now() + seconds{22};
+    while (clock::now() < end) {
+        const auto& ip = east_vms[random() % east_vms.size()];
+        disturb(ip, random() % 3);
+        std::this_thread::sleep_for(milliseconds{500 + random() % 1500});
+    }
+    load.join();
+    ASSERT_TRUE(m_first.first_stated_at());
+    EXPECT_LE(m_first.most_arrivals(limit_window, *m_first.first_stated_at() + limit_grace),
+              promised_arrivals(2, limit_window))
+        << "seed " << seed;
+    EXPECT_GT(seen.answered, 300);
+}
+
 // A value that is no rate must neither limit the target nor harm the VM.
 TEST_F(limit, a_value_that_is_no_number_is_ignored)
 {
