process_tests: a test that stops a VM waits until it stands still

booking.entry_that_pauses_past_the_deadline_sends_nothing failed once beside load: after 327 ms the repeat of the booking was told "ran" instead of "unknown".

Cause: the test sent SIGSTOP and the repeat at once. The signal returns before the process stands still: one thread has to handle it, the others run on until then. The daemon was right: it had the answer and told so.

child_process::pause waits for the stop. The check is as before.

--- a/process_tests/booking_test.cpp
+++ b/process_tests/booking_test.cpp
@@ -115,7 +115,7 @@
         return perform_when_admitted(booking_call(at("vm-north-2"), both_key, ticket, body));
     });
     EXPECT_TRUE(wait_until([&] { return runs_of(body) == 1; }));
-    at("vm-north-2").process.signal(SIGSTOP);
+    ASSERT_TRUE(at("vm-north-2").process.pause());
     auto repeated = std::async(std::launch::async, [&] {
         return perform_when_admitted(booking_call(at("vm-north-1"), both_key, ticket, body));
     });
--- a/process_tests/support/child_process.cpp
+++ b/process_tests/support/child_process.cpp
@@ -83,6 +83,14 @@
     }
 }
 
+bool child_process::pause() const
+{
+    signal(SIGSTOP);
+    siginfo_t state{};
+    return m_id > 0 && waitid(P_PID, static_cast<id_t>(m_id), &state, WSTOPPED) == 0 &&
+           state.si_pid == m_id;
+}
+
 std::optional<int> child_process::wait(std::chrono::milliseconds timeout)
 {
     const auto until = std::chrono::steady_clock::now() + timeout;
--- a/process_tests/support/child_process.hpp
+++ b/process_tests/support/child_process.hpp
@@ -29,6 +29,11 @@
 
     void signal(int number) const;
 
+    /// @brief Stops the program and waits until all of its threads stand still. A stop signal alone
+    /// returns earlier: the other threads run on until one of them has handled it.
+    /// @return False if the program runs on or has exited.
+    [[nodiscard]] bool pause() const;
+
     /// @brief Waits for the program to exit.
     /// @return The exit code, or 128 plus the signal; empty when it still runs after the timeout.
     std::optional<int> wait(std::chrono::milliseconds timeout);
