front: log header fields of targets that the daemon does not know

The incident's logs could not show that targets said something that nobody reads: the field was passed on to callers and left no trace. Names only, no values.

process_tests: the seeded restarts list disturbances and arrivals when they fail. The promise excuses a restarted machine, so requests of a VM in the second after its restart don't count there any more; all others do, also those of paused machines.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -132,6 +132,8 @@
     void read_notices(const message_head& head, base::time_point now);
     /// @brief Records the limit that the target's response states for the requests of all VMs.
     void read_limit(const message_head& head, base::time_point now);
+    /// @brief Logs the fields of a target's response that this program does not know.
+    void log_unknown_fields(const message_head& head);
     /// @brief Whether a response head comes from a target and belongs to this request.
     [[nodiscard]] bool is_target_response(const message_head& head) const;
     void flush_buffered(base::time_point now);
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -16,6 +16,7 @@
 #include "chicorylink/fleet/target_pacer.hpp"
 #include "chicorylink/fleet/target_pool.hpp"
 #include "chicorylink/front/connection_pool.hpp"
+#include "chicorylink/front/field_inventory.hpp"
 #include "chicorylink/front/front_settings.hpp"
 #include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/platform_protocol.hpp"
@@ -55,6 +56,7 @@
     fleet::region_digests remote_digests;
     fleet::retry_detector caller_retries;
     connection_pool connections;
+    field_inventory target_fields;
     /// None until the daemon has opened its listeners.
     std::optional<placement_link> placements;
     /// Requests that are in progress.
--- a/include/chicorylink/front/header_names.hpp
+++ b/include/chicorylink/front/header_names.hpp
@@ -39,6 +39,8 @@
     std::string key;
     /// Fields that only the gateway may send to a target; removed from callers' requests.
     std::vector<std::string> reserved;
+    /// Fields of targets' responses that are only passed on.
+    std::vector<std::string> unused_in_responses;
 };
 
 } // namespace chicorylink::front
--- a/process_tests/support/limited_target.cpp
+++ b/process_tests/support/limited_target.cpp
@@ -33,10 +33,10 @@
     std::string fields;
     {
         const std::lock_guard lock(m_mutex);
-        m_arrivals.push_back(clock::now());
+        m_arrivals.push_back({clock::now(), exchange.id()});
         if (!m_limit.empty()) {
             fields = fmt::format("Server-Limit: {}\r\n", m_limit);
-            m_first_stated_at = m_first_stated_at.value_or(m_arrivals.back());
+            m_first_stated_at = m_first_stated_at.value_or(m_arrivals.back().at);
         }
     }
     return exchange.pause(work_time) && exchange.send(exchange.response(m_name, fields));
@@ -45,22 +45,45 @@
 std::size_t limited_target::arrivals_since(clock::time_point from)
 {
     const std::lock_guard lock(m_mutex);
-    return static_cast<std::size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(),
-                                                  [&](auto arrival) { return arrival >= from; }));
+    return static_cast<std::size_t>(std::count_if(
+        m_arrivals.begin(), m_arrivals.end(), [&](const auto& entry) { return entry.at >= from; }));
 }
 
-std::size_t limited_target::most_arrivals(clock::duration window, clock::time_point from)
+std::size_t limited_target::most_arrivals(clock::duration window, clock::time_point from,
+                                          const std::vector<exception>& exceptions)
 {
     const std::lock_guard lock(m_mutex);
-    std::size_t most = 0;
-    for (auto first = m_arrivals.begin(); first != m_arrivals.end(); ++first) {
-        if (*first >= from) {
-            const auto count = std::count_if(
-                first, m_arrivals.end(), [&](auto arrival) { return arrival < *first + window; });
-            most = std::max(most, static_cast<std::size_t>(count));
+    std::vector<clock::time_point> counted;
+    for (const auto& entry : m_arrivals) {
+        const bool is_excepted =
+            std::any_of(exceptions.begin(), exceptions.end(), [&](const auto& excepted) {
+                return entry.request_id.starts_with(excepted.id_prefix) &&
+                       entry.at >= excepted.from && entry.at < excepted.to;
+            });
+        if (entry.at >= from && !is_excepted) {
+            counted.push_back(entry.at);
         }
     }
-    return most;
+    std::ptrdiff_t most = 0;
+    for (auto first = counted.begin(); first != counted.end(); ++first) {
+        most = std::max(most, std::count_if(first, counted.end(),
+                                            [&](auto at) { return at < *first + window; }));
+    }
+    return static_cast<std::size_t>(most);
+}
+
+std::string limited_target::list_arrivals(clock::time_point from)
+{
+    const std::lock_guard lock(m_mutex);
+    std::string lines;
+    for (const auto& entry : m_arrivals) {
+        if (entry.at >= from) {
+            const auto after =
+                std::chrono::duration_cast<std::chrono::milliseconds>(entry.at - from);
+            lines += fmt::format("{} {}\n", after.count(), entry.request_id);
+        }
+    }
+    return lines;
 }
 
 std::optional<limited_target::clock::time_point> limited_target::first_stated_at()
--- a/process_tests/support/limited_target.hpp
+++ b/process_tests/support/limited_target.hpp
@@ -26,18 +26,33 @@
 
     [[nodiscard]] const std::string& address() const { return m_target.address(); }
     [[nodiscard]] std::size_t arrivals_since(clock::time_point from);
+    /// Requests whose id begins with a text and that arrive in a time don't count.
+    struct exception {
+        std::string id_prefix;
+        clock::time_point from;
+        clock::time_point to;
+    };
+
     /// @brief The most requests that arrived within a window that begins at `from` or later.
-    [[nodiscard]] std::size_t most_arrivals(clock::duration window, clock::time_point from);
+    [[nodiscard]] std::size_t most_arrivals(clock::duration window, clock::time_point from,
+                                            const std::vector<exception>& exceptions = {});
+    /// @brief The arrivals since a time, one a line: milliseconds after it and the request's id.
+    [[nodiscard]] std::string list_arrivals(clock::time_point from);
     /// @brief When a response first stated a limit.
     [[nodiscard]] std::optional<clock::time_point> first_stated_at();
 
 private:
+    struct arrival {
+        clock::time_point at;
+        std::string request_id;
+    };
+
     bool respond(scripted_target::http_exchange& exchange);
 
     std::string m_name;
     std::mutex m_mutex;
     std::string m_limit;
-    std::vector<clock::time_point> m_arrivals;
+    std::vector<arrival> m_arrivals;
     std::optional<clock::time_point> m_first_stated_at;
     scripted_target m_target;
 };
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -107,6 +107,22 @@
     }
 }
 
+void exchange::log_unknown_fields(const message_head& head)
+{
+    if (m_attempt->target.empty()) {
+        return;
+    }
+    for (const auto& field : head.fields) {
+        if (m_core.target_fields.is_new(field.name)) {
+            write_log(m_core,
+                      log_event(m_core, "target_field_unknown")
+                          .add("request", m_request.id)
+                          .add("target", m_attempt->target.text())
+                          .add("field", std::string_view{field.name}.substr(0, max_logged_bytes)));
+        }
+    }
+}
+
 bool exchange::is_target_response(const message_head& head) const
 {
     const auto& names = m_core.protocol.names;
@@ -161,6 +177,7 @@
         end_attempt(attempt_end::unknown, target_outcome::broken, "not a target's answer", now);
         return;
     }
+    log_unknown_fields(head);
     if (m_response_begun && head.status >= first_error_status) {
         // An error response can't continue a stream that has begun.
         current.call->discard();
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -21,7 +21,7 @@
       log(STDOUT_FILENO), state(platform.decode_item),
       members(settings.self, settings.seed_ips, region_names(settings)),
       quota(settings.self.region, now), retries(settings.bounds.retries),
-      pacer(now + fleet::designation_delay), connections(event_loop)
+      pacer(now + fleet::designation_delay), connections(event_loop), target_fields(platform.names)
 {
 }
 
