fleet, process_tests: plainer names of the pacing and its tests

No change of behavior: is_paced instead of is_coordinated, excused senders instead of exceptions, a constant beside those that it belongs to.

--- a/include/chicorylink/fleet/target_pacer.hpp
+++ b/include/chicorylink/fleet/target_pacer.hpp
@@ -17,6 +17,11 @@
 /// by rendezvous hashing, so that a region's rate can be split without agreement.
 inline constexpr std::size_t designated_senders = 2;
 
+/// Time after its start in which a process chooses no target of limited rate by itself: until it
+/// knows the VMs of its region, it would count itself among the senders of every target, and add to
+/// what its previous run has just sent.
+inline constexpr base::milliseconds designation_delay{2'500};
+
 /// @brief Whether a VM is one of those that may choose a target of limited rate by themselves.
 /// @param region_ips IP addresses of the live VMs of the target's region, this one included.
 [[nodiscard]] bool is_designated_sender(const target_name& target, const std::string& own_ip,
@@ -30,9 +35,9 @@
 /// states a limit; none when neither holds.
 /// @param cold_per_second Requests per second that a cold target of the service takes from all VMs;
 /// no bound if zero or less.
-/// @param is_coordinated Whether the coordinator counts the requests toward the stated limit.
+/// @param is_paced Whether the coordinator counts the requests toward the stated limit.
 [[nodiscard]] std::optional<double> designated_rate(const tracked_target& target,
-                                                    double cold_per_second, bool is_coordinated,
+                                                    double cold_per_second, bool is_paced,
                                                     base::time_point now);
 
 /// @brief Spaces the requests to each target evenly, with a short burst at higher rates.
@@ -54,11 +59,6 @@
     std::unordered_map<target_name, base::time_point> m_due_at;
 };
 
-/// Time after its start in which a process chooses no target of limited rate by itself: until it
-/// knows the VMs of its region, it would count itself among the senders of every target, and add to
-/// what its previous run has just sent.
-inline constexpr base::milliseconds designation_delay{2'500};
-
 } // namespace chicorylink::fleet
 
 #endif // CHICORYLINK_FLEET_TARGET_PACER_HPP
--- a/process_tests/limit_test.cpp
+++ b/process_tests/limit_test.cpp
@@ -89,7 +89,7 @@
                     const auto begin = clock::now();
                     const auto result = client.perform(front_fleet::request(vm, "/safe/x", id));
                     count(result, clock::now() - begin, seen);
-                    std::this_thread::sleep_for(pause);
+                    std::this_thread::sleep_for(pause_between_requests);
                 }
             });
         }
@@ -125,7 +125,7 @@
     front_fleet m_fleet{binaries(), "chicorylink_limit"};
 
 private:
-    static constexpr milliseconds pause{5};
+    static constexpr milliseconds pause_between_requests{5};
 
     static void count(const reply& result, clock::duration took, outcomes& seen)
     {
@@ -254,7 +254,7 @@
     std::thread load([&] { send_requests(seconds{25}, seen); });
     const auto end = clock::now() + seconds{22};
     std::string disturbances;
-    std::vector<limited_target::exception> restarts;
+    std::vector<limited_target::excused_sender> restarts;
     const auto begin = clock::now();
     while (clock::now() < end) {
         const auto& ip = east_vms[random() % east_vms.size()];
--- a/process_tests/support/limited_target.cpp
+++ b/process_tests/support/limited_target.cpp
@@ -50,17 +50,17 @@
 }
 
 std::size_t limited_target::most_arrivals(clock::duration window, clock::time_point from,
-                                          const std::vector<exception>& exceptions)
+                                          const std::vector<excused_sender>& excused)
 {
     const std::lock_guard lock(m_mutex);
     std::vector<clock::time_point> counted;
     for (const auto& entry : m_arrivals) {
-        const bool is_excepted =
-            std::any_of(exceptions.begin(), exceptions.end(), [&](const auto& excepted) {
-                return entry.request_id.starts_with(excepted.id_prefix) &&
-                       entry.at >= excepted.from && entry.at < excepted.to;
+        const bool is_excused =
+            std::any_of(excused.begin(), excused.end(), [&](const auto& sender) {
+                return entry.request_id.starts_with(sender.id_prefix) && entry.at >= sender.from &&
+                       entry.at < sender.to;
             });
-        if (entry.at >= from && !is_excepted) {
+        if (entry.at >= from && !is_excused) {
             counted.push_back(entry.at);
         }
     }
--- a/process_tests/support/limited_target.hpp
+++ b/process_tests/support/limited_target.hpp
@@ -26,8 +26,8 @@
 
     [[nodiscard]] const std::string& address() const { return m_target.address(); }
     [[nodiscard]] std::size_t arrivals_since(clock::time_point from);
-    /// Requests whose id begins with a text and that arrive in a time don't count.
-    struct exception {
+    /// A sender, by the begin of its request ids, whose requests do not count for some time.
+    struct excused_sender {
         std::string id_prefix;
         clock::time_point from;
         clock::time_point to;
@@ -35,7 +35,7 @@
 
     /// @brief The most requests that arrived within a window that begins at `from` or later.
     [[nodiscard]] std::size_t most_arrivals(clock::duration window, clock::time_point from,
-                                            const std::vector<exception>& exceptions = {});
+                                            const std::vector<excused_sender>& excused = {});
     /// @brief The arrivals since a time, one a line: milliseconds after it and the request's id.
     [[nodiscard]] std::string list_arrivals(clock::time_point from);
     /// @brief When a response first stated a limit.
--- a/src/chicorylink/fleet/limit_watch_test.cpp
+++ b/src/chicorylink/fleet/limit_watch_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/fleet/limit_watch.hpp"
+#include "chicorylink/fleet/target_pool_fixture.hpp"
 
 #include <gtest/gtest.h>
 
@@ -6,12 +7,7 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-base::time_point at(milliseconds since_boot)
-{
-    return base::time_point{since_boot};
-}
+using test_support::at;
 
 TEST(limit_watch, tells_of_a_broken_promise_once_a_window)
 {
--- a/src/chicorylink/fleet/target_pacer.cpp
+++ b/src/chicorylink/fleet/target_pacer.cpp
@@ -36,14 +36,14 @@
 }
 
 std::optional<double> designated_rate(const tracked_target& target, double cold_per_second,
-                                      bool is_coordinated, base::time_point now)
+                                      bool is_paced, base::time_point now)
 {
     std::optional<double> region_rate;
     if (may_be_cold(target, now) && cold_per_second > 0) {
         region_rate = cold_per_second;
     }
     const auto limit = limit_at(target.pushback.limit, now);
-    if (limit && !is_coordinated) {
+    if (limit && !is_paced) {
         const double left = *limit - coordinated_rate(*limit);
         region_rate = std::min(region_rate.value_or(left), left);
     }
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -92,7 +92,7 @@
                               .add("told", std::string_view{*text}.substr(0, max_logged_bytes)));
         return;
     }
-    // Rejections and failures without a limit may come from something before the target.
+    // Rejections and failures may lack the field; only a served response shows that a limit ended.
     const bool is_served = head.status < first_error_status && is_target_response(head);
     if (!per_second && !is_served) {
         return;
