--- a/src/chicorylink/fleet/codec_notices.hpp
+++ b/src/chicorylink/fleet/codec_notices.hpp
@@ -64,6 +64,10 @@
 flatbuffers::Offset<flatbuffers::Vector<const Coded*>>
 write_limits(flatbuffers::FlatBufferBuilder& to, const std::vector<limit_report>& reports)
 {
+    if (reports.empty()) {
+        // An absent vector takes no bytes; most messages have no limits.
+        return 0;
+    }
     std::vector<Coded> list;
     list.reserve(reports.size());
     for (const auto& report : reports) {
