fleet: a limit that a digest has relayed is not reported again

Many VMs get the same statement: at a region of 100 VMs each would have told the delegates once a second. A VM keeps quiet while a digest has told it the same within two seconds.

--- a/include/chicorylink/fleet/rate_limit.hpp
+++ b/include/chicorylink/fleet/rate_limit.hpp
@@ -49,6 +49,10 @@
 /// How often a statement that doesn't change is reported to the region's delegates.
 inline constexpr base::milliseconds limit_report_interval{1'000};
 
+/// A statement that a digest has relayed is not reported again for this long: many VMs get the same
+/// statement, and the delegates need it once.
+inline constexpr base::milliseconds limit_relay_time{2'000};
+
 /// @brief The requests per second that a target takes from all VMs now; none without a limit.
 [[nodiscard]] std::optional<double> limit_at(const rate_limit& limit, base::time_point now);
 
--- a/src/chicorylink/fleet/rate_limit_test.cpp
+++ b/src/chicorylink/fleet/rate_limit_test.cpp
@@ -100,6 +100,23 @@
     EXPECT_FALSE(state(std::nullopt, milliseconds{90'000}));
 }
 
+// Guards against a flood of reports: a hundred VMs get the same statement within a second.
+TEST(rate_limit, is_not_reported_while_a_digest_has_relayed_the_same)
+{
+    target_pool_fixture targets(0, 1);
+    auto& pool = targets.pool();
+    pool.on_limit_report(report_of(pool, 1.0, {}), true, at(seconds{2}));
+    const auto state = [&](double per_second, milliseconds now) {
+        return pool.on_limit_stated(first, {per_second, at(now)}, at(now)).report;
+    };
+    EXPECT_FALSE(state(1.0, milliseconds{2500}));
+    EXPECT_TRUE(state(2.0, milliseconds{2600}));
+    EXPECT_TRUE(state(2.0, milliseconds{3600}));
+    pool.on_limit_report(report_of(pool, 2.0, {}), true, at(milliseconds{3700}));
+    EXPECT_FALSE(state(2.0, milliseconds{5600}));
+    EXPECT_TRUE(state(2.0, milliseconds{5700}));
+}
+
 // Two delegates that passed on each other's digests would make a statement look ever newer.
 TEST(rate_limit, a_relayed_report_is_known_but_not_passed_on)
 {
--- a/src/chicorylink/fleet/target_pool_pushback.cpp
+++ b/src/chicorylink/fleet/target_pool_pushback.cpp
@@ -73,8 +73,10 @@
     }
     limit_update update;
     update.is_new = limit_at(limit, now) != before;
-    const bool is_due =
-        is_recent(limit.told, now) && now - limit.reported_at >= limit_report_interval;
+    const bool is_relayed = limit.relayed.per_second == limit.told.per_second &&
+                            now - limit.relayed.at < limit_relay_time;
+    const bool is_due = is_recent(limit.told, now) && !is_relayed &&
+                        now - limit.reported_at >= limit_report_interval;
     if (update.is_new || is_due) {
         limit.reported_at = now;
         update.report = report_of(*target, now);
