process_tests: a withdrawn key is looked for at each VM until the bound

Cause: the test took for granted that a VM of the other region has applied a change as soon as another VM has. Each VM watches the store by itself; the promise is that each has applied a change within the bound.

Change: both VMs must have applied the change when the bound has passed since its publication; one bound for both, not one after the other. The test now also requires that the VM of the other region refuses the withdrawn key on an open connection, and that the first VM takes the new key.

--- a/process_tests/front_test.cpp
+++ b/process_tests/front_test.cpp
@@ -213,15 +213,26 @@
     EXPECT_EQ(result.body, expected);
 }
 
+// Each VM watches the store by itself, so one may apply a change some milliseconds after another.
+// All must have applied it when the bound has passed since the publication.
 TEST_F(front, a_withdrawn_key_stops_working_on_an_open_connection)
 {
     connection client;
+    connection client_in_west;
     EXPECT_EQ(client.perform(request("127.0.1.2", "/safe/x", "id-1")).status, 200);
+    EXPECT_EQ(client_in_west.perform(request("127.0.1.3", "/safe/x", "id-2")).status, 200);
     m_fleet.publish_config(2, {"other"});
+    const auto published_at = std::chrono::steady_clock::now();
     EXPECT_TRUE(wait_until(
-        [&] { return client.perform(request("127.0.1.2", "/safe/x", "id-2")).status == 401; },
+        [&] { return client.perform(request("127.0.1.2", "/safe/x", "id-3")).status == 401; },
         change_bound));
-    EXPECT_EQ(perform(request("127.0.1.3", "/safe/x", "id-3", "other")).status, 200);
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - published_at);
+    EXPECT_TRUE(wait_until(
+        [] { return perform(request("127.0.1.3", "/safe/x", "id-4", "other")).status == 200; },
+        change_bound - elapsed));
+    EXPECT_EQ(client_in_west.perform(request("127.0.1.3", "/safe/x", "id-5")).status, 401);
+    EXPECT_EQ(client.perform(request("127.0.1.2", "/safe/x", "id-6", "other")).status, 200);
 }
 
 TEST_F(front, keyed_requests_stop_when_nothing_confirms_the_keys)
