process_tests: failing test of callers in other regions before limited targets

Callers see: where a route is bound to a region all of whose targets of the service state a limit, the VMs of the other regions refuse every request, though the targets take some. To those VMs the region has no capacity at all: a limited target counts as none in the region's digest. If the region has no callers of its own, nobody hears of the end of the limit either, for a minute.

--- a/process_tests/limit_test.cpp
+++ b/process_tests/limit_test.cpp
@@ -76,7 +76,7 @@
     }
 
     /// Sends requests through all VMs, more at a time than one target has slots.
-    void send_requests(seconds duration, outcomes& seen)
+    void send_requests(seconds duration, outcomes& seen, const std::string& path = "/safe/x")
     {
         constexpr int callers_per_vm = 4;
         std::vector<std::thread> callers;
@@ -88,7 +88,7 @@
                 for (int turn = 0; clock::now() < end; ++turn) {
                     const auto id = fmt::format("{}-{}-{}-{}", vm, m_round, number, turn);
                     const auto begin = clock::now();
-                    const auto result = client.perform(front_fleet::request(vm, "/safe/x", id));
+                    const auto result = client.perform(front_fleet::request(vm, path, id));
                     count(result, clock::now() - begin, seen);
                     std::this_thread::sleep_for(pause_between_requests);
                 }
@@ -207,6 +207,34 @@
     }
 }
 
+// Guards against requests that may run in one region only and that the VMs of all other regions
+// refuse while its targets limit their rate: to them the region has no capacity.
+TEST_F(limit, callers_of_other_regions_use_the_rate_too)
+{
+    constexpr double per_second = 10;
+    limited_target west{"west"};
+    west.state_limit("10");
+    start();
+    m_fleet.publish_target("i-west", west.address(), "west-a");
+    m_fleet.start("127.0.6.4", "west");
+    for (const auto& ip : east_vms) {
+        ASSERT_TRUE(
+            wait_until([&] { return front_fleet::directory(ip, "west").size() == 1; }, seconds{5}));
+    }
+    outcomes seen;
+    send_requests(limit_grace + limit_window + seconds{1}, seen, "/west/x");
+    ASSERT_TRUE(west.first_stated_at());
+    const auto holds_from = *west.first_stated_at() + limit_grace;
+    EXPECT_LE(west.most_arrivals(limit_window, holds_from),
+              promised_arrivals(per_second, limit_window));
+    EXPECT_GE(static_cast<double>(west.arrivals_since(holds_from)),
+              per_second * static_cast<double>(limit_window.count()) / 2);
+    EXPECT_GT(seen.refused, 100);
+    EXPECT_EQ(seen.other, 0);
+    EXPECT_EQ(seen.without_retry_after, 0);
+    EXPECT_LT(seen.slowest_refusal, milliseconds{500});
+}
+
 // Guards against callers that wait for a target that takes no more requests, or that are told to
 // return at once.
 TEST_F(limit, callers_are_refused_at_once_when_all_targets_limit_their_rate)
