fleet, front: callers of other regions get their part of limited targets

Callers saw: where a route is bound to a region all of whose targets of the service state a limit, the VMs of all other regions refused every request, though the targets take some (limit.callers_of_other_regions_use_the_rate_too: 0 of 50 requests in five seconds). Without callers of its own the region did not hear of the end of the limit either.

Cause: the region's digest counts a limited target as no capacity, so that other regions send it nothing of their peaks. For a request that may run nowhere else, no capacity means a refusal.

Change: the digest tells the rate of services whose usable targets all have a limit. A request that no region can serve otherwise goes there, from each VM at most its region's part of that rate, evenly spaced; what is beyond is refused at once, at the VM's turn to return. The region keeps the limit as before: it counts forwarded requests with its own. A VM whose own region may not run a request no longer tells the caller the wait of its own targets. The pacing of targets becomes a template, rate_pacer, for both keys; the part of exchange that deals with other regions moves to exchange_regions.cpp as it was.

Messages without limited services are as long as before, and VMs of the build before ignore the new field.

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -30,6 +30,8 @@
 
 struct TargetLimit;
 
+struct ServiceRate;
+
 struct RegionDigest;
 struct RegionDigestBuilder;
 
@@ -276,6 +278,29 @@
 };
 FLATBUFFERS_STRUCT_END(TargetLimit, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ServiceRate FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  double per_second_;
+
+ public:
+  ServiceRate()
+      : service_(0),
+        per_second_(0) {
+  }
+  ServiceRate(uint64_t _service, double _per_second)
+      : service_(flatbuffers::EndianScalar(_service)),
+        per_second_(flatbuffers::EndianScalar(_per_second)) {
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  double per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ServiceRate, 16);
+
 struct RegionDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RegionDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -288,7 +313,8 @@
     VT_TARGETS = 16,
     VT_OUTLOOK = 18,
     VT_NOTICES = 20,
-    VT_LIMITS = 22
+    VT_LIMITS = 22,
+    VT_LIMITED_SERVICES = 24
   };
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
@@ -320,6 +346,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *> *limited_services() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *> *>(VT_LIMITED_SERVICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGION) &&
@@ -339,6 +368,8 @@
            verifier.VerifyVector(notices()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_LIMITED_SERVICES) &&
+           verifier.VerifyVector(limited_services()) &&
            verifier.EndTable();
   }
 };
@@ -377,6 +408,9 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *>> limits) {
     fbb_.AddOffset(RegionDigest::VT_LIMITS, limits);
   }
+  void add_limited_services(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *>> limited_services) {
+    fbb_.AddOffset(RegionDigest::VT_LIMITED_SERVICES, limited_services);
+  }
   explicit RegionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -399,9 +433,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *>> limited_services = 0) {
   RegionDigestBuilder builder_(_fbb);
   builder_.add_reporter(reporter);
+  builder_.add_limited_services(limited_services);
   builder_.add_limits(limits);
   builder_.add_notices(notices);
   builder_.add_outlook(outlook);
@@ -425,7 +461,8 @@
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
     const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetNotice> *notices = nullptr,
-    const std::vector<chicorylink::fleet::codec::TargetLimit> *limits = nullptr) {
+    const std::vector<chicorylink::fleet::codec::TargetLimit> *limits = nullptr,
+    const std::vector<chicorylink::fleet::codec::ServiceRate> *limited_services = nullptr) {
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::DigestMember>(*members) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
@@ -433,6 +470,7 @@
   auto outlook__ = outlook ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceOutlook>(*outlook) : 0;
   auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetNotice>(*notices) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetLimit>(*limits) : 0;
+  auto limited_services__ = limited_services ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceRate>(*limited_services) : 0;
   return chicorylink::fleet::codec::CreateRegionDigest(
       _fbb,
       region__,
@@ -444,7 +482,8 @@
       targets__,
       outlook__,
       notices__,
-      limits__);
+      limits__,
+      limited_services__);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -74,6 +74,11 @@
                                             const std::vector<remote_region>& others,
                                             const region_request& request);
 
+/// @brief The decision to send a request to another region whose targets have none of its prompt
+/// cached.
+[[nodiscard]] region_decision decide_for_region(const remote_region& destination,
+                                                const region_request& request);
+
 /// @brief Limits within which a request stays in this region.
 struct local_limits {
     base::milliseconds wait{0};
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -63,6 +63,12 @@
     base::milliseconds wait{0};
 };
 
+/// @brief Requests per second that the targets of a service take in one region.
+struct service_rate {
+    std::uint64_t service = 0;
+    double per_second = 0;
+};
+
 /// @brief Entry of a VM in a digest.
 struct digest_member {
     std::string ip;
@@ -94,6 +100,8 @@
     std::vector<target_notice> notices;
     /// What targets stated about the rate that they take; only sent within the region.
     std::vector<limit_report> limits;
+    /// Services whose usable targets in the region all limit their rate.
+    std::vector<service_rate> limited_services;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/target_pacer.hpp
+++ b/include/chicorylink/fleet/target_pacer.hpp
@@ -3,12 +3,12 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
+#include "chicorylink/fleet/rate_pacer.hpp"
 #include "chicorylink/fleet/tracked_target.hpp"
 
 #include <cstddef>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace chicorylink::fleet {
@@ -40,24 +40,8 @@
                                                     double cold_per_second, bool is_paced,
                                                     base::time_point now);
 
-/// @brief Spaces the requests to each target evenly, with a short burst at higher rates.
-class target_pacer {
-public:
-    /// @param first_send_at Until then nothing is allowed.
-    explicit target_pacer(base::time_point first_send_at = {}) : m_first_send_at(first_send_at) {}
-
-    /// @brief Whether one more request may be sent now.
-    [[nodiscard]] bool allows(const target_name& target, double per_second,
-                              base::time_point now) const;
-
-    /// @brief Records that a request is sent.
-    void note_sent(const target_name& target, double per_second, base::time_point now);
-
-private:
-    base::time_point m_first_send_at;
-    /// When the next request of each target is due at an even spacing.
-    std::unordered_map<target_name, base::time_point> m_due_at;
-};
+/// @brief Spaces the requests to each target of limited rate.
+using target_pacer = rate_pacer<target_name>;
 
 } // namespace chicorylink::fleet
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/sse_parser.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_after_delay.hpp"
@@ -96,6 +97,14 @@
                                         const fleet::region_name& region,
                                         base::time_point now) const;
     [[nodiscard]] bool has_peer_in(const fleet::region_name& region, base::time_point now) const;
+    /// @brief Whether the request may run in another region and a VM there takes it.
+    [[nodiscard]] bool may_leave_for(const fleet::region_name& region, base::time_point now) const;
+    /// @brief The other regions that may serve the request although their targets limit their rate.
+    [[nodiscard]] std::vector<fleet::limited_region> limited_candidates(base::time_point now) const;
+    /// @brief Sends a request for which no region has capacity to a region whose targets limit
+    /// their rate.
+    /// @return False if there is none, or if this VM has sent it its part already.
+    bool send_to_limited_region(base::time_point now);
     /// @brief Chooses the VM of another region to send the request to.
     [[nodiscard]] std::string choose_peer(const fleet::region_name& region,
                                           base::time_point now) const;
@@ -161,6 +170,8 @@
     /// @brief Time until the caller should return when all usable targets of this region asked for
     /// a wait or limit their rate; none when one of them does neither.
     [[nodiscard]] std::optional<base::milliseconds> wait_for_targets(base::time_point now);
+    /// @brief The same for other regions whose targets limit their rate; none without such regions.
+    [[nodiscard]] std::optional<base::milliseconds> wait_for_limited_regions(base::time_point now);
     /// @brief The retry delay after a rejection: the shorter of the wait for this region's
     /// targets and the one that a refusing VM sent.
     [[nodiscard]] base::milliseconds retry_delay_after_rejection(base::time_point now);
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -6,6 +6,7 @@
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
 #include "chicorylink/fleet/limit_watch.hpp"
+#include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/placement_coordinator.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
@@ -51,6 +52,7 @@
     /// For cold targets and targets that state a limit, when this VM chooses them by itself.
     fleet::target_pacer pacer;
     fleet::limit_watch limits;
+    fleet::region_pacer region_pacer;
     fleet::return_schedule returns;
     fleet::remote_sends remote_traffic;
     fleet::region_digests remote_digests;
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -85,6 +85,11 @@
     }
     digest.notices = read_notices(from.notices());
     digest.limits = read_limits(from.limits());
+    if (from.limited_services() != nullptr) {
+        for (const auto* entry : *from.limited_services()) {
+            digest.limited_services.push_back({entry->service(), entry->per_second()});
+        }
+    }
     return digest;
 }
 
@@ -113,6 +118,21 @@
     return to.CreateVectorOfStructs(list);
 }
 
+flatbuffers::Offset<flatbuffers::Vector<const codec::ServiceRate*>>
+write_rates(builder& to, const std::vector<service_rate>& rates)
+{
+    if (rates.empty()) {
+        // An absent vector takes no bytes; most digests have none.
+        return 0;
+    }
+    std::vector<codec::ServiceRate> list;
+    list.reserve(rates.size());
+    for (const auto& entry : rates) {
+        list.emplace_back(entry.service, entry.per_second);
+    }
+    return to.CreateVectorOfStructs(list);
+}
+
 flatbuffers::Offset<codec::RegionDigest> write_digest(builder& to, const region_digest& digest)
 {
     std::vector<codec::DigestMember> members;
@@ -132,9 +152,10 @@
     const auto outlook_list = to.CreateVectorOfStructs(outlook);
     const auto notices = write_notices<codec::TargetNotice>(to, digest.notices);
     const auto limits = write_limits<codec::TargetLimit>(to, digest.limits);
+    const auto limited_services = write_rates(to, digest.limited_services);
     return codec::CreateRegionDigest(to, region, digest.reporter.value(), to_wire_ms(digest.age),
                                      to_wire_ms(digest.round_trip), member_list, usage, targets,
-                                     outlook_list, notices, limits);
+                                     outlook_list, notices, limits, limited_services);
 }
 
 } // namespace
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -198,6 +198,11 @@
     return {region_decision_kind::none, {}, base::milliseconds{0}, shortest};
 }
 
+region_decision decide_for_region(const remote_region& destination, const region_request& request)
+{
+    return remote_decision({&destination, start_at(destination, false, request), false}, request);
+}
+
 void remote_sends::note(const region_name& region, const service_name& service,
                         std::uint32_t tokens, base::time_point now)
 {
--- a/src/chicorylink/fleet/target_pacer.cpp
+++ b/src/chicorylink/fleet/target_pacer.cpp
@@ -7,13 +7,6 @@
 namespace chicorylink::fleet {
 namespace {
 
-/// Requests of this much time may be sent at once. Demand is uneven; without a burst the rate that
-/// a target takes would go unused between two peaks.
-constexpr base::milliseconds burst_time{250};
-
-/// Entries that were due so long ago have no effect any more.
-constexpr base::milliseconds due_retention{60'000};
-
 constexpr double coordinated_fraction = 0.8;
 
 } // namespace
@@ -50,21 +43,4 @@
     return region_rate ? std::optional{*region_rate / designated_senders} : std::nullopt;
 }
 
-bool target_pacer::allows(const target_name& target, double per_second, base::time_point now) const
-{
-    if (now < m_first_send_at) {
-        return false;
-    }
-    const auto due = m_due_at.find(target);
-    const auto burst = std::max(burst_time - request_interval(per_second), base::milliseconds{0});
-    return due == m_due_at.end() || now + burst >= due->second;
-}
-
-void target_pacer::note_sent(const target_name& target, double per_second, base::time_point now)
-{
-    std::erase_if(m_due_at, [&](const auto& entry) { return now - entry.second > due_retention; });
-    auto& due = m_due_at.try_emplace(target, now).first->second;
-    due = std::max(due, now) + request_interval(per_second);
-}
-
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -54,6 +54,9 @@
 
 std::optional<base::milliseconds> exchange::wait_for_targets(base::time_point now)
 {
+    if (!fleet::may_run_in(*m_resolved.route, m_resolved.team, m_core.settings.self.region)) {
+        return std::nullopt;
+    }
     const auto& service = m_resolved.service->name;
     const auto wait = m_core.pool.shortest_wait(service, now);
     const double rate = m_core.pool.limited_rate(service, now);
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -10,7 +10,7 @@
 
 #include <fmt/format.h>
 
-// The part of `exchange` that decides where a request goes and sends it.
+// The part of `exchange` that decides where a request goes and sends it to a target.
 
 namespace chicorylink::front {
 namespace {
@@ -18,8 +18,6 @@
 /// A connection within a region takes about two round trips. A longer time means that the SYN was
 /// lost, and its retransmission comes only after a second.
 constexpr base::milliseconds local_connect_timeout{300};
-/// The same between regions, allowing for a loaded link.
-constexpr base::milliseconds remote_connect_timeout{800};
 
 } // namespace
 
@@ -101,60 +99,6 @@
     return fleet::choose_target(m_core.pool, request, now);
 }
 
-std::vector<fleet::remote_region> exchange::remote_candidates(base::time_point now) const
-{
-    if (m_request.from_peer()) {
-        return {};
-    }
-    auto regions = fleet::remote_regions(m_core.remote_digests, m_resolved.service->name,
-                                         m_core.remote_traffic, now);
-    for (const auto& region : region_names(m_core.settings)) {
-        if (region != m_core.settings.self.region && !m_core.remote_digests.knows(region, now)) {
-            regions.push_back(fleet::region_without_digest(region));
-        }
-    }
-    std::erase_if(regions, [&](const fleet::remote_region& other) {
-        return !fleet::may_run_in(*m_resolved.route, m_resolved.team, other.region) ||
-               !has_peer_in(other.region, now);
-    });
-    return regions;
-}
-
-bool exchange::is_eligible_peer(const std::string& ip, const fleet::member& peer,
-                                const fleet::region_name& region, base::time_point now) const
-{
-    return peer.region == region && fleet::roster::takes_requests(peer, now) &&
-           std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) == m_tried_peers.end();
-}
-
-bool exchange::has_peer_in(const fleet::region_name& region, base::time_point now) const
-{
-    const auto& members = m_core.members.members();
-    return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
-        return is_eligible_peer(entry.first, entry.second, region, now);
-    });
-}
-
-std::string exchange::choose_peer(const fleet::region_name& region, base::time_point now) const
-{
-    // Weighted rendezvous hashing: a VM gets requests in proportion to its capacity.
-    std::string best;
-    double best_rank = 0;
-    const auto key = base::hash_name(m_request.id);
-    for (const auto& [ip, peer] : m_core.members.members()) {
-        if (!is_eligible_peer(ip, peer, region, now)) {
-            continue;
-        }
-        const double rank = base::rendezvous_rank(base::hash_pair(key, base::hash_name(ip)),
-                                                  peer.capacity.value() + 1);
-        if (best.empty() || rank > best_rank) {
-            best = ip;
-            best_rank = rank;
-        }
-    }
-    return best;
-}
-
 fleet::placement_query exchange::make_placement_query(base::time_point now) const
 {
     const auto limits = fleet::local_limits_for(remote_candidates(now), make_region_request(now));
@@ -261,15 +205,22 @@
     case fleet::region_decision_kind::none:
         break;
     }
+    const bool has_targets = decision.wait != base::milliseconds::max();
+    if (!has_targets && send_to_limited_region(now)) {
+        return;
+    }
     if (m_history.arrivals > 0 || m_history.has_begun) {
         execute(fleet::give_up(m_history, m_last_end), "no target left", now);
         return;
     }
-    const bool has_targets = decision.wait != base::milliseconds::max();
     if (has_targets) {
         m_shortest_wait = decision.wait;
     }
-    if (const auto targets_wait = has_targets ? std::nullopt : wait_for_targets(now)) {
+    auto targets_wait = has_targets ? std::nullopt : wait_for_targets(now);
+    if (!has_targets && !targets_wait) {
+        targets_wait = wait_for_limited_regions(now);
+    }
+    if (targets_wait) {
         refuse({unavailable_status, "targets_push_back",
                 retry_delay(*targets_wait, fleet::retry_jitter::requested_wait)},
                now);
@@ -329,26 +280,6 @@
          local_connect_timeout, now);
 }
 
-void exchange::send_to_peer(const fleet::region_decision& decision, const std::string& ip,
-                            base::time_point now)
-{
-    attempt next;
-    next.address = fmt::format("{}:{}", ip, m_core.settings.peer_port);
-    next.region = decision.region;
-    next.expected_wait = decision.wait;
-    next.expected_start = decision.start;
-    m_attempt = std::move(next);
-    m_silence_reported = false;
-    m_tried_peers.push_back(ip);
-    const auto one_way = decision.round_trip / 2;
-    m_core.remote_traffic.note(decision.region, m_resolved.service->name, decision.tokens, now);
-    send(serialize_for_peer(
-             m_request, m_resolved,
-             {std::max(base::milliseconds{1}, time_left(now) - one_way), m_last_event_id},
-             m_core.protocol.names),
-         remote_connect_timeout, now);
-}
-
 void exchange::charge_quota(base::time_point now)
 {
     if (!m_charged && !m_request.is_charged_elsewhere() && m_resolved.team != nullptr) {
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorylink/base/boot_clock.hpp"
 #include "chicorylink/fleet/heartbeat_codec.hpp"
+#include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/placement.hpp"
 #include "chicorylink/front/front_core.hpp"
 
@@ -147,6 +148,9 @@
         for (const auto& service : m_core.state.config()->services()) {
             digest.outlook.push_back(
                 fleet::outlook_of(m_core.pool, service.name, is_coordinating, now));
+            if (const auto rate = fleet::limited_service(m_core.pool, service.name, now)) {
+                digest.limited_services.push_back(*rate);
+            }
         }
     }
     return digest;
