--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -52,6 +52,7 @@
     /// For cold targets and targets that state a limit, when this VM chooses them by itself.
     fleet::target_pacer pacer;
     fleet::limit_watch limits;
+    /// For requests to other regions in which all targets of the service state a limit.
     fleet::region_pacer region_pacer;
     fleet::return_schedule returns;
     fleet::remote_sends remote_traffic;
