front: connections closed for their idle time or an incomplete request are logged or counted

A connection of a caller that the daemon closes by itself left no trace, so a request that is lost with it can't be told from one that never came. An incomplete request is logged with its limit; idle connections are counted, since they are many.

--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -289,10 +289,23 @@
     }
     const auto limits = limits_of(m_core);
     const auto idle = m_side == connection_side::peer ? peer_idle_timeout : limits.idle_time;
-    const auto limit = m_parser->has_begun() ? limits.header_time : idle + idle_margin;
-    if (now - m_timeout_start > limit) {
-        close();
+    const bool is_incomplete = m_parser->has_begun();
+    const auto limit = is_incomplete ? limits.header_time : idle + idle_margin;
+    const auto waited = now - m_timeout_start;
+    if (waited <= limit) {
+        return;
+    }
+    if (is_incomplete) {
+        m_core.counters.add("incomplete_requests_total");
+        write_log(m_core, log_event(m_core, "incomplete_request")
+                              .add("waited_ms",
+                                   std::chrono::duration_cast<base::milliseconds>(waited).count())
+                              .add("limit_ms", limit.count()));
+    }
+    else {
+        m_core.counters.add("idle_connections_closed_total");
     }
+    close();
 }
 
 } // namespace chicorylink::front
