--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -66,7 +66,8 @@
                                        .dump());
 }
 
-void front_fleet::publish_config(int version, const std::vector<std::string>& keys)
+void front_fleet::publish_config(int version, const std::vector<std::string>& keys,
+                                 const std::string& dropped_path)
 {
     const auto route = [](const std::string& path, const std::string& kind) {
         return nlohmann::json{
@@ -77,10 +78,13 @@
     };
     auto west_only = route("/west/", "safe");
     west_only["allowedRegions"] = {"west"};
+    auto routes = nlohmann::json::array({route("/safe/", "safe"), route("/unsafe/", "unsafe"),
+                                         route("/stream/", "streaming"), west_only});
+    for (auto it = routes.begin(); it != routes.end();) {
+        it = it->at("name") == dropped_path ? routes.erase(it) : std::next(it);
+    }
     m_store.put("op/config", nlohmann::json{{"version", version},
-                                            {"routes",
-                                             {route("/safe/", "safe"), route("/unsafe/", "unsafe"),
-                                              route("/stream/", "streaming"), west_only}},
+                                            {"routes", routes},
                                             {"services", {{{"name", "app"}, {"maxConns", 100}}}},
                                             {"tenants", {{{"name", "cards"}, {"apiKeys", keys}}}}}
                                  .dump());
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -48,7 +48,9 @@
 
     /// @brief Publishes routes `/safe/`, `/unsafe/`, `/stream/` and `/west/`, which runs in region
     /// `west` only, and one team with these keys.
-    void publish_config(int version, const std::vector<std::string>& keys);
+    /// @param dropped_path A route that is left out.
+    void publish_config(int version, const std::vector<std::string>& keys,
+                        const std::string& dropped_path = {});
 
     [[nodiscard]] static bool is_ready(const std::string& ip);
 
