front: a silent target keeps its request until another one has begun the response

Callers saw: a stream reset in its middle, or a 502, because its target had sent nothing for a second, although the target went on later. It also happened when a new configuration dropped the route during the silence.

Cause: on silence the running attempt was canceled first and a place elsewhere was looked for afterwards. When no region took the request, the next target rejected it or broke off, the retry budget was used up, or a new configuration denied it, nothing was left to serve it. A target's silence proves nothing, so the only sound response was given up for a possible one.

Now the silent target's attempt goes on while the request is sent elsewhere. The one that makes progress first is kept and the other one canceled at once, so that no two targets work on it for longer than a message takes. If the other attempt ends without a response, the request stays with the silent target. The retry is taken from the budget when it is sent, not when it is looked for.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -53,6 +53,8 @@
 private:
     /// Destination and progress of one attempt.
     struct attempt {
+        /// The number of the attempt among those of the request, from 1.
+        std::uint32_t number = 0;
         std::shared_ptr<upstream_call> call;
         /// Empty if the request was sent to another VM.
         fleet::target_name target;
@@ -71,10 +73,12 @@
         std::optional<reserved_place> place;
         std::optional<fleet::target_outcome> outcome;
         message_head head;
+        base::sse_parser events;
         /// Bytes held back until the response ends, or until a stream's first event.
         std::string buffered_body;
         /// Whether the request no longer counts as the target's load in the pool.
         bool released = false;
+        bool ended = false;
     };
 
     // Before an attempt.
@@ -128,11 +132,16 @@
     // While an attempt runs.
     /// @brief The call of the running attempt; null between attempts.
     [[nodiscard]] upstream_call* running_call() const;
-    void on_head(const message_head& head);
-    void on_body(std::string_view piece);
-    void on_response_end();
-    void on_failure(const upstream_failure& failure);
-    void on_event(const base::sse_event& event, base::time_point now);
+    // The first argument is the number of the attempt that the response belongs to.
+    void on_head(std::uint32_t number, const message_head& head);
+    void on_body(std::uint32_t number, std::string_view piece);
+    void on_response_end(std::uint32_t number);
+    void on_failure(std::uint32_t number, const upstream_failure& failure);
+    void on_event(attempt& from, const base::sse_event& event, base::time_point now);
+    [[nodiscard]] bool is_silent_attempt(std::uint32_t number) const
+    {
+        return m_silent_attempt && m_silent_attempt->number == number;
+    }
     void note_progress(base::time_point now);
     void pause_for_slow_caller();
     void read_load(const message_head& head, base::time_point now);
@@ -147,14 +156,31 @@
     [[nodiscard]] bool is_target_response(const message_head& head) const;
     void flush_buffered(base::time_point now);
 
+    // While a target is silent. A sound target may be silent for a while, so its attempt goes on
+    // until another target has begun its response.
+    [[nodiscard]] bool is_silent(base::time_point now) const;
     /// @brief Whether a request whose target is silent can be retried at another target.
     [[nodiscard]] bool can_retry_elsewhere(base::time_point now) const;
-    [[nodiscard]] bool is_silent(base::time_point now) const;
+    /// @brief Ejects the silent target and looks for another one, if the request may be retried.
+    void on_silence(base::time_point now);
+    /// @brief Whether a head shows that the silent target serves the request after all.
+    [[nodiscard]] bool is_served(const message_head& head) const;
+    /// @brief Goes on with the silent target's attempt and cancels the one that was to replace it.
+    void resume_silent_attempt(base::time_point now);
+    /// @brief Ends the silent target's attempt; the request goes on without it.
+    void end_silent_attempt(std::string_view detail, base::time_point now);
+    /// @brief Cancels all attempts.
+    /// @return Whether the current one may have arrived at its target.
+    bool cancel_attempts(base::time_point now);
 
     // After an attempt.
     void end_attempt(fleet::attempt_end end, fleet::target_outcome outcome, std::string_view detail,
                      base::time_point now);
-    void release(base::time_point now);
+    /// @brief Tells the pool and the coordinator that a request is no longer at its target.
+    void release(attempt& ended, base::time_point now);
+    /// @brief Records the outcome of an attempt and logs an ejection.
+    void report_outcome(attempt& ended, fleet::target_outcome outcome, std::string_view detail,
+                        base::time_point now);
     void execute(fleet::next_step step, std::string_view detail, base::time_point now);
     void pass_buffered_response(base::time_point now);
     void refuse(const refusal& cause, base::time_point now);
@@ -175,7 +201,8 @@
     /// @brief The retry delay after a rejection: the shorter of the wait for this region's
     /// targets and the one that a refusing VM sent.
     [[nodiscard]] base::milliseconds retry_delay_after_rejection(base::time_point now);
-    void log_attempt(std::string_view result, std::string_view detail, base::time_point now) const;
+    void log_attempt(const attempt& ended, std::string_view result, std::string_view detail,
+                     base::time_point now) const;
 
     front_core& m_core;
     caller_connection* m_caller;
@@ -183,7 +210,9 @@
     std::optional<fleet::prompt> m_prompt;
     resolved_request m_resolved;
     base::time_point m_deadline{};
-    std::optional<attempt> m_attempt;
+    std::unique_ptr<attempt> m_attempt;
+    /// The attempt at a target that fell silent, while `m_attempt` is to replace it.
+    std::unique_ptr<attempt> m_silent_attempt;
     fleet::attempt_history m_history;
     fleet::attempt_end m_last_end = fleet::attempt_end::not_sent;
     std::vector<fleet::target_name> m_tried_targets;
@@ -192,7 +221,6 @@
     std::vector<std::string> m_attempted_addresses;
     /// The shortest retry delay that a VM of another region sent.
     std::optional<base::milliseconds> m_peer_retry_after;
-    base::sse_parser m_events;
     std::string m_last_event_id;
     base::time_point m_response_begun_at{};
     /// The shortest expected wait in any region; set if it was too long.
@@ -200,6 +228,8 @@
     bool m_is_caller_retry = false;
     /// Whether the silence of the current target was reported to the pool.
     bool m_silence_reported = false;
+    /// Whether the attempt that is to replace a silent one was not yet taken from the retry budget.
+    bool m_is_retry_due = false;
     bool m_charged = false;
     bool m_response_begun = false;
     bool m_reading_paused = false;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -107,41 +107,45 @@
 
 upstream_call* exchange::running_call() const
 {
-    return m_is_awaiting_placement || !m_attempt ? nullptr : m_attempt->call.get();
+    return !m_attempt || m_attempt->ended ? nullptr : m_attempt->call.get();
 }
 
-void exchange::release(base::time_point now)
+void exchange::release(attempt& ended, base::time_point now)
 {
-    if (!m_attempt || m_attempt->target.empty() || std::exchange(m_attempt->released, true)) {
+    if (ended.target.empty() || std::exchange(ended.released, true)) {
         return;
     }
-    m_core.pool.on_ended(m_attempt->target, m_attempt->unread_tokens);
-    m_attempt->unread_tokens = 0;
-    if (m_attempt->place) {
-        const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
-        m_core.placements->report_ended(*m_attempt->place, m_attempt->outcome, took, now);
+    m_core.pool.on_ended(ended.target, ended.unread_tokens);
+    ended.unread_tokens = 0;
+    if (ended.place) {
+        const auto took = std::chrono::duration_cast<base::milliseconds>(now - ended.sent_at);
+        m_core.placements->report_ended(*ended.place, ended.outcome, took, now);
     }
 }
 
-void exchange::end_attempt(attempt_end end, target_outcome outcome, std::string_view detail,
-                           base::time_point now)
+void exchange::report_outcome(attempt& ended, target_outcome outcome, std::string_view detail,
+                              base::time_point now)
 {
-    const auto keep_alive = shared_from_this();
-    const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
-    if (!m_attempt->target.empty() &&
-        m_core.pool.on_outcome(m_attempt->target, outcome, took, now)) {
+    const auto took = std::chrono::duration_cast<base::milliseconds>(now - ended.sent_at);
+    if (!ended.target.empty() && m_core.pool.on_outcome(ended.target, outcome, took, now)) {
         write_log(m_core, log_event(m_core, "target_ejected")
-                              .add("target", m_attempt->target.text())
+                              .add("target", ended.target.text())
                               .add("reason", detail));
     }
+    ended.outcome = outcome;
+}
+
+void exchange::end_attempt(attempt_end end, target_outcome outcome, std::string_view detail,
+                           base::time_point now)
+{
+    const auto keep_alive = shared_from_this();
+    m_attempt->ended = true;
+    report_outcome(*m_attempt, outcome, detail, now);
     static constexpr std::array<std::string_view, 4> results{"not_sent", "rejected", "failed",
                                                              "unknown"};
-    log_attempt(results.at(static_cast<std::size_t>(end)), detail, now);
-    m_attempt->outcome = outcome;
-    release(now);
+    log_attempt(*m_attempt, results.at(static_cast<std::size_t>(end)), detail, now);
+    release(*m_attempt, now);
     m_last_end = end;
-    // The next attempt's response starts with a complete event.
-    m_events.reset();
     if (end != attempt_end::not_sent) {
         ++m_history.arrivals;
     }
@@ -159,6 +163,10 @@
 
 void exchange::execute(next_step step, std::string_view detail, base::time_point now)
 {
+    if (m_silent_attempt && step != next_step::send_again) {
+        resume_silent_attempt(now);
+        return;
+    }
     switch (step) {
     case next_step::send_again:
         if (const auto refused = resolve_request(now)) {
@@ -188,6 +196,10 @@
 
 void exchange::refuse(const refusal& cause, base::time_point now)
 {
+    if (m_caller != nullptr && m_silent_attempt) {
+        resume_silent_attempt(now);
+        return;
+    }
     auto* caller = std::exchange(m_caller, nullptr);
     if (caller == nullptr) {
         return;
@@ -211,11 +223,8 @@
 void exchange::on_caller_disconnected(base::time_point now)
 {
     m_caller = nullptr;
-    if (auto* call = running_call()) {
-        call->cancel();
-    }
+    (void)cancel_attempts(now);
     if (!m_is_finished) {
-        release(now);
         finish("caller_left", 0, {}, now);
     }
 }
@@ -235,89 +244,37 @@
     }
     const auto keep_alive = shared_from_this();
     if (now >= m_deadline) {
-        if (auto* call = running_call()) {
-            const bool arrived = call->may_have_arrived();
-            call->cancel();
-            log_attempt("unknown", "deadline", now);
-            release(now);
-            m_history.runs += arrived ? 1 : 0;
+        if (running_call() != nullptr) {
+            log_attempt(*m_attempt, "unknown", "deadline", now);
         }
+        m_history.runs += cancel_attempts(now) ? 1 : 0;
         const auto status = m_history.runs > 0 ? gateway_timeout_status : unavailable_status;
         refuse({status, "deadline", std::nullopt}, now);
         return;
     }
-    if (!is_silent(now)) {
-        return;
+    if (is_silent(now)) {
+        on_silence(now);
     }
-    if (!std::exchange(m_silence_reported, true) &&
-        m_core.pool.on_unresponsive(m_attempt->target, now)) {
-        m_core.connections.close_idle(m_attempt->address);
-        write_log(m_core, log_event(m_core, "target_ejected")
-                              .add("target", m_attempt->target.text())
-                              .add("reason", "silent"));
-    }
-    if (can_retry_elsewhere(now)) {
-        m_attempt->call->cancel();
-        end_attempt(attempt_end::unknown, target_outcome::broken, "the target is silent", now);
-    }
-}
-
-bool exchange::is_silent(base::time_point now) const
-{
-    // While the caller is slow, nothing is read from the target.
-    if (m_is_awaiting_placement || m_reading_paused || !m_attempt) {
-        return false;
-    }
-    const auto limit = fleet::stall_timeout(*m_resolved.route);
-    const auto since = std::max(m_attempt->last_progress, m_core.resumed_at);
-    if (now - since < limit + m_attempt->expected_start) {
-        return false;
-    }
-    if (m_attempt->target.empty()) {
-        // The VM may just be slow; its region counts as cut off only if no recent
-        // digest of it is known.
-        return !m_core.remote_digests.knows(m_attempt->region, now);
-    }
-    const auto* target = m_core.pool.find(m_attempt->target);
-    const bool is_responsive =
-        target != nullptr &&
-        now - std::max(target->last_bytes_at, target->load.reported_at) < limit;
-    return !is_responsive;
-}
-
-bool exchange::can_retry_elsewhere(base::time_point now) const
-{
-    if (m_request.from_peer() || !fleet::may_retry(*m_resolved.route) ||
-        m_history.runs + 1 >= m_resolved.route->max_attempts ||
-        !m_core.retries.has_room(m_resolved.service->name, m_core.members.size(now).known, now)) {
-        return false;
-    }
-    // A silent target may still respond, so a request that has no other target stays with it.
-    const auto local_choice = choose_local_target(now);
-    return (local_choice && !local_choice->is_repeat) || !remote_candidates(now).empty();
 }
 
 void exchange::on_stop(base::time_point now)
 {
-    if (auto* call = running_call()) {
-        m_history.runs += call->may_have_arrived() ? 1 : 0;
-        call->cancel();
-    }
+    m_history.runs += cancel_attempts(now) ? 1 : 0;
     refuse({unavailable_status, "stopping", fleet::min_retry_after}, now);
 }
 
-void exchange::log_attempt(std::string_view result, std::string_view detail,
+void exchange::log_attempt(const attempt& ended, std::string_view result, std::string_view detail,
                            base::time_point now) const
 {
-    const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
+    const auto took = std::chrono::duration_cast<base::milliseconds>(now - ended.sent_at);
     write_log(m_core, log_event(m_core, "attempt_ended")
                           .add("request", m_request.id)
                           .add("result", result)
                           .add("detail", detail)
-                          .add("target", m_attempt->target.text())
-                          .add("address", m_attempt->address)
-                          .add("status", m_attempt->head.status)
-                          .add("expected_wait_ms", m_attempt->expected_wait.count())
+                          .add("target", ended.target.text())
+                          .add("address", ended.address)
+                          .add("status", ended.head.status)
+                          .add("expected_wait_ms", ended.expected_wait.count())
                           .add("took_ms", took.count())
                           .add("left_ms", time_left(now).count()));
 }
@@ -328,8 +285,8 @@
     if (std::exchange(m_is_finished, true)) {
         return;
     }
-    if (outcome == "answered" || outcome == "cut") {
-        release(now);
+    if (m_attempt && (outcome == "answered" || outcome == "cut")) {
+        release(*m_attempt, now);
     }
     m_core.exchanges.erase(this);
     const auto ms_since = [&](base::time_point then) {
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -136,10 +136,17 @@
     return !is_encoded && has_request_id && (is_signed || is_client_error);
 }
 
-void exchange::on_head(const message_head& head)
+void exchange::on_head(std::uint32_t number, const message_head& head)
 {
     const auto now = base::boot_now();
     const auto& names = m_core.protocol.names;
+    if (is_silent_attempt(number)) {
+        if (!is_served(head)) {
+            end_silent_attempt("the silent target failed", now);
+            return;
+        }
+        resume_silent_attempt(now);
+    }
     auto& current = *m_attempt;
     current.head = head;
     current.last_progress = now;
@@ -200,33 +207,46 @@
     }
 }
 
-void exchange::on_body(std::string_view piece)
+void exchange::on_body(std::uint32_t number, std::string_view piece)
 {
     const auto now = base::boot_now();
-    if (!is_stream() || m_attempt->head.status >= first_error_status) {
+    auto& from = is_silent_attempt(number) ? *m_silent_attempt : *m_attempt;
+    if (!is_stream() || from.head.status >= first_error_status) {
+        if (is_silent_attempt(number)) {
+            resume_silent_attempt(now);
+        }
         note_progress(now);
-        m_attempt->buffered_body.append(piece);
-        if (m_attempt->buffered_body.size() > max_unsent_bytes) {
+        from.buffered_body.append(piece);
+        if (from.buffered_body.size() > max_unsent_bytes) {
             flush_buffered(now);
         }
         pause_for_slow_caller();
         return;
     }
-    m_events.feed(piece);
-    while (const auto event = m_events.next()) {
-        on_event(*event, now);
-    }
-    if (m_events.overflowed() || m_attempt->buffered_body.size() > max_unsent_bytes) {
-        m_attempt->call->cancel();
-        end_attempt(attempt_end::unknown, target_outcome::broken,
-                    m_events.overflowed() ? "an event has no end" : "comments without an event",
-                    now);
+    from.events.feed(piece);
+    while (const auto event = from.events.next()) {
+        if (!event->is_comment && is_silent_attempt(number)) {
+            resume_silent_attempt(now);
+        }
+        on_event(from, *event, now);
+    }
+    const bool overflowed = from.events.overflowed();
+    if (overflowed || from.buffered_body.size() > max_unsent_bytes) {
+        const auto* detail = overflowed ? "an event has no end" : "comments without an event";
+        if (is_silent_attempt(number)) {
+            end_silent_attempt(detail, now);
+            return;
+        }
+        from.call->cancel();
+        end_attempt(attempt_end::unknown, target_outcome::broken, detail, now);
         return;
     }
-    pause_for_slow_caller();
+    if (!is_silent_attempt(number)) {
+        pause_for_slow_caller();
+    }
 }
 
-void exchange::on_event(const base::sse_event& event, base::time_point now)
+void exchange::on_event(attempt& from, const base::sse_event& event, base::time_point now)
 {
     if (m_caller == nullptr) {
         return;
@@ -237,10 +257,11 @@
             m_caller->send_body(event.bytes);
         }
         else {
-            m_attempt->buffered_body.append(event.bytes);
+            from.buffered_body.append(event.bytes);
         }
         return;
     }
+    end_silent_attempt("replaced after its silence", now);
     note_progress(now);
     if (!m_response_begun) {
         m_response_begun_at = now;
@@ -270,6 +291,7 @@
 
 void exchange::flush_buffered(base::time_point now)
 {
+    end_silent_attempt("replaced after its silence", now);
     if (!m_response_begun) {
         m_response_begun_at = now;
         m_history.has_begun = true;
@@ -278,10 +300,13 @@
     m_caller->send_body(std::exchange(m_attempt->buffered_body, {}));
 }
 
-void exchange::on_response_end()
+void exchange::on_response_end(std::uint32_t number)
 {
     const auto now = base::boot_now();
-    if (is_stream() && m_events.has_partial()) {
+    if (is_silent_attempt(number)) {
+        resume_silent_attempt(now);
+    }
+    if (is_stream() && m_attempt->events.has_partial()) {
         end_attempt(attempt_end::unknown, target_outcome::broken,
                     "the stream ended within an event", now);
         return;
@@ -297,6 +322,7 @@
 
 void exchange::pass_buffered_response(base::time_point now)
 {
+    end_silent_attempt("replaced after its silence", now);
     const auto status = m_attempt->head.status;
     const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
     if (status < first_server_error_status) {
@@ -313,9 +339,14 @@
     caller->end_response();
 }
 
-void exchange::on_failure(const upstream_failure& failure)
+void exchange::on_failure(std::uint32_t number, const upstream_failure& failure)
 {
     const auto now = base::boot_now();
+    if (is_silent_attempt(number)) {
+        m_core.connections.close_idle(m_silent_attempt->address);
+        end_silent_attempt(failure.detail, now);
+        return;
+    }
     if (failure.may_have_arrived) {
         m_core.connections.close_idle(m_attempt->address);
     }
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -141,7 +141,7 @@
 void exchange::on_placement_result(const placement_result& placement)
 {
     const auto now = base::boot_now();
-    m_is_awaiting_placement = false;
+    const bool is_expected = std::exchange(m_is_awaiting_placement, false);
     std::optional<reserved_place> place;
     if (placement.answer && placement.answer->is_reserved) {
         place = reserved_place{placement.coordinator_ip, placement.answer->number};
@@ -151,7 +151,7 @@
             m_core.placements->report_ended(*place, std::nullopt, {}, now);
         }
     };
-    if (m_is_finished || now >= m_deadline) {
+    if (m_is_finished || !is_expected || now >= m_deadline) {
         release_place();
         return;
     }
@@ -270,7 +270,7 @@
     next.expected_wait = choice.wait;
     next.expected_start = choice.start;
     next.place = std::move(place);
-    m_attempt = std::move(next);
+    m_attempt = std::make_unique<attempt>(std::move(next));
     m_silence_reported = false;
     m_tried_targets.push_back(choice.target);
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
@@ -300,27 +300,37 @@
 
 void exchange::send(std::string bytes, base::milliseconds connect_timeout, base::time_point now)
 {
+    if (std::exchange(m_is_retry_due, false) &&
+        !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
+        m_core.counters.add("retries_denied_total");
+        resume_silent_attempt(now);
+        return;
+    }
     charge_quota(now);
-    ++m_history.sends;
+    const auto number = ++m_history.sends;
     upstream_request request;
     request.address = m_attempt->address;
     request.bytes = std::move(bytes);
     request.request_id = m_request.id;
     request.request_id_field = m_core.protocol.names.request_id;
     request.connect_timeout = std::min(connect_timeout, time_left(now));
-    request.force_new_connection = m_history.sends > 1 && was_sent_to(m_attempt->address);
+    request.force_new_connection = number > 1 && was_sent_to(m_attempt->address);
     m_attempted_addresses.push_back(m_attempt->address);
+    m_attempt->number = number;
     m_attempt->sent_at = now;
     m_attempt->last_progress = now;
     m_attempt->call = std::make_shared<upstream_call>(m_core.connections, std::move(request));
-    m_attempt->call->start(
-        {[self = shared_from_this()](const message_head& head) { self->on_head(head); },
-         [self = shared_from_this()](std::string_view piece) { self->on_body(piece); },
-         [self = shared_from_this()] { self->on_response_end(); },
-         [self = shared_from_this()](const upstream_failure& failure) {
-             self->on_failure(failure);
-         }},
-        now);
+    m_attempt->call->start({[self = shared_from_this(), number](const message_head& head) {
+                                self->on_head(number, head);
+                            },
+                            [self = shared_from_this(), number](std::string_view piece) {
+                                self->on_body(number, piece);
+                            },
+                            [self = shared_from_this(), number] { self->on_response_end(number); },
+                            [self = shared_from_this(), number](const upstream_failure& failure) {
+                                self->on_failure(number, failure);
+                            }},
+                           now);
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/exchange_regions.cpp
+++ b/src/chicorylink/front/exchange_regions.cpp
@@ -131,7 +131,7 @@
     next.region = decision.region;
     next.expected_wait = decision.wait;
     next.expected_start = decision.start;
-    m_attempt = std::move(next);
+    m_attempt = std::make_unique<attempt>(std::move(next));
     m_silence_reported = false;
     m_tried_peers.push_back(ip);
     const auto one_way = decision.round_trip / 2;
