front: a stream that has begun is completed under the configuration that accepted it

Callers saw: a stream reset in its middle shortly after a change of the configuration. Its target had fallen silent or had broken off, and the repeat at another target was denied since the new configuration had dropped the route or withdrawn the key.

Cause: each repeat is resolved anew, and a denial ended the response that the caller had already begun to receive. The configuration's bounds count from when the caller sent the request, so it is still allowed. Requests whose response has not begun are told the denial as before.

--- a/process_tests/silent_target_test.cpp
+++ b/process_tests/silent_target_test.cpp
@@ -182,6 +182,24 @@
     EXPECT_TRUE(wait_until([&] { return m_was_abandoned.load(); }, seconds{1}));
 }
 
+// Guards against a stream that is reset because a new configuration denies its repeat.
+TEST_F(silent_target, hands_its_stream_over_after_a_new_configuration_dropped_the_route)
+{
+    start_with_silent_stream(
+        [](http_exchange& exchange) {
+            return send_stream_head(exchange) &&
+                   send_events(exchange, last_event_before_silence + 1, event_count) &&
+                   exchange.send("0\r\n\r\n");
+        },
+        seconds{10});
+    std::thread change([this] {
+        std::this_thread::sleep_for(milliseconds{300});
+        m_fleet.publish_config(2, {"another"}, "/stream/");
+    });
+    expect_whole_stream();
+    change.join();
+}
+
 // Guards against an accepted stream that a new configuration denies while its target is silent.
 TEST_F(silent_target, keeps_its_stream_when_a_new_configuration_drops_the_route)
 {
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -25,10 +25,13 @@
 {
     const auto& names = m_core.protocol.names;
     auto found = resolve(m_core.state.config(), m_request, names);
-    if (const auto* refused = std::get_if<refusal>(&found)) {
-        return *refused;
+    if (auto* resolved = std::get_if<resolved_request>(&found)) {
+        m_resolved = std::move(*resolved);
     }
-    m_resolved = std::get<resolved_request>(found);
+    else if (!m_response_begun) {
+        return std::get<refusal>(found);
+    }
+    // A stream that has begun is completed under the configuration that accepted it.
     if (m_resolved.team != nullptr && !keys_are_fresh(m_core, now)) {
         return refusal{unavailable_status, "configuration_not_confirmed",
                        fleet::not_ready_retry_after};
