fleet: find the part of prompts that crashes targets

Callers saw targets crash one after the other: each target that began to write an answer on one part of a prompt ended, whatever else the request held. Each VM sent such requests on, and repeated them, because nothing in the fleet connects the crashes of different targets.

A crash cuts all requests at its target, so most of their parts are innocent. crash_evidence records the parts that were cut, at most once for a run of a target, and clears a part of all crashes before an answer that survived. A part that explains at least three crashes that are apart from each other, and that no part with more crashes explains, is quarantined once the crashes are four seconds old: by then survivals of innocent parts have arrived from all regions. Reports carry ages and only first-hand ones are passed on, like the limits that targets state. A quarantine is adopted only with a higher number, so that VMs can't prolong it for each other.

--- /dev/null
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -0,0 +1,157 @@
+#ifndef CHICORYLINK_FLEET_CRASH_EVIDENCE_HPP
+#define CHICORYLINK_FLEET_CRASH_EVIDENCE_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/crash_report.hpp"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// How long a crash counts as evidence.
+inline constexpr base::milliseconds crash_lifetime{120'000};
+
+/// A part is suspected only of crashes that are at least this old, so that survivals of requests
+/// with an innocent part can arrive from all regions.
+inline constexpr base::milliseconds crash_settle_time{4'000};
+
+/// Targets that are lost at the same time count as one crash.
+inline constexpr base::milliseconds min_crash_distance{250};
+
+/// Crashes that make a part suspect, and when other parts were in all the same crashes.
+inline constexpr std::size_t min_crashes = 3;
+inline constexpr std::size_t min_shared_crashes = 4;
+
+/// How long crashes and survivals are told to other VMs.
+inline constexpr base::milliseconds crash_report_time{6'000};
+
+inline constexpr std::size_t max_crash_parts = 512;
+inline constexpr std::size_t max_crashes_per_part = 64;
+inline constexpr std::size_t max_survivals = 4096;
+inline constexpr std::size_t max_unconfirmed_ends = 64;
+inline constexpr std::size_t max_known_crashes = 256;
+
+/// Bounds on the reports in one message.
+inline constexpr std::size_t max_crash_reports = 128;
+inline constexpr std::size_t max_survival_reports = 128;
+
+/// @brief A part that explains crashes of targets.
+struct crash_suspect {
+    prompt_part_id part;
+    std::size_t crashes = 0;
+    base::time_point last_crash_at{};
+};
+
+/// @brief Records which parts of prompts were at targets when they crashed, and which survived.
+///
+/// A crash cuts all requests at its target, so that many innocent parts are recorded with it. A
+/// part is cleared of all crashes before a request with it began an answer that survived.
+class crash_evidence {
+public:
+    /// @brief Records that the connection of a request broke before its answer survived.
+    void note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+                    base::time_point now);
+
+    /// @brief Records an answer that ended soon, with its connection: it may be complete. It counts
+    /// as cut if another request shows that the target crashed at that time.
+    void note_unconfirmed_end(std::span<const prompt_part_id> parts, const target_run& run,
+                              base::time_point now);
+
+    /// @param begun_at When the answer that survived began.
+    void note_survival(std::span<const prompt_part_id> parts, base::time_point begun_at,
+                       base::time_point now);
+
+    /// @brief Applies the reports of another VM.
+    /// @param is_relayed Whether the VM that sent them has them from others.
+    /// @param delay Time since the reports were made.
+    void apply(const crash_reports& reports, bool is_relayed, base::milliseconds delay,
+               base::time_point now);
+
+    /// @brief The parts that explain several crashes.
+    /// @param known Parts that are already known to crash targets.
+    [[nodiscard]] std::vector<crash_suspect> suspects(const std::vector<prompt_part_id>& known,
+                                                      base::time_point now) const;
+
+    /// @brief The newest crash of which a part is not cleared; the epoch if there is none.
+    [[nodiscard]] base::time_point last_crash(prompt_part_id part) const;
+
+    /// @brief When the newest answer that survived began; the epoch if there is none.
+    [[nodiscard]] base::time_point survived_at(prompt_part_id part) const;
+
+    /// @brief The reports of this VM to send now; each is returned twice, since datagrams get lost.
+    /// @param known Parts whose survivals are told although no crash is recorded.
+    [[nodiscard]] crash_reports take_own(const std::vector<prompt_part_id>& known,
+                                         base::time_point now);
+
+    /// @brief The recent reports of this VM and of those that told it directly.
+    [[nodiscard]] crash_reports recent(const std::vector<prompt_part_id>& known,
+                                       base::time_point now) const;
+
+    /// @brief Drops what is too old.
+    void expire(base::time_point now);
+
+    [[nodiscard]] std::size_t part_count() const { return m_parts.size(); }
+
+private:
+    struct crash {
+        target_run run;
+        base::time_point at{};
+        /// Whether this VM or one that told it directly saw the crash.
+        bool is_direct = false;
+        int sends_left = 0;
+    };
+    struct evidence {
+        std::vector<crash> crashes;
+        base::time_point survived_at{};
+    };
+    struct survival {
+        base::time_point begun_at{};
+        base::time_point noted_at{};
+        bool is_direct = false;
+        bool is_own = false;
+        /// What this VM has reported.
+        base::time_point reported{};
+        base::time_point reported_at{};
+        int sends_left = 0;
+    };
+    struct unconfirmed_end {
+        std::vector<prompt_part_id> parts;
+        target_run run;
+        base::time_point at{};
+    };
+    /// The crashes of one part that no other part explains.
+    struct unexplained {
+        prompt_part_id part;
+        std::set<target_run> runs;
+        std::vector<base::time_point> times;
+    };
+
+    [[nodiscard]] static bool is_live(const evidence& entry, const crash& item)
+    {
+        return item.at > entry.survived_at;
+    }
+    [[nodiscard]] static std::size_t live_count(const evidence& entry);
+    [[nodiscard]] evidence& entry_for(prompt_part_id part);
+    void add_crash(prompt_part_id part, const crash& item);
+    void add_survival(prompt_part_id part, const survival& item);
+    void add_known_crash(const target_run& run, base::time_point at);
+    void confirm_ends(const target_run& run, base::time_point at);
+    [[nodiscard]] std::vector<unexplained>
+    unexplained_parts(const std::set<target_run>& explained) const;
+    /// @brief Parts with evidence, those with most crashes first, and the other known ones.
+    [[nodiscard]] std::vector<prompt_part_id>
+    reported_parts(const std::vector<prompt_part_id>& known) const;
+
+    std::map<prompt_part_id, evidence> m_parts;
+    std::map<prompt_part_id, survival> m_survivals;
+    std::map<target_run, base::time_point> m_known_crashes;
+    std::vector<unconfirmed_end> m_unconfirmed_ends;
+};
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_CRASH_EVIDENCE_HPP
--- a/include/chicorylink/fleet/prompt.hpp
+++ b/include/chicorylink/fleet/prompt.hpp
@@ -1,6 +1,9 @@
 #ifndef CHICORYLINK_FLEET_PROMPT_HPP
 #define CHICORYLINK_FLEET_PROMPT_HPP
 
+#include "chicorylink/base/ids.hpp"
+
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -8,11 +11,18 @@
 
 namespace chicorylink::fleet {
 
+struct prompt_part_tag;
+
+/// Identifies a part of a prompt, whatever precedes it: the hash of its id in the request.
+using prompt_part_id = base::strong_id<prompt_part_tag>;
+
 /// @brief A part of a prompt that other prompts may share as a prefix.
 struct prompt_part {
     /// Hash of this part and all before it: an engine reuses a part only after the same prefix.
     std::uint64_t chain = 0;
     std::uint32_t tokens = 0;
+    /// Not part of placement messages.
+    prompt_part_id id{};
 };
 
 /// @brief Description of a prompt, as stated in the request.
@@ -27,6 +37,11 @@
 /// @brief Tokens of all parts except the last, which only this request has.
 [[nodiscard]] std::uint32_t shared_tokens(const prompt& request_prompt);
 
+/// @brief The ids of all parts except the last, at most `max_shared_parts` of them.
+[[nodiscard]] std::vector<prompt_part_id> shared_part_ids(const prompt& request_prompt);
+
+inline constexpr std::size_t max_shared_parts = 64;
+
 /// @brief Token counts of a prompt and its answer.
 struct token_counts {
     std::uint32_t prompt_tokens = 0;
--- /dev/null
+++ b/include/chicorylink/fleet/prompt_quarantine.hpp
@@ -0,0 +1,85 @@
+#ifndef CHICORYLINK_FLEET_PROMPT_QUARANTINE_HPP
+#define CHICORYLINK_FLEET_PROMPT_QUARANTINE_HPP
+
+#include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/crash_evidence.hpp"
+#include "chicorylink/fleet/crash_report.hpp"
+#include "chicorylink/fleet/part_quarantines.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace chicorylink::fleet {
+
+/// @brief Why a part's quarantine began or ended.
+enum class quarantine_cause : std::uint8_t {
+    /// Began: it explains several crashes.
+    crashes,
+    /// Began: one more crash on probation.
+    crash_on_probation,
+    /// Began: another VM reported it.
+    reported,
+    /// Ended: a request with the part was answered.
+    survived,
+    /// Ended: its time is over.
+    expired,
+};
+
+/// @brief The begin or the end of a part's quarantine, for the log.
+struct quarantine_change {
+    prompt_part_id part;
+    quarantine_cause cause = quarantine_cause::crashes;
+    /// Crashes known to this VM.
+    std::size_t crashes = 0;
+};
+
+/// @brief Whether the change is the begin of a quarantine.
+[[nodiscard]] bool is_begin(quarantine_cause cause);
+
+/// @brief Finds the parts of prompts that crash targets and refuses requests with them.
+///
+/// All VMs get the same reports and decide alike, so that the whole fleet stops sending a part.
+class prompt_quarantine {
+public:
+    /// @brief Time until requests with these parts are accepted again; none if they are now.
+    [[nodiscard]] std::optional<base::milliseconds> time_left(std::span<const prompt_part_id> parts,
+                                                              base::time_point now) const;
+
+    /// @brief See `crash_evidence` for these.
+    void note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+                    base::time_point now);
+    void note_unconfirmed_end(std::span<const prompt_part_id> parts, const target_run& run,
+                              base::time_point now);
+    void note_survival(std::span<const prompt_part_id> parts, base::time_point begun_at,
+                       base::time_point now);
+
+    /// @brief Applies the reports of another VM.
+    /// @param is_relayed Whether they come from a digest.
+    /// @param delay Time since the reports were made.
+    void apply(const crash_reports& reports, bool is_relayed, base::milliseconds delay,
+               base::time_point now);
+
+    /// @brief Decides on the parts that are quarantined.
+    /// @return What has changed since the last call.
+    std::vector<quarantine_change> update(base::time_point now);
+
+    /// @brief The reports of this VM to be sent to the delegates now.
+    [[nodiscard]] crash_reports take_own(base::time_point now);
+
+    /// @brief The reports for the region's digest.
+    [[nodiscard]] crash_reports digest_reports(base::time_point now) const;
+
+    [[nodiscard]] const crash_evidence& evidence() const { return m_evidence; }
+
+private:
+    crash_evidence m_evidence;
+    part_quarantines m_quarantines;
+    std::vector<quarantine_change> m_changes;
+};
+
+} // namespace chicorylink::fleet
+
+#endif // CHICORYLINK_FLEET_PROMPT_QUARANTINE_HPP
--- a/src/chicorylink/fleet/configuration_test.cpp
+++ b/src/chicorylink/fleet/configuration_test.cpp
@@ -63,6 +63,8 @@
     EXPECT_EQ(a[1].tokens, 20U);
     EXPECT_NE(a[1].chain, b[1].chain);
     EXPECT_NE(a[0].chain, other_model[0].chain);
+    EXPECT_EQ(a.back().id, b.back().id);
+    EXPECT_NE(a.front().id, b.front().id);
     EXPECT_TRUE(parse_prompt_parts("m", "nonsense").empty());
     EXPECT_FALSE(parse_token_counts("12"));
     EXPECT_EQ(parse_token_counts("12, 7")->answer_tokens, 7U);
--- /dev/null
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -0,0 +1,368 @@
+#include "chicorylink/fleet/crash_evidence.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace chicorylink::fleet {
+namespace {
+
+/// How long survivals of parts without evidence are kept, for reports of crashes that arrive later.
+constexpr base::milliseconds survival_lifetime{10'000};
+
+/// Two requests were cut by the same crash if their connections ended within this time.
+constexpr base::milliseconds same_crash_time{500};
+
+/// How often the survival of a part that stays in use is reported.
+constexpr base::milliseconds survival_report_interval{250};
+
+constexpr int sends_per_report = 2;
+
+base::milliseconds age_of(base::time_point then, base::time_point now)
+{
+    return std::chrono::duration_cast<base::milliseconds>(now - then);
+}
+
+bool is_in(const std::vector<prompt_part_id>& parts, prompt_part_id part)
+{
+    return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+/// Counts crashes that are old enough and apart from each other; the times are sorted.
+std::size_t settled_crashes(const std::vector<base::time_point>& times, base::time_point now)
+{
+    std::size_t count = 0;
+    base::time_point last{};
+    for (const auto at : times) {
+        if (now - at >= crash_settle_time && (count == 0 || at - last >= min_crash_distance)) {
+            ++count;
+            last = at;
+        }
+    }
+    return count;
+}
+
+template <class Map, class IsOlder>
+void erase_oldest(Map& entries, const IsOlder& is_older)
+{
+    const auto oldest =
+        std::min_element(entries.begin(), entries.end(), [&](const auto& a, const auto& b) {
+            return is_older(a.second, b.second);
+        });
+    if (oldest != entries.end()) {
+        entries.erase(oldest);
+    }
+}
+
+} // namespace
+
+std::size_t crash_evidence::live_count(const evidence& entry)
+{
+    return static_cast<std::size_t>(
+        std::count_if(entry.crashes.begin(), entry.crashes.end(),
+                      [&](const crash& item) { return is_live(entry, item); }));
+}
+
+crash_evidence::evidence& crash_evidence::entry_for(prompt_part_id part)
+{
+    const auto found = m_parts.find(part);
+    if (found != m_parts.end()) {
+        return found->second;
+    }
+    if (m_parts.size() >= max_crash_parts) {
+        const auto newest = [](const evidence& entry) {
+            base::time_point at{};
+            for (const auto& item : entry.crashes) {
+                at = std::max(at, item.at);
+            }
+            return at;
+        };
+        erase_oldest(m_parts,
+                     [&](const evidence& a, const evidence& b) { return newest(a) < newest(b); });
+    }
+    auto& entry = m_parts[part];
+    const auto survived = m_survivals.find(part);
+    if (survived != m_survivals.end()) {
+        entry.survived_at = survived->second.begun_at;
+    }
+    return entry;
+}
+
+void crash_evidence::add_crash(prompt_part_id part, const crash& item)
+{
+    auto& entry = entry_for(part);
+    const auto known = std::find_if(entry.crashes.begin(), entry.crashes.end(),
+                                    [&](const crash& other) { return other.run == item.run; });
+    if (known != entry.crashes.end()) {
+        known->at = std::min(known->at, item.at);
+        known->is_direct = known->is_direct || item.is_direct;
+        return;
+    }
+    if (entry.crashes.size() >= max_crashes_per_part) {
+        // Crashes of which the part is cleared go first, then the newest: older ones have settled.
+        auto dropped = std::find_if(entry.crashes.begin(), entry.crashes.end(),
+                                    [&](const crash& other) { return !is_live(entry, other); });
+        if (dropped == entry.crashes.end()) {
+            dropped = std::max_element(entry.crashes.begin(), entry.crashes.end(),
+                                       [](const crash& a, const crash& b) { return a.at < b.at; });
+        }
+        entry.crashes.erase(dropped);
+    }
+    entry.crashes.push_back(item);
+}
+
+void crash_evidence::add_known_crash(const target_run& run, base::time_point at)
+{
+    if (!m_known_crashes.contains(run) && m_known_crashes.size() >= max_known_crashes) {
+        erase_oldest(m_known_crashes, std::less<>{});
+    }
+    m_known_crashes[run] = at;
+    confirm_ends(run, at);
+}
+
+void crash_evidence::confirm_ends(const target_run& run, base::time_point at)
+{
+    std::erase_if(m_unconfirmed_ends, [&](const unconfirmed_end& end) {
+        const bool is_same = end.run == run && std::chrono::abs(end.at - at) <= same_crash_time;
+        if (is_same) {
+            for (const auto part : end.parts) {
+                add_crash(part, {run, end.at, true, sends_per_report});
+            }
+        }
+        return is_same;
+    });
+}
+
+void crash_evidence::note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+                                base::time_point now)
+{
+    for (const auto part : parts) {
+        add_crash(part, {run, now, true, sends_per_report});
+    }
+    add_known_crash(run, now);
+}
+
+void crash_evidence::note_unconfirmed_end(std::span<const prompt_part_id> parts,
+                                          const target_run& run, base::time_point now)
+{
+    if (m_unconfirmed_ends.size() >= max_unconfirmed_ends) {
+        m_unconfirmed_ends.erase(m_unconfirmed_ends.begin());
+    }
+    m_unconfirmed_ends.push_back({{parts.begin(), parts.end()}, run, now});
+    const auto known = m_known_crashes.find(run);
+    if (known != m_known_crashes.end()) {
+        confirm_ends(run, known->second);
+    }
+}
+
+void crash_evidence::add_survival(prompt_part_id part, const survival& item)
+{
+    const auto evidence_of = m_parts.find(part);
+    if (evidence_of != m_parts.end()) {
+        auto& entry = evidence_of->second;
+        entry.survived_at = std::max(entry.survived_at, item.begun_at);
+    }
+    else if (m_survivals.size() >= max_survivals && !m_survivals.contains(part)) {
+        return;
+    }
+    auto& known = m_survivals[part];
+    if (item.begun_at > known.begun_at) {
+        known.begun_at = item.begun_at;
+        known.noted_at = item.noted_at;
+        known.is_direct = item.is_direct;
+        known.is_own = item.is_own;
+    }
+}
+
+void crash_evidence::note_survival(std::span<const prompt_part_id> parts, base::time_point begun_at,
+                                   base::time_point now)
+{
+    for (const auto part : parts) {
+        add_survival(part, {begun_at, now, true, true, {}, {}, 0});
+    }
+}
+
+void crash_evidence::apply(const crash_reports& reports, bool is_relayed, base::milliseconds delay,
+                           base::time_point now)
+{
+    for (const auto& report : reports.survivals) {
+        add_survival(report.part, {now - report.age - delay, now, !is_relayed, false, {}, {}, 0});
+    }
+    for (const auto& report : reports.crashes) {
+        const auto at = now - report.age - delay;
+        if (now - at < crash_lifetime) {
+            add_crash(report.part, {report.run, at, !is_relayed, 0});
+            add_known_crash(report.run, at);
+        }
+    }
+}
+
+std::vector<crash_evidence::unexplained>
+crash_evidence::unexplained_parts(const std::set<target_run>& explained) const
+{
+    std::vector<unexplained> parts;
+    for (const auto& [part, entry] : m_parts) {
+        unexplained candidate{part, {}, {}};
+        for (const auto& item : entry.crashes) {
+            if (is_live(entry, item) && !explained.contains(item.run)) {
+                candidate.runs.insert(item.run);
+                candidate.times.push_back(item.at);
+            }
+        }
+        if (candidate.runs.size() >= min_crashes) {
+            std::sort(candidate.times.begin(), candidate.times.end());
+            parts.push_back(std::move(candidate));
+        }
+    }
+    return parts;
+}
+
+std::vector<crash_suspect> crash_evidence::suspects(const std::vector<prompt_part_id>& known,
+                                                    base::time_point now) const
+{
+    std::set<target_run> explained;
+    for (const auto part : known) {
+        const auto found = m_parts.find(part);
+        if (found != m_parts.end()) {
+            for (const auto& item : found->second.crashes) {
+                explained.insert(item.run);
+            }
+        }
+    }
+    std::vector<crash_suspect> found;
+    for (auto parts = unexplained_parts(explained); !parts.empty();
+         parts = unexplained_parts(explained)) {
+        const auto leader =
+            std::max_element(parts.begin(), parts.end(), [](const auto& a, const auto& b) {
+                return a.runs.size() < b.runs.size();
+            });
+        const auto runs = leader->runs;
+        std::erase_if(parts, [&](const unexplained& other) { return other.runs != runs; });
+        const auto needed = parts.size() > 1 ? min_shared_crashes : min_crashes;
+        for (const auto& part : parts) {
+            if (settled_crashes(part.times, now) >= needed && !is_in(known, part.part)) {
+                found.push_back({part.part, runs.size(), part.times.back()});
+            }
+        }
+        explained.insert(runs.begin(), runs.end());
+    }
+    return found;
+}
+
+base::time_point crash_evidence::last_crash(prompt_part_id part) const
+{
+    base::time_point last{};
+    const auto found = m_parts.find(part);
+    if (found != m_parts.end()) {
+        for (const auto& item : found->second.crashes) {
+            if (is_live(found->second, item)) {
+                last = std::max(last, item.at);
+            }
+        }
+    }
+    return last;
+}
+
+base::time_point crash_evidence::survived_at(prompt_part_id part) const
+{
+    const auto evidence_of = m_parts.find(part);
+    if (evidence_of != m_parts.end()) {
+        return evidence_of->second.survived_at;
+    }
+    const auto survived = m_survivals.find(part);
+    return survived == m_survivals.end() ? base::time_point{} : survived->second.begun_at;
+}
+
+std::vector<prompt_part_id>
+crash_evidence::reported_parts(const std::vector<prompt_part_id>& known) const
+{
+    std::vector<std::pair<std::size_t, prompt_part_id>> ranked;
+    for (const auto& [part, entry] : m_parts) {
+        ranked.emplace_back(live_count(entry), part);
+    }
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<prompt_part_id> parts = known;
+    for (const auto& [count, part] : ranked) {
+        if (!is_in(known, part)) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
+crash_reports crash_evidence::take_own(const std::vector<prompt_part_id>& known,
+                                       base::time_point now)
+{
+    crash_reports reports;
+    for (const auto part : reported_parts(known)) {
+        const auto evidence_of = m_parts.find(part);
+        if (evidence_of != m_parts.end()) {
+            for (auto& item : evidence_of->second.crashes) {
+                if (item.sends_left > 0 && reports.crashes.size() < max_crash_reports) {
+                    --item.sends_left;
+                    reports.crashes.push_back({part, item.run, age_of(item.at, now)});
+                }
+            }
+        }
+        const auto survived = m_survivals.find(part);
+        if (survived == m_survivals.end()) {
+            continue;
+        }
+        auto& item = survived->second;
+        if (item.is_own && item.begun_at > item.reported &&
+            now - item.reported_at >= survival_report_interval) {
+            item.reported = item.begun_at;
+            item.reported_at = now;
+            item.sends_left = sends_per_report;
+        }
+        if (item.sends_left > 0 && reports.survivals.size() < max_survival_reports) {
+            --item.sends_left;
+            reports.survivals.push_back({part, age_of(item.reported, now)});
+        }
+    }
+    return reports;
+}
+
+crash_reports crash_evidence::recent(const std::vector<prompt_part_id>& known,
+                                     base::time_point now) const
+{
+    crash_reports reports;
+    for (const auto part : reported_parts(known)) {
+        const auto evidence_of = m_parts.find(part);
+        if (evidence_of != m_parts.end()) {
+            for (const auto& item : evidence_of->second.crashes) {
+                if (item.is_direct && is_live(evidence_of->second, item) &&
+                    now - item.at <= crash_report_time &&
+                    reports.crashes.size() < max_crash_reports) {
+                    reports.crashes.push_back({part, item.run, age_of(item.at, now)});
+                }
+            }
+        }
+        const auto survived = m_survivals.find(part);
+        if (survived != m_survivals.end() && survived->second.is_direct &&
+            now - survived->second.noted_at <= crash_report_time &&
+            reports.survivals.size() < max_survival_reports) {
+            reports.survivals.push_back({part, age_of(survived->second.begun_at, now)});
+        }
+    }
+    return reports;
+}
+
+void crash_evidence::expire(base::time_point now)
+{
+    for (auto& [part, entry] : m_parts) {
+        std::erase_if(entry.crashes,
+                      [&](const crash& item) { return now - item.at >= crash_lifetime; });
+    }
+    std::erase_if(m_parts, [](const auto& entry) { return entry.second.crashes.empty(); });
+    std::erase_if(m_survivals, [&](const auto& entry) {
+        return now - entry.second.noted_at >= survival_lifetime;
+    });
+    std::erase_if(m_known_crashes,
+                  [&](const auto& entry) { return now - entry.second >= survival_lifetime; });
+    std::erase_if(m_unconfirmed_ends,
+                  [&](const unconfirmed_end& end) { return now - end.at >= survival_lifetime; });
+}
+
+} // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/prompt.cpp
+++ b/src/chicorylink/fleet/prompt.cpp
@@ -29,6 +29,18 @@
     return tokens;
 }
 
+std::vector<prompt_part_id> shared_part_ids(const prompt& request_prompt)
+{
+    std::vector<prompt_part_id> ids;
+    for (std::size_t part = 0; part + 1 < request_prompt.parts.size(); ++part) {
+        if (ids.size() == max_shared_parts) {
+            break;
+        }
+        ids.push_back(request_prompt.parts[part].id);
+    }
+    return ids;
+}
+
 std::optional<token_counts> parse_token_counts(std::string_view text)
 {
     const auto comma = text.find(',');
@@ -57,8 +69,9 @@
         if (!tokens) {
             break;
         }
-        chain = base::hash_pair(chain, base::hash_name(entry.substr(0, colon)));
-        parts.push_back({chain, *tokens});
+        const prompt_part_id id{base::hash_name(entry.substr(0, colon))};
+        chain = base::hash_pair(chain, id.value());
+        parts.push_back({chain, *tokens, id});
         const auto next = text.find(',');
         text = next == std::string_view::npos ? std::string_view{} : text.substr(next + 1);
     }
--- /dev/null
+++ b/src/chicorylink/fleet/prompt_quarantine.cpp
@@ -0,0 +1,88 @@
+#include "chicorylink/fleet/prompt_quarantine.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chicorylink::fleet {
+
+bool is_begin(quarantine_cause cause)
+{
+    return cause == quarantine_cause::crashes || cause == quarantine_cause::crash_on_probation ||
+           cause == quarantine_cause::reported;
+}
+
+std::optional<base::milliseconds>
+prompt_quarantine::time_left(std::span<const prompt_part_id> parts, base::time_point now) const
+{
+    std::optional<base::milliseconds> longest;
+    for (const auto part : parts) {
+        if (const auto left = m_quarantines.time_left(part, now)) {
+            longest = std::max(longest.value_or(*left), *left);
+        }
+    }
+    return longest;
+}
+
+void prompt_quarantine::note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+                                   base::time_point now)
+{
+    m_evidence.note_crash(parts, run, now);
+}
+
+void prompt_quarantine::note_unconfirmed_end(std::span<const prompt_part_id> parts,
+                                             const target_run& run, base::time_point now)
+{
+    m_evidence.note_unconfirmed_end(parts, run, now);
+}
+
+void prompt_quarantine::note_survival(std::span<const prompt_part_id> parts,
+                                      base::time_point begun_at, base::time_point now)
+{
+    m_evidence.note_survival(parts, begun_at, now);
+}
+
+void prompt_quarantine::apply(const crash_reports& reports, bool is_relayed,
+                              base::milliseconds delay, base::time_point now)
+{
+    m_evidence.apply(reports, is_relayed, delay, now);
+    for (const auto& report : reports.quarantines) {
+        if (m_quarantines.adopt(report, m_evidence.survived_at(report.part), delay, now)) {
+            m_changes.push_back({report.part, quarantine_cause::reported, 0});
+        }
+    }
+}
+
+std::vector<quarantine_change> prompt_quarantine::update(base::time_point now)
+{
+    m_evidence.expire(now);
+    for (const auto part : m_quarantines.expire(now)) {
+        m_changes.push_back({part, quarantine_cause::expired, 0});
+    }
+    for (const auto part : m_quarantines.known_parts()) {
+        if (m_quarantines.on_crash(part, m_evidence.last_crash(part))) {
+            m_changes.push_back({part, quarantine_cause::crash_on_probation, 1});
+        }
+        if (m_quarantines.release(part, m_evidence.survived_at(part), now)) {
+            m_changes.push_back({part, quarantine_cause::survived, 0});
+        }
+    }
+    for (const auto& suspect : m_evidence.suspects(m_quarantines.guilty_parts(), now)) {
+        m_quarantines.begin(suspect.part, suspect.last_crash_at);
+        m_changes.push_back({suspect.part, quarantine_cause::crashes, suspect.crashes});
+    }
+    return std::exchange(m_changes, {});
+}
+
+crash_reports prompt_quarantine::take_own(base::time_point now)
+{
+    return m_evidence.take_own(m_quarantines.known_parts(), now);
+}
+
+crash_reports prompt_quarantine::digest_reports(base::time_point now) const
+{
+    auto reports = m_evidence.recent(m_quarantines.known_parts(), now);
+    reports.quarantines = m_quarantines.reports(now);
+    return reports;
+}
+
+} // namespace chicorylink::fleet
