fleet: carry crash reports with digests and placement messages

Crashes, survivals and quarantines of prompt parts travel with the region's digest; placement messages carry the first two to the region's delegates. Absent vectors take no bytes.

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -32,6 +32,12 @@
 
 struct ServiceRate;
 
+struct PartCrash;
+
+struct PartSurvival;
+
+struct PartQuarantine;
+
 struct RegionDigest;
 struct RegionDigestBuilder;
 
@@ -301,6 +307,103 @@
 };
 FLATBUFFERS_STRUCT_END(ServiceRate, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint64_t target_;
+  int64_t started_ms_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PartCrash()
+      : part_(0),
+        target_(0),
+        started_ms_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartCrash(uint64_t _part, uint64_t _target, int64_t _started_ms, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartCrash, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartSurvival FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PartSurvival()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PartSurvival(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartSurvival, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PartQuarantine FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t number_;
+  uint32_t left_ms_;
+
+ public:
+  PartQuarantine()
+      : part_(0),
+        number_(0),
+        left_ms_(0) {
+  }
+  PartQuarantine(uint64_t _part, uint32_t _number, uint32_t _left_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        number_(flatbuffers::EndianScalar(_number)),
+        left_ms_(flatbuffers::EndianScalar(_left_ms)) {
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint32_t left_ms() const {
+    return flatbuffers::EndianScalar(left_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PartQuarantine, 16);
+
 struct RegionDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RegionDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -314,7 +417,10 @@
     VT_OUTLOOK = 18,
     VT_NOTICES = 20,
     VT_LIMITS = 22,
-    VT_LIMITED_SERVICES = 24
+    VT_LIMITED_SERVICES = 24,
+    VT_CRASHES = 26,
+    VT_SURVIVALS = 28,
+    VT_QUARANTINES = 30
   };
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
@@ -349,6 +455,15 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *> *limited_services() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *> *>(VT_LIMITED_SERVICES);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *> *survivals() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *> *>(VT_SURVIVALS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *> *quarantines() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *> *>(VT_QUARANTINES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGION) &&
@@ -370,6 +485,12 @@
            verifier.VerifyVector(limits()) &&
            VerifyOffset(verifier, VT_LIMITED_SERVICES) &&
            verifier.VerifyVector(limited_services()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_SURVIVALS) &&
+           verifier.VerifyVector(survivals()) &&
+           VerifyOffset(verifier, VT_QUARANTINES) &&
+           verifier.VerifyVector(quarantines()) &&
            verifier.EndTable();
   }
 };
@@ -411,6 +532,15 @@
   void add_limited_services(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *>> limited_services) {
     fbb_.AddOffset(RegionDigest::VT_LIMITED_SERVICES, limited_services);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *>> crashes) {
+    fbb_.AddOffset(RegionDigest::VT_CRASHES, crashes);
+  }
+  void add_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *>> survivals) {
+    fbb_.AddOffset(RegionDigest::VT_SURVIVALS, survivals);
+  }
+  void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> quarantines) {
+    fbb_.AddOffset(RegionDigest::VT_QUARANTINES, quarantines);
+  }
   explicit RegionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -434,9 +564,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceOutlook *>> outlook = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetNotice *>> notices = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetLimit *>> limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *>> limited_services = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *>> limited_services = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *>> survivals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> quarantines = 0) {
   RegionDigestBuilder builder_(_fbb);
   builder_.add_reporter(reporter);
+  builder_.add_quarantines(quarantines);
+  builder_.add_survivals(survivals);
+  builder_.add_crashes(crashes);
   builder_.add_limited_services(limited_services);
   builder_.add_limits(limits);
   builder_.add_notices(notices);
@@ -462,7 +598,10 @@
     const std::vector<chicorylink::fleet::codec::ServiceOutlook> *outlook = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetNotice> *notices = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetLimit> *limits = nullptr,
-    const std::vector<chicorylink::fleet::codec::ServiceRate> *limited_services = nullptr) {
+    const std::vector<chicorylink::fleet::codec::ServiceRate> *limited_services = nullptr,
+    const std::vector<chicorylink::fleet::codec::PartCrash> *crashes = nullptr,
+    const std::vector<chicorylink::fleet::codec::PartSurvival> *survivals = nullptr,
+    const std::vector<chicorylink::fleet::codec::PartQuarantine> *quarantines = nullptr) {
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::DigestMember>(*members) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
@@ -471,6 +610,9 @@
   auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetNotice>(*notices) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TargetLimit>(*limits) : 0;
   auto limited_services__ = limited_services ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::ServiceRate>(*limited_services) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartCrash>(*crashes) : 0;
+  auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartSurvival>(*survivals) : 0;
+  auto quarantines__ = quarantines ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartQuarantine>(*quarantines) : 0;
   return chicorylink::fleet::codec::CreateRegionDigest(
       _fbb,
       region__,
@@ -483,7 +625,10 @@
       outlook__,
       notices__,
       limits__,
-      limited_services__);
+      limited_services__,
+      crashes__,
+      survivals__,
+      quarantines__);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -31,6 +31,10 @@
 
 struct PlacementLimit;
 
+struct PlacementCrash;
+
+struct PlacementSurvival;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -244,6 +248,74 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementLimit, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint64_t target_;
+  int64_t started_ms_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PlacementCrash()
+      : part_(0),
+        target_(0),
+        started_ms_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PlacementCrash(uint64_t _part, uint64_t _target, int64_t _started_ms, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementCrash, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementSurvival FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  PlacementSurvival()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  PlacementSurvival(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementSurvival, 16);
+
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -463,7 +535,9 @@
     VT_ANSWERS = 8,
     VT_NOTES = 10,
     VT_NOTICES = 12,
-    VT_LIMITS = 14
+    VT_LIMITS = 14,
+    VT_CRASHES = 16,
+    VT_SURVIVALS = 18
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -483,6 +557,12 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *> *limits() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *> *>(VT_LIMITS);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *survivals() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *>(VT_SURVIVALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -497,6 +577,10 @@
            verifier.VerifyVector(notices()) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_SURVIVALS) &&
+           verifier.VerifyVector(survivals()) &&
            verifier.EndTable();
   }
 };
@@ -523,6 +607,12 @@
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *>> limits) {
     fbb_.AddOffset(PlacementMessage::VT_LIMITS, limits);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> crashes) {
+    fbb_.AddOffset(PlacementMessage::VT_CRASHES, crashes);
+  }
+  void add_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals) {
+    fbb_.AddOffset(PlacementMessage::VT_SURVIVALS, survivals);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -541,9 +631,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementAnswer *>> answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNote *>> notes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *>> limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_survivals(survivals);
+  builder_.add_crashes(crashes);
   builder_.add_limits(limits);
   builder_.add_notices(notices);
   builder_.add_notes(notes);
@@ -559,12 +653,16 @@
     const std::vector<chicorylink::fleet::codec::PlacementAnswer> *answers = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementNote> *notes = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementNotice> *notices = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementLimit> *limits = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementLimit> *limits = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementCrash> *crashes = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementSurvival> *survivals = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
   auto notices__ = notices ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNotice>(*notices) : 0;
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementLimit>(*limits) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementCrash>(*crashes) : 0;
+  auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*survivals) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -572,7 +670,9 @@
       answers__,
       notes__,
       notices__,
-      limits__);
+      limits__,
+      crashes__,
+      survivals__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/crash_report.hpp"
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/prompt.hpp"
 #include "chicorylink/fleet/rate_limit.hpp"
@@ -78,6 +79,8 @@
     std::vector<target_notice> notices;
     /// What targets stated to the sender about the rate that they take.
     std::vector<limit_report> limits;
+    /// Crashes and survivals that the sender saw.
+    crash_reports crashes;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/region_digest.hpp
+++ b/include/chicorylink/fleet/region_digest.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/crash_report.hpp"
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/rate_limit.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
@@ -102,6 +103,8 @@
     std::vector<limit_report> limits;
     /// Services whose usable targets in the region all limit their rate.
     std::vector<service_rate> limited_services;
+    /// Parts of prompts that may crash targets.
+    crash_reports crashes;
 };
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/fleet/heartbeat_codec.hpp"
 
+#include "chicorylink/fleet/codec_crashes.hpp"
 #include "chicorylink/fleet/codec_notices.hpp"
 #include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_heartbeat_generated.h"
@@ -90,6 +91,8 @@
             digest.limited_services.push_back({entry->service(), entry->per_second()});
         }
     }
+    digest.crashes = {read_crashes(from.crashes()), read_survivals(from.survivals()),
+                      read_quarantines(from.quarantines())};
     return digest;
 }
 
@@ -153,9 +156,14 @@
     const auto notices = write_notices<codec::TargetNotice>(to, digest.notices);
     const auto limits = write_limits<codec::TargetLimit>(to, digest.limits);
     const auto limited_services = write_rates(to, digest.limited_services);
+    const auto crashes = write_crashes<codec::PartCrash>(to, digest.crashes.crashes);
+    const auto survivals = write_survivals<codec::PartSurvival>(to, digest.crashes.survivals);
+    const auto quarantines =
+        write_quarantines<codec::PartQuarantine>(to, digest.crashes.quarantines);
     return codec::CreateRegionDigest(to, region, digest.reporter.value(), to_wire_ms(digest.age),
                                      to_wire_ms(digest.round_trip), member_list, usage, targets,
-                                     outlook_list, notices, limits, limited_services);
+                                     outlook_list, notices, limits, limited_services, crashes,
+                                     survivals, quarantines);
 }
 
 } // namespace
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/fleet/placement_codec.hpp"
 
+#include "chicorylink/fleet/codec_crashes.hpp"
 #include "chicorylink/fleet/codec_notices.hpp"
 #include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_placement_generated.h"
@@ -120,9 +121,11 @@
     const auto notes = to.CreateVectorOfStructs(note_list);
     const auto notices = write_notices<codec::PlacementNotice>(to, message.notices);
     const auto limits = write_limits<codec::PlacementLimit>(to, message.limits);
-    codec::FinishPlacementMessageBuffer(to, codec::CreatePlacementMessage(to, message.run.value(),
-                                                                          queries, answers, notes,
-                                                                          notices, limits));
+    const auto crashes = write_crashes<codec::PlacementCrash>(to, message.crashes.crashes);
+    const auto survivals = write_survivals<codec::PlacementSurvival>(to, message.crashes.survivals);
+    codec::FinishPlacementMessageBuffer(
+        to, codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices,
+                                          limits, crashes, survivals));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
@@ -163,6 +166,7 @@
     }
     message.notices = read_notices(from->notices());
     message.limits = read_limits(from->limits());
+    message.crashes = {read_crashes(from->crashes()), read_survivals(from->survivals()), {}};
     return message;
 }
 
