front: refuse requests with a part of a prompt that crashes targets

Callers saw target after target end, and their answers with it, because every VM went on sending requests with the part that crashed them, new ones and repeats. Nothing connected the crashes of different targets.

An attempt whose connection breaks before its answer survived is reported as a crash with the shared parts of its prompt, and an answer that ends complete or goes on for a second as a survival. Reports go to the region's delegates with placement messages and to all regions with the digests. Requests with a quarantined part are refused at their arrival, before each repeat and after the coordinator's answer, also those that other VMs forward, with the time left. An answer without a length or chunks may end with its crashed target, so that its end alone is neither a crash nor a survival.

New log events: prompt_part_quarantined, prompt_part_released. New counters: prompt_part_crashes_total, prompt_part_quarantines_total and quarantined_requests_total.

--- a/include/chicorylink/fleet/prompt_quarantine.hpp
+++ b/include/chicorylink/fleet/prompt_quarantine.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace chicorylink::fleet {
@@ -36,6 +37,8 @@
     std::size_t crashes = 0;
 };
 
+[[nodiscard]] std::string_view to_string(quarantine_cause cause);
+
 /// @brief Whether the change is the begin of a quarantine.
 [[nodiscard]] bool is_begin(quarantine_cause cause);
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/sse_parser.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/crash_report.hpp"
 #include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
@@ -75,6 +76,12 @@
         std::string buffered_body;
         /// Whether the request no longer counts as the target's load in the pool.
         bool released = false;
+        /// The target's run that the request was sent to.
+        fleet::target_run run;
+        /// When the first event arrived, or the first bytes of a response that is no stream.
+        std::optional<base::time_point> begun_at;
+        /// Whether the response shows that the target did not crash on the prompt.
+        bool has_survived = false;
     };
 
     // Before an attempt.
@@ -151,6 +158,18 @@
     [[nodiscard]] bool can_retry_elsewhere(base::time_point now) const;
     [[nodiscard]] bool is_silent(base::time_point now) const;
 
+    // Parts of prompts that crash targets.
+    /// @brief Refuses the request if a part of its prompt is quarantined.
+    /// @return Whether it is.
+    bool refuse_quarantined(base::time_point now);
+    [[nodiscard]] bool is_watched_for_crashes() const;
+    void note_target_run();
+    void note_answer_progress(base::time_point now);
+    void note_answer_end(base::time_point now);
+    void note_survival(base::time_point now);
+    /// @brief Records that the connection of a request broke, or that its answer ended early.
+    void note_broken_answer(base::time_point now);
+
     // After an attempt.
     void end_attempt(fleet::attempt_end end, fleet::target_outcome outcome, std::string_view detail,
                      base::time_point now);
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -8,6 +8,7 @@
 #include "chicorylink/fleet/limit_watch.hpp"
 #include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/placement_coordinator.hpp"
+#include "chicorylink/fleet/prompt_quarantine.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_budget.hpp"
@@ -58,6 +59,8 @@
     fleet::remote_sends remote_traffic;
     fleet::region_digests remote_digests;
     fleet::retry_detector caller_retries;
+    /// Parts of prompts that crash targets.
+    fleet::prompt_quarantine quarantine;
     connection_pool connections;
     field_inventory target_fields;
     /// None until the daemon has opened its listeners.
@@ -108,6 +111,15 @@
 void log_limit_change(front_core& core, const fleet::tracked_target& target,
                       std::string_view request, std::string_view source, base::time_point now);
 
+/// @brief Applies what another VM reported about parts of prompts that crash targets.
+/// @param is_relayed Whether the reports come from a digest.
+/// @param delay Time since the reports were made.
+void apply_crash_reports(front_core& core, const fleet::crash_reports& reports, bool is_relayed,
+                         base::milliseconds delay, base::time_point now);
+
+/// @brief Decides which parts of prompts are quarantined, and logs and counts each change.
+void update_quarantine(front_core& core, base::time_point now);
+
 /// @brief Runs one task of the daemon. An unexpected exception is logged and ends only that task,
 /// so that one request or message can't take down the others.
 /// @param part The task's name, for the log.
--- a/src/chicorylink/fleet/prompt_quarantine.cpp
+++ b/src/chicorylink/fleet/prompt_quarantine.cpp
@@ -5,6 +5,23 @@
 
 namespace chicorylink::fleet {
 
+std::string_view to_string(quarantine_cause cause)
+{
+    switch (cause) {
+    case quarantine_cause::crashes:
+        return "crashes";
+    case quarantine_cause::crash_on_probation:
+        return "crash_on_probation";
+    case quarantine_cause::reported:
+        return "reported";
+    case quarantine_cause::survived:
+        return "survived";
+    case quarantine_cause::expired:
+        return "expired";
+    }
+    return "unknown";
+}
+
 bool is_begin(quarantine_cause cause)
 {
     return cause == quarantine_cause::crashes || cause == quarantine_cause::crash_on_probation ||
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -205,6 +205,7 @@
     const auto now = base::boot_now();
     if (!is_stream() || m_attempt->head.status >= first_error_status) {
         note_progress(now);
+        note_answer_progress(now);
         m_attempt->buffered_body.append(piece);
         if (m_attempt->buffered_body.size() > max_unsent_bytes) {
             flush_buffered(now);
@@ -242,6 +243,7 @@
         return;
     }
     note_progress(now);
+    note_answer_progress(now);
     if (!m_response_begun) {
         m_response_begun_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
@@ -282,6 +284,7 @@
 {
     const auto now = base::boot_now();
     if (is_stream() && m_events.has_partial()) {
+        note_broken_answer(now);
         end_attempt(attempt_end::unknown, target_outcome::broken,
                     "the stream ended within an event", now);
         return;
@@ -299,6 +302,7 @@
 {
     const auto status = m_attempt->head.status;
     const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
+    note_answer_end(now);
     if (status < first_server_error_status) {
         m_core.pool.on_outcome(m_attempt->target, target_outcome::answered, took, now);
         m_attempt->outcome = target_outcome::answered;
@@ -317,6 +321,7 @@
 {
     const auto now = base::boot_now();
     if (failure.may_have_arrived) {
+        note_broken_answer(now);
         m_core.connections.close_idle(m_attempt->address);
     }
     end_attempt(failure.may_have_arrived ? attempt_end::unknown : attempt_end::not_sent,
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -125,6 +125,9 @@
 
 void exchange::dispatch(base::time_point now)
 {
+    if (refuse_quarantined(now)) {
+        return;
+    }
     if (!fleet::may_run_in(*m_resolved.route, m_resolved.team, m_core.settings.self.region)) {
         send_or_refuse(std::nullopt, now);
         return;
@@ -161,6 +164,10 @@
         refuse(*refused, now);
         return;
     }
+    if (refuse_quarantined(now)) {
+        release_place();
+        return;
+    }
     const auto chosen = placement.answer ? usable_choice(*placement.answer, now) : std::nullopt;
     m_placed_by = placement.answer && !chosen ? "self, no target of the desk" : placement.reason;
     if (chosen && place) {
@@ -273,6 +280,7 @@
     m_attempt = std::move(next);
     m_silence_reported = false;
     m_tried_targets.push_back(choice.target);
+    note_target_run();
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
     note_paced(choice, now);
     send(serialize_for_target(m_request, m_resolved, choice.target.text(),
--- /dev/null
+++ b/src/chicorylink/front/exchange_parts.cpp
@@ -0,0 +1,91 @@
+#include "chicorylink/front/exchange.hpp"
+#include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/status_codes.hpp"
+
+// The part of `exchange` that refuses quarantined parts of prompts, and reports which parts were in
+// a request whose target may have crashed.
+
+namespace chicorylink::front {
+namespace {
+
+/// A target that crashes on a prompt does so soon after it begins to write the answer; an answer
+/// that goes on for this long has survived.
+constexpr base::milliseconds survival_time{1000};
+
+} // namespace
+
+bool exchange::refuse_quarantined(base::time_point now)
+{
+    const auto left = m_prompt ? m_core.quarantine.time_left(fleet::shared_part_ids(*m_prompt), now)
+                               : std::nullopt;
+    if (!left) {
+        return false;
+    }
+    m_core.counters.add("quarantined_requests_total");
+    if (m_history.runs > 0 && m_last_end == fleet::attempt_end::failed) {
+        execute(fleet::give_up(m_history, m_last_end), "prompt_part_quarantined", now);
+    }
+    else {
+        refuse({unavailable_status, "prompt_part_quarantined", *left}, now);
+    }
+    return true;
+}
+
+bool exchange::is_watched_for_crashes() const
+{
+    return m_prompt && m_attempt && !m_attempt->target.empty() && !m_attempt->has_survived;
+}
+
+void exchange::note_target_run()
+{
+    if (const auto* target = m_core.pool.find(m_attempt->target)) {
+        m_attempt->run = {target->id, target->entry.started_ms};
+    }
+}
+
+void exchange::note_answer_progress(base::time_point now)
+{
+    if (!is_watched_for_crashes() || m_attempt->head.status >= first_error_status) {
+        return;
+    }
+    if (!m_attempt->begun_at) {
+        m_attempt->begun_at = now;
+    }
+    if (now - *m_attempt->begun_at >= survival_time) {
+        note_survival(now);
+    }
+}
+
+void exchange::note_survival(base::time_point now)
+{
+    m_attempt->has_survived = true;
+    m_core.quarantine.note_survival(fleet::shared_part_ids(*m_prompt), *m_attempt->begun_at, now);
+}
+
+void exchange::note_answer_end(base::time_point now)
+{
+    if (!is_watched_for_crashes() || m_attempt->head.status >= first_error_status) {
+        return;
+    }
+    const bool is_framed = m_attempt->head.chunked || m_attempt->head.content_length;
+    if (!is_framed) {
+        // The end of the connection may be that of the target.
+        m_core.quarantine.note_unconfirmed_end(fleet::shared_part_ids(*m_prompt), m_attempt->run,
+                                               now);
+    }
+    else if (m_attempt->begun_at) {
+        note_survival(now);
+    }
+}
+
+void exchange::note_broken_answer(base::time_point now)
+{
+    if (!is_watched_for_crashes()) {
+        return;
+    }
+    m_core.counters.add("prompt_part_crashes_total");
+    m_core.quarantine.note_crash(fleet::shared_part_ids(*m_prompt), m_attempt->run, now);
+    update_quarantine(m_core, now);
+}
+
+} // namespace chicorylink::front
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -5,6 +5,8 @@
 #include <unistd.h>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace chicorylink::front {
 namespace {
 
@@ -112,6 +114,30 @@
     }
 }
 
+void apply_crash_reports(front_core& core, const fleet::crash_reports& reports, bool is_relayed,
+                         base::milliseconds delay, base::time_point now)
+{
+    if (!reports.empty()) {
+        core.quarantine.apply(reports, is_relayed, delay, now);
+        update_quarantine(core, now);
+    }
+}
+
+void update_quarantine(front_core& core, base::time_point now)
+{
+    for (const auto& change : core.quarantine.update(now)) {
+        const bool is_begin = fleet::is_begin(change.cause);
+        auto line = log_event(core, is_begin ? "prompt_part_quarantined" : "prompt_part_released");
+        line.add("part", fmt::format("{:016x}", change.part.value()));
+        line.add("cause", fleet::to_string(change.cause));
+        if (is_begin) {
+            line.add("crashes", std::uint64_t{change.crashes});
+            core.counters.add("prompt_part_quarantines_total");
+        }
+        write_log(core, line);
+    }
+}
+
 bool run_guarded(front_core& core, std::string_view part, const std::function<void()>& work)
 {
     try {
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -288,6 +288,7 @@
 void front_daemon::slow_tick(base::time_point now)
 {
     m_last_slow_tick_at = now;
+    update_quarantine(m_core, now);
     const auto fleet_size = m_core.members.size(now);
     m_core.quota.set_fleet(fleet_size.known, fleet_size.live, now);
     m_core.connections.tick(now);
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -107,6 +107,10 @@
 {
     m_core.members.on_digest(digest, now);
     m_core.quota.on_region_usage(digest, now);
+    // The digest of this VM's own region is complete only from a VM of the region.
+    if (digest.region != m_core.settings.self.region || sender == digest.region) {
+        apply_crash_reports(m_core, digest.crashes, true, digest.age, now);
+    }
     if (digest.region == m_core.settings.self.region) {
         if (sender == digest.region) {
             m_core.pool.on_region_use(digest.targets, now);
@@ -138,6 +142,7 @@
     digest.reporter = m_core.settings.self.run;
     digest.members = m_core.members.region_members(state_of(m_core, now), now);
     digest.usage = m_core.quota.region_usage();
+    digest.crashes = m_core.quarantine.digest_reports(now);
     if (with_targets) {
         digest.targets = m_core.pool.region_use(now);
         digest.notices = m_core.pool.notices(now);
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -110,6 +110,7 @@
     for (const auto& report : message.limits) {
         apply_limit_report(m_core, report, sender, false, base::boot_now());
     }
+    apply_crash_reports(m_core, message.crashes, false, base::milliseconds{0}, base::boot_now());
     for (const auto& note : message.notes) {
         m_core.coordinator.apply_note(m_core.pool, sender, note, base::boot_now());
     }
@@ -238,7 +239,8 @@
 
 void placement_link::send_notices(base::time_point now)
 {
-    if (m_notices.empty() && m_limits.empty()) {
+    auto crashes = m_core.quarantine.take_own(now);
+    if (m_notices.empty() && m_limits.empty() && crashes.empty()) {
         return;
     }
     const auto since = [&](base::time_point then) {
@@ -247,6 +249,7 @@
     const auto is_sent = [](const auto& queued) { return queued.times_sent >= sends_per_notice; };
     fleet::placement_message message;
     message.run = m_core.settings.self.run;
+    message.crashes = std::move(crashes);
     for (auto& queued : m_notices) {
         auto notice = queued.content;
         notice.wait = std::max(base::milliseconds{0}, notice.wait - since(queued.queued_at));
