--- a/src/chicorylink/fleet/crash_fleet_test.cpp
+++ b/src/chicorylink/fleet/crash_fleet_test.cpp
@@ -10,7 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using test_support::crash_fleet;
-using test_support::crash_fleet_plan;
 
 constexpr auto common_part = crash_fleet::common_part;
 constexpr auto deadly_part = crash_fleet::deadly_part;
