--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -216,6 +216,7 @@
             resume_silent_attempt(now);
         }
         note_progress(now);
+        note_answer_progress(now);
         from.buffered_body.append(piece);
         if (from.buffered_body.size() > max_unsent_bytes) {
             flush_buffered(now);
@@ -263,6 +264,7 @@
     }
     end_silent_attempt("replaced after its silence", now);
     note_progress(now);
+    note_answer_progress(now);
     if (!m_response_begun) {
         m_response_begun_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
@@ -307,6 +309,7 @@
         resume_silent_attempt(now);
     }
     if (is_stream() && m_attempt->events.has_partial()) {
+        note_broken_answer(*m_attempt, now);
         end_attempt(attempt_end::unknown, target_outcome::broken,
                     "the stream ended within an event", now);
         return;
@@ -325,6 +328,7 @@
     end_silent_attempt("replaced after its silence", now);
     const auto status = m_attempt->head.status;
     const auto took = std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
+    note_answer_end(now);
     if (status < first_server_error_status) {
         m_core.pool.on_outcome(m_attempt->target, target_outcome::answered, took, now);
         m_attempt->outcome = target_outcome::answered;
@@ -343,11 +347,13 @@
 {
     const auto now = base::boot_now();
     if (is_silent_attempt(number)) {
+        note_broken_answer(*m_silent_attempt, now);
         m_core.connections.close_idle(m_silent_attempt->address);
         end_silent_attempt(failure.detail, now);
         return;
     }
     if (failure.may_have_arrived) {
+        note_broken_answer(*m_attempt, now);
         m_core.connections.close_idle(m_attempt->address);
     }
     end_attempt(failure.may_have_arrived ? attempt_end::unknown : attempt_end::not_sent,
