fleet: a target whose item becomes unreadable is dropped at once after an outage too

What callers saw: after the store had been out of contact, requests were still sent to a target whose item another writer had replaced by one that can't be read, for up to 2.2 s.

Cause: the time in which targets that expired during an outage may publish again was given to each item that names no target, also to one that exists and can't be used. Such an item is no expiry: its target must not be used from then on. A later expiry that was pending also outlived the odd item.

Evidence: published_state.a_target_that_becomes_unreadable_after_an_outage_is_dropped_at_once failed with published_state_test.cpp:123: Value of: state.targets().contains(target_name{"a"}) Actual: true Expected: false

Why this works: only removed items get the time; an item that exists but names no target drops its target and any expiry pending for it.

--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -86,7 +86,9 @@
                     std::vector<applied_change>& changes);
     void apply_decoded(const published_item& item, const decoded_item& meaning,
                        base::time_point now, std::vector<applied_change>& changes);
+    /// Drops a target whose item was removed, after an outage only when its time has passed.
     void remove_target(const target_name& name, base::time_point now);
+    void drop_target(const target_name& name);
 
     item_decoder m_decode;
     std::unordered_map<std::string, published_item> m_items;
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -102,7 +102,10 @@
                                        entry.cold_left.count() > 0 ? " cold" : "")});
     }
     else if (const auto* gone = std::get_if<target_gone_item>(&decoded)) {
-        if (m_targets.contains(gone->name)) {
+        if (!item.removed) {
+            drop_target(gone->name);
+        }
+        else if (m_targets.contains(gone->name)) {
             remove_target(gone->name, now);
         }
         changes.push_back({"target_gone", gone->name.text(), item.revision, gone->problem});
@@ -132,8 +135,15 @@
         m_drop_at.emplace(name, *m_regained_at + republish_time);
         return;
     }
-    m_targets.erase(name);
-    ++m_generation;
+    drop_target(name);
+}
+
+void published_state::drop_target(const target_name& name)
+{
+    m_drop_at.erase(name);
+    if (m_targets.erase(name) > 0) {
+        ++m_generation;
+    }
 }
 
 std::vector<applied_change> published_state::tick(base::time_point now)
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -111,6 +111,27 @@
     EXPECT_FALSE(state.targets().contains(target_name{"b"}));
 }
 
+// Guards against a target that stays in use although its item was replaced by an unreadable one,
+// because the replacement was taken for an expiry that an outage explains.
+TEST(published_state, a_target_that_becomes_unreadable_after_an_outage_is_dropped_at_once)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+                               at(seconds{1}), at(seconds{1}));
+    (void)state.apply_snapshot({item("target/a", "unreadable", 9)}, 9, at(seconds{7}),
+                               at(seconds{7}));
+    EXPECT_FALSE(state.targets().contains(target_name{"a"}));
+    EXPECT_TRUE(state.targets().contains(target_name{"b"}));
+    // Its pending expiry must not drop it after it became readable again.
+    (void)state.apply_changes({item("target/b", "unreadable", 10)}, 10, at(seconds{8}),
+                              at(seconds{8}));
+    EXPECT_FALSE(state.targets().contains(target_name{"b"}));
+    (void)state.apply_changes({item("target/b", "y", 11)}, 11, at(milliseconds{8500}),
+                              at(milliseconds{8500}));
+    (void)state.tick(at(seconds{10}));
+    EXPECT_TRUE(state.targets().contains(target_name{"b"}));
+}
+
 TEST(published_state, without_an_outage_a_removed_target_is_dropped_at_once)
 {
     published_state state(&decode);
