front: a call to something that is no address fails from the loop

A target whose address can't be parsed made the call fail within `start`, so that an exchange went on to its next target from within the send of the previous one, once more for each such target.

Cause: `connection_pool::open` called its handler itself when the address is none.

Evidence: upstream_call_test.a_call_to_no_address_fails_from_the_loop failed with upstream_call_test.cpp:250: Value of: failure Actual: true Expected: false for "", "10.0.0.1", "10.0.0.1:99999", "host:80" and "10.0.0.1:0".

Why this works: the handler is posted to the loop, as it is for all other results of `open`.

--- a/include/chicorylink/front/connection_pool.hpp
+++ b/include/chicorylink/front/connection_pool.hpp
@@ -33,7 +33,7 @@
     take_idle(const std::string& address, base::milliseconds max_idle, base::time_point now);
 
     /// @brief Opens a connection. It counts as open until `note_closed`, or until it closes after
-    /// `put_idle`.
+    /// `put_idle`. `done` is called from the loop, never from within `open`.
     void open(const std::string& address, base::milliseconds limit, connect_handler done);
 
     /// @brief Keeps a connection for reuse after a complete response.
--- a/src/chicorylink/front/connection_pool.cpp
+++ b/src/chicorylink/front/connection_pool.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 namespace chicorylink::front {
 namespace {
 
@@ -47,7 +49,7 @@
 {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) {
-        done(nullptr, "not an address");
+        boost::asio::post(m_loop, [done = std::move(done)] { done(nullptr, "not an address"); });
         return;
     }
     ++m_entries[address].open;
--- a/src/chicorylink/front/upstream_call_test.cpp
+++ b/src/chicorylink/front/upstream_call_test.cpp
@@ -235,6 +235,26 @@
     EXPECT_EQ(m_pool.open_count(server.address()), 0U);
 }
 
+// Guards against a failure that is reported while the caller still starts the call, when the
+// address can't be parsed.
+TEST_F(upstream_call_test, a_call_to_no_address_fails_from_the_loop)
+{
+    for (const auto* address : {"", "10.0.0.1", "10.0.0.1:99999", "host:80", "10.0.0.1:0"}) {
+        upstream_request request;
+        request.address = address;
+        const auto upstream = std::make_shared<upstream_call>(m_pool, request);
+        std::optional<upstream_failure> failure;
+        upstream->start({{}, {}, {}, [&](const upstream_failure& problem) { failure = problem; }},
+                        base::boot_now());
+        EXPECT_FALSE(failure) << address;
+        m_loop.restart();
+        m_loop.run_for(milliseconds{5});
+        ASSERT_TRUE(failure) << address;
+        EXPECT_FALSE(failure->may_have_arrived);
+        EXPECT_EQ(m_pool.open_count(address), 0U);
+    }
+}
+
 TEST_F(upstream_call_test, refused_connection_is_never_sent_to)
 {
     std::string address;
