fleet: a copy for peers carries no value of an item that names nothing

A copy of all items for a peer is bounded by 4 MB, and each item may be 1 MB large: a few large entries that name no target would end the copies of a whole region, and with them the way by which most VMs follow the list.

Cause: `published_state` kept and passed on the values of items that can't be used.

Why this works: peers need the key and the revision of such an item; without its value they decide the same, that it names no target.

--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -70,9 +70,15 @@
     if (known != m_items.end() && known->second.revision >= item.revision) {
         return;
     }
-    m_items[item.key] = item;
+    const auto decoded = m_decode(item);
+    auto& kept = m_items[item.key] = item;
+    if (std::holds_alternative<target_gone_item>(decoded) ||
+        std::holds_alternative<ignored_item>(decoded)) {
+        // Peers need only the key and the revision, and the value may be as large as a whole copy.
+        kept.value.clear();
+    }
     m_items_revision = std::max(m_items_revision, item.revision);
-    apply_decoded(item, m_decode(item), now, changes);
+    apply_decoded(item, decoded, now, changes);
 }
 
 void published_state::apply_decoded(const published_item& item, const decoded_item& decoded,
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -132,6 +132,21 @@
     EXPECT_TRUE(state.targets().contains(target_name{"b"}));
 }
 
+// Guards against copies for peers that grow beyond what a peer accepts, because they carry the
+// values of items that no VM can use.
+TEST(published_state, a_peer_gets_no_value_of_an_item_that_names_no_target)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("target/a", "unreadable", 3), item("target/b", "y", 4)}, 4,
+                              at(seconds{1}), at(seconds{1}));
+    const auto items = state.items_after(0);
+    ASSERT_EQ(items.size(), 2U);
+    for (const auto& copied : items) {
+        EXPECT_EQ(copied.value, copied.key == "target/b" ? "y" : "");
+        EXPECT_FALSE(copied.removed);
+    }
+}
+
 TEST(published_state, without_an_outage_a_removed_target_is_dropped_at_once)
 {
     published_state state(&decode);
