front: log lines quote the store's items as short printable text

What operators saw: an unreadable entry was quoted in a log line as it stood, up to its 1 MB, with bytes that are no UTF-8, so that the line was no JSON and pushed other lines out of the bounded buffer.

Cause: the parser's messages and the fields of an entry went into `target`, `target_gone`, `item_ignored`, `store_lost` and `peer_copy_failed` lines without a bound.

Evidence: by reading; json::parse says of "\xff" (trial program) invalid string: ill-formed UTF-8 byte; last read: '"<ff>' with the raw byte, and of an unterminated text all of it.

Why this works: `printable_excerpt` bounds the text and replaces what is no printable ASCII. text.an_excerpt_is_short_printable_ascii covers it; it is new with the function.

--- a/include/chicorylink/base/text.hpp
+++ b/include/chicorylink/base/text.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORYLINK_BASE_TEXT_HPP
 #define CHICORYLINK_BASE_TEXT_HPP
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,11 @@
     return text;
 }
 
+/// @brief The beginning of a text from outside, for a log line: at most `max_bytes` bytes, followed
+/// by
+/// `...` if some are left out. Bytes that are not printable ASCII become `?`.
+[[nodiscard]] std::string printable_excerpt(std::string_view text, std::size_t max_bytes);
+
 /// @brief Converts ASCII letters to lower case.
 [[nodiscard]] std::string lower_case(std::string_view text);
 
--- a/src/chicorylink/base/base_test.cpp
+++ b/src/chicorylink/base/base_test.cpp
@@ -2,6 +2,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/metrics.hpp"
 #include "chicorylink/base/secret.hpp"
+#include "chicorylink/base/text.hpp"
 #include "chicorylink/base/units.hpp"
 
 #include <gmock/gmock.h>
@@ -39,6 +40,15 @@
     EXPECT_EQ(kind, error_kind::stale);
 }
 
+// Guards against log lines that are no JSON or of any length, because they quote what another
+// program wrote.
+TEST(text, an_excerpt_is_short_printable_ascii)
+{
+    EXPECT_EQ(printable_excerpt("plain text", 10), "plain text");
+    EXPECT_EQ(printable_excerpt("a\xff\n\x7f\xc3\xa9", 10), "a?????");
+    EXPECT_EQ(printable_excerpt(std::string(100'000, 'x'), 3), "xxx...");
+}
+
 TEST(secret, sha256_matches_published_test_vector)
 {
     EXPECT_EQ(to_hex(sha256("a", "bc")),
--- a/src/chicorylink/base/text.cpp
+++ b/src/chicorylink/base/text.cpp
@@ -5,6 +5,14 @@
 
 namespace chicorylink::base {
 
+std::string printable_excerpt(std::string_view text, std::size_t max_bytes)
+{
+    std::string excerpt{text.substr(0, max_bytes)};
+    std::replace_if(
+        excerpt.begin(), excerpt.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+    return text.size() > max_bytes ? excerpt + "..." : excerpt;
+}
+
 std::string lower_case(std::string_view text)
 {
     std::string lowered(text);
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/front/state_reader.hpp"
 
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/base/text.hpp"
 #include "chicorylink/fleet/store_watch.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/item_copy.hpp"
@@ -48,6 +49,14 @@
 /// A peer whose own confirmation is older than this is of no use.
 constexpr base::milliseconds max_confirmation_age{3000};
 
+/// Most bytes of a text of the store in a log line; longer than a key.
+constexpr std::size_t max_logged_bytes = 240;
+
+std::string logged(std::string_view text)
+{
+    return base::printable_excerpt(text, max_logged_bytes);
+}
+
 base::milliseconds age_of(base::time_point then, base::time_point now)
 {
     return std::chrono::duration_cast<base::milliseconds>(now - then);
@@ -220,7 +229,7 @@
     if (!std::exchange(m_is_store_lost, true)) {
         write_log(m_core, log_event(m_core, "store_lost")
                               .add("status", result.status)
-                              .add("reason", result.problem)
+                              .add("reason", logged(result.problem))
                               .add("waited_ms", age_of(result.sent_at, base::boot_now()).count()));
     }
     m_core.counters.add("store_failures_total");
@@ -321,7 +330,7 @@
         [&](const base::error& problem) {
             write_log(m_core, log_event(m_core, "peer_copy_failed")
                                   .add("address", m_peer->address())
-                                  .add("reason", base::describe(problem)));
+                                  .add("reason", logged(base::describe(problem))));
         },
         [] {});
 }
@@ -331,9 +340,9 @@
 {
     for (const auto& change : changes) {
         write_log(m_core, log_event(m_core, change.event)
-                              .add("name", change.name)
+                              .add("name", logged(change.name))
                               .add("revision", change.revision)
-                              .add("detail", change.detail)
+                              .add("detail", logged(change.detail))
                               .add("source", source));
     }
     if (!changes.empty()) {
