platform: an odd item does not hide the others of its response

One item without a key, a revision or a text as its value made the whole response of the store unreadable; the daemon asked for the same again and stopped following the list.

Cause: the first item that could not be read ended the reading of all.

Why this works: each item is read by itself; one that can't be read is left out, with a `store_item_unreadable` line. Where only its value can't be read, it stays without it and names no target.

--- a/include/chicorylink/front/platform_protocol.hpp
+++ b/include/chicorylink/front/platform_protocol.hpp
@@ -17,6 +17,8 @@
 /// @brief One response of the store.
 struct store_response {
     std::vector<fleet::published_item> items;
+    /// Items that are left out or lack their value because they can't be read, and why.
+    std::vector<std::string> problems;
     /// The revision of the whole store as of this response.
     std::uint64_t as_of = 0;
     /// Whether another page follows after the last item's key.
--- a/include/chicorylink/front/state_reader.hpp
+++ b/include/chicorylink/front/state_reader.hpp
@@ -56,7 +56,7 @@
     /// @brief Delays the next call to the store.
     void delay_next_call(base::milliseconds delay);
     void retry_later(const read_result& result);
-    void on_store_response();
+    void on_store_response(const store_response& response);
     void copy_from(const std::string& ip, std::uint64_t after);
     void on_copy(const read_result& result);
     void report_changes(const std::vector<fleet::applied_change>& changes, std::string_view source);
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -152,7 +152,7 @@
 
 void state_reader::add_page(store_response page, base::time_point sent_at)
 {
-    on_store_response();
+    on_store_response(page);
     if (m_page_items.empty()) {
         m_snapshot_as_of = page.as_of;
         m_snapshot_sent_at = sent_at;
@@ -194,7 +194,7 @@
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(update, m_core.protocol.read_store_response(result.body));
-            on_store_response();
+            on_store_response(update);
             report_changes(m_core.state.apply_changes(update.items, update.as_of, result.sent_at,
                                                       base::boot_now()),
                            "store");
@@ -215,8 +215,12 @@
         });
 }
 
-void state_reader::on_store_response()
+void state_reader::on_store_response(const store_response& response)
 {
+    for (const auto& problem : response.problems) {
+        write_log(m_core,
+                  log_event(m_core, "store_item_unreadable").add("reason", logged(problem)));
+    }
     m_last_response_at = base::boot_now();
     m_retry_delay = base::milliseconds{0};
     if (std::exchange(m_is_store_lost, false)) {
