--- a/src/chicorylink/front/endpoint.cpp
+++ b/src/chicorylink/front/endpoint.cpp
@@ -11,7 +11,8 @@
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
+    // The library's parser reads up to the first null character.
+    if (colon == std::string_view::npos || text.find('\0') != std::string_view::npos) {
         return std::nullopt;
     }
     boost::system::error_code problem;
