--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -70,9 +70,15 @@
     if (known != m_items.end() && known->second.revision >= item.revision) {
         return;
     }
-    m_items[item.key] = item;
+    const auto decoded = m_decode(item);
+    auto& kept = m_items[item.key] = item;
+    if (std::holds_alternative<target_gone_item>(decoded) ||
+        std::holds_alternative<ignored_item>(decoded)) {
+        // Peers need only the key and the revision, and the value may be as large as a whole copy.
+        kept.value.clear();
+    }
     m_items_revision = std::max(m_items_revision, item.revision);
-    apply_decoded(item, m_decode(item), now, changes);
+    apply_decoded(item, decoded, now, changes);
 }
 
 void published_state::apply_decoded(const published_item& item, const decoded_item& decoded,
@@ -102,7 +108,10 @@
                                        entry.cold_left.count() > 0 ? " cold" : "")});
     }
     else if (const auto* gone = std::get_if<target_gone_item>(&decoded)) {
-        if (m_targets.contains(gone->name)) {
+        if (!item.removed) {
+            drop_target(gone->name);
+        }
+        else if (m_targets.contains(gone->name)) {
             remove_target(gone->name, now);
         }
         changes.push_back({"target_gone", gone->name.text(), item.revision, gone->problem});
@@ -132,8 +141,15 @@
         m_drop_at.emplace(name, *m_regained_at + republish_time);
         return;
     }
-    m_targets.erase(name);
-    ++m_generation;
+    drop_target(name);
+}
+
+void published_state::drop_target(const target_name& name)
+{
+    m_drop_at.erase(name);
+    if (m_targets.erase(name) > 0) {
+        ++m_generation;
+    }
 }
 
 std::vector<applied_change> published_state::tick(base::time_point now)
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -111,6 +111,42 @@
     EXPECT_FALSE(state.targets().contains(target_name{"b"}));
 }
 
+// Guards against a target that stays in use although its item was replaced by an unreadable one,
+// because the replacement was taken for an expiry that an outage explains.
+TEST(published_state, a_target_that_becomes_unreadable_after_an_outage_is_dropped_at_once)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+                               at(seconds{1}), at(seconds{1}));
+    (void)state.apply_snapshot({item("target/a", "unreadable", 9)}, 9, at(seconds{7}),
+                               at(seconds{7}));
+    EXPECT_FALSE(state.targets().contains(target_name{"a"}));
+    EXPECT_TRUE(state.targets().contains(target_name{"b"}));
+    // Its pending expiry must not drop it after it became readable again.
+    (void)state.apply_changes({item("target/b", "unreadable", 10)}, 10, at(seconds{8}),
+                              at(seconds{8}));
+    EXPECT_FALSE(state.targets().contains(target_name{"b"}));
+    (void)state.apply_changes({item("target/b", "y", 11)}, 11, at(milliseconds{8500}),
+                              at(milliseconds{8500}));
+    (void)state.tick(at(seconds{10}));
+    EXPECT_TRUE(state.targets().contains(target_name{"b"}));
+}
+
+// Guards against copies for peers that grow beyond what a peer accepts, because they carry the
+// values of items that no VM can use.
+TEST(published_state, a_peer_gets_no_value_of_an_item_that_names_no_target)
+{
+    published_state state(&decode);
+    (void)state.apply_changes({item("target/a", "unreadable", 3), item("target/b", "y", 4)}, 4,
+                              at(seconds{1}), at(seconds{1}));
+    const auto items = state.items_after(0);
+    ASSERT_EQ(items.size(), 2U);
+    for (const auto& copied : items) {
+        EXPECT_EQ(copied.value, copied.key == "target/b" ? "y" : "");
+        EXPECT_FALSE(copied.removed);
+    }
+}
+
 TEST(published_state, without_an_outage_a_removed_target_is_dropped_at_once)
 {
     published_state state(&decode);
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/front/state_reader.hpp"
 
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/base/text.hpp"
 #include "chicorylink/fleet/store_watch.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/item_copy.hpp"
@@ -48,6 +49,14 @@
 /// A peer whose own confirmation is older than this is of no use.
 constexpr base::milliseconds max_confirmation_age{3000};
 
+/// Most bytes of a text of the store in a log line; longer than a key.
+constexpr std::size_t max_logged_bytes = 240;
+
+std::string logged(std::string_view text)
+{
+    return base::printable_excerpt(text, max_logged_bytes);
+}
+
 base::milliseconds age_of(base::time_point then, base::time_point now)
 {
     return std::chrono::duration_cast<base::milliseconds>(now - then);
@@ -134,16 +143,16 @@
             return {};
         },
         [&](const base::error& problem) {
-            retry_later({0, {}, base::describe(problem), result.sent_at});
+            retry_later({0, {}, base::describe(problem), true, result.sent_at});
         },
         [&] {
-            retry_later({0, {}, "the answer can't be read", result.sent_at});
+            retry_later({0, {}, "the answer can't be read", true, result.sent_at});
         });
 }
 
 void state_reader::add_page(store_response page, base::time_point sent_at)
 {
-    on_store_response();
+    on_store_response(page);
     if (m_page_items.empty()) {
         m_snapshot_as_of = page.as_of;
         m_snapshot_sent_at = sent_at;
@@ -171,6 +180,8 @@
                 [this](const read_result& result) { on_watch(result); });
 }
 
+// A response that can't be read, such as one with too many changes, would come again for the same
+// revision. The pages of a snapshot are smaller.
 void state_reader::on_watch(const read_result& result)
 {
     if (result.status == history_gone) {
@@ -179,13 +190,16 @@
         return;
     }
     if (result.status != ok) {
+        if (result.is_unreadable) {
+            m_watch_from = 0;
+        }
         retry_later(result);
         return;
     }
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
             BOOST_LEAF_AUTO(update, m_core.protocol.read_store_response(result.body));
-            on_store_response();
+            on_store_response(update);
             report_changes(m_core.state.apply_changes(update.items, update.as_of, result.sent_at,
                                                       base::boot_now()),
                            "store");
@@ -199,15 +213,21 @@
             return {};
         },
         [&](const base::error& problem) {
-            retry_later({0, {}, base::describe(problem), result.sent_at});
+            m_watch_from = 0;
+            retry_later({0, {}, base::describe(problem), true, result.sent_at});
         },
         [&] {
-            retry_later({0, {}, "the answer can't be read", result.sent_at});
+            m_watch_from = 0;
+            retry_later({0, {}, "the answer can't be read", true, result.sent_at});
         });
 }
 
-void state_reader::on_store_response()
+void state_reader::on_store_response(const store_response& response)
 {
+    for (const auto& problem : response.problems) {
+        write_log(m_core,
+                  log_event(m_core, "store_item_unreadable").add("reason", logged(problem)));
+    }
     m_last_response_at = base::boot_now();
     m_retry_delay = base::milliseconds{0};
     if (std::exchange(m_is_store_lost, false)) {
@@ -220,7 +240,7 @@
     if (!std::exchange(m_is_store_lost, true)) {
         write_log(m_core, log_event(m_core, "store_lost")
                               .add("status", result.status)
-                              .add("reason", result.problem)
+                              .add("reason", logged(result.problem))
                               .add("waited_ms", age_of(result.sent_at, base::boot_now()).count()));
     }
     m_core.counters.add("store_failures_total");
@@ -321,7 +341,7 @@
         [&](const base::error& problem) {
             write_log(m_core, log_event(m_core, "peer_copy_failed")
                                   .add("address", m_peer->address())
-                                  .add("reason", base::describe(problem)));
+                                  .add("reason", logged(base::describe(problem))));
         },
         [] {});
 }
@@ -331,9 +351,9 @@
 {
     for (const auto& change : changes) {
         write_log(m_core, log_event(m_core, change.event)
-                              .add("name", change.name)
+                              .add("name", logged(change.name))
                               .add("revision", change.revision)
-                              .add("detail", change.detail)
+                              .add("detail", logged(change.detail))
                               .add("source", source));
     }
     if (!changes.empty()) {
