front: requests under way keep the limits of callers that they began with

What callers saw: beside a change of the configuration's limits, a request that was being sent when its time was shortened, and a request on a kept connection when the idle timeout was shortened, got neither a response nor a refusal; on a kept connection a request that the raised body limit allows was refused with 413.

Cause: caller_connection::tick applied the newest header and idle times to what had begun before, and the parser had the byte limits of the moment at which the connection's previous request ended.

Evidence: the three tests of config_change_test.cpp failed on the code before: a_kept_connection_follows_a_raised_body_limit: caller.read_response() which is: 413, expected 200 a_request_on_its_way_keeps_the_time_that_it_began_with: which is: 0, expected 200 an_idle_connection_keeps_the_time_that_it_began_with: which is: 0, expected 200 All three pass with the change.

Why it works: the limits are taken when the first byte of a request arrives and when a connection becomes idle. A longer time holds at once, a shorter one from the next request or idle period on.

--- a/include/chicorylink/fleet/configuration.hpp
+++ b/include/chicorylink/fleet/configuration.hpp
@@ -21,6 +21,8 @@
     std::size_t body_bytes = 4UL * 1024 * 1024;
     base::milliseconds header_time{3000};
     base::milliseconds idle_time{15000};
+
+    friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
 /// @brief One immutable version of the operators' configuration.
--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -2,6 +2,7 @@
 #define CHICORYLINK_FRONT_CALLER_CONNECTION_HPP
 
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/configuration.hpp"
 #include "chicorylink/front/message_parser.hpp"
 #include "chicorylink/front/resolution.hpp"
 #include "chicorylink/front/tcp_channel.hpp"
@@ -79,6 +80,8 @@
     std::function<void()> m_on_closed;
     std::unique_ptr<message_parser> m_parser;
     std::shared_ptr<exchange> m_exchange;
+    /// The limits in force when the current request began, or when the connection became idle.
+    fleet::caller_limits m_limits;
     /// Bytes received while a request is served; the start of the next request.
     std::string m_pipelined;
     /// When the first byte of the current request arrived, or when the connection became idle.
--- /dev/null
+++ b/process_tests/config_change_test.cpp
@@ -0,0 +1,168 @@
+// Requests, connections and streams that a new configuration finds under way.
+
+#include "front_fleet.hpp"
+#include "http_call.hpp"
+#include "scripted_target.hpp"
+#include "suite.hpp"
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace chicorylink::process_tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using http_exchange = scripted_target::http_exchange;
+
+constexpr const char* only_vm = "127.0.12.1";
+
+/// A caller's connection on which a test decides when each byte is sent.
+class caller_socket {
+public:
+    caller_socket()
+    {
+        m_stream.expires_after(seconds{10});
+        m_stream.connect(only_vm, std::to_string(front_fleet::callers_port));
+    }
+
+    void send(std::string_view bytes) { m_stream << bytes << std::flush; }
+
+    /// @brief Reads until the bytes received contain a text; false when the connection ends before.
+    bool read_until(std::string_view text)
+    {
+        std::array<char, 1> byte{};
+        while (m_received.find(text) == std::string::npos) {
+            if (!m_stream.read(byte.data(), 1)) {
+                return false;
+            }
+            m_received.push_back(byte[0]);
+        }
+        return true;
+    }
+
+    /// @brief Reads one response of the target and returns its status; zero if there is none.
+    int read_response()
+    {
+        constexpr std::string_view status_line_start = "HTTP/1.1 ";
+        m_received.clear();
+        static_cast<void>(read_until("\r\n\r\n") && read_until("done"));
+        return m_received.starts_with(status_line_start)
+                   ? std::stoi(m_received.substr(status_line_start.size(), 3))
+                   : 0;
+    }
+
+private:
+    boost::asio::ip::tcp::iostream m_stream;
+    std::string m_received;
+};
+
+std::string request_head(const std::string& id, std::size_t body_bytes)
+{
+    return fmt::format("POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Chicorylink-Request-Id: {}\r\n"
+                       "X-Chicorylink-Deadline-Ms: 4000\r\nX-Chicorylink-Key: secret\r\n"
+                       "Content-Length: {}\r\n\r\n",
+                       id, body_bytes);
+}
+
+/// One VM and one target; the tests change the limits of callers.
+class config_change : public testing::Test {
+protected:
+    void start(const nlohmann::json& limits)
+    {
+        publish_limits(1, limits);
+        m_fleet.publish_target("i-only", m_target.address(), "east-a");
+        m_fleet.start(only_vm, "east");
+        ASSERT_TRUE(wait_until([] { return front_fleet::is_ready(only_vm); }, seconds{10}));
+    }
+
+    void publish_limits(int version, const nlohmann::json& limits)
+    {
+        m_fleet.store().put(
+            "op/config", nlohmann::json{{"version", version},
+                                        {"routes",
+                                         {{{"name", "safe"},
+                                           {"host", "h"},
+                                           {"pathPrefix", "/safe/"},
+                                           {"kind", "safe"},
+                                           {"timeoutMs", 4000},
+                                           {"service", "app"}},
+                                          {{"name", "mark"},
+                                           {"host", "h"},
+                                           {"pathPrefix", fmt::format("/version-{}/", version)},
+                                           {"kind", "safe"},
+                                           {"timeoutMs", 4000},
+                                           {"service", "app"}}}},
+                                        {"services", {{{"name", "app"}, {"maxConns", 100}}}},
+                                        {"tenants", {{{"name", "cards"}, {"apiKeys", {"secret"}}}}},
+                                        {"limits", limits}}
+                             .dump());
+    }
+
+    /// @brief Waits until the VM serves a route that only this version has.
+    static bool wait_for_version(int version)
+    {
+        const auto path = fmt::format("/version-{}/x", version);
+        return wait_until(
+            [&] { return perform(front_fleet::request(only_vm, path, "probe")).status == 200; },
+            seconds{5});
+    }
+
+    scripted_target m_target{
+        [](http_exchange& exchange) { return exchange.send(exchange.response("done")); }};
+    front_fleet m_fleet{binaries(), "chicorylink_config_change"};
+};
+
+// Guards against a kept connection that holds its caller to the limits of the configuration under
+// which its previous request ended: a larger request, allowed by now, got 413.
+TEST_F(config_change, a_kept_connection_follows_a_raised_body_limit)
+{
+    start({{"maxBodyBytes", 100}});
+    caller_socket caller;
+    caller.send(request_head("id-1", 5) + "order");
+    ASSERT_EQ(caller.read_response(), 200);
+    publish_limits(2, {{"maxBodyBytes", 1000}});
+    ASSERT_TRUE(wait_for_version(2));
+    caller.send(request_head("id-2", 500) + std::string(500, 'x'));
+    EXPECT_EQ(caller.read_response(), 200);
+}
+
+// Guards against a shorter time for sending a request being applied to a request on its way: its
+// connection was closed with neither a response nor a refusal.
+TEST_F(config_change, a_request_on_its_way_keeps_the_time_that_it_began_with)
+{
+    start({{"headerTimeoutMs", 5000}});
+    caller_socket caller;
+    caller.send(request_head("id-1", 5) + "or");
+    publish_limits(2, {{"headerTimeoutMs", 300}});
+    ASSERT_TRUE(wait_for_version(2));
+    std::this_thread::sleep_for(milliseconds{1200});
+    caller.send("der");
+    EXPECT_EQ(caller.read_response(), 200);
+}
+
+// Guards against a shorter idle timeout closing connections that callers still rely on: a request
+// that crosses the close gets neither a response nor a refusal.
+TEST_F(config_change, an_idle_connection_keeps_the_time_that_it_began_with)
+{
+    start({{"idleTimeoutMs", 5000}});
+    caller_socket caller;
+    caller.send(request_head("id-1", 5) + "order");
+    ASSERT_EQ(caller.read_response(), 200);
+    publish_limits(2, {{"idleTimeoutMs", 200}});
+    ASSERT_TRUE(wait_for_version(2));
+    std::this_thread::sleep_for(milliseconds{1500});
+    caller.send(request_head("id-2", 5) + "order");
+    EXPECT_EQ(caller.read_response(), 200);
+}
+
+} // namespace
+} // namespace chicorylink::process_tests
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -58,12 +59,12 @@
 
 void caller_connection::reset_parser()
 {
-    const auto limits = limits_of(m_core);
+    m_limits = limits_of(m_core);
     // A forwarding VM adds a few fields to those its caller sent.
     constexpr std::size_t peer_header_bytes = 1024;
     const auto extra = m_side == connection_side::peer ? peer_header_bytes : 0;
-    m_parser = std::make_unique<message_parser>(message_kind::request, limits.header_bytes + extra,
-                                                limits.body_bytes);
+    m_parser = std::make_unique<message_parser>(message_kind::request,
+                                                m_limits.header_bytes + extra, m_limits.body_bytes);
 }
 
 void caller_connection::start(std::function<void()> on_closed)
@@ -86,6 +87,9 @@
     }
     if (!m_parser->has_begun()) {
         m_timeout_start = base::boot_now();
+        if (m_limits != limits_of(m_core)) {
+            reset_parser();
+        }
     }
     m_parser->feed(bytes);
     begin_request();
@@ -287,9 +291,13 @@
     if (m_exchange || m_is_closed) {
         return;
     }
+    // A shorter time of a new configuration starts with the next request or idle period.
     const auto limits = limits_of(m_core);
-    const auto idle = m_side == connection_side::peer ? peer_idle_timeout : limits.idle_time;
-    const auto limit = m_parser->has_begun() ? limits.header_time : idle + idle_margin;
+    const auto header_time = std::max(m_limits.header_time, limits.header_time);
+    const auto idle = m_side == connection_side::peer
+                          ? peer_idle_timeout
+                          : std::max(m_limits.idle_time, limits.idle_time);
+    const auto limit = m_parser->has_begun() ? header_time : idle + idle_margin;
     if (now - m_timeout_start > limit) {
         close();
     }
