front: a stop answers requests that were read behind another one

What callers saw: a caller that sends its next request before the response to the one before got, around a planned stop, `Connection: close` with the first response and neither a response nor a refusal for the second, which the process had read whole.

Cause: caller_connection::keeps_open looked at the stop only, and next_request dropped the bytes in m_pipelined together with the connection.

Evidence: the test on the code before: resilience.a_stop_answers_a_request_read_behind_another: responses.response_count() which is: 1, expected 2 It passes with the change, as do the other tests of stops (resilience.a_stop_*, front.a_stop_*, front.a_leaving_*).

Why it works: the response that closes is the one behind which nothing was read. Requests that come later than the stop accepts are refused as before, and the stop's time bounds the whole.

--- a/process_tests/resilience_test.cpp
+++ b/process_tests/resilience_test.cpp
@@ -4,6 +4,7 @@
 
 #include "front_fleet.hpp"
 #include "http_call.hpp"
+#include "raw_exchange.hpp"
 #include "scripted_target.hpp"
 #include "suite.hpp"
 
@@ -131,6 +132,32 @@
     EXPECT_EQ(result.body.size(), size);
 }
 
+// Guards against a stop that drops a request read behind another one of its connection: the first
+// response says that the connection closes, and the second request gets no answer.
+TEST_F(resilience, a_stop_answers_a_request_read_behind_another)
+{
+    start([](http_exchange& exchange) {
+        return exchange.pause(milliseconds{600}) && exchange.send(exchange.response("done"));
+    });
+    const auto request = [](const std::string& id) {
+        return fmt::format("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Chicorylink-Request-Id: {}\r\n"
+                           "X-Chicorylink-Deadline-Ms: 4000\r\nX-Chicorylink-Key: secret\r\n"
+                           "Content-Length: 5\r\n\r\norder",
+                           id);
+    };
+    raw_response responses;
+    std::thread caller([&] {
+        responses = exchange_raw(fmt::format("{}:{}", first_vm, front_fleet::callers_port),
+                                 request("id-1") + request("id-2"), seconds{5});
+    });
+    EXPECT_TRUE(wait_until([&] { return request_count("id-1") == 1; }, seconds{2}));
+    m_fleet.at(first_vm).signal(SIGTERM);
+    EXPECT_EQ(m_fleet.at(first_vm).wait(seconds{9}), 0);
+    caller.join();
+    EXPECT_EQ(responses.response_count(), 2U);
+    EXPECT_TRUE(responses.closed);
+}
+
 // Guards against a request that ran and lost its response being run again or reported as not run.
 // The response is lost at the target and between two VMs.
 TEST_F(resilience, a_lost_response_is_neither_retried_nor_reported_as_not_run)
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -143,7 +143,8 @@
 
 bool caller_connection::keeps_open() const
 {
-    return !m_close_after_response && !m_core.leaving_since;
+    // Requests that were read behind this one are answered before the connection closes.
+    return !m_close_after_response && (!m_core.leaving_since || !m_pipelined.empty());
 }
 
 void caller_connection::begin_response(int status, std::string_view reason,
