process_tests: a stream that has begun is cut when its route is dropped (known red)

What callers see: a stream whose target breaks off, or that is moved for another reason, is reset if a configuration has dropped its route or withdrawn its key since it began, although its caller sent the request before and other targets could go on.

Cause: exchange::execute and exchange::on_placement_result resolve a repeat by the newest configuration; exchange::refuse then aborts the response that has begun.

Evidence: the test fails after the first event (result.complete is false, the body is "id: 1\ndata: 1\n\n"). With a second version that keeps the route, and nothing else changed, it passes.

--- a/process_tests/config_change_test.cpp
+++ b/process_tests/config_change_test.cpp
@@ -164,5 +164,50 @@
     EXPECT_EQ(caller.read_response(), 200);
 }
 
+std::string event(int number)
+{
+    return http_exchange::chunk(fmt::format("id: {}\ndata: {}\n\n", number, number));
+}
+
+// Guards against a stream that is cut because a configuration has dropped its route since it began:
+// its target breaks off, and the VM refuses to send the request, which its caller sent before, to
+// another one.
+TEST_F(config_change, a_stream_that_has_begun_goes_on_after_its_route_is_dropped)
+{
+    const auto stream = [](http_exchange& exchange) {
+        const auto last = exchange.header("Last-Event-Id");
+        exchange.send(exchange.head("Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n"));
+        if (!last.empty()) {
+            return exchange.send(event(2) + event(3) + "0\r\n\r\n");
+        }
+        exchange.send(event(1));
+        exchange.pause(milliseconds{800});
+        return false;
+    };
+    scripted_target first(stream);
+    scripted_target second(stream);
+    front_fleet fleet{binaries(), "chicorylink_dropped_route"};
+    fleet.publish_config(1, {"secret"});
+    fleet.publish_target("i-first", first.address(), "east-a");
+    fleet.publish_target("i-second", second.address(), "east-a");
+    fleet.start(only_vm, "east");
+    ASSERT_TRUE(wait_until([] { return front_fleet::is_ready(only_vm); }, seconds{10}));
+    reply result;
+    std::thread caller(
+        [&] { result = perform(front_fleet::request(only_vm, "/stream/x", "id-1")); });
+    EXPECT_TRUE(wait_until([&] { return first.request_count() + second.request_count() == 1; },
+                           seconds{2}));
+    fleet.store().put("op/config",
+                      nlohmann::json{{"version", 2},
+                                     {"routes", nlohmann::json::array()},
+                                     {"services", {{{"name", "app"}}}},
+                                     {"tenants", {{{"name", "cards"}, {"apiKeys", {"secret"}}}}}}
+                          .dump());
+    caller.join();
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
