--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -26,13 +26,17 @@
 {
     const auto file = m_folder / (ip + ".json");
     const auto at = [&](int port) { return fmt::format("{}:{}", ip, port); };
-    const auto seed = m_vms.empty() ? ip : m_vms.begin()->first;
+    const auto first = m_vms.empty() ? ip : m_vms.begin()->first;
+    auto seeds = nlohmann::json::array();
+    for (const auto& seed : m_seeds.empty() ? std::vector{first} : m_seeds) {
+        seeds.push_back(fmt::format("{}:{}", seed, control_port));
+    }
     const nlohmann::json settings{{"node", "vm-" + ip},
                                   {"ip", ip},
                                   {"zone", region + "-a"},
                                   {"region", region},
                                   {"internalPorts", {peer_port, peer_port + 15}},
-                                  {"seedAddrs", {fmt::format("{}:{}", seed, control_port)}},
+                                  {"seedAddrs", seeds},
                                   {"zones", {{"east-a", "east"}, {"west-a", "west"}}},
                                   {"listen",
                                    {{"front", at(callers_port)},
@@ -53,7 +57,7 @@
 }
 
 void front_fleet::publish_target(const std::string& name, const std::string& address,
-                                 const std::string& zone)
+                                 const std::string& zone, std::int64_t started_ms)
 {
     m_store.put("servers/" + name, nlohmann::json{{"service", "app"},
                                                   {"address", address},
@@ -62,7 +66,7 @@
                                                   {"state", "ready"},
                                                   {"coldLeftMs", 0},
                                                   {"sequence", 1},
-                                                  {"born", 1}}
+                                                  {"born", started_ms}}
                                        .dump());
 }
 
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -6,10 +6,12 @@
 #include "stand_ins/published_store.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -18,8 +20,8 @@
 
 /// @brief Daemons of the users' platform as separate processes that read a stand-in store.
 ///
-/// Each VM has its own loopback address; the ports are the same on all. The VM at the first address
-/// is the seed of the others.
+/// Each VM has its own loopback address; the ports are the same on all. Without other seeds the VM
+/// at the first address is the seed of the others.
 class front_fleet {
 public:
     static constexpr int callers_port = 21821;
@@ -42,9 +44,13 @@
     /// @brief Starts a daemon at a loopback address and ends the one running there.
     void start(const std::string& ip, const std::string& region);
 
+    /// @brief Sets the addresses of the VMs by which daemons started afterwards find the others.
+    void set_seeds(std::vector<std::string> ips) { m_seeds = std::move(ips); }
+
     /// @brief Publishes a target that is ready in data center `zone`.
+    /// @param started_ms The start of its run, which tells runs of one name apart.
     void publish_target(const std::string& name, const std::string& address,
-                        const std::string& zone);
+                        const std::string& zone, std::int64_t started_ms = 1);
 
     /// @brief Publishes routes `/safe/`, `/unsafe/`, `/stream/` and `/west/`, which runs in region
     /// `west` only, and one team with these keys.
@@ -71,6 +77,7 @@
 private:
     std::string m_program;
     std::filesystem::path m_folder;
+    std::vector<std::string> m_seeds;
     stand_ins::published_store m_store{"127.0.0.1:0"};
     std::map<std::string, std::unique_ptr<child_process>> m_vms;
 };
--- a/process_tests/support/scripted_target.cpp
+++ b/process_tests/support/scripted_target.cpp
@@ -71,10 +71,10 @@
     return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
 
-scripted_target::scripted_target(script respond)
+scripted_target::scripted_target(script respond, const std::string& ip, unsigned short port)
     : m_respond(std::move(respond)),
-      m_acceptor(m_io_context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-      m_address(fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port())),
+      m_acceptor(m_io_context, {boost::asio::ip::make_address(ip), port}),
+      m_address(fmt::format("{}:{}", ip, m_acceptor.local_endpoint().port())),
       m_accepting([this] { accept(); })
 {
 }
--- a/process_tests/support/scripted_target.hpp
+++ b/process_tests/support/scripted_target.hpp
@@ -56,7 +56,9 @@
     /// Responds to one request; returning false closes the connection.
     using script = std::function<bool(http_exchange&)>;
 
-    explicit scripted_target(script respond);
+    /// @param port The port to listen at; 0 takes a free one.
+    explicit scripted_target(script respond, const std::string& ip = "127.0.0.1",
+                             unsigned short port = 0);
     ~scripted_target();
     scripted_target(const scripted_target&) = delete;
     scripted_target& operator=(const scripted_target&) = delete;
