process_tests: targets that die for other reasons do not make a part suspect

A popular part is in all prompts while targets are lost one after the other, three at a time, and while each cuts every eighth answer inside an event. No request may be refused for a part of its prompt.

--- a/process_tests/crashing_part_test.cpp
+++ b/process_tests/crashing_part_test.cpp
@@ -268,5 +268,44 @@
     expect_refused_at_once(m_traffic.outcomes(), holds_from);
 }
 
+// Guards against a part that many prompts share being taken for the cause when targets die for
+// other reasons: one after the other, several at once, or by cutting single answers.
+TEST_F(crashing_part, is_not_suspected_when_targets_die_for_other_reasons)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    m_traffic.start_sound();
+    constexpr milliseconds between_crashes{700};
+    for (int round = 0; round < 2; ++round) {
+        for (const auto& target : m_targets) {
+            std::this_thread::sleep_for(between_crashes);
+            target->crash();
+        }
+    }
+    std::this_thread::sleep_for(crashing_target::down_time + between_crashes);
+    // One region loses all of its targets at once, then both lose most of theirs.
+    for (const auto& numbers : {std::vector{0, 2, 4}, std::vector{1, 2, 4}}) {
+        for (const auto number : numbers) {
+            m_targets[static_cast<std::size_t>(number)]->crash();
+        }
+        std::this_thread::sleep_for(crashing_target::down_time * 2);
+    }
+    for (const auto& target : m_targets) {
+        target->cut_each(8);
+    }
+    std::this_thread::sleep_for(seconds{3});
+    for (const auto& target : m_targets) {
+        target->cut_each(0);
+    }
+    std::this_thread::sleep_for(seconds{1});
+    const auto calm_from = clock::now();
+    std::this_thread::sleep_for(seconds{2});
+    const auto calm_to = clock::now();
+    m_traffic.stop();
+
+    EXPECT_EQ(counter_of_all("quarantined_requests_total"), 0);
+    EXPECT_EQ(counter_of_all("prompt_part_quarantines_total"), 0);
+    EXPECT_GT(served_share(m_traffic.outcomes(), calm_from, calm_to), 0.9);
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
