fleet: a response that cannot be continued is not sent for again

Callers saw: a plain response of over 256 KB broke off, and the whole response of the next target followed its first part, complete by its length. In the same way the events of a stream without ids came twice, and the events of the next target followed the text of a large error.

Cause: when a part of a response had been passed on, a request that may be repeated went to the next target like any other. Only a stream whose last event has an id can be continued: nothing else tells the next target where to begin.

Change: attempt_history says whether the begun response can be continued; if not, an attempt that ends without the rest closes the caller's connection.

--- a/include/chicorylink/fleet/next_step.hpp
+++ b/include/chicorylink/fleet/next_step.hpp
@@ -26,12 +26,15 @@
     std::uint32_t arrivals = 0;
     /// Attempts that ran or may have run.
     std::uint32_t runs = 0;
-    /// Whether the caller received events of the stream.
+    /// Whether the caller received a part of a response.
     bool has_begun = false;
     /// Whether another VM forwarded the request; that VM decides about retries.
     bool from_peer = false;
     /// All attempts, including those that never reached a target.
     std::uint32_t sends = 0;
+    /// Whether another target can continue the begun response: it is a stream whose last event has
+    /// an id.
+    bool can_continue = false;
 };
 
 /// @brief What to do after an attempt without a usable response.
--- a/src/chicorylink/fleet/next_step.cpp
+++ b/src/chicorylink/fleet/next_step.cpp
@@ -16,6 +16,9 @@
 next_step decide_next(const route& request_route, const attempt_history& history, attempt_end end,
                       base::milliseconds time_left)
 {
+    if (history.has_begun && !history.can_continue) {
+        return give_up(history, end);
+    }
     if (time_left < min_attempt_time || history.arrivals >= max_arrivals ||
         history.sends >= max_sends) {
         return give_up(history, end);
--- a/src/chicorylink/fleet/next_step_test.cpp
+++ b/src/chicorylink/fleet/next_step_test.cpp
@@ -1,6 +1,8 @@
 #include "chicorylink/fleet/next_step.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 
+#include <utility>
+
 #include <gtest/gtest.h>
 
 namespace chicorylink::fleet {
@@ -57,12 +59,15 @@
         for (const bool resumable : {false, true}) {
             for (std::uint32_t arrivals = 0; arrivals <= max_arrivals; ++arrivals) {
                 for (std::uint32_t runs = 0; runs <= arrivals; ++runs) {
-                    for (const bool begun : {false, true}) {
+                    for (const auto& [begun, can_continue] :
+                         {std::pair{false, false}, std::pair{true, false}, std::pair{true, true}}) {
                         for (const bool peer : {false, true}) {
                             for (const auto end : {attempt_end::not_sent, attempt_end::rejected,
                                                    attempt_end::failed, attempt_end::unknown}) {
                                 check(route_of(kind, 2, resumable),
-                                      attempt_history{arrivals, runs, begun, peer}, end);
+                                      attempt_history{arrivals, runs, begun, peer, arrivals,
+                                                      can_continue},
+                                      end);
                             }
                         }
                     }
@@ -112,6 +117,18 @@
     });
 }
 
+// Guards against a second response behind the begun part of the first: only a stream whose last
+// event has an id can be continued.
+TEST(next_step, a_begun_response_that_cannot_continue_is_aborted)
+{
+    for_all_states([](const route& request_route, const attempt_history& history, attempt_end end) {
+        if (history.has_begun && !history.can_continue) {
+            EXPECT_EQ(decide_next(request_route, history, end, milliseconds{2000}),
+                      next_step::abort_stream);
+        }
+    });
+}
+
 TEST(next_step, runs_are_limited_by_the_route)
 {
     const attempt_history twice{2, 2, false, false};
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -254,6 +254,7 @@
     }
     m_caller->send_body(std::exchange(m_attempt->buffered_body, {}));
     m_caller->send_body(event.bytes);
+    m_history.can_continue = !event.id.empty();
     if (!event.id.empty()) {
         m_last_event_id = event.id;
     }
