front: only a response of the same kind continues a stream

Callers saw: a stream broke off, the next target answered 204, 302, 304 or a 200 of another content type, and the stream ended as complete, with that body's text in it.

Cause: of a continuation only error statuses were turned away. Any other response was read as the rest of the stream.

Change: a continuation needs the status and the media type of the response that the caller has a part of; else the attempt ends as one that may have run.

Before: continued_stream.a_response_that_is_no_stream_is_no_continuation result.complete Actual: true Expected: false result.body Which is: "id: 1\n...id: 2\ndata: piece 2\n\nthe target is overloaded\n\n" Passes now.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -75,6 +75,8 @@
         std::string buffered_body;
         /// Whether the request no longer counts as the target's load in the pool.
         bool released = false;
+        /// Whether the caller has a part of the response from an earlier attempt.
+        bool is_continuation = false;
     };
 
     // Before an attempt.
@@ -133,6 +135,8 @@
     void on_response_end();
     void on_failure(const upstream_failure& failure);
     void on_event(const base::sse_event& event, base::time_point now);
+    /// @brief Whether a response can continue the stream that the caller has a part of.
+    [[nodiscard]] bool is_same_stream(const message_head& head) const;
     void note_progress(base::time_point now);
     void pause_for_slow_caller();
     void read_load(const message_head& head, base::time_point now);
@@ -194,6 +198,9 @@
     std::optional<base::milliseconds> m_peer_retry_after;
     base::sse_parser m_events;
     std::string m_last_event_id;
+    /// The status and media type of the response that the caller has a part of.
+    int m_begun_status = 0;
+    std::string m_begun_media_type;
     base::time_point m_response_begun_at{};
     /// The shortest expected wait in any region; set if it was too long.
     std::optional<base::milliseconds> m_shortest_wait;
--- a/include/chicorylink/front/message_head.hpp
+++ b/include/chicorylink/front/message_head.hpp
@@ -39,6 +39,9 @@
 /// @brief The value of the first field with this name; null if there is none.
 [[nodiscard]] const std::string* find_field(const header_fields& fields, std::string_view name);
 
+/// @brief The media type of a `Content-Type` field without its parameters; empty if there is none.
+[[nodiscard]] std::string_view media_type(const header_fields& fields);
+
 /// @brief Removes all fields with this name.
 void remove_fields(header_fields& fields, std::string_view name);
 
--- a/process_tests/continued_stream_test.cpp
+++ b/process_tests/continued_stream_test.cpp
@@ -172,6 +172,20 @@
     }
 }
 
+// Guards against a stream that looks complete although its continuation is no stream.
+TEST_F(continued_stream, a_response_that_is_no_stream_is_no_continuation)
+{
+    start_targets();
+    expect_cut(respond(204, "", event_stream));
+    expect_cut(respond(304, "", event_stream));
+    expect_cut(respond(302, "", "Location: /elsewhere\r\n"));
+    expect_cut(respond(206, event(3), event_stream));
+    expect_cut(respond(200, "the target is overloaded\n\n", "Content-Type: text/plain\r\n"));
+    expect_cut(respond(200, "", "Content-Type: text/plain\r\n"));
+    expect_cut(respond(200, event(3), "Content-Type: application/json\r\n"));
+    expect_cut(respond(200, event(3)));
+}
+
 // Guards against a check of continuations that refuses proper ones.
 TEST_F(continued_stream, a_proper_continuation_is_passed_on)
 {
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -136,6 +136,11 @@
     return !is_encoded && has_request_id && (is_signed || is_client_error);
 }
 
+bool exchange::is_same_stream(const message_head& head) const
+{
+    return head.status == m_begun_status && same_name(media_type(head.fields), m_begun_media_type);
+}
+
 void exchange::on_head(const message_head& head)
 {
     const auto now = base::boot_now();
@@ -178,8 +183,8 @@
         return;
     }
     log_unknown_fields(head);
-    if (m_response_begun && head.status >= first_error_status) {
-        // An error response can't continue a stream that has begun.
+    current.is_continuation = m_response_begun;
+    if (current.is_continuation && !is_same_stream(head)) {
         current.call->discard();
         end_attempt(attempt_end::unknown, target_outcome::server_error,
                     "the continuation of the stream failed", now);
@@ -266,6 +271,8 @@
     remove_hop_by_hop_fields(fields);
     remove_fields(fields, outcome_field);
     m_response_begun = true;
+    m_begun_status = head.status;
+    m_begun_media_type = media_type(head.fields);
     m_caller->begin_response(head.status, head.reason, fields, length);
 }
 
--- a/src/chicorylink/front/message_head.cpp
+++ b/src/chicorylink/front/message_head.cpp
@@ -48,6 +48,15 @@
     return found == fields.end() ? nullptr : &found->value;
 }
 
+std::string_view media_type(const header_fields& fields)
+{
+    const auto* value = find_field(fields, "Content-Type");
+    if (value == nullptr) {
+        return {};
+    }
+    return base::trim_spaces(std::string_view{*value}.substr(0, value->find(';')));
+}
+
 void remove_fields(header_fields& fields, std::string_view name)
 {
     std::erase_if(fields, [&](const header_field& field) { return same_name(field.name, name); });
