front: events of a continuation have to come behind the last one passed

Callers saw: the next target began the stream at its first event again, and events came twice; or it wrote its error as an event, or a head as the body of a 200, and the caller found that text in the middle of the stream.

Cause: Last-Event-Id was sent, but nobody checked that the target heeds it.

Change: the first event of a continuation needs an id, and each id has to be greater than the last one that the caller has (as whole numbers of any length; other ids have to differ). Else the attempt ends as one that may have run. Events are not dropped up to the right one: a run that began anew is not the one that the caller has.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -77,6 +77,8 @@
         bool released = false;
         /// Whether the caller has a part of the response from an earlier attempt.
         bool is_continuation = false;
+        /// Whether an event of the stream was passed to the caller.
+        bool has_event = false;
     };
 
     // Before an attempt.
@@ -137,6 +139,8 @@
     void on_event(const base::sse_event& event, base::time_point now);
     /// @brief Whether a response can continue the stream that the caller has a part of.
     [[nodiscard]] bool is_same_stream(const message_head& head) const;
+    /// @brief Whether an event of a continuation comes behind those that the caller has.
+    [[nodiscard]] bool comes_behind_last(const base::sse_event& event) const;
     void note_progress(base::time_point now);
     void pause_for_slow_caller();
     void read_load(const message_head& head, base::time_point now);
--- a/process_tests/continued_stream_test.cpp
+++ b/process_tests/continued_stream_test.cpp
@@ -186,6 +186,23 @@
     expect_cut(respond(200, event(3)));
 }
 
+// Guards against an error that a target writes as an event of its own.
+TEST_F(continued_stream, an_event_without_id_is_no_continuation)
+{
+    start_targets();
+    expect_cut(respond(200, "event: error\ndata: overloaded\n\n", event_stream));
+    expect_cut(respond_and_close(200, "HTTP/1.1 502 Bad Gateway\r\nServer: a\r\n\r\nfailed",
+                                 event_stream));
+}
+
+// Guards against events that come twice because the next target starts from the first one.
+TEST_F(continued_stream, a_stream_that_starts_over_is_no_continuation)
+{
+    start_targets();
+    expect_cut(respond(200, events(1, 4), event_stream));
+    expect_cut(respond(200, events(2, 4), event_stream));
+}
+
 // Guards against a check of continuations that refuses proper ones.
 TEST_F(continued_stream, a_proper_continuation_is_passed_on)
 {
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/base/boot_clock.hpp"
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/fleet/stream_position.hpp"
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
@@ -141,6 +142,15 @@
     return head.status == m_begun_status && same_name(media_type(head.fields), m_begun_media_type);
 }
 
+bool exchange::comes_behind_last(const base::sse_event& event) const
+{
+    if (!m_attempt->is_continuation || event.is_comment) {
+        return true;
+    }
+    // Only an id shows where a continuation begins.
+    return event.id.empty() ? m_attempt->has_event : fleet::follows(event.id, m_last_event_id);
+}
+
 void exchange::on_head(const message_head& head)
 {
     const auto now = base::boot_now();
@@ -219,6 +229,12 @@
     }
     m_events.feed(piece);
     while (const auto event = m_events.next()) {
+        if (!comes_behind_last(*event)) {
+            m_attempt->call->cancel();
+            end_attempt(attempt_end::unknown, target_outcome::broken,
+                        "the continuation does not follow the last event", now);
+            return;
+        }
         on_event(*event, now);
     }
     if (m_events.overflowed() || m_attempt->buffered_body.size() > max_unsent_bytes) {
@@ -247,6 +263,7 @@
         return;
     }
     note_progress(now);
+    m_attempt->has_event = true;
     if (!m_response_begun) {
         m_response_begun_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
