front: a stream is not complete when its connection closes before the first event

Callers saw: a target answered 200 with neither length nor chunks and closed the connection before an event; the stream ended as complete, empty or after the events of the target before. Comments of such a continuation were passed on too.

Cause: without a length the close is the end, and without a begun event nothing showed that it came early.

Change: such a response ends the attempt as one that may have run. With a length or chunks an empty continuation stays the proper end of a stream whose events the caller has. Comments of a continuation wait for its first event, like those of the first. What can't be told apart is a connection that closes between two events.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -71,7 +71,7 @@
         std::optional<reserved_place> place;
         std::optional<fleet::target_outcome> outcome;
         message_head head;
-        /// Bytes held back until the response ends, or until a stream's first event.
+        /// Bytes held back until the response ends, or until the attempt's first event.
         std::string buffered_body;
         /// Whether the request no longer counts as the target's load in the pool.
         bool released = false;
--- a/process_tests/continued_stream_test.cpp
+++ b/process_tests/continued_stream_test.cpp
@@ -203,6 +203,19 @@
     expect_cut(respond(200, events(2, 4), event_stream));
 }
 
+// Guards against a stream that looks complete although the connection of its continuation closed
+// before the first event.
+TEST_F(continued_stream, a_connection_that_closes_without_an_event_is_no_end)
+{
+    start_targets();
+    expect_cut(respond_and_close(200, "", event_stream));
+    expect_cut(respond_and_close(200, ": comment\n\n", event_stream));
+    const auto result = send_through("/stream/x", respond_and_close(200, "", event_stream),
+                                     respond(200, events(1, 2), event_stream));
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.body, events(1, 2));
+}
+
 // Guards against a check of continuations that refuses proper ones.
 TEST_F(continued_stream, a_proper_continuation_is_passed_on)
 {
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -254,7 +254,7 @@
     }
     if (event.is_comment) {
         // Comments only keep the connection open; they are no progress and don't begin a response.
-        if (m_response_begun) {
+        if (m_attempt->has_event) {
             m_caller->send_body(event.bytes);
         }
         else {
@@ -311,7 +311,14 @@
                     "the stream ended within an event", now);
         return;
     }
-    const auto status = m_attempt->head.status;
+    const auto& head = m_attempt->head;
+    const bool ends_with_connection = !head.chunked && !head.content_length;
+    if (is_stream() && head.status == ok_status && ends_with_connection && !m_attempt->has_event) {
+        end_attempt(attempt_end::unknown, target_outcome::broken,
+                    "the connection was closed before the first event", now);
+        return;
+    }
+    const auto status = head.status;
     const bool failed = status >= first_server_error_status;
     if (failed && !m_response_begun) {
         end_attempt(attempt_end::failed, target_outcome::server_error, "the target failed", now);
--- a/src/chicorylink/front/status_codes.hpp
+++ b/src/chicorylink/front/status_codes.hpp
@@ -3,6 +3,7 @@
 
 namespace chicorylink::front {
 
+inline constexpr int ok_status = 200;
 inline constexpr int first_error_status = 400;
 inline constexpr int bad_request_status = 400;
 inline constexpr int unauthorized_status = 401;
