front: a call ends when the response to another request ends its connection

Callers saw: a target wrote an earlier refusal, without a length, on a kept connection and closed it. The next request on it was held until its deadline (504 after 4 s).

Cause: the close completed the response to the other request. It was skipped, and the call went on waiting on a connection that was gone.

Change: a call that is not finished when its connection has closed fails.

--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -214,6 +214,9 @@
         m_parser->feed_eof();
         if (m_parser->is_complete()) {
             process_response();
+        }
+        // The response that the close completed may belong to another request.
+        if (m_is_finished) {
             return;
         }
     }
--- a/src/chicorylink/front/upstream_call_test.cpp
+++ b/src/chicorylink/front/upstream_call_test.cpp
@@ -168,6 +168,18 @@
     EXPECT_EQ(second.body, "");
 }
 
+// Guards against a call without end: the response to another request has no length, and the close
+// that completes it is the last event of the connection.
+TEST_F(upstream_call_test, response_to_another_request_that_ends_with_the_connection_fails_call)
+{
+    test_server server(m_loop);
+    server.respond("HTTP/1.1 503 Full\r\nId: other\r\n\r\nfull", true);
+    const auto result = call(server.address());
+    ASSERT_TRUE(result.failure);
+    EXPECT_TRUE(result.failure->may_have_arrived);
+    EXPECT_EQ(m_pool.open_count(server.address()), 0U);
+}
+
 TEST_F(upstream_call_test, resend_opens_new_connection)
 {
     test_server server(m_loop);
