front: a response that names several requests counts for none

Callers saw: a target had begun the head of its response and wrote an earlier refusal into it. The request, which may run once only, was taken as rejected and ran at a second target as well.

Cause: when the copy begins within a field's value, its lines are proper fields of the head. Only the first id was looked at, which is the right one, and the copy's field says that the request did not run. Of the same class: after a response to another request on a new connection, one without an id was taken for the right one, which was refused on used connections only.

Change: all ids of a head count; one that names this request and another ends the attempt as one that may have run. A connection that carried a response to another request needs ids from then on.

--- a/include/chicorylink/front/upstream_call.hpp
+++ b/include/chicorylink/front/upstream_call.hpp
@@ -75,8 +75,11 @@
     void deliver_body();
     /// Whether the current response is interim or belongs to an earlier request.
     [[nodiscard]] bool is_unrelated_response() const;
-    /// Whether the response has no request id and came on a reused connection, so that it may
-    /// belong to an earlier request.
+    /// Whether the response names another request beside this one: a response to that one began
+    /// within the head.
+    [[nodiscard]] bool names_several_requests() const;
+    /// Whether the response has no request id and came on a connection that was reused or on which
+    /// a response to another request came, so that it may belong to such a request too.
     [[nodiscard]] bool is_unidentified_response() const;
     bool skip_unrelated_response();
     void finish();
--- a/process_tests/second_refusal_test.cpp
+++ b/process_tests/second_refusal_test.cpp
@@ -153,6 +153,23 @@
     EXPECT_EQ(result.status, 502);
 }
 
+// Guards against a copy that begins within the head of the next response: its fields join that
+// head, which then names both requests.
+TEST_F(second_refusal, a_copy_within_the_next_head_promises_nothing)
+{
+    start_targets();
+    for (const auto* unfinished : {"", "Server: a\r\n", "Date: Sat"}) {
+        SCOPED_TRACE(unfinished);
+        const auto result = expect_no_false_refusal([unfinished](http_exchange& exchange) {
+            return exchange.send(fmt::format("HTTP/1.1 200 OK\r\nX-Chicorylink-Request-Id: {}\r\n"
+                                             "X-Chicorylink-Server-Stamp: s\r\n{}",
+                                             exchange.id(), unfinished)) &&
+                   exchange.send(refusal(earlier_id, with_length)) && false;
+        });
+        EXPECT_EQ(result.status, 502);
+    }
+}
+
 // Guards against a refusal that is written twice at once, or while its connection is idle, and then
 // met by the next request.
 TEST_F(second_refusal, a_refusal_written_twice_does_not_reach_the_next_request)
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -40,6 +40,23 @@
     return std::chrono::seconds{seconds};
 }
 
+/// Which requests the ids in a response name.
+struct named_requests {
+    bool name_this = false;
+    bool name_other = false;
+};
+
+named_requests read_ids(const message_head& head, const upstream_request& request)
+{
+    named_requests ids;
+    for (const auto& field : head.fields) {
+        if (same_name(field.name, request.request_id_field)) {
+            (field.value == request.request_id ? ids.name_this : ids.name_other) = true;
+        }
+    }
+    return ids;
+}
+
 } // namespace
 
 upstream_call::upstream_call(connection_pool& pool, upstream_request request)
@@ -105,13 +122,19 @@
 bool upstream_call::is_unrelated_response() const
 {
     const auto& head = m_parser->head();
-    const auto* id = find_field(head.fields, m_request.request_id_field);
-    return head.status < first_final_status || (id != nullptr && *id != m_request.request_id);
+    const auto ids = read_ids(head, m_request);
+    return head.status < first_final_status || (ids.name_other && !ids.name_this);
+}
+
+bool upstream_call::names_several_requests() const
+{
+    const auto ids = read_ids(m_parser->head(), m_request);
+    return ids.name_other && ids.name_this;
 }
 
 bool upstream_call::is_unidentified_response() const
 {
-    return m_is_reused &&
+    return (m_is_reused || !m_is_reusable) &&
            find_field(m_parser->head().fields, m_request.request_id_field) == nullptr;
 }
 
@@ -148,6 +171,10 @@
             }
             continue;
         }
+        if (!m_head_delivered && names_several_requests()) {
+            fail("an answer names several requests");
+            return;
+        }
         if (!m_head_delivered && is_unidentified_response()) {
             fail("an answer on a used connection names no request");
             return;
--- a/src/chicorylink/front/upstream_call_test.cpp
+++ b/src/chicorylink/front/upstream_call_test.cpp
@@ -180,6 +180,32 @@
     EXPECT_EQ(m_pool.open_count(server.address()), 0U);
 }
 
+// Guards against the fields of a late duplicate that begins within the head of the next response.
+TEST_F(upstream_call_test, response_that_names_two_requests_fails_call)
+{
+    for (const auto* ids : {"Id: mine\r\nDate: SatHTTP/1.1 503 Full\r\nId: other\r\n",
+                            "Id: other\r\nDate: SatHTTP/1.1 200 OK\r\nId: mine\r\n"}) {
+        test_server server(m_loop);
+        server.respond(fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: 2\r\n\r\nok", ids), false);
+        const auto result = call(server.address());
+        ASSERT_TRUE(result.failure);
+        EXPECT_TRUE(result.failure->may_have_arrived);
+        EXPECT_EQ(result.status, 0);
+    }
+}
+
+// Guards against a response without id behind one to another request, on a new connection.
+TEST_F(upstream_call_test, rejects_response_without_id_behind_response_to_another_request)
+{
+    test_server server(m_loop);
+    server.respond("HTTP/1.1 503 Full\r\nId: other\r\nContent-Length: 4\r\n\r\nfull"
+                   "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull",
+                   false);
+    const auto result = call(server.address());
+    ASSERT_TRUE(result.failure);
+    EXPECT_EQ(result.status, 0);
+}
+
 TEST_F(upstream_call_test, resend_opens_new_connection)
 {
     test_server server(m_loop);
