front: a success does not say that the request did not run

Callers saw: a 200 with the field of a rejection sent a request that may run once only to further targets, and then ended as refused.

Cause: the field alone made a rejection, whatever the status.

Change: it does so with an error status only. A response of another status with that field contradicts itself and ends the attempt as one that may have run.

Before: second_refusal.a_success_with_the_field_of_a_refusal_promises_nothing m_targets[0]->request_count(id) + m_targets[1]->request_count(id) Which is: 3, 1 Passes now.

--- a/process_tests/second_refusal_test.cpp
+++ b/process_tests/second_refusal_test.cpp
@@ -170,6 +170,16 @@
     }
 }
 
+// Guards against a success that is taken for a refusal because a field of a refusal got into it.
+TEST_F(second_refusal, a_success_with_the_field_of_a_refusal_promises_nothing)
+{
+    start_targets();
+    const auto result = expect_no_false_refusal([](http_exchange& exchange) {
+        return exchange.send(exchange.response("done", "X-Chicorylink-Not-Run: 1\r\n"));
+    });
+    EXPECT_EQ(result.status, 502);
+}
+
 // Guards against a refusal that is written twice at once, or while its connection is idle, and then
 // met by the next request.
 TEST_F(second_refusal, a_refusal_written_twice_does_not_reach_the_next_request)
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -134,7 +134,9 @@
     // A success must also carry the request id.
     const bool has_request_id =
         head.status >= first_error_status || find_field(head.fields, names.request_id) != nullptr;
-    return !is_encoded && has_request_id && (is_signed || is_client_error);
+    const bool is_contradictory =
+        head.status < first_error_status && find_field(head.fields, names.not_run) != nullptr;
+    return !is_encoded && !is_contradictory && has_request_id && (is_signed || is_client_error);
 }
 
 bool exchange::is_same_stream(const message_head& head) const
@@ -175,7 +177,9 @@
                     target_outcome::broken, "the other VM has no answer", now);
         return;
     }
-    if (head.status == misdirected_status || find_field(head.fields, names.not_run) != nullptr) {
+    const bool is_rejection =
+        head.status >= first_error_status && find_field(head.fields, names.not_run) != nullptr;
+    if (head.status == misdirected_status || is_rejection) {
         if (head.status == misdirected_status && !current.target.empty()) {
             m_core.pool.on_displaced(current.target);
             m_core.connections.close_idle(current.address);
