front: a status that promises "not run" needs the target's word

Callers saw: a target answered 503, 429 or 408 without saying that it did not run the request, and the status went on to the caller, who takes it as a promise.

Cause: such a response was treated as a failure or an error of the caller, whose status is passed on.

Change: for a request that may run once only it ends the attempt as one that may have run, so the caller gets 502 without the target's stamp. Requests that may be repeated get it as before.

--- a/process_tests/second_refusal_test.cpp
+++ b/process_tests/second_refusal_test.cpp
@@ -180,6 +180,24 @@
     EXPECT_EQ(result.status, 502);
 }
 
+// Guards against a status that promises "not run" being passed on although the target does not say
+// that it did not run the request.
+TEST_F(second_refusal, a_target_that_does_not_say_not_run_promises_nothing)
+{
+    start_targets();
+    for (const int status : {503, 429, 408}) {
+        for (const auto* stamp : {"", "X-Chicorylink-Server-Stamp: s\r\n"}) {
+            SCOPED_TRACE(fmt::format("{} {}", status, stamp));
+            const auto result = expect_no_false_refusal([=](http_exchange& exchange) {
+                return exchange.send(fmt::format("HTTP/1.1 {} Status\r\n{}"
+                                                 "X-Chicorylink-Request-Id: {}\r\n{}",
+                                                 status, stamp, exchange.id(), with_length));
+            });
+            EXPECT_EQ(result.status, 502);
+        }
+    }
+}
+
 // Guards against a refusal that is written twice at once, or while its connection is idle, and then
 // met by the next request.
 TEST_F(second_refusal, a_refusal_written_twice_does_not_reach_the_next_request)
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -26,6 +26,13 @@
 /// Bytes of a header value that are logged.
 constexpr std::size_t max_logged_bytes = 64;
 
+/// Whether callers take a status as a promise that the request did not run and never will.
+bool promises_not_run(int status)
+{
+    return status == request_timeout_status || status == misdirected_status ||
+           status == too_many_requests_status || status == unavailable_status;
+}
+
 } // namespace
 
 void exchange::read_load(const message_head& head, base::time_point now)
@@ -197,6 +204,12 @@
         return;
     }
     log_unknown_fields(head);
+    if (promises_not_run(head.status) && !fleet::may_retry(*m_resolved.route)) {
+        current.call->discard();
+        end_attempt(attempt_end::unknown, target_outcome::server_error,
+                    "the target does not say that the request did not run", now);
+        return;
+    }
     current.is_continuation = m_response_begun;
     if (current.is_continuation && !is_same_stream(head)) {
         current.call->discard();
--- a/src/chicorylink/front/status_codes.hpp
+++ b/src/chicorylink/front/status_codes.hpp
@@ -8,6 +8,7 @@
 inline constexpr int bad_request_status = 400;
 inline constexpr int unauthorized_status = 401;
 inline constexpr int not_found_status = 404;
+inline constexpr int request_timeout_status = 408;
 inline constexpr int content_too_large_status = 413;
 inline constexpr int misdirected_status = 421;
 inline constexpr int too_many_requests_status = 429;
