--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -75,11 +75,15 @@
         std::optional<fleet::target_outcome> outcome;
         message_head head;
         base::sse_parser events;
-        /// Bytes held back until the response ends, or until a stream's first event.
+        /// Bytes held back until the response ends, or until the attempt's first event.
         std::string buffered_body;
         /// Whether the request no longer counts as the target's load in the pool.
         bool released = false;
         bool ended = false;
+        /// Whether the caller has a part of the response from an earlier attempt.
+        bool is_continuation = false;
+        /// Whether an event of the stream was passed to the caller.
+        bool has_event = false;
         /// The target's run that the request was sent to.
         fleet::target_run run;
         /// When the first event arrived, or the first bytes of a response that is no stream.
@@ -149,6 +153,12 @@
     {
         return m_silent_attempt && m_silent_attempt->number == number;
     }
+    /// @brief Ends an attempt because of what its response's body holds.
+    void reject_body(std::uint32_t number, std::string_view detail, base::time_point now);
+    /// @brief Whether a response can continue the stream that the caller has a part of.
+    [[nodiscard]] bool is_same_stream(const message_head& head) const;
+    /// @brief Whether an event of a continuation comes behind those that the caller has.
+    [[nodiscard]] bool comes_behind_last(const attempt& from, const base::sse_event& event) const;
     void note_progress(base::time_point now);
     void pause_for_slow_caller();
     void read_load(const message_head& head, base::time_point now);
@@ -241,6 +251,9 @@
     /// The shortest retry delay that a VM of another region sent.
     std::optional<base::milliseconds> m_peer_retry_after;
     std::string m_last_event_id;
+    /// The status and media type of the response that the caller has a part of.
+    int m_begun_status = 0;
+    std::string m_begun_media_type;
     base::time_point m_response_begun_at{};
     /// The shortest expected wait in any region; set if it was too long.
     std::optional<base::milliseconds> m_shortest_wait;
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -1,10 +1,9 @@
 #include "chicorylink/base/boot_clock.hpp"
-#include "chicorylink/base/ids.hpp"
+#include "chicorylink/fleet/stream_position.hpp"
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
-#include "chicorylink/front/plain_number.hpp"
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
@@ -22,106 +21,14 @@
 /// Bytes buffered for a slow caller before reading from the target pauses.
 constexpr std::size_t max_unsent_bytes = 256UL * 1024;
 
-/// Bytes of a header value that are logged.
-constexpr std::size_t max_logged_bytes = 64;
-
-} // namespace
-
-void exchange::read_load(const message_head& head, base::time_point now)
-{
-    const auto* text = find_field(head.fields, m_core.protocol.names.load);
-    if (text == nullptr || m_attempt->target.empty()) {
-        return;
-    }
-    // `RUNNING,WAITING,SLOTS`: the first two have the format of token counts.
-    const auto second_comma = text->find(',', text->find(',') + 1);
-    const auto load = fleet::parse_token_counts(std::string_view{*text}.substr(0, second_comma));
-    if (load) {
-        m_core.pool.on_load(m_attempt->target, load->prompt_tokens, load->answer_tokens, now);
-    }
-}
-
-void exchange::read_notices(const message_head& head, base::time_point now)
+/// Whether callers take a status as a promise that the request did not run and never will.
+bool promises_not_run(int status)
 {
-    const auto* target = m_core.pool.find(m_attempt->target);
-    if (target == nullptr) {
-        return;
-    }
-    fleet::target_notice notice{target->id, target->pushback.started_ms, false, {}};
-    const auto* leaving = find_field(head.fields, m_core.protocol.names.leaving);
-    if (leaving != nullptr && *leaving == "1") {
-        notice.leaving = m_core.pool.on_leaving(m_attempt->target, now);
-    }
-    const auto* retry_after = find_field(head.fields, retry_after_field);
-    if (retry_after != nullptr && head.status == unavailable_status) {
-        const auto wait = parse_retry_after(*retry_after);
-        notice.wait = wait.value_or(base::milliseconds{0});
-        write_log(m_core,
-                  log_event(m_core, wait ? "target_pushes_back" : "retry_after_ignored")
-                      .add("request", m_request.id)
-                      .add("target", m_attempt->target.text())
-                      .add("told", std::string_view{*retry_after}.substr(0, max_logged_bytes)));
-    }
-    if (notice.wait.count() > 0) {
-        m_core.pool.on_wait_requested(m_attempt->target, notice.wait,
-                                      base::hash_name(m_core.settings.self.ip), now);
-    }
-    if (notice.leaving) {
-        write_log(m_core, log_event(m_core, "target_leaving")
-                              .add("request", m_request.id)
-                              .add("target", m_attempt->target.text())
-                              .add("told_by", "answer"));
-    }
-    if (notice.leaving || notice.wait.count() > 0) {
-        m_core.placements->queue_notice(notice, now);
-    }
+    return status == request_timeout_status || status == misdirected_status ||
+           status == too_many_requests_status || status == unavailable_status;
 }
 
-void exchange::read_limit(const message_head& head, base::time_point now)
-{
-    // A misdirected request was answered by another target than the one it was sent to.
-    if (m_attempt->target.empty() || head.status == misdirected_status) {
-        return;
-    }
-    const auto* text = find_field(head.fields, m_core.protocol.names.rate_limit);
-    const auto per_second = text == nullptr ? std::nullopt : parse_plain_number(*text);
-    if (text != nullptr && !per_second) {
-        write_log(m_core, log_event(m_core, "target_limit_ignored")
-                              .add("request", m_request.id)
-                              .add("target", m_attempt->target.text())
-                              .add("told", std::string_view{*text}.substr(0, max_logged_bytes)));
-        return;
-    }
-    // Rejections and failures may lack the field; only a served response shows that a limit ended.
-    const bool is_served = head.status < first_error_status && is_target_response(head);
-    if (!per_second && !is_served) {
-        return;
-    }
-    const auto update = m_core.pool.on_limit_stated(
-        m_attempt->target, {per_second, per_second ? now : m_attempt->sent_at}, now);
-    if (update.is_new) {
-        log_limit_change(m_core, *m_core.pool.find(m_attempt->target), m_request.id, "answer", now);
-    }
-    if (update.report) {
-        m_core.placements->queue_limit(*update.report, now);
-    }
-}
-
-void exchange::log_unknown_fields(const message_head& head)
-{
-    if (m_attempt->target.empty()) {
-        return;
-    }
-    for (const auto& field : head.fields) {
-        if (m_core.target_fields.is_new(field.name)) {
-            write_log(m_core,
-                      log_event(m_core, "target_field_unknown")
-                          .add("request", m_request.id)
-                          .add("target", m_attempt->target.text())
-                          .add("field", std::string_view{field.name}.substr(0, max_logged_bytes)));
-        }
-    }
-}
+} // namespace
 
 bool exchange::is_target_response(const message_head& head) const
 {
@@ -133,7 +40,23 @@
     // A success must also carry the request id.
     const bool has_request_id =
         head.status >= first_error_status || find_field(head.fields, names.request_id) != nullptr;
-    return !is_encoded && has_request_id && (is_signed || is_client_error);
+    const bool is_contradictory =
+        head.status < first_error_status && find_field(head.fields, names.not_run) != nullptr;
+    return !is_encoded && !is_contradictory && has_request_id && (is_signed || is_client_error);
+}
+
+bool exchange::is_same_stream(const message_head& head) const
+{
+    return head.status == m_begun_status && same_name(media_type(head.fields), m_begun_media_type);
+}
+
+bool exchange::comes_behind_last(const attempt& from, const base::sse_event& event) const
+{
+    if (!from.is_continuation || event.is_comment) {
+        return true;
+    }
+    // Only an id shows where a continuation begins.
+    return event.id.empty() ? from.has_event : fleet::follows(event.id, m_last_event_id);
 }
 
 void exchange::on_head(std::uint32_t number, const message_head& head)
@@ -167,7 +90,9 @@
                     target_outcome::broken, "the other VM has no answer", now);
         return;
     }
-    if (head.status == misdirected_status || find_field(head.fields, names.not_run) != nullptr) {
+    const bool is_rejection =
+        head.status >= first_error_status && find_field(head.fields, names.not_run) != nullptr;
+    if (head.status == misdirected_status || is_rejection) {
         if (head.status == misdirected_status && !current.target.empty()) {
             m_core.pool.on_displaced(current.target);
             m_core.connections.close_idle(current.address);
@@ -185,8 +110,14 @@
         return;
     }
     log_unknown_fields(head);
-    if (m_response_begun && head.status >= first_error_status) {
-        // An error response can't continue a stream that has begun.
+    if (promises_not_run(head.status) && !fleet::may_retry(*m_resolved.route)) {
+        current.call->discard();
+        end_attempt(attempt_end::unknown, target_outcome::server_error,
+                    "the target does not say that the request did not run", now);
+        return;
+    }
+    current.is_continuation = m_response_begun;
+    if (current.is_continuation && !is_same_stream(head)) {
         current.call->discard();
         end_attempt(attempt_end::unknown, target_outcome::server_error,
                     "the continuation of the stream failed", now);
@@ -226,20 +157,21 @@
     }
     from.events.feed(piece);
     while (const auto event = from.events.next()) {
+        if (!comes_behind_last(from, *event)) {
+            reject_body(number, "the continuation does not follow the last event", now);
+            return;
+        }
         if (!event->is_comment && is_silent_attempt(number)) {
             resume_silent_attempt(now);
         }
         on_event(from, *event, now);
     }
-    const bool overflowed = from.events.overflowed();
-    if (overflowed || from.buffered_body.size() > max_unsent_bytes) {
-        const auto* detail = overflowed ? "an event has no end" : "comments without an event";
-        if (is_silent_attempt(number)) {
-            end_silent_attempt(detail, now);
-            return;
-        }
-        from.call->cancel();
-        end_attempt(attempt_end::unknown, target_outcome::broken, detail, now);
+    if (from.events.overflowed()) {
+        reject_body(number, "an event has no end", now);
+        return;
+    }
+    if (from.buffered_body.size() > max_unsent_bytes) {
+        reject_body(number, "comments without an event", now);
         return;
     }
     if (!is_silent_attempt(number)) {
@@ -247,6 +179,16 @@
     }
 }
 
+void exchange::reject_body(std::uint32_t number, std::string_view detail, base::time_point now)
+{
+    if (is_silent_attempt(number)) {
+        end_silent_attempt(detail, now);
+        return;
+    }
+    m_attempt->call->cancel();
+    end_attempt(attempt_end::unknown, target_outcome::broken, detail, now);
+}
+
 void exchange::on_event(attempt& from, const base::sse_event& event, base::time_point now)
 {
     if (m_caller == nullptr) {
@@ -254,7 +196,7 @@
     }
     if (event.is_comment) {
         // Comments only keep the connection open; they are no progress and don't begin a response.
-        if (m_response_begun) {
+        if (from.has_event) {
             m_caller->send_body(event.bytes);
         }
         else {
@@ -265,6 +207,7 @@
     end_silent_attempt("replaced after its silence", now);
     note_progress(now);
     note_answer_progress(now);
+    from.has_event = true;
     if (!m_response_begun) {
         m_response_begun_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
@@ -277,6 +220,7 @@
     }
     m_caller->send_body(std::exchange(m_attempt->buffered_body, {}));
     m_caller->send_body(event.bytes);
+    m_history.can_continue = !event.id.empty();
     if (!event.id.empty()) {
         m_last_event_id = event.id;
     }
@@ -288,6 +232,8 @@
     remove_hop_by_hop_fields(fields);
     remove_fields(fields, outcome_field);
     m_response_begun = true;
+    m_begun_status = head.status;
+    m_begun_media_type = media_type(head.fields);
     m_caller->begin_response(head.status, head.reason, fields, length);
 }
 
@@ -314,7 +260,14 @@
                     "the stream ended within an event", now);
         return;
     }
-    const auto status = m_attempt->head.status;
+    const auto& head = m_attempt->head;
+    const bool ends_with_connection = !head.chunked && !head.content_length;
+    if (is_stream() && head.status == ok_status && ends_with_connection && !m_attempt->has_event) {
+        end_attempt(attempt_end::unknown, target_outcome::broken,
+                    "the connection was closed before the first event", now);
+        return;
+    }
+    const auto status = head.status;
     const bool failed = status >= first_server_error_status;
     if (failed && !m_response_begun) {
         end_attempt(attempt_end::failed, target_outcome::server_error, "the target failed", now);
