front: huge entries do not end the reading of the store

What callers saw: after another writer left several huge entries, the daemons no longer followed the list: targets that were published afterwards got no requests, and removed ones still did.

Cause: a response over 4 MB was given up, and the same watch was asked for again, from the same revision, without end. Besides, a read had to be complete within the time for its first byte, which a link of 10 Mbit/s can't hold for more than one entry of 1 MB.

--- a/include/chicorylink/front/http_get_client.hpp
+++ b/include/chicorylink/front/http_get_client.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,8 @@
     std::string body;
     /// Why the request failed, for the log.
     std::string problem;
+    /// Whether a response arrived that is malformed or too large.
+    bool is_unreadable = false;
     /// When the request was sent.
     base::time_point sent_at{};
 };
@@ -39,13 +42,15 @@
     http_get_client(http_get_client&&) = delete;
     http_get_client& operator=(http_get_client&&) = delete;
 
-    /// @brief Sends a GET request. A connection without a response within `limit` is closed.
+    /// @brief Sends a GET request. A connection is closed if no response begins within `limit`, or
+    /// if its body stalls.
     void get(std::string_view target, base::milliseconds limit, completion on_done);
 
     [[nodiscard]] bool is_busy() const { return static_cast<bool>(m_on_done); }
     [[nodiscard]] const std::string& address() const { return m_address; }
 
 private:
+    void set_time_limit(base::milliseconds limit);
     void send(const std::string& bytes);
     void on_data(std::string_view bytes);
     void complete(const read_result& result);
@@ -58,6 +63,7 @@
     std::unique_ptr<message_parser> m_parser;
     completion m_on_done;
     base::time_point m_sent_at{};
+    std::optional<base::time_point> m_body_begun_at;
     /// Number of the current request; callbacks of abandoned requests are ignored.
     std::uint64_t m_request_number = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/chicorylink/front/http_get_client_test.cpp
@@ -0,0 +1,105 @@
+#include "chicorylink/front/http_get_client.hpp"
+#include "chicorylink/front/tcp_channel.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::front {
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds response_limit{300};
+/// Shorter than that, but several of them are longer.
+constexpr milliseconds piece_interval{200};
+
+class http_get_client_test : public testing::Test {
+protected:
+    /// Reads from a server on loopback that sends these pieces, one every interval.
+    read_result read(const std::vector<std::string>& pieces)
+    {
+        m_acceptor.async_accept([&](boost::system::error_code problem, tcp::socket socket) {
+            if (!problem) {
+                m_channel = std::make_shared<tcp_channel>(std::move(socket));
+                m_channel->start({[&](std::string_view) { send(pieces, 0); }, {}, {}});
+            }
+        });
+        const auto address = fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
+        http_get_client client(m_loop, address);
+        std::optional<read_result> result;
+        client.get("/x", response_limit, [&](const read_result& read) { result = read; });
+        const auto end = std::chrono::steady_clock::now() + seconds{10};
+        while (!result && std::chrono::steady_clock::now() < end) {
+            m_loop.restart();
+            m_loop.run_for(milliseconds{5});
+        }
+        m_timer.cancel();
+        return result.value_or(read_result{});
+    }
+
+private:
+    void send(const std::vector<std::string>& pieces, std::size_t next)
+    {
+        if (next == pieces.size()) {
+            return;
+        }
+        m_channel->send(pieces[next]);
+        m_timer.expires_after(piece_interval);
+        m_timer.async_wait([this, &pieces, next](boost::system::error_code stopped) {
+            if (!stopped) {
+                send(pieces, next + 1);
+            }
+        });
+    }
+
+    boost::asio::io_context m_loop;
+    tcp::acceptor m_acceptor{m_loop, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    boost::asio::steady_timer m_timer{m_loop};
+    std::shared_ptr<tcp_channel> m_channel;
+};
+
+// Guards against a store whose large responses are given up again and again, because a body on a
+// slow link takes longer than a response may take to begin.
+TEST_F(http_get_client_test, a_body_that_keeps_arriving_is_read_to_its_end)
+{
+    const auto result = read({"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "a", "b", "c", "d"});
+    EXPECT_EQ(result.status, 200) << result.problem;
+    EXPECT_EQ(result.body, "abcd");
+}
+
+// Guards against a read that never ends, because its body stalls.
+TEST_F(http_get_client_test, a_body_that_stalls_is_given_up)
+{
+    const auto result = read({"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "a"});
+    EXPECT_EQ(result.status, 0);
+    EXPECT_EQ(result.problem, "no answer in time");
+}
+
+// Guards against a read that never ends, because its body arrives too slowly.
+TEST_F(http_get_client_test, a_body_that_takes_too_long_is_given_up)
+{
+    std::vector<std::string> pieces(40, "a");
+    pieces.front() = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n";
+    EXPECT_EQ(read(pieces).status, 0);
+}
+
+// Guards against a reader that asks for the same response without end, because it can't tell one
+// that is too large from one that is late.
+TEST_F(http_get_client_test, a_response_that_is_too_large_is_unreadable)
+{
+    const auto result = read({"HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n"});
+    EXPECT_EQ(result.status, 0);
+    EXPECT_TRUE(result.is_unreadable);
+}
+
+} // namespace
+} // namespace chicorylink::front
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -143,10 +143,10 @@
             return {};
         },
         [&](const base::error& problem) {
-            retry_later({0, {}, base::describe(problem), result.sent_at});
+            retry_later({0, {}, base::describe(problem), true, result.sent_at});
         },
         [&] {
-            retry_later({0, {}, "the answer can't be read", result.sent_at});
+            retry_later({0, {}, "the answer can't be read", true, result.sent_at});
         });
 }
 
@@ -180,6 +180,8 @@
                 [this](const read_result& result) { on_watch(result); });
 }
 
+// A response that can't be read, such as one with too many changes, would come again for the same
+// revision. The pages of a snapshot are smaller.
 void state_reader::on_watch(const read_result& result)
 {
     if (result.status == history_gone) {
@@ -188,6 +190,9 @@
         return;
     }
     if (result.status != ok) {
+        if (result.is_unreadable) {
+            m_watch_from = 0;
+        }
         retry_later(result);
         return;
     }
@@ -208,10 +213,12 @@
             return {};
         },
         [&](const base::error& problem) {
-            retry_later({0, {}, base::describe(problem), result.sent_at});
+            m_watch_from = 0;
+            retry_later({0, {}, base::describe(problem), true, result.sent_at});
         },
         [&] {
-            retry_later({0, {}, "the answer can't be read", result.sent_at});
+            m_watch_from = 0;
+            retry_later({0, {}, "the answer can't be read", true, result.sent_at});
         });
 }
 
