--- a/process_tests/config_change_test.cpp
+++ b/process_tests/config_change_test.cpp
@@ -142,6 +142,8 @@
     start({{"headerTimeoutMs", 5000}});
     caller_socket caller;
     caller.send(request_head("id-1", 5) + "or");
+    // The VM has to read these bytes before it learns of the new configuration.
+    std::this_thread::sleep_for(milliseconds{150});
     publish_limits(2, {{"headerTimeoutMs", 300}});
     ASSERT_TRUE(wait_for_version(2));
     std::this_thread::sleep_for(milliseconds{1200});
