front: a response that cannot be continued stays with its silent target

A large plain response, or a stream without ids, of which the caller has a part can't go on at another target; the attempt beside the silent one could only be in vain.

--- a/src/chicorylink/front/exchange_silence.cpp
+++ b/src/chicorylink/front/exchange_silence.cpp
@@ -39,6 +39,7 @@
 bool exchange::can_retry_elsewhere(base::time_point now) const
 {
     if (m_request.from_peer() || m_silent_attempt || !fleet::may_retry(*m_resolved.route) ||
+        (m_history.has_begun && !m_history.can_continue) ||
         m_history.runs + 1 >= m_resolved.route->max_attempts ||
         m_history.arrivals + 1 >= fleet::max_arrivals || m_history.sends >= fleet::max_sends ||
         time_left(now) < fleet::min_attempt_time ||
