fleet: blame the rarest of parts with the same crashes; count crashes in bursts

Callers could be refused for a part that all requests share where no answer survives, and a deadly part whose first crashes come in bursts was found late. The tie is now broken by the requests that the VM itself has seen.

--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/fleet/crash_report.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <span>
@@ -26,15 +27,22 @@
 inline constexpr std::size_t min_crashes = 3;
 inline constexpr std::size_t min_shared_crashes = 4;
 
+/// So many crashes make a part suspect even if they are only two moments apart from each other.
+inline constexpr std::size_t min_crashes_in_bursts = 5;
+
 /// How long crashes and survivals are told to other VMs.
 inline constexpr base::milliseconds crash_report_time{6'000};
 
 inline constexpr std::size_t max_crash_parts = 512;
 inline constexpr std::size_t max_crashes_per_part = 64;
 inline constexpr std::size_t max_survivals = 4096;
+inline constexpr std::size_t max_counted_parts = 1024;
 inline constexpr std::size_t max_unconfirmed_ends = 64;
 inline constexpr std::size_t max_known_crashes = 256;
 
+/// How often this VM sends each report, since datagrams get lost.
+inline constexpr int sends_per_report = 2;
+
 /// Bounds on the reports in one message.
 inline constexpr std::size_t max_crash_reports = 128;
 inline constexpr std::size_t max_survival_reports = 128;
@@ -52,6 +60,10 @@
 /// part is cleared of all crashes before a request with it began an answer that survived.
 class crash_evidence {
 public:
+    /// @brief Counts a request of this VM. Among parts with the same crashes the rarest is to
+    /// blame: all its requests crash targets, and the other parts are in more requests.
+    void note_request(std::span<const prompt_part_id> parts, base::time_point now);
+
     /// @brief Records that the connection of a request broke before its answer survived.
     void note_crash(std::span<const prompt_part_id> parts, const target_run& run,
                     base::time_point now);
@@ -82,7 +94,7 @@
     /// @brief When the newest answer that survived began; the epoch if there is none.
     [[nodiscard]] base::time_point survived_at(prompt_part_id part) const;
 
-    /// @brief The reports of this VM to send now; each is returned twice, since datagrams get lost.
+    /// @brief The reports of this VM to send now; each is returned `sends_per_report` times.
     /// @param known Parts whose survivals are told although no crash is recorded.
     [[nodiscard]] crash_reports take_own(const std::vector<prompt_part_id>& known,
                                          base::time_point now);
@@ -118,6 +130,10 @@
         base::time_point reported_at{};
         int sends_left = 0;
     };
+    struct request_count {
+        std::uint64_t count = 0;
+        base::time_point last_at{};
+    };
     struct unconfirmed_end {
         std::vector<prompt_part_id> parts;
         target_run run;
@@ -139,6 +155,7 @@
     void add_crash(prompt_part_id part, const crash& item);
     void add_survival(prompt_part_id part, const survival& item);
     void add_known_crash(const target_run& run, base::time_point at);
+    [[nodiscard]] std::uint64_t requests_with(prompt_part_id part) const;
     void confirm_ends(const target_run& run, base::time_point at);
     [[nodiscard]] std::vector<unexplained>
     unexplained_parts(const std::set<target_run>& explained) const;
@@ -148,6 +165,7 @@
 
     std::map<prompt_part_id, evidence> m_parts;
     std::map<prompt_part_id, survival> m_survivals;
+    std::map<prompt_part_id, request_count> m_requests;
     std::map<target_run, base::time_point> m_known_crashes;
     std::vector<unconfirmed_end> m_unconfirmed_ends;
 };
--- a/include/chicorylink/fleet/prompt_quarantine.hpp
+++ b/include/chicorylink/fleet/prompt_quarantine.hpp
@@ -52,6 +52,7 @@
                                                               base::time_point now) const;
 
     /// @brief See `crash_evidence` for these.
+    void note_request(std::span<const prompt_part_id> parts, base::time_point now);
     void note_crash(std::span<const prompt_part_id> parts, const target_run& run,
                     base::time_point now);
     void note_unconfirmed_end(std::span<const prompt_part_id> parts, const target_run& run,
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -159,6 +159,7 @@
     [[nodiscard]] bool is_silent(base::time_point now) const;
 
     // Parts of prompts that crash targets.
+    void note_prompt_parts(base::time_point now);
     /// @brief Refuses the request if a part of its prompt is quarantined.
     /// @return Whether it is.
     bool refuse_quarantined(base::time_point now);
--- a/src/chicorylink/fleet/crash_evidence.cpp
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -10,31 +10,19 @@
 /// How long survivals of parts without evidence are kept, for reports of crashes that arrive later.
 constexpr base::milliseconds survival_lifetime{10'000};
 
+/// A part that is in no request for so long is counted anew.
+constexpr base::milliseconds request_count_lifetime{60'000};
+
 /// Two requests were cut by the same crash if their connections ended within this time.
 constexpr base::milliseconds same_crash_time{500};
 
-/// How often the survival of a part that stays in use is reported.
-constexpr base::milliseconds survival_report_interval{250};
-
-constexpr int sends_per_report = 2;
-
-base::milliseconds age_of(base::time_point then, base::time_point now)
-{
-    return std::chrono::duration_cast<base::milliseconds>(now - then);
-}
-
-bool is_in(const std::vector<prompt_part_id>& parts, prompt_part_id part)
-{
-    return std::find(parts.begin(), parts.end(), part) != parts.end();
-}
-
-/// Counts crashes that are old enough and apart from each other; the times are sorted.
-std::size_t settled_crashes(const std::vector<base::time_point>& times, base::time_point now)
+/// Counts crashes that are apart from each other; the times are sorted.
+std::size_t separate_crashes(std::span<const base::time_point> times)
 {
     std::size_t count = 0;
     base::time_point last{};
     for (const auto at : times) {
-        if (now - at >= crash_settle_time && (count == 0 || at - last >= min_crash_distance)) {
+        if (count == 0 || at - last >= min_crash_distance) {
             ++count;
             last = at;
         }
@@ -42,6 +30,17 @@
     return count;
 }
 
+/// @param needed Crashes apart from each other.
+bool is_suspect(const std::vector<base::time_point>& times, std::size_t needed,
+                base::time_point now)
+{
+    const auto settled = static_cast<std::size_t>(
+        std::count_if(times.begin(), times.end(),
+                      [&](base::time_point at) { return now - at >= crash_settle_time; }));
+    return separate_crashes(std::span{times}.first(settled)) >= needed ||
+           (settled >= min_crashes_in_bursts && separate_crashes(times) >= 2);
+}
+
 template <class Map, class IsOlder>
 void erase_oldest(Map& entries, const IsOlder& is_older)
 {
@@ -133,6 +132,26 @@
     });
 }
 
+void crash_evidence::note_request(std::span<const prompt_part_id> parts, base::time_point now)
+{
+    for (const auto part : parts) {
+        if (!m_requests.contains(part) && m_requests.size() >= max_counted_parts) {
+            erase_oldest(m_requests, [](const request_count& a, const request_count& b) {
+                return a.last_at < b.last_at;
+            });
+        }
+        auto& entry = m_requests[part];
+        ++entry.count;
+        entry.last_at = now;
+    }
+}
+
+std::uint64_t crash_evidence::requests_with(prompt_part_id part) const
+{
+    const auto found = m_requests.find(part);
+    return found == m_requests.end() ? 0 : found->second.count;
+}
+
 void crash_evidence::note_crash(std::span<const prompt_part_id> parts, const target_run& run,
                                 base::time_point now)
 {
@@ -239,8 +258,12 @@
         const auto runs = leader->runs;
         std::erase_if(parts, [&](const unexplained& other) { return other.runs != runs; });
         const auto needed = parts.size() > 1 ? min_shared_crashes : min_crashes;
+        std::uint64_t fewest = requests_with(parts.front().part);
         for (const auto& part : parts) {
-            if (settled_crashes(part.times, now) >= needed && !is_in(known, part.part)) {
+            fewest = std::min(fewest, requests_with(part.part));
+        }
+        for (const auto& part : parts) {
+            if (is_suspect(part.times, needed, now) && requests_with(part.part) == fewest) {
                 found.push_back({part.part, runs.size(), part.times.back()});
             }
         }
@@ -273,82 +296,6 @@
     return survived == m_survivals.end() ? base::time_point{} : survived->second.begun_at;
 }
 
-std::vector<prompt_part_id>
-crash_evidence::reported_parts(const std::vector<prompt_part_id>& known) const
-{
-    std::vector<std::pair<std::size_t, prompt_part_id>> ranked;
-    for (const auto& [part, entry] : m_parts) {
-        ranked.emplace_back(live_count(entry), part);
-    }
-    std::stable_sort(ranked.begin(), ranked.end(),
-                     [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<prompt_part_id> parts = known;
-    for (const auto& [count, part] : ranked) {
-        if (!is_in(known, part)) {
-            parts.push_back(part);
-        }
-    }
-    return parts;
-}
-
-crash_reports crash_evidence::take_own(const std::vector<prompt_part_id>& known,
-                                       base::time_point now)
-{
-    crash_reports reports;
-    for (const auto part : reported_parts(known)) {
-        const auto evidence_of = m_parts.find(part);
-        if (evidence_of != m_parts.end()) {
-            for (auto& item : evidence_of->second.crashes) {
-                if (item.sends_left > 0 && reports.crashes.size() < max_crash_reports) {
-                    --item.sends_left;
-                    reports.crashes.push_back({part, item.run, age_of(item.at, now)});
-                }
-            }
-        }
-        const auto survived = m_survivals.find(part);
-        if (survived == m_survivals.end()) {
-            continue;
-        }
-        auto& item = survived->second;
-        if (item.is_own && item.begun_at > item.reported &&
-            now - item.reported_at >= survival_report_interval) {
-            item.reported = item.begun_at;
-            item.reported_at = now;
-            item.sends_left = sends_per_report;
-        }
-        if (item.sends_left > 0 && reports.survivals.size() < max_survival_reports) {
-            --item.sends_left;
-            reports.survivals.push_back({part, age_of(item.reported, now)});
-        }
-    }
-    return reports;
-}
-
-crash_reports crash_evidence::recent(const std::vector<prompt_part_id>& known,
-                                     base::time_point now) const
-{
-    crash_reports reports;
-    for (const auto part : reported_parts(known)) {
-        const auto evidence_of = m_parts.find(part);
-        if (evidence_of != m_parts.end()) {
-            for (const auto& item : evidence_of->second.crashes) {
-                if (item.is_direct && is_live(evidence_of->second, item) &&
-                    now - item.at <= crash_report_time &&
-                    reports.crashes.size() < max_crash_reports) {
-                    reports.crashes.push_back({part, item.run, age_of(item.at, now)});
-                }
-            }
-        }
-        const auto survived = m_survivals.find(part);
-        if (survived != m_survivals.end() && survived->second.is_direct &&
-            now - survived->second.noted_at <= crash_report_time &&
-            reports.survivals.size() < max_survival_reports) {
-            reports.survivals.push_back({part, age_of(survived->second.begun_at, now)});
-        }
-    }
-    return reports;
-}
-
 void crash_evidence::expire(base::time_point now)
 {
     for (auto& [part, entry] : m_parts) {
@@ -359,6 +306,9 @@
     std::erase_if(m_survivals, [&](const auto& entry) {
         return now - entry.second.noted_at >= survival_lifetime;
     });
+    std::erase_if(m_requests, [&](const auto& entry) {
+        return now - entry.second.last_at >= request_count_lifetime;
+    });
     std::erase_if(m_known_crashes,
                   [&](const auto& entry) { return now - entry.second >= survival_lifetime; });
     std::erase_if(m_unconfirmed_ends,
--- a/src/chicorylink/fleet/crash_fleet_fixture.hpp
+++ b/src/chicorylink/fleet/crash_fleet_fixture.hpp
@@ -28,6 +28,8 @@
     double reset_share = 0;
     /// Requests of a deadly part whose answer seems to end regularly when the target crashes.
     double unconfirmed_share = 0;
+    /// Datagrams that get lost.
+    double lost_share = 0;
 };
 
 /// @brief Simulates VMs of several regions, their targets and reports, in virtual time.
@@ -176,7 +178,8 @@
 
     void send(request item)
     {
-        const auto& guard = m_vms.at(item.vm).guard;
+        auto& guard = m_vms.at(item.vm).guard;
+        guard.note_request(item.parts, m_now);
         m_sound_sent += item.is_deadly ? 0 : 1;
         if (guard.time_left(item.parts, m_now)) {
             m_sound_refused += item.is_deadly ? 0 : 1;
@@ -316,6 +319,9 @@
     void post(std::size_t to, std::size_t from, const crash_reports& reports, bool is_digest,
               int delay_ms)
     {
+        if (happens(m_plan.lost_share)) {
+            return;
+        }
         m_messages.push_back(
             {m_now + milliseconds{delay_ms}, to, region_of(from), reports, m_now, is_digest});
     }
--- a/src/chicorylink/fleet/crash_fleet_test.cpp
+++ b/src/chicorylink/fleet/crash_fleet_test.cpp
@@ -52,6 +52,54 @@
     }
 }
 
+TEST(crash_fleet, lost_datagrams_do_not_hide_a_deadly_part)
+{
+    for (const std::size_t vms : {3, 12}) {
+        for (const std::uint32_t seed : {1, 2, 3, 4}) {
+            SCOPED_TRACE(testing::Message() << vms << " VMs, seed " << seed);
+            crash_fleet fleet({.vms = vms, .seed = seed, .lost_share = 0.1});
+            fleet.run_for(seconds{25});
+            expect_only_the_deadly_part_is_refused(fleet);
+        }
+    }
+}
+
+// Guards against a ban of what all requests share where nearly all targets are down, so that few
+// answers survive.
+TEST(crash_fleet, a_deadly_part_is_found_by_a_small_fleet)
+{
+    for (const std::size_t targets : {3, 5}) {
+        for (std::uint32_t seed = 100; seed < 140; ++seed) {
+            SCOPED_TRACE(testing::Message() << targets << " targets, seed " << seed);
+            crash_fleet fleet({.regions = 2,
+                               .vms = 2,
+                               .targets = targets,
+                               .seed = seed,
+                               .requests_per_second = 20,
+                               .sessions = 20});
+            fleet.run_for(seconds{30});
+            expect_only_the_deadly_part_is_refused(fleet);
+        }
+    }
+}
+
+TEST(crash_fleet, a_deadly_part_is_found_by_a_large_fleet)
+{
+    crash_fleet fleet({.vms = 98, .targets = 100, .requests_per_second = 600, .sessions = 2'000});
+    fleet.run_for(seconds{14});
+    expect_only_the_deadly_part_is_refused(fleet);
+}
+
+// Guards against crashes in bursts that count as few: the fifth may come long before the third
+// burst. The seed has such bursts.
+TEST(crash_fleet, a_deadly_part_is_found_when_its_first_crashes_come_in_bursts)
+{
+    crash_fleet fleet({.seed = 103});
+    fleet.run_for(seconds{25});
+    ASSERT_LT(fleet.crashes().at(4) - fleet.crashes().front(), milliseconds{600});
+    expect_only_the_deadly_part_is_refused(fleet);
+}
+
 // Guards against an answer without a length that ends with its crashed target after a whole event:
 // it looks complete, but must not clear the part that crashed the target.
 TEST(crash_fleet, answers_that_seem_to_end_regularly_do_not_hide_a_deadly_part)
--- a/src/chicorylink/fleet/prompt_quarantine.cpp
+++ b/src/chicorylink/fleet/prompt_quarantine.cpp
@@ -40,6 +40,11 @@
     return longest;
 }
 
+void prompt_quarantine::note_request(std::span<const prompt_part_id> parts, base::time_point now)
+{
+    m_evidence.note_request(parts, now);
+}
+
 void prompt_quarantine::note_crash(std::span<const prompt_part_id> parts, const target_run& run,
                                    base::time_point now)
 {
--- a/src/chicorylink/fleet/prompt_quarantine_test.cpp
+++ b/src/chicorylink/fleet/prompt_quarantine_test.cpp
@@ -135,6 +135,29 @@
     EXPECT_EQ(guard.update(at(seconds{25})).size(), 2U);
 }
 
+// Guards against a ban of what all requests have in common while no answer survives anywhere.
+TEST(prompt_quarantine, the_rarest_of_parts_with_the_same_crashes_is_refused)
+{
+    prompt_quarantine guard;
+    guard.note_request(std::vector{common_part, deadly_part}, at(seconds{0}));
+    guard.note_request(std::vector{common_part, other_part}, at(seconds{0}));
+    crash_targets(guard, {common_part, deadly_part}, 4, seconds{0});
+    const auto changes = guard.update(at(seconds{10}));
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().part, deadly_part);
+}
+
+TEST(prompt_quarantine, five_crashes_at_two_moments_make_a_part_suspect)
+{
+    prompt_quarantine guard;
+    for (int crash = 0; crash < 5; ++crash) {
+        guard.note_crash(std::vector{deadly_part}, run_of(static_cast<std::uint64_t>(crash) + 1),
+                         at(milliseconds{crash < 2 ? 0 : 300}));
+    }
+    EXPECT_TRUE(guard.update(at(seconds{4})).empty());
+    EXPECT_EQ(guard.update(at(seconds{5})).size(), 1U);
+}
+
 TEST(prompt_quarantine, old_crashes_are_forgotten)
 {
     prompt_quarantine guard;
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -93,6 +93,7 @@
     m_deadline =
         now + std::min(timeout, requested_timeout(m_request.head, names).value_or(timeout));
     m_prompt = prompt_of(m_request.head, names);
+    note_prompt_parts(now);
     m_is_caller_retry = m_core.caller_retries.is_retry(
         m_resolved.route->name, requested_timeout(m_request.head, names).value_or(timeout));
     if (!m_request.from_peer()) {
--- a/src/chicorylink/front/exchange_parts.cpp
+++ b/src/chicorylink/front/exchange_parts.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void exchange::note_prompt_parts(base::time_point now)
+{
+    if (m_prompt) {
+        m_core.quarantine.note_request(fleet::shared_part_ids(*m_prompt), now);
+    }
+}
+
 bool exchange::refuse_quarantined(base::time_point now)
 {
     const auto left = m_prompt ? m_core.quarantine.time_left(fleet::shared_part_ids(*m_prompt), now)
