fleet: four crashes that settled for three seconds make a part suspect

Four crashes are needed now, for parts with the same crashes as well, and they settle for three seconds.

--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -18,14 +18,13 @@
 
 /// A part is suspected only of crashes that are at least this old, so that survivals of requests
 /// with an innocent part can arrive from all regions.
-inline constexpr base::milliseconds crash_settle_time{4'000};
+inline constexpr base::milliseconds crash_settle_time{3'000};
 
 /// Targets that are lost at the same time count as one crash.
 inline constexpr base::milliseconds min_crash_distance{250};
 
-/// Crashes that make a part suspect, and when other parts were in all the same crashes.
-inline constexpr std::size_t min_crashes = 3;
-inline constexpr std::size_t min_shared_crashes = 4;
+/// Crashes that make a part suspect.
+inline constexpr std::size_t min_crashes = 4;
 
 /// So many crashes make a part suspect even if they are only two moments apart from each other.
 inline constexpr std::size_t min_crashes_in_bursts = 5;
--- a/src/chicorylink/fleet/crash_evidence.cpp
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -30,14 +30,12 @@
     return count;
 }
 
-/// @param needed Crashes apart from each other.
-bool is_suspect(const std::vector<base::time_point>& times, std::size_t needed,
-                base::time_point now)
+bool is_suspect(const std::vector<base::time_point>& times, base::time_point now)
 {
     const auto settled = static_cast<std::size_t>(
         std::count_if(times.begin(), times.end(),
                       [&](base::time_point at) { return now - at >= crash_settle_time; }));
-    return separate_crashes(std::span{times}.first(settled)) >= needed ||
+    return separate_crashes(std::span{times}.first(settled)) >= min_crashes ||
            (settled >= min_crashes_in_bursts && separate_crashes(times) >= 2);
 }
 
@@ -257,13 +255,12 @@
             });
         const auto runs = leader->runs;
         std::erase_if(parts, [&](const unexplained& other) { return other.runs != runs; });
-        const auto needed = parts.size() > 1 ? min_shared_crashes : min_crashes;
         std::uint64_t fewest = requests_with(parts.front().part);
         for (const auto& part : parts) {
             fewest = std::min(fewest, requests_with(part.part));
         }
         for (const auto& part : parts) {
-            if (is_suspect(part.times, needed, now) && requests_with(part.part) == fewest) {
+            if (is_suspect(part.times, now) && requests_with(part.part) == fewest) {
                 found.push_back({part.part, runs.size(), part.times.back()});
             }
         }
