--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -191,6 +191,7 @@
     bool cancel_attempts(base::time_point now);
 
     // Parts of prompts that crash targets.
+    void note_prompt_parts(base::time_point now);
     /// @brief Refuses the request if a part of its prompt is quarantined.
     /// @return Whether it is.
     bool refuse_quarantined(base::time_point now);
