front: a silent target that breaks off before the repeat is sent ends no process

Found by a review of the silent targets' attempts, by reading: when the silent target's connection breaks while the place of its replacement is looked for, and the retry budget is used up by then, the attempt to go on with it dereferenced a null pointer; the same with a `failed` end of an attempt before. The repeat is given up now as any other, and the end of a silent attempt counts as unknown. No test reaches this: it needs an empty budget within 30 ms of the break.

--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -314,7 +314,13 @@
     if (std::exchange(m_is_retry_due, false) &&
         !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
         m_core.counters.add("retries_denied_total");
-        resume_silent_attempt(now);
+        if (m_silent_attempt) {
+            resume_silent_attempt(now);
+            return;
+        }
+        release(*m_attempt, now);
+        m_attempt->ended = true;
+        execute(fleet::give_up(m_history, m_last_end), "no retry budget", now);
         return;
     }
     charge_quota(now);
--- a/src/chicorylink/front/exchange_silence.cpp
+++ b/src/chicorylink/front/exchange_silence.cpp
@@ -68,6 +68,7 @@
     m_silent_attempt = std::move(m_attempt);
     ++m_history.arrivals;
     ++m_history.runs;
+    m_last_end = fleet::attempt_end::unknown;
     m_is_retry_due = true;
     execute(fleet::next_step::send_again, "the target is silent", now);
 }
