front: a silent target that breaks off leaves the response to the other one

Callers saw: a stream reset although the second target served it. The first one had fallen silent, and its response, which ends with its connection, then ended inside an event. Its end was taken as progress, so the second attempt was canceled before the first one was found broken. An error response whose body came late did the same.

The end of the silent attempt is checked first now. silent_target.breaks_off_while_the_other_target_serves_its_stream failed before (three of six events) and passes now.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -182,6 +182,8 @@
     void on_silence(base::time_point now);
     /// @brief Whether a head shows that the silent target serves the request after all.
     [[nodiscard]] bool is_served(const message_head& head) const;
+    /// @brief Whether a response that has ended can be a whole one.
+    [[nodiscard]] bool is_complete(const attempt& from) const;
     /// @brief Goes on with the silent target's attempt and cancels the one that was to replace it.
     void resume_silent_attempt(base::time_point now);
     /// @brief Ends the silent target's attempt; the request goes on without it.
--- a/process_tests/silent_target_test.cpp
+++ b/process_tests/silent_target_test.cpp
@@ -166,6 +166,26 @@
     EXPECT_EQ(result.body, "done");
 }
 
+// Guards against a silent target that breaks off and takes the response of the other one with it.
+TEST_F(silent_target, breaks_off_while_the_other_target_serves_its_stream)
+{
+    const auto script = [this](http_exchange& exchange) {
+        if (m_stream_count++ == 0) {
+            // Neither length nor chunks: the response ends with its connection, inside an event.
+            return exchange.send(exchange.head("Content-Type: text/event-stream\r\n")) &&
+                   exchange.send("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n") &&
+                   exchange.pause(milliseconds{1400}) && exchange.send("id: 4\nda") && false;
+        }
+        return exchange.pause(milliseconds{900}) && send_stream_head(exchange) &&
+               send_events(exchange, last_event_before_silence + 1, event_count) &&
+               exchange.send("0\r\n\r\n");
+    };
+    serve(script);
+    serve(script);
+    start();
+    expect_whole_stream();
+}
+
 // A target that never goes on must not hold its stream; it is left as soon as another one begins.
 TEST_F(silent_target, loses_its_stream_to_a_target_that_begins)
 {
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -142,6 +142,10 @@
 {
     const auto now = base::boot_now();
     auto& from = is_silent_attempt(number) ? *m_silent_attempt : *m_attempt;
+    if (is_silent_attempt(number) && from.head.status >= first_error_status) {
+        // The other attempt may still be served.
+        return;
+    }
     if (!is_stream() || from.head.status >= first_error_status) {
         if (is_silent_attempt(number)) {
             resume_silent_attempt(now);
@@ -252,6 +256,12 @@
 {
     const auto now = base::boot_now();
     if (is_silent_attempt(number)) {
+        if (m_silent_attempt->head.status >= first_error_status ||
+            !is_complete(*m_silent_attempt)) {
+            note_broken_answer(*m_silent_attempt, now);
+            end_silent_attempt("the silent target failed", now);
+            return;
+        }
         resume_silent_attempt(now);
     }
     if (is_stream() && m_attempt->events.has_partial()) {
@@ -260,15 +270,12 @@
                     "the stream ended within an event", now);
         return;
     }
-    const auto& head = m_attempt->head;
-    const bool ends_with_connection = !head.chunked && !head.content_length;
-    if (is_stream() && head.status == ok_status && ends_with_connection && !m_attempt->has_event) {
+    if (!is_complete(*m_attempt)) {
         end_attempt(attempt_end::unknown, target_outcome::broken,
                     "the connection was closed before the first event", now);
         return;
     }
-    const auto status = head.status;
-    const bool failed = status >= first_server_error_status;
+    const bool failed = m_attempt->head.status >= first_server_error_status;
     if (failed && !m_response_begun) {
         end_attempt(attempt_end::failed, target_outcome::server_error, "the target failed", now);
         return;
--- a/src/chicorylink/front/exchange_silence.cpp
+++ b/src/chicorylink/front/exchange_silence.cpp
@@ -76,10 +76,19 @@
 bool exchange::is_served(const message_head& head) const
 {
     return head.status < first_error_status && is_target_response(head) &&
+           (!m_response_begun || is_same_stream(head)) &&
            find_field(head.fields, m_core.protocol.names.not_run) == nullptr &&
            find_field(head.fields, outcome_field) == nullptr;
 }
 
+bool exchange::is_complete(const attempt& from) const
+{
+    const bool ends_with_connection = !from.head.chunked && !from.head.content_length;
+    const bool is_event_stream = is_stream() && from.head.status == ok_status;
+    return !from.events.has_partial() &&
+           (from.has_event || !is_event_stream || !ends_with_connection);
+}
+
 void exchange::resume_silent_attempt(base::time_point now)
 {
     const bool has_replacement = running_call() != nullptr;
