fleet: a VM without requests of its own blames none of several parts

Callers could be refused for a sound part: among parts with the same crashes the rarest by the VM's own requests is to blame, and a VM that had just started, or only heard of the crashes, knows none with either. It blamed all of them, and the others adopted that. It leaves the choice to VMs that have seen requests. Found by a review, by reading. The test of equally rare parts gives the VM a request with them now; a new one has the VM without requests.

--- a/src/chicorylink/fleet/crash_evidence.cpp
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -259,8 +259,10 @@
         for (const auto& part : parts) {
             fewest = std::min(fewest, requests_with(part.part));
         }
+        // A VM that has seen no request with a part can't tell which one is to blame.
+        const bool can_tell = parts.size() == 1 || fewest > 0;
         for (const auto& part : parts) {
-            if (is_suspect(part.times, now) && requests_with(part.part) == fewest) {
+            if (can_tell && is_suspect(part.times, now) && requests_with(part.part) == fewest) {
                 found.push_back({part.part, runs.size(), part.times.back()});
             }
         }
