--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -17,7 +17,7 @@
 inline constexpr base::milliseconds crash_lifetime{120'000};
 
 /// A part is suspected only of crashes that are at least this old, so that survivals of requests
-/// with an innocent part can arrive from all regions.
+/// with an unrelated part can arrive from all regions.
 inline constexpr base::milliseconds crash_settle_time{3'000};
 
 /// Targets that are lost at the same time count as one crash.
@@ -26,7 +26,7 @@
 /// Crashes that make a part suspect.
 inline constexpr std::size_t min_crashes = 4;
 
-/// So many crashes make a part suspect even if they are only two moments apart from each other.
+/// Enough crashes to make a part suspect even if they fall into only two bursts.
 inline constexpr std::size_t min_crashes_in_bursts = 5;
 
 /// How long crashes and survivals are told to other VMs.
@@ -55,7 +55,7 @@
 
 /// @brief Records which parts of prompts were at targets when they crashed, and which survived.
 ///
-/// A crash cuts all requests at its target, so that many innocent parts are recorded with it. A
+/// A crash cuts all requests at its target, so that many unrelated parts are recorded too. A
 /// part is cleared of all crashes before a request with it began an answer that survived.
 class crash_evidence {
 public:
--- a/include/chicorylink/fleet/part_quarantines.hpp
+++ b/include/chicorylink/fleet/part_quarantines.hpp
@@ -54,7 +54,7 @@
     [[nodiscard]] std::vector<prompt_part_id> known_parts() const;
 
     /// @brief All parts that are quarantined or on probation.
-    [[nodiscard]] std::vector<prompt_part_id> guilty_parts() const;
+    [[nodiscard]] std::vector<prompt_part_id> unreleased_parts() const;
 
     [[nodiscard]] std::vector<quarantine_report> reports(base::time_point now) const;
 
--- a/src/chicorylink/fleet/part_quarantines.cpp
+++ b/src/chicorylink/fleet/part_quarantines.cpp
@@ -91,7 +91,7 @@
     return parts;
 }
 
-std::vector<prompt_part_id> part_quarantines::guilty_parts() const
+std::vector<prompt_part_id> part_quarantines::unreleased_parts() const
 {
     std::vector<prompt_part_id> parts;
     for (const auto& [part, entry] : m_parts) {
--- a/src/chicorylink/fleet/prompt_quarantine.cpp
+++ b/src/chicorylink/fleet/prompt_quarantine.cpp
@@ -88,7 +88,7 @@
             m_changes.push_back({part, quarantine_cause::survived, 0});
         }
     }
-    for (const auto& suspect : m_evidence.suspects(m_quarantines.guilty_parts(), now)) {
+    for (const auto& suspect : m_evidence.suspects(m_quarantines.unreleased_parts(), now)) {
         m_quarantines.begin(suspect.part, suspect.last_crash_at);
         m_changes.push_back({suspect.part, quarantine_cause::crashes, suspect.crashes});
     }
