front: keep looking for a target of a stream that has begun

Callers saw streams reset beside planned stops: a stream that was forwarded to a VM of another region was cut when that VM ended its stop, with seconds left until its deadline and although the forwarding VM was not stopped itself.

Cause: when an attempt breaks off, its VM looks for a replacement once, in that moment, and gives the stream up when there is none. VMs that are replaced one after the other are away for moments at a time, so that a region may have no ready VM just when one of them exits. A VM that had ended and started again at the same address counted as tried, too, although it is another run.

Now a stream that has begun, may be continued and has no target is looked after every 200 ms, until its deadline or until its caller would abandon it for the pause. The same holds when the retry budget is used up in that moment. Nothing is sent twice: the attempt before has ended. Attempts stay bounded by the route and by the budget. A VM is told apart by its run.

The tests of planned_stop failed before: the stream ended with event 39 of 50 when the VM exited, and without any wait (0 ms instead of 3.2 s) when the VM had been killed. `/west-stream/` is a new route of the test fleet, beside the old ones.

--- a/include/chicorylink/fleet/route.hpp
+++ b/include/chicorylink/fleet/route.hpp
@@ -69,6 +69,16 @@
     return std::max(min_timeout, matched_route.pause_objective * pause_multiple);
 }
 
+/// @brief How long a caller waits for the next event of a stream.
+[[nodiscard]] inline base::milliseconds event_patience(const route& matched_route)
+{
+    constexpr base::milliseconds min_patience{2000};
+    constexpr int objective_multiple = 4;
+    constexpr int pause_multiple = 8;
+    return std::max({min_patience, matched_route.latency_objective * objective_multiple,
+                     matched_route.pause_objective * pause_multiple});
+}
+
 } // namespace chicorylink::fleet
 
 #endif // CHICORYLINK_FLEET_ROUTE_HPP
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace chicorylink::front {
@@ -45,7 +46,8 @@
     /// @brief Called when all bytes queued for the caller have been sent.
     void on_caller_drained();
 
-    /// @brief Checks the deadline and whether the target has gone silent.
+    /// @brief Checks the deadline and whether the target has gone silent, and looks again for a
+    /// target of a stream that has none.
     void tick(base::time_point now);
 
     /// @brief Ends the request because the process is stopping.
@@ -192,6 +194,13 @@
     /// @return Whether the current one may have arrived at its target.
     bool cancel_attempts(base::time_point now);
 
+    // While a stream that has begun has no target.
+    /// @brief Looks for a target again later, if the stream can be continued and the caller still
+    /// waits for it.
+    /// @return False if the stream can only be given up.
+    bool await_target(std::string_view reason, base::time_point now);
+    void search_again(base::time_point now);
+
     // Parts of prompts that crash targets.
     void note_prompt_parts(base::time_point now);
     /// @brief Refuses the request if a part of its prompt is quarantined.
@@ -248,12 +257,17 @@
     fleet::attempt_history m_history;
     fleet::attempt_end m_last_end = fleet::attempt_end::not_sent;
     std::vector<fleet::target_name> m_tried_targets;
-    std::vector<std::string> m_tried_peers;
+    /// A VM that has restarted is another one.
+    std::vector<std::pair<std::string, base::incarnation>> m_tried_peers;
     /// The addresses of all attempts.
     std::vector<std::string> m_attempted_addresses;
     /// The shortest retry delay that a VM of another region sent.
     std::optional<base::milliseconds> m_peer_retry_after;
     std::string m_last_event_id;
+    /// When the caller was sent the last event.
+    base::time_point m_last_event_at{};
+    /// When to look again for a target of a stream that has begun and has none.
+    std::optional<base::time_point> m_search_at;
     /// The status and media type of the response that the caller has a part of.
     int m_begun_status = 0;
     std::string m_begun_media_type;
@@ -263,8 +277,10 @@
     bool m_is_caller_retry = false;
     /// Whether the silence of the current target was reported to the pool.
     bool m_silence_reported = false;
-    /// Whether the attempt that is to replace a silent one was not yet taken from the retry budget.
+    /// Whether the next attempt was not yet taken from the retry budget.
     bool m_is_retry_due = false;
+    /// Whether the log tells that the stream waits for a target.
+    bool m_wait_logged = false;
     bool m_charged = false;
     bool m_response_begun = false;
     bool m_reading_paused = false;
--- /dev/null
+++ b/process_tests/planned_stop_test.cpp
@@ -0,0 +1,126 @@
+// Requests that are still on their way when the VM that runs them is stopped.
+
+#include "front_fleet.hpp"
+#include "http_call.hpp"
+#include "raw_exchange.hpp"
+#include "scripted_target.hpp"
+#include "suite.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::process_tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using http_exchange = scripted_target::http_exchange;
+
+constexpr const char* east_vm = "127.0.14.1";
+constexpr const char* west_vm = "127.0.14.2";
+
+constexpr int event_count = 50;
+constexpr milliseconds event_interval{200};
+
+std::string event(int number)
+{
+    return fmt::format("id: {}\ndata: {}\n\n", number, number);
+}
+
+std::string all_events()
+{
+    std::string body;
+    for (int number = 1; number <= event_count; ++number) {
+        body += event(number);
+    }
+    return body;
+}
+
+/// Sends a stream that lasts ten seconds, from behind the last event that the request names.
+bool send_stream(http_exchange& exchange)
+{
+    const auto last = exchange.header("Last-Event-Id");
+    bool is_connected = exchange.send(exchange.head("Content-Type: text/event-stream\r\n"
+                                                    "Transfer-Encoding: chunked\r\n"));
+    for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= event_count && is_connected;
+         ++number) {
+        is_connected =
+            exchange.send(http_exchange::chunk(event(number))) && exchange.pause(event_interval);
+    }
+    return is_connected && exchange.send("0\r\n\r\n");
+}
+
+/// One VM in `east` and one in `west`, with a target scripted by the test in each region.
+class planned_stop : public testing::Test {
+protected:
+    void start(const scripted_target::script& script)
+    {
+        m_east = std::make_unique<scripted_target>(script);
+        m_west = std::make_unique<scripted_target>(script);
+        m_fleet.publish_config(1, {"secret"});
+        m_fleet.publish_target("i-east", m_east->address(), "east-a");
+        m_fleet.publish_target("i-west", m_west->address(), "west-a");
+        m_fleet.start(east_vm, "east");
+        m_fleet.start(west_vm, "west");
+        for (const auto* ip : {east_vm, west_vm}) {
+            ASSERT_TRUE(wait_until([ip] { return front_fleet::is_ready(ip); }, seconds{10}));
+        }
+        ASSERT_TRUE(wait_until([] { return front_fleet::directory(east_vm, "west").size() == 1; },
+                               seconds{5}));
+    }
+
+    std::unique_ptr<scripted_target> m_east;
+    std::unique_ptr<scripted_target> m_west;
+    front_fleet m_fleet{binaries(), "chicorylink_planned_stop"};
+};
+
+// Guards against a stream that is reset because the VM to which it was forwarded has ended its stop
+// while no other VM of the region was ready. The VM that forwards it looks for another one until
+// its caller would give up.
+TEST_F(planned_stop, a_forwarded_stream_goes_on_when_the_region_is_ready_again)
+{
+    start(send_stream);
+    auto outgoing = front_fleet::request(east_vm, "/west-stream/x", "id-1");
+    outgoing.headers[2] = "X-Chicorylink-Deadline-Ms: 15000";
+    reply result;
+    std::thread caller([&] { result = perform(outgoing); });
+    EXPECT_TRUE(wait_until([&] { return m_west->request_count("id-1") == 1; }, seconds{2}));
+    m_fleet.at(west_vm).signal(SIGTERM);
+    EXPECT_EQ(m_fleet.at(west_vm).wait(seconds{9}), 0);
+    m_fleet.start(west_vm, "west");
+    caller.join();
+    EXPECT_EQ(result.status, 200);
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.body, all_events());
+}
+
+// A stream whose region doesn't come back ends when its caller would give up, before its deadline.
+TEST_F(planned_stop, a_forwarded_stream_does_not_wait_longer_than_its_caller)
+{
+    start(send_stream);
+    auto outgoing = front_fleet::request(east_vm, "/west-stream/x", "id-1");
+    outgoing.headers[2] = "X-Chicorylink-Deadline-Ms: 15000";
+    reply result;
+    std::chrono::steady_clock::time_point ended_at;
+    std::thread caller([&] {
+        result = perform(outgoing);
+        ended_at = std::chrono::steady_clock::now();
+    });
+    EXPECT_TRUE(wait_until([&] { return m_west->request_count("id-1") == 1; }, seconds{2}));
+    std::this_thread::sleep_for(milliseconds{500});
+    m_fleet.at(west_vm).kill();
+    const auto killed_at = std::chrono::steady_clock::now();
+    caller.join();
+    EXPECT_FALSE(result.complete);
+    // Eight times the pause objective, and a search interval.
+    EXPECT_GT(ended_at - killed_at, milliseconds{2500});
+    EXPECT_LT(ended_at - killed_at, milliseconds{4200});
+}
+
+} // namespace
+} // namespace chicorylink::process_tests
--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -82,8 +82,11 @@
     };
     auto west_only = route("/west/", "safe");
     west_only["allowedRegions"] = {"west"};
+    auto west_stream = route("/west-stream/", "streaming");
+    west_stream["allowedRegions"] = {"west"};
+    west_stream["timeoutMs"] = 15'000;
     auto routes = nlohmann::json::array({route("/safe/", "safe"), route("/unsafe/", "unsafe"),
-                                         route("/stream/", "streaming"), west_only});
+                                         route("/stream/", "streaming"), west_only, west_stream});
     for (auto it = routes.begin(); it != routes.end();) {
         it = it->at("name") == dropped_path ? routes.erase(it) : std::next(it);
     }
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -52,8 +52,9 @@
     void publish_target(const std::string& name, const std::string& address,
                         const std::string& zone, std::int64_t started_ms = 1);
 
-    /// @brief Publishes routes `/safe/`, `/unsafe/`, `/stream/` and `/west/`, which runs in region
-    /// `west` only, and one team with these keys.
+    /// @brief Publishes routes `/safe/`, `/unsafe/`, `/stream/`, `/west/` and `/west-stream/`, of
+    /// which the last two run in region `west` only, and one team with these keys. The last one has
+    /// 15 s, the others 4 s.
     /// @param dropped_path A route that is left out.
     void publish_config(int version, const std::vector<std::string>& keys,
                         const std::string& dropped_path = {});
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -156,8 +156,12 @@
     auto step = fleet::decide_next(*m_resolved.route, m_history, end, time_left(now));
     if (step == next_step::send_again && m_history.arrivals > 0 &&
         !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
-        step = fleet::give_up(m_history, end);
         m_core.counters.add("retries_denied_total");
+        if (await_target("no retry budget", now)) {
+            m_is_retry_due = true;
+            return;
+        }
+        step = fleet::give_up(m_history, end);
     }
     execute(step, detail, now);
 }
@@ -253,7 +257,10 @@
         refuse({status, "deadline", std::nullopt}, now);
         return;
     }
-    if (is_silent(now)) {
+    if (m_search_at && now >= *m_search_at) {
+        search_again(now);
+    }
+    else if (is_silent(now)) {
         on_silence(now);
     }
 }
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -212,6 +212,8 @@
     note_progress(now);
     note_answer_progress(now);
     from.has_event = true;
+    m_last_event_at = now;
+    m_wait_logged = false;
     if (!m_response_begun) {
         m_response_begun_at = now;
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -220,6 +220,9 @@
         return;
     }
     if (m_history.arrivals > 0 || m_history.has_begun) {
+        if (await_target("no target left", now)) {
+            return;
+        }
         execute(fleet::give_up(m_history, m_last_end), "no target left", now);
         return;
     }
--- a/src/chicorylink/front/exchange_regions.cpp
+++ b/src/chicorylink/front/exchange_regions.cpp
@@ -41,7 +41,8 @@
                                 const fleet::region_name& region, base::time_point now) const
 {
     return peer.region == region && fleet::roster::takes_requests(peer, now) &&
-           std::find(m_tried_peers.begin(), m_tried_peers.end(), ip) == m_tried_peers.end();
+           std::find(m_tried_peers.begin(), m_tried_peers.end(), std::pair{ip, peer.run}) ==
+               m_tried_peers.end();
 }
 
 bool exchange::has_peer_in(const fleet::region_name& region, base::time_point now) const
@@ -133,7 +134,7 @@
     next.expected_start = decision.start;
     m_attempt = std::make_unique<attempt>(std::move(next));
     m_silence_reported = false;
-    m_tried_peers.push_back(ip);
+    m_tried_peers.emplace_back(ip, m_core.members.members().at(ip).run);
     const auto one_way = decision.round_trip / 2;
     m_core.remote_traffic.note(decision.region, m_resolved.service->name, decision.tokens, now);
     send(serialize_for_peer(
