front: answer what was read when a stop ends

Callers got no answer to a request that was read behind another one of its connection when their VM was stopped and the other one lasted until the end of the stop.

Cause: at the end of the stop time the process ended the requests in progress and left its event loop in the same moment. What that gave work to no longer ran: the next request of the connection, answers that the socket had not taken yet, and the wait for bytes of the caller that are still unread, which reset a connection with its answer when it is closed.

Now the requests are ended at the same time as before, and the process goes on until nothing has been left to send for 150 ms, at most 200 ms. What it reads meanwhile is refused as not run, with a time to come back. It still exits 200 ms before the platform would kill it. A line in the log tells how many requests were ended.

--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -72,6 +72,8 @@
     base::time_point resumed_at{};
     /// When the stop signal arrived.
     std::optional<base::time_point> leaving_since;
+    /// Whether the stop time is nearly used up and the requests in progress were ended.
+    bool has_ended_requests = false;
 };
 
 /// The TTL of a directory response, and for how many TTLs some callers keep one.
@@ -88,6 +90,9 @@
 /// time to switch to another VM; later ones might not finish before the process ends.
 [[nodiscard]] bool accepts_new_requests(const front_core& core, base::time_point now);
 
+/// @brief When a VM that was told to stop ends the requests in progress; none for other VMs.
+[[nodiscard]] std::optional<base::time_point> end_of_requests(const front_core& core);
+
 /// @brief Whether the configuration was confirmed as the newest one recently enough that no
 /// withdrawn key is accepted beyond the withdrawal bound.
 [[nodiscard]] bool keys_are_fresh(const front_core& core, base::time_point now);
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -52,6 +52,8 @@
     void slow_tick(base::time_point now);
     void sync_state(base::time_point now);
     void log_readiness_change(base::time_point now);
+    /// @brief Ends the requests that are still in progress near the end of the stop time.
+    void end_requests(base::time_point now);
     [[nodiscard]] bool can_exit(base::time_point now);
     [[nodiscard]] status_response respond_ready(const message_head& head) const;
     [[nodiscard]] status_response respond_directory(const message_head& head);
--- a/process_tests/planned_stop_test.cpp
+++ b/process_tests/planned_stop_test.cpp
@@ -122,5 +122,33 @@
     EXPECT_LT(ended_at - killed_at, milliseconds{4200});
 }
 
+// Guards against an accepted request without any answer at the end of a stop: it was read behind
+// another one of its connection, and the process exited as soon as it had ended that one.
+TEST_F(planned_stop, the_end_of_a_stop_answers_a_request_read_behind_another)
+{
+    start([](http_exchange& exchange) { return exchange.pause(seconds{12}); });
+    const auto request = [](const std::string& id) {
+        return fmt::format("POST /west-stream/x HTTP/1.1\r\nHost: h\r\n"
+                           "X-Chicorylink-Request-Id: {}\r\nX-Chicorylink-Deadline-Ms: 15000\r\n"
+                           "X-Chicorylink-Key: secret\r\nContent-Length: 5\r\n\r\norder",
+                           id);
+    };
+    raw_response responses;
+    std::thread caller([&] {
+        responses = exchange_raw(fmt::format("{}:{}", east_vm, front_fleet::callers_port),
+                                 request("id-1") + request("id-2"), seconds{11});
+    });
+    EXPECT_TRUE(wait_until([&] { return m_west->request_count("id-1") == 1; }, seconds{2}));
+    m_fleet.at(east_vm).signal(SIGTERM);
+    // The platform would kill it after eight seconds.
+    EXPECT_EQ(m_fleet.at(east_vm).wait(seconds{8}), 0);
+    caller.join();
+    EXPECT_EQ(responses.response_count(), 2U);
+    EXPECT_EQ(responses.status(), 502);
+    EXPECT_NE(responses.bytes.find("HTTP/1.1 503"), std::string::npos) << responses.bytes;
+    EXPECT_TRUE(responses.closed);
+    EXPECT_EQ(m_west->request_count("id-2"), 0);
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -15,6 +15,9 @@
 /// confirmation counts from when its request was sent.
 constexpr base::milliseconds withdrawal_margin{500};
 
+/// Requests in progress are ended this long before the platform would kill the process.
+constexpr base::milliseconds exit_margin{400};
+
 } // namespace
 
 front_core::front_core(boost::asio::io_context& event_loop, front_settings initial_settings,
@@ -38,7 +41,16 @@
 
 bool accepts_new_requests(const front_core& core, base::time_point now)
 {
-    return !core.leaving_since || now - *core.leaving_since < directory_ttl * max_kept_ttls;
+    return !core.leaving_since ||
+           (!core.has_ended_requests && now - *core.leaving_since < directory_ttl * max_kept_ttls);
+}
+
+std::optional<base::time_point> end_of_requests(const front_core& core)
+{
+    if (!core.leaving_since) {
+        return std::nullopt;
+    }
+    return *core.leaving_since + core.settings.bounds.stop_time - exit_margin;
 }
 
 bool keys_are_fresh(const front_core& core, base::time_point now)
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -34,8 +34,9 @@
 /// still in the system's buffers arrive within that time.
 constexpr base::milliseconds quiet_time{150};
 
-/// The process exits this long before the platform would kill it.
-constexpr base::milliseconds exit_margin{400};
+/// How long the process stays at most after it has ended the requests in progress, until the last
+/// responses have left it.
+constexpr base::milliseconds flush_time{200};
 
 base::result<tcp::acceptor> open_acceptor(boost::asio::io_context& loop, const std::string& address)
 {
@@ -240,17 +241,27 @@
     const auto now = base::boot_now();
     run_guarded(m_core, "tick", [&] { run_tick(now); });
     m_core.log.flush();
+    const auto end_at = end_of_requests(m_core);
+    if (end_at && now >= *end_at && !m_core.has_ended_requests) {
+        end_requests(now);
+    }
     if (can_exit(now)) {
-        for (auto* active :
-             std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
-            active->on_stop(now);
-        }
         m_loop.stop();
         return;
     }
     schedule_tick();
 }
 
+void front_daemon::end_requests(base::time_point now)
+{
+    m_core.has_ended_requests = true;
+    write_log(m_core, log_event(m_core, "ending_requests")
+                          .add("requests", std::uint64_t{m_core.exchanges.size()}));
+    for (auto* active : std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
+        active->on_stop(now);
+    }
+}
+
 void front_daemon::run_tick(base::time_point now)
 {
     const bool was_paused = detect_pause(now);
@@ -341,9 +352,7 @@
     if (!m_core.exchanges.empty() || m_callers->is_busy(now) || m_peers->is_busy(now)) {
         m_last_busy_at = now;
     }
-    const auto since = now - *m_core.leaving_since;
-    return since >= m_core.settings.bounds.stop_time - exit_margin ||
-           now - m_last_busy_at >= quiet_time;
+    return now >= *end_of_requests(m_core) + flush_time || now - m_last_busy_at >= quiet_time;
 }
 
 } // namespace chicorylink::front
