front: count the stop time from the signal

A VM that was busy or paused when it was told to stop took new requests for longer than callers have to leave it, and expected to live longer than it did: it was killed with its requests before it ended them.

Cause: both times were counted from when the signal was handled, while the platform counts from when it sent it. The signal may have waited since the tick before the last one; a late tick is handled first in the same turn of the loop. Now both count from then, by half a second at most: after a longer pause it isn't known when the signal came. The log line `leaving` tells the delay.

The test failed before: of a VM that handles its signal 450 ms late, a request 3.15 s after the signal was served (200) and not refused (503).

--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -70,7 +70,7 @@
     /// When the process last resumed after a pause or a long delay of its event loop. Data that
     /// arrived in the meantime may not be read yet.
     base::time_point resumed_at{};
-    /// When the stop signal arrived.
+    /// When the stop signal arrived, at the earliest.
     std::optional<base::time_point> leaving_since;
     /// Whether the stop time is nearly used up and the requests in progress were ended.
     bool has_ended_requests = false;
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -77,6 +77,7 @@
     std::uint64_t m_synced_generation = 0;
     readiness m_logged_readiness = readiness::no_configuration;
     std::optional<base::time_point> m_last_tick_at;
+    std::optional<base::time_point> m_previous_tick_at;
     bool m_has_stopped_accepting = false;
     /// When there was last work that an exit would have cut off.
     base::time_point m_last_busy_at{};
--- a/process_tests/planned_stop_test.cpp
+++ b/process_tests/planned_stop_test.cpp
@@ -150,5 +150,32 @@
     EXPECT_EQ(m_west->request_count("id-2"), 0);
 }
 
+// Guards against requests that a VM accepts when callers have had their time to leave it: its
+// signal was handled late, and it counted that time and the time to its exit from then.
+TEST_F(planned_stop, counts_from_the_signal_and_not_from_its_handling)
+{
+    start([](http_exchange& exchange) {
+        // The first one keeps the VM from exiting early.
+        return exchange.pause(milliseconds{exchange.path() == "/unsafe/x" ? 3700 : 0}) &&
+               exchange.send(exchange.response("done"));
+    });
+    connection kept;
+    EXPECT_EQ(kept.perform(front_fleet::request(east_vm, "/safe/x", "id-1")).status, 200);
+    reply last;
+    std::thread caller([&] { last = perform(front_fleet::request(east_vm, "/unsafe/x", "id-2")); });
+    EXPECT_TRUE(wait_until([&] { return m_east->request_count("id-2") == 1; }, seconds{2}));
+    auto& vm = m_fleet.at(east_vm);
+    EXPECT_TRUE(vm.pause());
+    vm.signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds{450});
+    vm.signal(SIGCONT);
+    // Callers have three seconds from the signal.
+    std::this_thread::sleep_for(milliseconds{2700});
+    EXPECT_EQ(kept.perform(front_fleet::request(east_vm, "/safe/x", "id-3")).status, 503);
+    EXPECT_EQ(kept.opened(), 1);
+    caller.join();
+    EXPECT_EQ(last.body, "done");
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -181,9 +181,13 @@
         return;
     }
     const auto now = base::boot_now();
-    m_core.leaving_since = now;
-    write_log(m_core,
-              log_event(m_core, "leaving").add("requests", std::uint64_t{m_core.exchanges.size()}));
+    // The platform counts from when it sent the signal. It may have waited since the tick before
+    // the last one, since a late tick is handled before it.
+    m_core.leaving_since = std::clamp(m_previous_tick_at.value_or(now), now - pause_threshold, now);
+    const auto delay = std::chrono::duration_cast<base::milliseconds>(now - *m_core.leaving_since);
+    write_log(m_core, log_event(m_core, "leaving")
+                          .add("requests", std::uint64_t{m_core.exchanges.size()})
+                          .add("delay_ms", delay.count()));
     m_gossip->announce(now);
 }
 
@@ -224,6 +228,7 @@
 bool front_daemon::detect_pause(base::time_point now)
 {
     const auto last_tick = std::exchange(m_last_tick_at, now);
+    m_previous_tick_at = last_tick;
     if (!last_tick || now - *last_tick < pause_threshold) {
         return false;
     }
