front: log what a connection had received when it was closed

A connection that ended without an answer left no trace: it could not be told whether a request had been read in part, waited in the socket, or had not arrived, nor why the connection was closed.

connection_closed tells it for closes that may lose a request; other closes are counted. The exit and the end of the listener have one line each with numbers.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef CHICORYLINK_FRONT_CALLER_CONNECTION_HPP
 #define CHICORYLINK_FRONT_CALLER_CONNECTION_HPP
 
+#include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/configuration.hpp"
 #include "chicorylink/front/message_parser.hpp"
@@ -22,6 +23,9 @@
 /// @brief Who opened a connection to this VM.
 enum class connection_side { caller, peer };
 
+/// @brief Why this VM closes a connection that has no response under way.
+enum class close_cause { idle, incomplete_request, process_exit };
+
 /// @brief A connection opened by a caller or another VM; serves its requests one at a time.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -60,12 +64,14 @@
 
     [[nodiscard]] const std::shared_ptr<tcp_channel>& channel() const { return m_channel; }
 
-    /// @brief Closes the connection at once; a running request is canceled.
-    void close();
+    /// @brief Closes the connection at once; a running request is canceled. Logged if a request may
+    /// be lost: bytes of one have arrived, or the limits have changed while the connection was idle.
+    /// @return Whether bytes of a request had arrived.
+    bool close(close_cause cause, base::time_point now);
 
 private:
     void on_data(std::string_view bytes);
-    void on_end();
+    void on_end(channel_end end);
     void on_sent();
     void begin_request();
     void reject_invalid_request();
@@ -73,6 +79,7 @@
     [[nodiscard]] bool keeps_open() const;
     void notify_closed();
     void reset_parser();
+    [[nodiscard]] base::log_line describe(std::string_view cause, base::time_point now) const;
 
     front_core& m_core;
     std::shared_ptr<tcp_channel> m_channel;
@@ -82,6 +89,8 @@
     std::shared_ptr<exchange> m_exchange;
     /// The limits in force when the current request began, or when the connection became idle.
     fleet::caller_limits m_limits;
+    /// Bytes of the current request that were read while it was incomplete.
+    std::size_t m_partial_bytes = 0;
     /// Bytes received while a request is served; the start of the next request.
     std::string m_pipelined;
     /// When the first byte of the current request arrived, or when the connection became idle.
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -32,6 +32,9 @@
     /// Connections that have arrived are served.
     void stop_accepting();
 
+    /// @brief Closes all connections because the process exits.
+    void close_all(base::time_point now);
+
     /// @brief Whether an exit of the process now would cut off a connection in use.
     [[nodiscard]] bool is_busy(base::time_point now) const;
 
--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -69,6 +69,9 @@
 
     [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
 
+    /// @brief Number of bytes that have arrived and are not read yet.
+    [[nodiscard]] std::size_t unread() const;
+
     /// @brief IP address of the remote end; empty if the connection has ended.
     [[nodiscard]] std::string remote_ip() const;
 
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -35,6 +35,19 @@
     return core.state.config() ? core.state.config()->limits() : fleet::caller_limits{};
 }
 
+std::string_view to_string(close_cause cause)
+{
+    switch (cause) {
+    case close_cause::idle:
+        return "idle";
+    case close_cause::incomplete_request:
+        return "incomplete_request";
+    case close_cause::process_exit:
+        return "process_exit";
+    }
+    return "unknown";
+}
+
 std::optional<base::config_version> forwarded_version(const message_head& head)
 {
     const auto* text = find_field(head.fields, forwarded_field);
@@ -60,6 +73,7 @@
 void caller_connection::reset_parser()
 {
     m_limits = limits_of(m_core);
+    m_partial_bytes = 0;
     // A forwarding VM adds a few fields to those its caller sent.
     constexpr std::size_t peer_header_bytes = 1024;
     const auto extra = m_side == connection_side::peer ? peer_header_bytes : 0;
@@ -72,7 +86,7 @@
     m_on_closed = std::move(on_closed);
     m_timeout_start = base::boot_now();
     m_channel->start({[self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
-                      [self = shared_from_this()](channel_end) { self->on_end(); },
+                      [self = shared_from_this()](channel_end end) { self->on_end(end); },
                       [self = shared_from_this()] { self->on_sent(); }});
 }
 
@@ -91,6 +105,7 @@
             reset_parser();
         }
     }
+    m_partial_bytes += bytes.size();
     m_parser->feed(bytes);
     begin_request();
 }
@@ -245,9 +260,15 @@
     });
 }
 
-void caller_connection::on_end()
+void caller_connection::on_end(channel_end end)
 {
     const auto keep_alive = shared_from_this();
+    if (m_parser->has_begun() && !m_exchange) {
+        m_core.counters.add("partial_requests_ended_total");
+        if (end == channel_end::broken) {
+            write_log(m_core, describe("broken", base::boot_now()));
+        }
+    }
     if (const auto current = std::exchange(m_exchange, nullptr)) {
         current->on_caller_disconnected(base::boot_now());
     }
@@ -271,14 +292,38 @@
     }
 }
 
-void caller_connection::close()
+base::log_line caller_connection::describe(std::string_view cause, base::time_point now) const
+{
+    auto line = log_event(m_core, "connection_closed");
+    line.add("cause", cause);
+    line.add("from", m_side == connection_side::peer ? "peer" : "caller");
+    line.add("is_first", !m_has_received_request).add("is_serving", m_exchange != nullptr);
+    line.add("partial_bytes", std::uint64_t{m_partial_bytes});
+    line.add("pipelined_bytes", std::uint64_t{m_pipelined.size()});
+    line.add("unread_bytes", std::uint64_t{m_channel->unread()});
+    line.add("waited_ms",
+             std::chrono::duration_cast<base::milliseconds>(now - m_timeout_start).count());
+    line.add("idle_limit_ms", m_limits.idle_time.count());
+    line.add("idle_limit_in_force_ms", limits_of(m_core).idle_time.count());
+    return line;
+}
+
+bool caller_connection::close(close_cause cause, base::time_point now)
 {
     const auto keep_alive = shared_from_this();
+    const bool has_bytes =
+        m_parser->has_begun() || !m_pipelined.empty() || m_channel->unread() > 0;
+    const bool has_new_limits =
+        cause == close_cause::idle && m_limits.idle_time != limits_of(m_core).idle_time;
+    if (has_bytes || has_new_limits) {
+        write_log(m_core, describe(to_string(cause), now));
+    }
     if (const auto current = std::exchange(m_exchange, nullptr)) {
         current->on_caller_disconnected(base::boot_now());
     }
     m_channel->close();
     notify_closed();
+    return has_bytes;
 }
 
 bool caller_connection::is_busy(base::time_point now) const
@@ -314,7 +359,7 @@
     else {
         m_core.counters.add("idle_connections_closed_total");
     }
-    close();
+    close(is_incomplete ? close_cause::incomplete_request : close_cause::idle, now);
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -245,6 +245,8 @@
              std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
             active->on_stop(now);
         }
+        m_callers->close_all(now);
+        m_peers->close_all(now);
         m_loop.stop();
         return;
     }
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/front/request_listener.hpp"
 
+#include "chicorylink/base/boot_clock.hpp"
 #include "chicorylink/front/front_core.hpp"
 
 #include <algorithm>
@@ -17,8 +18,22 @@
 
 request_listener::~request_listener()
 {
-    for (auto& [key, connection] : std::exchange(m_connections, {})) {
-        connection->close();
+    close_all(base::boot_now());
+}
+
+void request_listener::close_all(base::time_point now)
+{
+    const auto connections = std::exchange(m_connections, {});
+    std::uint64_t with_bytes = 0;
+    for (const auto& [key, connection] : connections) {
+        with_bytes += connection->close(close_cause::process_exit, now) ? 1 : 0;
+    }
+    if (!connections.empty()) {
+        write_log(m_core,
+                  log_event(m_core, "connections_closed")
+                      .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                      .add("connections", std::uint64_t{connections.size()})
+                      .add("with_unanswered_bytes", with_bytes));
     }
 }
 
@@ -53,13 +68,19 @@
     // Closing the listener resets the connections in its backlog, so they are accepted first.
     boost::system::error_code problem;
     m_acceptor.non_blocking(true, problem);
+    std::uint64_t accepted = 0;
     while (!problem) {
         boost::asio::ip::tcp::socket socket(m_core.loop);
         m_acceptor.accept(socket, problem);
         if (!problem) {
+            ++accepted;
             add_connection(std::move(socket));
         }
     }
+    write_log(m_core, log_event(m_core, "listener_closed")
+                          .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                          .add("accepted_at_last", accepted)
+                          .add("reason", problem.message()));
     m_acceptor.close(problem);
 }
 
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -237,6 +237,13 @@
     m_socket.close(ignored);
 }
 
+std::size_t tcp_channel::unread() const
+{
+    error_code problem;
+    const auto count = m_socket.is_open() ? m_socket.available(problem) : 0;
+    return problem ? 0 : count;
+}
+
 std::string tcp_channel::remote_ip() const
 {
     error_code problem;
