front: an idle timeout spares a request that has arrived

What callers saw: a caller that sent its next request in time on a kept connection got a reset, without a response or a refusal, when the process had stood still or was busy meanwhile.

Cause: the tick that closes idle connections runs when its timer is due, and the event loop hands over at most 128 readable sockets before its due timers. A request that waits in a further socket was lost with the connection.

Evidence: the test on the code before, which has 200 connections: connection_end.an_idle_timeout_spares_a_request_that_has_arrived: count_responses(404) is 127, connection_count 200 It passes with the change.

Why it works: a connection on which bytes have arrived isn't idle; they are read in the next turn of the loop. The status servers had the same fault.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -65,7 +65,8 @@
     [[nodiscard]] const std::shared_ptr<tcp_channel>& channel() const { return m_channel; }
 
     /// @brief Closes the connection at once; a running request is canceled. Logged if a request may
-    /// be lost: bytes of one have arrived, or the limits have changed while the connection was idle.
+    /// be lost: bytes of one have arrived, or the limits have changed while the connection was
+    /// idle.
     /// @return Whether bytes of a request had arrived.
     bool close(close_cause cause, base::time_point now);
 
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -311,8 +311,7 @@
 bool caller_connection::close(close_cause cause, base::time_point now)
 {
     const auto keep_alive = shared_from_this();
-    const bool has_bytes =
-        m_parser->has_begun() || !m_pipelined.empty() || m_channel->unread() > 0;
+    const bool has_bytes = m_parser->has_begun() || !m_pipelined.empty() || m_channel->unread() > 0;
     const bool has_new_limits =
         cause == close_cause::idle && m_limits.idle_time != limits_of(m_core).idle_time;
     if (has_bytes || has_new_limits) {
@@ -346,7 +345,8 @@
     const bool is_incomplete = m_parser->has_begun();
     const auto limit = is_incomplete ? header_time : idle + idle_margin;
     const auto waited = now - m_timeout_start;
-    if (waited <= limit) {
+    // Bytes that have arrived are read first, after a pause of the process for example.
+    if (waited <= limit || m_channel->unread() > 0) {
         return;
     }
     if (is_incomplete) {
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -29,11 +29,10 @@
         with_bytes += connection->close(close_cause::process_exit, now) ? 1 : 0;
     }
     if (!connections.empty()) {
-        write_log(m_core,
-                  log_event(m_core, "connections_closed")
-                      .add("from", m_side == connection_side::peer ? "peer" : "caller")
-                      .add("connections", std::uint64_t{connections.size()})
-                      .add("with_unanswered_bytes", with_bytes));
+        write_log(m_core, log_event(m_core, "connections_closed")
+                              .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                              .add("connections", std::uint64_t{connections.size()})
+                              .add("with_unanswered_bytes", with_bytes));
     }
 }
 
--- a/src/chicorylink/front/status_server.cpp
+++ b/src/chicorylink/front/status_server.cpp
@@ -104,8 +104,9 @@
 void status_server::tick(base::time_point now)
 {
     for (auto entry = m_sessions.begin(); entry != m_sessions.end();) {
-        if (now - entry->second->last_used_at > idle_timeout) {
-            entry->second->channel->close();
+        const auto& channel = entry->second->channel;
+        if (now - entry->second->last_used_at > idle_timeout && channel->unread() == 0) {
+            channel->close();
             entry = m_sessions.erase(entry);
         }
         else {
