front: a stop refuses requests that have arrived before it exits

What callers saw: at the end of a planned stop, a caller that had sent a request on a kept connection got a reset, without a response or a refusal.

Cause: the decision to exit looked at what had been read. Requests that waited in sockets, and at the latest moment of the stop those read behind another one, ended with the process.

Why it works: a connection on which bytes have arrived keeps the process from exiting until they are read, which refuses the request. At the latest moment, at which the process exits in any case, they are read and refused first.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -59,9 +59,13 @@
     void tick(base::time_point now);
 
     /// @brief Whether work would be lost if the process ended now: a request being served or
-    /// received, one expected on a new connection, or a response not fully sent.
+    /// received, one expected on a new connection, one that has arrived and isn't read, or a
+    /// response not fully sent.
     [[nodiscard]] bool is_busy(base::time_point now) const;
 
+    /// @brief Handles the bytes that have arrived without waiting for the event loop.
+    void read_arrived();
+
     [[nodiscard]] const std::shared_ptr<tcp_channel>& channel() const { return m_channel; }
 
     /// @brief Closes the connection at once; a running request is canceled. Logged if a request may
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -32,6 +32,9 @@
     /// Connections that have arrived are served.
     void stop_accepting();
 
+    /// @brief Reads what has arrived on all connections without waiting for the event loop.
+    void read_arrived();
+
     /// @brief Closes all connections because the process exits.
     void close_all(base::time_point now);
 
@@ -42,6 +45,8 @@
     void accept();
     void add_connection(boost::asio::ip::tcp::socket socket);
     void on_closed(const caller_connection* key);
+    /// @brief The connections; handling one may remove it from `m_connections`.
+    [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> snapshot() const;
 
     front_core& m_core;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -57,6 +57,9 @@
     /// @brief Number of queued bytes that are not sent yet.
     [[nodiscard]] std::size_t unsent() const { return m_send_buffer.size(); }
 
+    /// @brief Reads at once what has arrived, and calls `on_data` with it.
+    void read_arrived();
+
     void pause_reading() { m_reading_paused = true; }
     void resume_reading();
 
--- a/process_tests/connection_end_test.cpp
+++ b/process_tests/connection_end_test.cpp
@@ -128,5 +128,28 @@
     EXPECT_EQ(count_responses(404), connection_count);
 }
 
+// Guards against a stop that ends the process while requests on kept connections have arrived and
+// are not read yet: their callers got a reset instead of a refusal.
+TEST_F(connection_end, a_stop_refuses_requests_that_have_arrived)
+{
+    start(seconds{15});
+    m_fleet.at(only_vm).signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds{1500});
+    send_requests_during_pause(seconds{2});
+    EXPECT_EQ(count_responses(503), connection_count);
+    EXPECT_EQ(m_fleet.at(only_vm).wait(seconds{5}), 0);
+}
+
+// Guards against the same at the last moment of a stop, at which the process exits in any case.
+TEST_F(connection_end, the_last_moment_of_a_stop_refuses_requests_that_have_arrived)
+{
+    start(seconds{15});
+    m_fleet.at(only_vm).signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds{1500});
+    send_requests_during_pause(milliseconds{6200});
+    EXPECT_EQ(count_responses(503), connection_count);
+    EXPECT_EQ(m_fleet.at(only_vm).wait(seconds{5}), 0);
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -328,7 +328,14 @@
 bool caller_connection::is_busy(base::time_point now) const
 {
     const bool is_new = !m_has_received_request && now - m_timeout_start < first_request_window;
-    return is_new || m_exchange || m_parser->has_begun() || m_channel->unsent() > 0;
+    return is_new || m_exchange || m_parser->has_begun() || m_channel->unsent() > 0 ||
+           m_channel->unread() > 0;
+}
+
+void caller_connection::read_arrived()
+{
+    const auto keep_alive = shared_from_this();
+    m_channel->read_arrived();
 }
 
 void caller_connection::tick(base::time_point now)
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -245,9 +245,14 @@
              std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
             active->on_stop(now);
         }
-        m_callers->close_all(now);
-        m_peers->close_all(now);
-        m_loop.stop();
+        m_callers->read_arrived();
+        m_peers->read_arrived();
+        // Requests that were read behind others are handled by tasks posted before this one.
+        boost::asio::post(m_loop, [this, now] {
+            m_callers->close_all(now);
+            m_peers->close_all(now);
+            m_loop.stop();
+        });
         return;
     }
     schedule_tick();
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -112,14 +112,26 @@
         const auto channel = closing.lock();
         return !channel || !channel->is_open() || channel->unsent() == 0;
     });
+    for (const auto& connection : snapshot()) {
+        connection->tick(now);
+    }
+}
+
+void request_listener::read_arrived()
+{
+    for (const auto& connection : snapshot()) {
+        connection->read_arrived();
+    }
+}
+
+std::vector<std::shared_ptr<caller_connection>> request_listener::snapshot() const
+{
     std::vector<std::shared_ptr<caller_connection>> connections;
     connections.reserve(m_connections.size());
     for (const auto& [key, connection] : m_connections) {
         connections.push_back(connection);
     }
-    for (const auto& connection : connections) {
-        connection->tick(now);
-    }
+    return connections;
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -139,6 +139,13 @@
     wait_readable();
 }
 
+void tcp_channel::read_arrived()
+{
+    if (unread() > 0) {
+        on_readable();
+    }
+}
+
 void tcp_channel::resume_reading()
 {
     m_reading_paused = false;
