front: responses announce the idle timeout of their connection

What callers saw: a caller sent a request on a connection that had been idle for about as long as the limit, or for longer than a limit lowered meanwhile; the request crossed the close and got neither a response nor a refusal.

Cause: responses to callers did not tell how long their connection may be idle, so callers that don't know the limit in force rely on a connection until it is closed. And the limit that a connection follows was taken when it became idle: a configuration that came during a long response lowered it below what the caller could know when the response began.

That these callers follow Keep-Alive is documented; why one relied on 15.7 s is not known.

Why it works: callers respect the time in Keep-Alive, and a connection is kept for at least the time that its last response announced.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -94,6 +94,8 @@
     std::shared_ptr<exchange> m_exchange;
     /// The limits in force when the current request began, or when the connection became idle.
     fleet::caller_limits m_limits;
+    /// The idle time that the last response promised.
+    base::milliseconds m_announced_idle_time{0};
     /// Bytes of the current request that were read while it was incomplete.
     std::size_t m_partial_bytes = 0;
     /// Bytes received while a request is served; the start of the next request.
--- a/process_tests/config_change_test.cpp
+++ b/process_tests/config_change_test.cpp
@@ -65,12 +65,30 @@
     std::string m_received;
 };
 
-std::string request_head(const std::string& id, std::size_t body_bytes)
+std::string request_head(const std::string& id, std::size_t body_bytes,
+                         const std::string& path = "/safe/x")
 {
-    return fmt::format("POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Chicorylink-Request-Id: {}\r\n"
+    return fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nX-Chicorylink-Request-Id: {}\r\n"
                        "X-Chicorylink-Deadline-Ms: 4000\r\nX-Chicorylink-Key: secret\r\n"
                        "Content-Length: {}\r\n\r\n",
-                       id, body_bytes);
+                       path, id, body_bytes);
+}
+
+std::string event(int number)
+{
+    return http_exchange::chunk(fmt::format("id: {}\ndata: {}\n\n", number, number));
+}
+
+/// Answers requests on the stream route with two events, 1.5 seconds apart.
+bool respond(http_exchange& exchange)
+{
+    if (!exchange.path().starts_with("/stream/")) {
+        return exchange.send(exchange.response("done"));
+    }
+    return exchange.send(exchange.head("Content-Type: text/event-stream\r\n"
+                                       "Transfer-Encoding: chunked\r\n") +
+                         event(1)) &&
+           exchange.pause(milliseconds{1500}) && exchange.send(event(2) + "0\r\n\r\n");
 }
 
 /// One VM and one target; the tests change the limits of callers.
@@ -95,6 +113,12 @@
                                            {"kind", "safe"},
                                            {"timeoutMs", 4000},
                                            {"service", "app"}},
+                                          {{"name", "stream"},
+                                           {"host", "h"},
+                                           {"pathPrefix", "/stream/"},
+                                           {"kind", "streaming"},
+                                           {"timeoutMs", 4000},
+                                           {"service", "app"}},
                                           {{"name", "mark"},
                                            {"host", "h"},
                                            {"pathPrefix", fmt::format("/version-{}/", version)},
@@ -116,8 +140,7 @@
             seconds{5});
     }
 
-    scripted_target m_target{
-        [](http_exchange& exchange) { return exchange.send(exchange.response("done")); }};
+    scripted_target m_target{respond};
     front_fleet m_fleet{binaries(), "chicorylink_config_change"};
 };
 
@@ -166,9 +189,29 @@
     EXPECT_EQ(caller.read_response(), 200);
 }
 
-std::string event(int number)
+// Guards against callers that don't know the idle timeout: a request that they send on a connection
+// idle for about that long crosses the close and gets neither a response nor a refusal.
+TEST_F(config_change, a_response_announces_the_idle_timeout)
 {
-    return http_exchange::chunk(fmt::format("id: {}\ndata: {}\n\n", number, number));
+    start({{"idleTimeoutMs", 5900}});
+    caller_socket caller;
+    caller.send(request_head("id-1", 5) + "order");
+    EXPECT_TRUE(caller.read_until("Keep-Alive: timeout=5\r\n"));
+}
+
+// Guards against a connection that is closed before the idle time that its response announced: the
+// response began under a configuration with a longer time than the one in force at its end.
+TEST_F(config_change, a_connection_keeps_the_idle_time_that_its_response_announced)
+{
+    start({{"idleTimeoutMs", 5000}});
+    caller_socket caller;
+    caller.send(request_head("id-1", 5, "/stream/x") + "order");
+    ASSERT_TRUE(caller.read_until("data: 1"));
+    publish_limits(2, {{"idleTimeoutMs", 200}});
+    ASSERT_TRUE(caller.read_until("0\r\n\r\n"));
+    std::this_thread::sleep_for(milliseconds{1500});
+    caller.send(request_head("id-2", 5) + "order");
+    EXPECT_EQ(caller.read_response(), 200);
 }
 
 // Guards against a stream that is cut because a configuration has dropped its route since it began:
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -179,9 +179,14 @@
         append_field(head, "Connection", "close");
         m_close_after_response = true;
     }
-    else if (m_side == connection_side::peer) {
-        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(peer_idle_timeout);
-        append_field(head, "Keep-Alive", fmt::format("timeout={}", seconds.count()));
+    else {
+        const auto idle_time =
+            m_side == connection_side::peer ? peer_idle_timeout : limits_of(m_core).idle_time;
+        const auto announced = std::chrono::floor<std::chrono::seconds>(idle_time);
+        if (announced.count() > 0) {
+            append_field(head, "Keep-Alive", fmt::format("timeout={}", announced.count()));
+            m_announced_idle_time = announced;
+        }
     }
     head.append("\r\n");
     m_channel->send(head);
@@ -348,7 +353,7 @@
     const auto header_time = std::max(m_limits.header_time, limits.header_time);
     const auto idle = m_side == connection_side::peer
                           ? peer_idle_timeout
-                          : std::max(m_limits.idle_time, limits.idle_time);
+                          : std::max({m_limits.idle_time, limits.idle_time, m_announced_idle_time});
     const bool is_incomplete = m_parser->has_begun();
     const auto limit = is_incomplete ? header_time : idle + idle_margin;
     const auto waited = now - m_timeout_start;
