--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -57,6 +57,9 @@
     /// @brief Number of queued bytes that are not sent yet.
     [[nodiscard]] std::size_t unsent() const { return m_send_buffer.size(); }
 
+    /// @brief Reads at once what has arrived, and calls `on_data` with it.
+    void read_arrived();
+
     void pause_reading() { m_reading_paused = true; }
     void resume_reading();
 
@@ -69,6 +72,9 @@
 
     [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
 
+    /// @brief Number of bytes that have arrived and are not read yet.
+    [[nodiscard]] std::size_t unread() const;
+
     /// @brief IP address of the remote end; empty if the connection has ended.
     [[nodiscard]] std::string remote_ip() const;
 
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -139,6 +139,13 @@
     wait_readable();
 }
 
+void tcp_channel::read_arrived()
+{
+    if (unread() > 0) {
+        on_readable();
+    }
+}
+
 void tcp_channel::resume_reading()
 {
     m_reading_paused = false;
@@ -237,6 +244,13 @@
     m_socket.close(ignored);
 }
 
+std::size_t tcp_channel::unread() const
+{
+    error_code problem;
+    const auto count = m_socket.is_open() ? m_socket.available(problem) : 0;
+    return problem ? 0 : count;
+}
+
 std::string tcp_channel::remote_ip() const
 {
     error_code problem;
