front: bytes behind a response of the store close its connection

A second response, or a part of one, could come behind a response of the store or of another VM. The rest of it was taken for the response to the next request: the read failed, and the VM read the whole state once more.

The client of these reads dropped the bytes that came together with a response and used the connection again. It now closes it, as calls to targets do.

bytes_behind_a_response_close_the_connection failed before: the second read had no status and "the answer is not HTTP or is too large". A further test cuts responses of the store at each byte; it passed before as well.

--- a/src/chicorylink/front/http_get_client.cpp
+++ b/src/chicorylink/front/http_get_client.cpp
@@ -123,7 +123,8 @@
     }
     if (m_parser->is_complete()) {
         auto body = m_parser->take_body();
-        if (!m_parser->head().keep_alive) {
+        // Further bytes belong to no request.
+        if (!m_parser->head().keep_alive || !m_parser->take_remaining().empty()) {
             close();
         }
         complete({m_parser->head().status, std::move(body), {}, false, m_sent_at});
--- a/src/chicorylink/front/http_get_client_test.cpp
+++ b/src/chicorylink/front/http_get_client_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -33,8 +34,67 @@
                 m_channel->start({[&](std::string_view) { send(pieces, 0); }, {}, {}});
             }
         });
-        const auto address = fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
-        http_get_client client(m_loop, address);
+        http_get_client client(m_loop, address());
+        return get(client);
+    }
+
+    /// Reads from a server on loopback that sends these bytes and closes the connection.
+    read_result read_closed(const std::string& bytes)
+    {
+        m_acceptor.async_accept([&](boost::system::error_code problem, tcp::socket socket) {
+            if (!problem) {
+                m_channel = std::make_shared<tcp_channel>(std::move(socket));
+                m_channel->start({[&](std::string_view) {
+                                      m_channel->send(bytes);
+                                      m_channel->close_after_sent();
+                                  },
+                                  {},
+                                  {}});
+            }
+        });
+        http_get_client client(m_loop, address());
+        return get(client);
+    }
+
+    /// Reads two responses.
+    /// @param first What a server sends for the requests on its first connection.
+    /// @param second The same for another connection.
+    std::pair<read_result, read_result> read_twice(const std::vector<std::string>& first,
+                                                   const std::vector<std::string>& second)
+    {
+        accept(first);
+        http_get_client client(m_loop, address());
+        auto before = get(client);
+        accept(second);
+        auto after = get(client);
+        return {std::move(before), std::move(after)};
+    }
+
+private:
+    [[nodiscard]] std::string address() const
+    {
+        return fmt::format("127.0.0.1:{}", m_acceptor.local_endpoint().port());
+    }
+
+    void accept(const std::vector<std::string>& responses)
+    {
+        m_acceptor.async_accept([&](boost::system::error_code problem, tcp::socket socket) {
+            if (!problem) {
+                m_channel = std::make_shared<tcp_channel>(std::move(socket));
+                const auto next = std::make_shared<std::size_t>(0);
+                m_channel->start({[this, &responses, next](std::string_view) {
+                                      if (*next < responses.size()) {
+                                          m_channel->send(responses[(*next)++]);
+                                      }
+                                  },
+                                  {},
+                                  {}});
+            }
+        });
+    }
+
+    read_result get(http_get_client& client)
+    {
         std::optional<read_result> result;
         client.get("/x", response_limit, [&](const read_result& read) { result = read; });
         const auto end = std::chrono::steady_clock::now() + seconds{10};
@@ -46,7 +106,6 @@
         return result.value_or(read_result{});
     }
 
-private:
     void send(const std::vector<std::string>& pieces, std::size_t next)
     {
         if (next == pieces.size()) {
@@ -101,5 +160,33 @@
     EXPECT_TRUE(result.is_unreadable);
 }
 
+// Guards against the rest of a second response being taken for the response to the next request.
+TEST_F(http_get_client_test, bytes_behind_a_response_close_the_connection)
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    const auto half = response.size() / 2;
+    const auto results =
+        read_twice({response + response.substr(0, half), response.substr(half) + response},
+                   {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext"});
+    EXPECT_EQ(results.first.body, "first");
+    EXPECT_EQ(results.second.status, 200) << results.second.problem;
+    EXPECT_EQ(results.second.body, "next");
+}
+
+// Guards against a response that broke off within its head or body being taken for a complete one.
+TEST_F(http_get_client_test, a_response_that_breaks_off_at_any_byte_fails)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n";
+    for (const auto& response :
+         {start + "Content-Length: 4\r\n\r\nbody",
+          start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", start + "\r\nbody"}) {
+        for (std::size_t size = 1; size < response.size(); ++size) {
+            const auto result = read_closed(response.substr(0, size));
+            ASSERT_EQ(result.status, 0) << size << " bytes of " << response;
+            ASSERT_EQ(result.problem, "the connection ended");
+        }
+    }
+}
+
 } // namespace
 } // namespace chicorylink::front
