process_tests: targets that stop within the head of their response

Operators of similar systems report that a target stopped within the head of its response and closed, and callers got a success with an empty or short body, framed as a whole one.

The tests cut heads at the VM of the target's region and through a VM of another region, by close, half-close and reset, on new and kept connections, for requests that may run once, for those that may run again, and for streams and their continuations. Nothing of a truncated head reaches a caller, and a request that may run once ends with 502 and is not sent again.

--- a/process_tests/support/scripted_target.cpp
+++ b/process_tests/support/scripted_target.cpp
@@ -42,6 +42,20 @@
     return ::poll(&waiting, 1, static_cast<int>(time.count())) == 0;
 }
 
+void scripted_target::http_exchange::half_close(std::chrono::milliseconds limit)
+{
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    (void)pause(limit);
+}
+
+void scripted_target::http_exchange::reset()
+{
+    error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
 std::string scripted_target::http_exchange::header(const std::string& name) const
 {
     return field_of(m_head, name);
--- a/process_tests/support/scripted_target.hpp
+++ b/process_tests/support/scripted_target.hpp
@@ -33,6 +33,12 @@
         /// @brief Waits; false when the peer closes the connection or sends bytes meanwhile.
         bool pause(std::chrono::milliseconds time);
 
+        /// @brief Ends the direction to the peer and waits until the peer closes the connection.
+        void half_close(std::chrono::milliseconds limit);
+
+        /// @brief Resets the connection, which then can't be used any more.
+        void reset();
+
         [[nodiscard]] std::string header(const std::string& name) const;
         [[nodiscard]] std::string id() const { return header("X-Chicorylink-Request-Id"); }
         [[nodiscard]] std::string path() const;
--- /dev/null
+++ b/process_tests/truncated_head_test.cpp
@@ -0,0 +1,306 @@
+// Checks what a caller gets when a target stops within the head of its response and the connection
+// ends, through the VM of the target's region and through a VM of another region.
+
+#include "front_fleet.hpp"
+#include "http_call.hpp"
+#include "scripted_target.hpp"
+#include "suite.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace chicorylink::process_tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using http_exchange = scripted_target::http_exchange;
+using script = scripted_target::script;
+
+constexpr const char* west_vm = "127.0.13.1";
+constexpr const char* east_vm = "127.0.13.2";
+
+constexpr std::string_view end_of_head = "\r\n\r\n";
+constexpr std::string_view whole_body = "the whole body of the target's response";
+constexpr const char* event_stream = "Content-Type: text/event-stream\r\n";
+constexpr const char* in_chunks = "Transfer-Encoding: chunked\r\n";
+constexpr const char* last_chunk = "0\r\n\r\n";
+constexpr const char* interim = "HTTP/1.1 102 Processing\r\nX-Queue: 4\r\n\r\n";
+
+/// More than the failures of any test.
+constexpr int many_targets = 50;
+
+/// How a target ends a connection.
+enum class ending : std::uint8_t { close, half_close, reset };
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int number = first; number <= last; ++number) {
+        text += fmt::format("id: {}\ndata: piece {}\n\n", number, number);
+    }
+    return text;
+}
+
+/// How a response says where its body ends.
+enum class framing : std::uint8_t { length, chunks, connection };
+
+std::string response_to(const http_exchange& exchange, framing form, std::string_view body,
+                        const std::string& fields = {})
+{
+    switch (form) {
+    case framing::length:
+        return exchange.response(std::string{body}, fields);
+    case framing::chunks:
+        return exchange.head(fields + in_chunks) + http_exchange::chunk(body) + last_chunk;
+    case framing::connection:
+        break;
+    }
+    return exchange.head(fields) + std::string{body};
+}
+
+/// Where a response breaks off.
+struct cut {
+    /// Bytes of its head that are sent; past its end there are none.
+    std::size_t size = 0;
+    ending end = ending::close;
+    /// What comes before the head.
+    std::string before = {};
+};
+
+/// Sends the begin of a response and ends the connection.
+bool send_cut(http_exchange& exchange, const cut& at, const std::string& response)
+{
+    const bool is_connected = exchange.send(at.before + response.substr(0, at.size));
+    if (is_connected && at.end == ending::half_close) {
+        exchange.half_close(seconds{2});
+    }
+    else if (is_connected && at.end == ending::reset) {
+        exchange.reset();
+    }
+    return false;
+}
+
+bool promises_not_run(int status)
+{
+    return status == 503 || status == 429 || status == 421 || status == 408;
+}
+
+/// A VM in each of two regions, and the targets in the region of the first.
+class truncated_head : public testing::Test {
+protected:
+    /// @param targets The number of targets; those that failed are avoided while there are others.
+    void start(int targets)
+    {
+        m_fleet.publish_config(1, {"secret"});
+        for (int number = 1; number <= targets; ++number) {
+            m_targets.push_back(std::make_unique<scripted_target>(
+                [this](http_exchange& exchange) { return chosen(exchange)(exchange); }));
+            m_fleet.publish_target(fmt::format("i-{}", number), m_targets.back()->address(),
+                                   "west-a");
+        }
+        m_fleet.start(west_vm, "west");
+        m_fleet.start(east_vm, "east");
+        for (const auto* ip : {west_vm, east_vm}) {
+            ASSERT_TRUE(wait_until([ip] { return front_fleet::is_ready(ip); }, seconds{10}));
+        }
+        ASSERT_TRUE(wait_until(
+            [this] { return send(east_vm, "/safe/x", serve_whole(), serve_whole()).status == 200; },
+            seconds{5}));
+    }
+
+    /// @param first What the first request with its id gets at the targets.
+    /// @param next What each repeat gets.
+    /// @return What the caller of a VM got.
+    reply send(const std::string& ip, const std::string& path, script first, script next)
+    {
+        m_last_id = fmt::format("id-{}", ++m_requests);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_first = std::move(first);
+            m_next = std::move(next);
+        }
+        return perform(front_fleet::request(ip, path, m_last_id));
+    }
+
+    /// Gets a success from the only target, so that it is not avoided for its failures, and keeps
+    /// the connection to it or closes it.
+    void succeed(const std::string& ip, bool keep)
+    {
+        const auto serve = [keep](http_exchange& exchange) {
+            return exchange.send(exchange.response("ok", keep ? "" : "Connection: close\r\n"));
+        };
+        ASSERT_EQ(send(ip, "/unsafe/x", serve, serve).body, "ok");
+    }
+
+    [[nodiscard]] static script serve_whole()
+    {
+        return [](http_exchange& exchange) {
+            return exchange.send(exchange.response(std::string{whole_body}));
+        };
+    }
+
+    /// The number of requests that the targets got for the latest caller.
+    [[nodiscard]] int sends() const
+    {
+        int sum = 0;
+        for (const auto& target : m_targets) {
+            sum += target->request_count(m_last_id);
+        }
+        return sum;
+    }
+
+    front_fleet m_fleet{binaries(), "chicorylink_truncated_head"};
+    std::vector<std::unique_ptr<scripted_target>> m_targets;
+
+private:
+    script chosen(const http_exchange& exchange)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_turns[exchange.id()]++ == 0 ? m_first : m_next;
+    }
+
+    std::mutex m_mutex;
+    script m_first;
+    script m_next;
+    std::map<std::string, int> m_turns;
+    int m_requests = 0;
+    std::string m_last_id;
+};
+
+/// A size for each part of a head in which it can break off, and some between them.
+std::vector<std::size_t> sizes_within_head(std::string_view response)
+{
+    const auto head = response.substr(0, response.find(end_of_head) + end_of_head.size());
+    std::vector<std::size_t> sizes;
+    for (std::size_t size = 0; size < head.size(); size += 9) {
+        sizes.push_back(size);
+    }
+    for (std::size_t at = head.find('\r'); at != std::string_view::npos;
+         at = head.find('\r', at + 1)) {
+        sizes.push_back(at);
+        sizes.push_back(at + 1);
+        sizes.push_back(at + 2);
+    }
+    std::erase(sizes, head.size());
+    return sizes;
+}
+
+// Guards against a head that broke off being passed on as a complete response, and against a
+// request that may have run being refused or run again.
+TEST_F(truncated_head, is_no_response_to_a_request_that_may_run_once)
+{
+    start(1);
+    for (const auto* ip : {west_vm, east_vm}) {
+        for (const auto form : {framing::length, framing::chunks, framing::connection}) {
+            for (const auto end : {ending::close, ending::half_close, ending::reset}) {
+                std::size_t turn = 0;
+                std::atomic<bool> is_last{false};
+                while (!is_last) {
+                    const bool is_kept = turn % 2 == 0;
+                    succeed(ip, is_kept);
+                    const auto result = send(
+                        ip, "/unsafe/x",
+                        [&](http_exchange& exchange) {
+                            const auto response = response_to(exchange, form, whole_body);
+                            const auto sizes = sizes_within_head(response);
+                            is_last = turn + 1 == sizes.size();
+                            return send_cut(exchange,
+                                            {sizes[turn], end, turn % 3 == 0 ? interim : ""},
+                                            response);
+                        },
+                        serve_whole());
+                    SCOPED_TRACE(fmt::format("at {}, framing {}, ending {}, turn {}", ip,
+                                             static_cast<int>(form), static_cast<int>(end), turn));
+                    ASSERT_EQ(result.status, 502);
+                    ASSERT_TRUE(result.complete);
+                    ASSERT_EQ(sends(), 1);
+                    ++turn;
+                }
+            }
+        }
+    }
+}
+
+// Guards against a head that broke off being passed on where the request may run again.
+TEST_F(truncated_head, is_no_response_to_a_request_that_may_run_again)
+{
+    start(many_targets);
+    const std::vector<cut> cuts{{0},
+                                {11},
+                                {17, ending::half_close},
+                                {60, ending::reset},
+                                {95, ending::close, interim},
+                                {100, ending::half_close}};
+    for (const auto& at : cuts) {
+        for (const auto form : {framing::length, framing::chunks}) {
+            SCOPED_TRACE(fmt::format("{} bytes, ending {}, framing {}", at.size,
+                                     static_cast<int>(at.end), static_cast<int>(form)));
+            const auto cut_whole = [&](http_exchange& exchange) {
+                return send_cut(exchange, at, response_to(exchange, form, whole_body));
+            };
+            const auto retried = send(west_vm, "/safe/x", cut_whole, serve_whole());
+            EXPECT_EQ(retried.status, 200);
+            EXPECT_EQ(retried.body, whole_body);
+            EXPECT_EQ(sends(), 2);
+            // A request of another region's VM goes to one target of this region only.
+            const auto failed = send(east_vm, "/safe/x", cut_whole, serve_whole());
+            EXPECT_EQ(failed.status, 502);
+            EXPECT_EQ(sends(), 1);
+        }
+    }
+}
+
+// Guards against a stream that looks complete although the head of its response, or of its
+// continuation, broke off.
+TEST_F(truncated_head, is_no_stream_and_no_end_of_one)
+{
+    start(many_targets);
+    const auto begin = [](http_exchange& exchange) {
+        return exchange.send(exchange.head(std::string{event_stream} + in_chunks) +
+                             http_exchange::chunk(events(1, 2))) &&
+               exchange.pause(milliseconds{20}) &&
+               exchange.send(http_exchange::chunk("id: 3\nda")) && false;
+    };
+    const auto whole = [](http_exchange& exchange) {
+        return exchange.send(response_to(exchange, framing::chunks, events(1, 4), event_stream));
+    };
+    // Few, because a service has a budget of repeats.
+    const std::vector<std::pair<framing, cut>> cases{
+        {framing::length, {0}},      {framing::chunks, {17, ending::reset}},
+        {framing::connection, {60}}, {framing::length, {95, ending::half_close, interim}},
+        {framing::chunks, {100}},    {framing::connection, {100, ending::reset}}};
+    for (const auto& [form, at] : cases) {
+        SCOPED_TRACE(fmt::format("{} bytes, ending {}, framing {}", at.size,
+                                 static_cast<int>(at.end), static_cast<int>(form)));
+        const auto cut_stream = [&at = at, form = form](http_exchange& exchange) {
+            return send_cut(exchange, at, response_to(exchange, form, events(3, 4), event_stream));
+        };
+        const auto restarted = send(west_vm, "/stream/x", cut_stream, whole);
+        EXPECT_TRUE(restarted.complete);
+        EXPECT_EQ(restarted.body, events(1, 4));
+        const auto continued = send(west_vm, "/stream/x", begin, cut_stream);
+        EXPECT_EQ(continued.status, 200);
+        EXPECT_FALSE(continued.complete);
+        EXPECT_EQ(continued.body, events(1, 2));
+        EXPECT_EQ(sends(), 2);
+        const auto failed = send(east_vm, "/stream/x", cut_stream, whole);
+        EXPECT_FALSE(promises_not_run(failed.status)) << failed.status;
+        EXPECT_EQ(failed.body.find("piece"), std::string::npos);
+        EXPECT_EQ(sends(), 1);
+    }
+}
+
+} // namespace
+} // namespace chicorylink::process_tests
