front: a body that ends with the connection is not complete without a byte

Callers saw: a target sent a head without length or chunks and closed the connection at once; the caller got its 200 with an empty body, framed as a whole one.

Cause: without a length the close is the end of the body. Streams were already checked for a first event; other responses were not.

Change: such a 200 without a byte of its body ends the attempt as one that may have run: a request that may run again is retried, the others get 502. Empty bodies with a length or in chunks, and responses with other statuses, are passed on as before. What can't be told apart is a connection that closes within a body that has neither.

--- a/process_tests/truncated_head_test.cpp
+++ b/process_tests/truncated_head_test.cpp
@@ -262,6 +262,56 @@
     }
 }
 
+// Guards against an empty success that looks complete although its connection closed behind the
+// head, where nothing but the close ends the body.
+TEST_F(truncated_head, without_a_body_that_ends_with_the_connection_is_no_response)
+{
+    start(many_targets);
+    const auto close_behind_head = [](http_exchange& exchange) {
+        return exchange.send(response_to(exchange, framing::connection, "")) && false;
+    };
+    const auto retried = send(west_vm, "/safe/x", close_behind_head, serve_whole());
+    EXPECT_EQ(retried.status, 200);
+    EXPECT_EQ(retried.body, whole_body);
+    EXPECT_EQ(sends(), 2);
+    for (const auto* ip : {west_vm, east_vm}) {
+        SCOPED_TRACE(ip);
+        EXPECT_EQ(send(ip, "/unsafe/x", close_behind_head, serve_whole()).status, 502);
+        EXPECT_EQ(sends(), 1);
+    }
+}
+
+// Guards against a check of truncated responses that rejects whole ones.
+TEST_F(truncated_head, of_a_whole_response_is_passed_on)
+{
+    start(1);
+    const auto respond = [](const std::string& head_fields, const std::string& body, int status) {
+        return [=](http_exchange& exchange) {
+            return exchange.send(exchange.head(head_fields, status) + body) && false;
+        };
+    };
+    for (const auto* ip : {west_vm, east_vm}) {
+        SCOPED_TRACE(ip);
+        const auto large = std::string(600UL * 1024, 'a');
+        for (const auto& body : {std::string{whole_body}, large}) {
+            const auto to_end = respond("", body, 200);
+            const auto result = send(ip, "/unsafe/x", to_end, to_end);
+            EXPECT_EQ(result.status, 200);
+            EXPECT_TRUE(result.complete);
+            EXPECT_EQ(result.body, body);
+        }
+        for (const auto& empty :
+             {respond("Content-Length: 0\r\n", "", 200), respond(in_chunks, last_chunk, 200),
+              respond("", "", 204), respond("", "", 404)}) {
+            const auto result = send(ip, "/unsafe/x", empty, empty);
+            EXPECT_TRUE(result.status == 200 || result.status == 204 || result.status == 404)
+                << result.status;
+            EXPECT_TRUE(result.complete);
+            EXPECT_EQ(result.body, "");
+        }
+    }
+}
+
 // Guards against a stream that looks complete although the head of its response, or of its
 // continuation, broke off.
 TEST_F(truncated_head, is_no_stream_and_no_end_of_one)
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -272,7 +272,7 @@
     }
     if (!is_complete(*m_attempt)) {
         end_attempt(attempt_end::unknown, target_outcome::broken,
-                    "the connection was closed before the first event", now);
+                    "the connection was closed before the body", now);
         return;
     }
     const bool failed = m_attempt->head.status >= first_server_error_status;
--- a/src/chicorylink/front/exchange_silence.cpp
+++ b/src/chicorylink/front/exchange_silence.cpp
@@ -84,9 +84,12 @@
 bool exchange::is_complete(const attempt& from) const
 {
     const bool ends_with_connection = !from.head.chunked && !from.head.content_length;
-    const bool is_event_stream = is_stream() && from.head.status == ok_status;
+    const bool has_content =
+        is_stream() ? from.has_event : m_response_begun || !from.buffered_body.empty();
+    // A close right behind the head is more likely that of a target that broke off than the end of
+    // an empty body.
     return !from.events.has_partial() &&
-           (from.has_event || !is_event_stream || !ends_with_connection);
+           (has_content || !ends_with_connection || from.head.status != ok_status);
 }
 
 void exchange::resume_silent_attempt(base::time_point now)
