stand_ins: a store that comes back from an older copy

published_store sends the header Store-Era, can be copied and comes back from a copy in a new era: revisions are given out again, and a watch from one that it doesn't have gets 410. The header can be left out or odd. Daemons of a test's fleet can read different stores.

--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -31,25 +31,26 @@
     for (const auto& seed : m_seeds.empty() ? std::vector{first} : m_seeds) {
         seeds.push_back(fmt::format("{}:{}", seed, control_port));
     }
-    const nlohmann::json settings{{"node", "vm-" + ip},
-                                  {"ip", ip},
-                                  {"zone", region + "-a"},
-                                  {"region", region},
-                                  {"internalPorts", {peer_port, peer_port + 15}},
-                                  {"seedAddrs", seeds},
-                                  {"zones", {{"east-a", "east"}, {"west-a", "west"}}},
-                                  {"listen",
-                                   {{"front", at(callers_port)},
-                                    {"ready", at(ready_port)},
-                                    {"control", at(control_port)},
-                                    {"directory", at(directory_port)}}},
-                                  {"bounds",
-                                   {{"revokeMs", withdrawal_bound.count()},
-                                    {"graceS", 8},
-                                    {"retryBudgetRatio", 0.2},
-                                    {"budgetSlack", 58},
-                                    {"budgetWindowS", 10}}},
-                                  {"platform", {{"address", m_store.address()}}}};
+    const nlohmann::json settings{
+        {"node", "vm-" + ip},
+        {"ip", ip},
+        {"zone", region + "-a"},
+        {"region", region},
+        {"internalPorts", {peer_port, peer_port + 15}},
+        {"seedAddrs", seeds},
+        {"zones", {{"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}}},
+        {"listen",
+         {{"front", at(callers_port)},
+          {"ready", at(ready_port)},
+          {"control", at(control_port)},
+          {"directory", at(directory_port)}}},
+        {"bounds",
+         {{"revokeMs", withdrawal_bound.count()},
+          {"graceS", 8},
+          {"retryBudgetRatio", 0.2},
+          {"budgetSlack", 58},
+          {"budgetWindowS", 10}}},
+        {"platform", {{"address", m_store_address}}}};
     std::ofstream(file) << settings.dump();
     ::setenv("CHICORYLINK_BOOT", file.c_str(), 1);
     m_vms.insert_or_assign(ip, std::make_unique<child_process>(
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -47,6 +47,9 @@
     /// @brief Sets the addresses of the VMs by which daemons started afterwards find the others.
     void set_seeds(std::vector<std::string> ips) { m_seeds = std::move(ips); }
 
+    /// @brief Sets the store that daemons started afterwards read; by default the fleet's own.
+    void set_store_address(std::string address) { m_store_address = std::move(address); }
+
     /// @brief Publishes a target that is ready in data center `zone`.
     /// @param started_ms The start of its run, which tells runs of one name apart.
     void publish_target(const std::string& name, const std::string& address,
@@ -81,6 +84,7 @@
     std::filesystem::path m_folder;
     std::vector<std::string> m_seeds;
     stand_ins::published_store m_store{"127.0.0.1:0"};
+    std::string m_store_address = m_store.address();
     std::map<std::string, std::unique_ptr<child_process>> m_vms;
 };
 
--- a/stand_ins/published_store.cpp
+++ b/stand_ins/published_store.cpp
@@ -83,12 +83,49 @@
     m_changed.notify_all();
 }
 
+published_store::copy published_store::take_copy()
+{
+    const std::lock_guard lock(m_mutex);
+    return {m_items, m_revision, m_compacted_revision};
+}
+
+void published_store::restore(const copy& older)
+{
+    const std::lock_guard lock(m_mutex);
+    m_items = older.items;
+    m_revision = older.revision;
+    m_compacted_revision = older.compacted_revision;
+    ++m_era;
+    m_changed.notify_all();
+}
+
+void published_store::set_era_header(const std::string& value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_era_header = value;
+}
+
+void published_store::reset_era_header()
+{
+    const std::lock_guard lock(m_mutex);
+    m_era_header.reset();
+}
+
+http_response published_store::with_era(http_response response) const
+{
+    const auto era = m_era_header.value_or(std::to_string(m_era));
+    if (!era.empty()) {
+        response.headers.emplace_back("Store-Era", era);
+    }
+    return response;
+}
+
 http_response published_store::respond(const http_request& request)
 {
     {
         std::unique_lock lock(m_mutex);
         if (m_read_mode == read_mode::refuse) {
-            return error_response(503, "the store refuses");
+            return with_era(error_response(503, "the store refuses"));
         }
         if (m_read_mode == read_mode::unresponsive) {
             m_changed.wait_for(lock, unresponsive_delay, [this] {
@@ -119,7 +156,7 @@
             to_json(entry->first, entry->second.value, entry->second.revision, false));
     }
     body["asOf"] = m_revision;
-    return json_response(200, body);
+    return with_era(json_response(200, body));
 }
 
 http_response published_store::wait_for_change(const http_request& request)
@@ -127,16 +164,21 @@
     const auto after = std::stoull(std::string{request.argument("after")});
     const std::chrono::milliseconds wait{std::stoul(std::string{request.argument("waitMs")})};
     std::unique_lock lock(m_mutex);
+    const auto era = m_era;
+    if (after > m_revision) {
+        return with_era(error_response(410, "no such revision"));
+    }
     m_changed.wait_for(lock, wait, [&] {
-        return m_is_stopping || m_revision > after || m_read_mode != read_mode::normal;
+        return m_is_stopping || m_revision > after || m_read_mode != read_mode::normal ||
+               m_era != era;
     });
-    if (m_read_mode != read_mode::normal) {
+    if (m_read_mode != read_mode::normal || m_era != era) {
         http_response response;
         response.drop = true;
         return response;
     }
     if (after < m_compacted_revision) {
-        return error_response(410, "history is gone");
+        return with_era(error_response(410, "history is gone"));
     }
     nlohmann::json body{{"events", nlohmann::json::array()}, {"asOf", m_revision}};
     for (const auto& [key, entry] : m_items) {
@@ -144,7 +186,7 @@
             body["events"].push_back(to_json(key, entry.value, entry.revision, entry.removed));
         }
     }
-    return json_response(200, body);
+    return with_era(json_response(200, body));
 }
 
 } // namespace chicorylink::stand_ins
