--- a/process_tests/restored_store_test.cpp
+++ b/process_tests/restored_store_test.cpp
@@ -96,6 +96,7 @@
         constexpr int requests = 12;
         const auto before = target.request_count();
         std::vector<std::thread> callers;
+        callers.reserve(requests);
         for (int number = 0; number < requests; ++number) {
             callers.emplace_back([] { EXPECT_EQ(status(first_vm, "/safe/x"), 200); });
         }
