--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -651,7 +651,8 @@
     VT_USAGE = 32,
     VT_TARGETS = 34,
     VT_DIGESTS = 36,
-    VT_DATA_CENTER = 38
+    VT_DATA_CENTER = 38,
+    VT_ITEMS_ERA = 40
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -707,6 +708,9 @@
   uint32_t data_center() const {
     return GetField<uint32_t>(VT_DATA_CENTER, 0);
   }
+  uint64_t items_era() const {
+    return GetField<uint64_t>(VT_ITEMS_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -734,6 +738,7 @@
            verifier.VerifyVector(digests()) &&
            verifier.VerifyVectorOfTables(digests()) &&
            VerifyField<uint32_t>(verifier, VT_DATA_CENTER, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ITEMS_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -796,6 +801,9 @@
   void add_data_center(uint32_t data_center) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_DATA_CENTER, data_center, 0);
   }
+  void add_items_era(uint64_t items_era) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_ITEMS_ERA, items_era, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -826,8 +834,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TeamUsage *>> usage = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests = 0,
-    uint32_t data_center = 0) {
+    uint32_t data_center = 0,
+    uint64_t items_era = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_items_era(items_era);
   builder_.add_items_revision(items_revision);
   builder_.add_confirmed_age_ms(confirmed_age_ms);
   builder_.add_version(version);
@@ -868,7 +878,8 @@
     const std::vector<chicorylink::fleet::codec::TeamUsage> *usage = nullptr,
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
     const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests = nullptr,
-    uint32_t data_center = 0) {
+    uint32_t data_center = 0,
+    uint64_t items_era = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -894,7 +905,8 @@
       usage__,
       targets__,
       digests__,
-      data_center);
+      data_center,
+      items_era);
 }
 
 inline const chicorylink::fleet::codec::Heartbeat *GetHeartbeat(const void *buf) {
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
+#include "chicorylink/fleet/store_revision.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -39,7 +40,7 @@
     base::milliseconds echo_held{0};
     base::config_version version;
     /// Revision of the newest published item that the sender knows.
-    std::uint64_t items_revision = 0;
+    store_revision items_revision;
     /// Time since the sender's configuration was last confirmed to be the newest one.
     std::optional<base::milliseconds> confirmed_age;
     /// Set if the sender knows too few other VMs; requests all digests at once.
--- a/include/chicorylink/fleet/published_item.hpp
+++ b/include/chicorylink/fleet/published_item.hpp
@@ -3,9 +3,9 @@
 
 #include "chicorylink/fleet/configuration.hpp"
 #include "chicorylink/fleet/names.hpp"
+#include "chicorylink/fleet/store_revision.hpp"
 #include "chicorylink/fleet/target_entry.hpp"
 
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <variant>
@@ -17,7 +17,7 @@
     std::string key;
     std::string value;
     /// Store revision of its last change.
-    std::uint64_t revision = 0;
+    store_revision revision;
     bool removed = false;
 };
 
--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/published_item.hpp"
+#include "chicorylink/fleet/store_revision.hpp"
 
 #include <cstdint>
 #include <map>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -19,7 +21,7 @@
 struct applied_change {
     std::string event;
     std::string name;
-    std::uint64_t revision = 0;
+    store_revision revision;
     std::string detail;
 };
 
@@ -28,31 +30,44 @@
 /// Updated by the store itself or by a peer's copy of the same items. An item's changes are ordered
 /// by its revision, so that an older state never replaces a newer one. The version of the
 /// configuration never decreases while the process runs.
+///
+/// A store that returns from an older copy begins a new era. Its items are the newest ones by
+/// revision, but may be older facts than this process knows, until what the store has lost is
+/// written again. So the first item of the new era for a key does not undo a known fact: a target
+/// that has left stays unused, and evacuations stay as they are known. These items take effect when
+/// the time to write them again has passed.
 class published_state {
 public:
     /// Loss of contact after which targets whose items expired get time to publish again.
     static constexpr base::milliseconds outage_threshold{1500};
-    /// Time after an outage within which live targets publish again.
+    /// Time after an outage or the start of an era within which live targets publish again, and
+    /// lost items are written again.
     static constexpr base::milliseconds republish_time{2200};
+    /// Time after the start of an era within which the restored item of an ended target expires.
+    static constexpr base::milliseconds expiry_time{5000};
+    /// Event of the change that begins an era.
+    static constexpr std::string_view restored_event = "store_restored";
 
     explicit published_state(item_decoder decode) : m_decode(decode) {}
 
-    /// @brief Applies the changes since the last contact.
+    /// @brief Applies the changes since the last contact. Changes from an older era than known are
+    /// ignored, except a newer configuration.
     /// @param as_of Store revision after these changes.
     /// @param confirmed_at Time at which nothing newer than `as_of` existed for these items.
     std::vector<applied_change> apply_changes(const std::vector<published_item>& items,
-                                              std::uint64_t as_of, base::time_point confirmed_at,
+                                              store_revision as_of, base::time_point confirmed_at,
                                               base::time_point now);
 
     /// @brief Applies all items of the store; known items that it no longer has are removed.
     std::vector<applied_change> apply_snapshot(const std::vector<published_item>& items,
-                                               std::uint64_t as_of, base::time_point confirmed_at,
+                                               store_revision as_of, base::time_point confirmed_at,
                                                base::time_point now);
 
     /// @brief Records that the configuration in force here was the newest one at a given time.
     void confirm(base::time_point at);
 
-    /// @brief Drops targets that did not publish again after an outage.
+    /// @brief Drops targets that did not publish again after an outage, and applies restored items
+    /// that were not written again in time.
     std::vector<applied_change> tick(base::time_point now);
 
     /// @brief The newest known configuration; null if there is none.
@@ -61,8 +76,9 @@
     /// @brief Latest time at which the configuration was confirmed to be the newest one.
     [[nodiscard]] std::optional<base::time_point> confirmed_at() const { return m_confirmed_at; }
 
-    /// @brief Store revision that this copy has reached; zero before the first snapshot.
-    [[nodiscard]] std::uint64_t as_of() const { return m_as_of; }
+    /// @brief Store revision that this copy has reached; its number is zero before the first
+    /// snapshot.
+    [[nodiscard]] store_revision as_of() const { return m_as_of; }
 
     [[nodiscard]] const std::map<target_name, target_entry>& targets() const { return m_targets; }
     [[nodiscard]] bool is_evacuated(const data_center_name& data_center) const
@@ -75,34 +91,60 @@
     [[nodiscard]] std::uint64_t generation() const { return m_generation; }
 
     /// @brief Revision of the newest known item.
-    [[nodiscard]] std::uint64_t items_revision() const { return m_items_revision; }
+    [[nodiscard]] store_revision items_revision() const { return m_items_revision; }
 
-    /// @brief Items that changed after a revision, including removed ones, for a peer.
-    [[nodiscard]] std::vector<published_item> items_after(std::uint64_t revision) const;
+    /// @brief Items for a peer: those that changed after a revision, including removed ones, and
+    /// the configuration in force if the peer's version is older.
+    [[nodiscard]] std::vector<published_item> items_after(store_revision revision,
+                                                          base::config_version version) const;
 
 private:
+    /// A restored item that contradicts what is known.
+    struct held_item {
+        published_item item;
+        base::time_point apply_at;
+    };
+
     void note_contact(base::time_point now);
+    /// Returns false if the contact is from an older era than known.
+    bool enter_era(store_revision as_of, base::time_point now,
+                   std::vector<applied_change>& changes);
     void apply_item(const published_item& item, base::time_point now,
                     std::vector<applied_change>& changes);
-    void apply_decoded(const published_item& item, const decoded_item& meaning,
+    void apply_decoded(const published_item& item, const decoded_item& decoded,
                        base::time_point now, std::vector<applied_change>& changes);
+    void apply_configuration(const published_item& item, const configuration_item& decoded,
+                             std::vector<applied_change>& changes);
+    void keep_item(const published_item& item, const decoded_item& decoded);
+    /// Until when an item that the store has restored is held, because it undoes a known fact; none
+    /// if it takes effect at once.
+    [[nodiscard]] std::optional<base::time_point> hold_until(const published_item& item,
+                                                             const decoded_item& decoded) const;
+    /// A restored target, with what is known to have happened to it since.
+    [[nodiscard]] decoded_item with_known_facts(const decoded_item& restored) const;
     /// Drops a target whose item was removed, after an outage only when its time has passed.
     void remove_target(const target_name& name, base::time_point now);
     void drop_target(const target_name& name);
 
     item_decoder m_decode;
+    /// Newest item of each key. The configuration's item holds the version in force.
     std::unordered_map<std::string, published_item> m_items;
     std::shared_ptr<const configuration> m_config;
+    std::string m_config_key;
     std::map<target_name, target_entry> m_targets;
     /// Targets that stay in use until the given time although their items expired.
     std::map<target_name, base::time_point> m_drop_at;
+    std::map<std::string, held_item> m_held;
     std::set<data_center_name> m_evacuated;
-    std::uint64_t m_as_of = 0;
-    std::uint64_t m_items_revision = 0;
+    store_revision m_as_of;
+    store_revision m_items_revision;
     std::uint64_t m_generation = 0;
     std::optional<base::time_point> m_confirmed_at;
     std::optional<base::time_point> m_last_contact;
     std::optional<base::time_point> m_regained_at;
+    /// First contact in the present era, and the store's revision then; zero in the first era.
+    base::time_point m_era_begun_at{};
+    store_revision m_era_begun_as_of;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/front/http_get_client.hpp
+++ b/include/chicorylink/front/http_get_client.hpp
@@ -2,6 +2,7 @@
 #define CHICORYLINK_FRONT_HTTP_GET_CLIENT_HPP
 
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/front/message_head.hpp"
 #include "chicorylink/front/message_parser.hpp"
 
 #include <functional>
@@ -28,6 +29,8 @@
     bool is_unreadable = false;
     /// When the request was sent.
     base::time_point sent_at{};
+    /// Header fields of a complete response.
+    header_fields fields;
 };
 
 /// @brief Sends GET requests to one address, one at a time, over a persistent connection.
--- a/include/chicorylink/front/item_copy.hpp
+++ b/include/chicorylink/front/item_copy.hpp
@@ -2,10 +2,11 @@
 #define CHICORYLINK_FRONT_ITEM_COPY_HPP
 
 #include "chicorylink/base/error.hpp"
+#include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/published_item.hpp"
+#include "chicorylink/fleet/store_revision.hpp"
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,22 +14,29 @@
 
 namespace chicorylink::front {
 
+/// @brief Which of a VM's items another VM lacks.
+struct item_copy_query {
+    /// Items that changed after this revision; all items if its number is zero.
+    fleet::store_revision after;
+    /// The configuration if its version is newer than this one.
+    base::config_version version;
+};
+
 /// @brief The request target at which a VM serves its copy of the published items to VMs that
 /// don't read the store.
-/// @param after Only items that changed after this revision are requested.
-[[nodiscard]] std::string item_copy_target(std::uint64_t after);
+[[nodiscard]] std::string item_copy_target(const item_copy_query& query);
 
 /// @brief Parses such a request target.
-/// @return The revision; none for any other target.
-[[nodiscard]] std::optional<std::uint64_t> read_item_copy_target(std::string_view target);
+/// @return None for any other target.
+[[nodiscard]] std::optional<item_copy_query> read_item_copy_target(std::string_view target);
 
 /// @brief One VM's copy of the published items.
 struct item_copy {
     std::vector<fleet::published_item> items;
-    /// Zero when these are all items, else the revision after which these items changed.
-    std::uint64_t after = 0;
+    /// The revision after which these items changed; its number is zero when these are all items.
+    fleet::store_revision after;
     /// The store's revision that this copy reflects.
-    std::uint64_t as_of = 0;
+    fleet::store_revision as_of;
     /// How long ago the configuration was confirmed as the newest one; none if it never was.
     std::optional<base::milliseconds> confirmed_age;
 };
@@ -37,8 +45,10 @@
 [[nodiscard]] std::string encode(const item_copy& copy);
 
 /// @brief Decodes a copy.
+/// @param known_era Era of the revisions of a VM that states none.
 /// @return An `invalid_message` error when the bytes are not a copy.
-[[nodiscard]] base::result<item_copy> decode_item_copy(std::string_view bytes);
+[[nodiscard]] base::result<item_copy> decode_item_copy(std::string_view bytes,
+                                                       fleet::store_era known_era);
 
 } // namespace chicorylink::front
 
--- a/include/chicorylink/front/platform_protocol.hpp
+++ b/include/chicorylink/front/platform_protocol.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/published_item.hpp"
 #include "chicorylink/front/header_names.hpp"
+#include "chicorylink/front/message_head.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -19,8 +20,11 @@
     std::vector<fleet::published_item> items;
     /// Items that are left out or lack their value because they can't be read, and why.
     std::vector<std::string> problems;
+    /// The store's era; none if the response states none that can be read. The revisions carry it,
+    /// or zero.
+    std::optional<fleet::store_era> era;
     /// The revision of the whole store as of this response.
-    std::uint64_t as_of = 0;
+    fleet::store_revision as_of;
     /// Whether another page follows after the last item's key.
     bool has_more = false;
 };
@@ -40,7 +44,8 @@
     std::string (*snapshot_target)(std::string_view after) = nullptr;
     /// The request target of a long poll for changes after a revision.
     std::string (*watch_target)(std::uint64_t after, base::milliseconds wait) = nullptr;
-    base::result<store_response> (*read_store_response)(std::string_view body) = nullptr;
+    base::result<store_response> (*read_store_response)(std::string_view body,
+                                                        const header_fields& fields) = nullptr;
     fleet::item_decoder decode_item = nullptr;
 
     /// The path of the platform's readiness check.
--- a/include/chicorylink/front/state_reader.hpp
+++ b/include/chicorylink/front/state_reader.hpp
@@ -1,10 +1,12 @@
 #ifndef CHICORYLINK_FRONT_STATE_READER_HPP
 #define CHICORYLINK_FRONT_STATE_READER_HPP
 
+#include "chicorylink/base/error.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/heartbeat.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/fleet/store_revision.hpp"
 #include "chicorylink/front/http_get_client.hpp"
 #include "chicorylink/front/platform_protocol.hpp"
 
@@ -20,6 +22,7 @@
 namespace chicorylink::front {
 
 struct front_core;
+struct item_copy_query;
 
 /// @brief Keeps this VM's copy of the store up to date.
 ///
@@ -48,6 +51,8 @@
     /// enough.
     [[nodiscard]] const std::pair<const std::string, fleet::member>*
     confirmed_peer(base::time_point now) const;
+    /// @brief Reads a response of the store; revisions of one that states no era get the known one.
+    [[nodiscard]] base::result<store_response> read_response(const read_result& result) const;
     void read_snapshot(const std::string& after);
     void on_snapshot_page(const read_result& result);
     void add_page(store_response page, base::time_point sent_at);
@@ -57,7 +62,7 @@
     void delay_next_call(base::milliseconds delay);
     void retry_later(const read_result& result);
     void on_store_response(const store_response& response);
-    void copy_from(const std::string& ip, std::uint64_t after);
+    void copy_from(const std::string& ip, const item_copy_query& query);
     void on_copy(const read_result& result);
     void report_changes(const std::vector<fleet::applied_change>& changes, std::string_view source);
 
@@ -68,9 +73,10 @@
     boost::asio::steady_timer m_delay_timer;
     std::vector<fleet::published_item> m_page_items;
     /// Revision of the first page: a watch from there finds changes that later pages missed.
-    std::uint64_t m_snapshot_as_of = 0;
+    fleet::store_revision m_snapshot_as_of;
     base::time_point m_snapshot_sent_at{};
-    std::uint64_t m_watch_from = 0;
+    /// Zero when a snapshot has to be read before the next watch.
+    fleet::store_revision m_watch_from;
     base::milliseconds m_retry_delay{0};
     std::optional<base::time_point> m_last_response_at;
     base::time_point m_copied_at{};
--- a/src/chicorylink/fleet/configuration_test.cpp
+++ b/src/chicorylink/fleet/configuration_test.cpp
@@ -115,7 +115,7 @@
     message.sequence = 5;
     message.version = base::config_version{12};
     message.confirmed_age = milliseconds{340};
-    message.items_revision = 99;
+    message.items_revision = {store_era{3}, 99};
     message.usage = {{base::team_id{3}, 1000}};
     message.targets = {{base::target_id{4}, 5, 6000, 7, 8, milliseconds{90}}};
     region_digest digest;
@@ -130,7 +130,7 @@
     EXPECT_EQ(read->from.ip, "10.1.2.3");
     EXPECT_EQ(read->state, member_state::leaving);
     EXPECT_EQ(read->confirmed_age, milliseconds{340});
-    EXPECT_EQ(read->items_revision, 99U);
+    EXPECT_EQ(read->items_revision, (store_revision{store_era{3}, 99}));
     EXPECT_EQ(read->targets.front().waiting, 8U);
     ASSERT_EQ(read->digests.size(), 1U);
     EXPECT_EQ(read->digests.front().members.front().ip, "10.2.0.9");
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -186,8 +186,8 @@
         to, vm, ip, region, message.from.run.value(), message.from.capacity.value(),
         static_cast<std::uint8_t>(message.state), message.sequence, message.sent_ms,
         message.echo_ms, to_wire_ms(message.echo_held), message.version.value(), age,
-        message.wants_digests, message.items_revision, usage, targets, digest_list,
-        message.data_center.value());
+        message.wants_digests, message.items_revision.number, usage, targets, digest_list,
+        message.data_center.value(), message.items_revision.era.value());
     codec::FinishHeartbeatBuffer(to, root);
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
@@ -217,7 +217,7 @@
         message.confirmed_age = base::milliseconds{from->confirmed_age_ms()};
     }
     message.wants_digests = from->wants_digests();
-    message.items_revision = from->items_revision();
+    message.items_revision = {store_era{from->items_era()}, from->items_revision()};
     message.usage = read_usage(from->usage());
     message.targets = read_targets(from->targets());
     if (from->digests() != nullptr) {
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -7,6 +7,22 @@
 
 namespace chicorylink::fleet {
 
+namespace {
+
+/// The entry to use when a store that returned from an older copy holds `restored` for a target
+/// known by `known`.
+target_entry newer_facts(const target_entry& known, target_entry restored)
+{
+    if (restored.started_ms != known.started_ms) {
+        return restored.started_ms < known.started_ms ? known : restored;
+    }
+    restored.leaving = restored.leaving || known.leaving;
+    restored.cold_left = std::max(restored.cold_left, known.cold_left);
+    return restored;
+}
+
+} // namespace
+
 void published_state::note_contact(base::time_point now)
 {
     if (m_last_contact && now - *m_last_contact > outage_threshold) {
@@ -15,6 +31,25 @@
     m_last_contact = now;
 }
 
+bool published_state::enter_era(store_revision as_of, base::time_point now,
+                                std::vector<applied_change>& changes)
+{
+    if (m_as_of.number == 0 || as_of.era == m_as_of.era) {
+        return true;
+    }
+    if (as_of.era < m_as_of.era) {
+        return false;
+    }
+    changes.push_back(
+        {std::string{restored_event}, std::to_string(as_of.era.value()), as_of,
+         fmt::format("after revision {} of era {}", m_as_of.number, m_as_of.era.value())});
+    m_as_of = as_of;
+    m_era_begun_at = now;
+    m_era_begun_as_of = as_of;
+    m_regained_at = now;
+    return true;
+}
+
 void published_state::confirm(base::time_point at)
 {
     if (!m_confirmed_at || at > *m_confirmed_at) {
@@ -23,26 +58,35 @@
 }
 
 std::vector<applied_change> published_state::apply_changes(const std::vector<published_item>& items,
-                                                           std::uint64_t as_of,
+                                                           store_revision as_of,
                                                            base::time_point confirmed_at,
                                                            base::time_point now)
 {
-    note_contact(now);
     std::vector<applied_change> changes;
+    const bool is_current = enter_era(as_of, now, changes);
+    if (is_current) {
+        note_contact(now);
+    }
     for (const auto& item : items) {
         apply_item(item, now, changes);
     }
-    m_as_of = std::max(m_as_of, as_of);
-    confirm(confirmed_at);
+    if (is_current) {
+        m_as_of = std::max(m_as_of, as_of);
+        confirm(confirmed_at);
+    }
     return changes;
 }
 
 std::vector<applied_change>
-published_state::apply_snapshot(const std::vector<published_item>& items, std::uint64_t as_of,
+published_state::apply_snapshot(const std::vector<published_item>& items, store_revision as_of,
                                 base::time_point confirmed_at, base::time_point now)
 {
-    note_contact(now);
+    if (as_of.era < m_as_of.era) {
+        return apply_changes(items, as_of, confirmed_at, now);
+    }
     std::vector<applied_change> changes;
+    enter_era(as_of, now, changes);
+    note_contact(now);
     std::unordered_set<std::string> present;
     for (const auto& item : items) {
         present.insert(item.key);
@@ -67,34 +111,111 @@
                                  std::vector<applied_change>& changes)
 {
     const auto known = m_items.find(item.key);
-    if (known != m_items.end() && known->second.revision >= item.revision) {
+    const bool is_older = item.revision.era < m_as_of.era ||
+                          (known != m_items.end() && item.revision <= known->second.revision);
+    // The version orders configurations, also where the store has lost a newer one.
+    const bool may_be_configuration = m_config_key.empty() || item.key == m_config_key;
+    if (is_older &&
+        (!may_be_configuration || (known != m_items.end() && item.value == known->second.value))) {
         return;
     }
     const auto decoded = m_decode(item);
+    if (const auto* config = std::get_if<configuration_item>(&decoded)) {
+        apply_configuration(item, *config, changes);
+        return;
+    }
+    if (is_older) {
+        return;
+    }
+    m_items_revision = std::max(m_items_revision, item.revision);
+    m_held.erase(item.key);
+    if (item.key == m_config_key) {
+        known->second.revision = item.revision;
+        apply_decoded(item, decoded, now, changes);
+        return;
+    }
+    const bool is_restored = known != m_items.end() &&
+                             known->second.revision.era < item.revision.era &&
+                             item.revision <= m_era_begun_as_of;
+    keep_item(item, decoded);
+    if (!is_restored) {
+        apply_decoded(item, decoded, now, changes);
+        return;
+    }
+    if (const auto until = hold_until(item, decoded)) {
+        m_held.insert_or_assign(item.key, held_item{item, *until});
+        changes.push_back({"restored_item_held", item.key, item.revision,
+                           "the lost part of the store had a newer one"});
+        return;
+    }
+    apply_decoded(item, with_known_facts(decoded), now, changes);
+}
+
+void published_state::keep_item(const published_item& item, const decoded_item& decoded)
+{
     auto& kept = m_items[item.key] = item;
     if (std::holds_alternative<target_gone_item>(decoded) ||
         std::holds_alternative<ignored_item>(decoded)) {
         // Peers need only the key and the revision, and the value may be as large as a whole copy.
         kept.value.clear();
     }
-    m_items_revision = std::max(m_items_revision, item.revision);
-    apply_decoded(item, decoded, now, changes);
 }
 
-void published_state::apply_decoded(const published_item& item, const decoded_item& decoded,
-                                    base::time_point now, std::vector<applied_change>& changes)
+std::optional<base::time_point> published_state::hold_until(const published_item& item,
+                                                            const decoded_item& decoded) const
 {
-    if (const auto* config = std::get_if<configuration_item>(&decoded)) {
-        const auto version = config->value->version();
-        if (m_config && version <= m_config->version()) {
-            changes.push_back({"configuration_ignored", std::to_string(version.value()),
-                               item.revision, "its version is not newer than the one in force"});
-            return;
-        }
-        m_config = config->value;
+    if (const auto* target = std::get_if<target_item>(&decoded)) {
+        return m_targets.contains(target->entry.name) ? std::nullopt
+                                                      : std::optional{m_era_begun_at + expiry_time};
+    }
+    if (const auto* gone = std::get_if<target_gone_item>(&decoded)) {
+        // Removed items are kept for the same time by `remove_target`.
+        return item.removed || !m_targets.contains(gone->name)
+                   ? std::nullopt
+                   : std::optional{m_era_begun_at + republish_time};
+    }
+    const auto* evacuation = std::get_if<evacuation_item>(&decoded);
+    return evacuation == nullptr || evacuation->active == is_evacuated(evacuation->data_center)
+               ? std::nullopt
+               : std::optional{m_era_begun_at + republish_time};
+}
+
+decoded_item published_state::with_known_facts(const decoded_item& restored) const
+{
+    const auto* target = std::get_if<target_item>(&restored);
+    const auto known = target == nullptr ? m_targets.end() : m_targets.find(target->entry.name);
+    return known == m_targets.end()
+               ? restored
+               : decoded_item{target_item{newer_facts(known->second, target->entry)}};
+}
+
+void published_state::apply_configuration(const published_item& item,
+                                          const configuration_item& decoded,
+                                          std::vector<applied_change>& changes)
+{
+    const auto version = decoded.value->version();
+    auto& kept = m_items[item.key];
+    const bool is_new = item.revision > kept.revision;
+    if (!m_config || version > m_config->version()) {
+        m_config = decoded.value;
+        m_config_key = item.key;
+        kept.key = item.key;
+        kept.value = item.value;
+        kept.removed = false;
         changes.push_back({"configuration", std::to_string(version.value()), item.revision, {}});
     }
-    else if (const auto* target = std::get_if<target_item>(&decoded)) {
+    else if (is_new) {
+        changes.push_back({"configuration_ignored", std::to_string(version.value()), item.revision,
+                           "its version is not newer than the one in force"});
+    }
+    kept.revision = std::max(kept.revision, item.revision);
+    m_items_revision = std::max(m_items_revision, kept.revision);
+}
+
+void published_state::apply_decoded(const published_item& item, const decoded_item& decoded,
+                                    base::time_point now, std::vector<applied_change>& changes)
+{
+    if (const auto* target = std::get_if<target_item>(&decoded)) {
         auto& entry = m_targets[target->entry.name];
         m_drop_at.erase(target->entry.name);
         if (entry == target->entry) {
@@ -166,14 +287,25 @@
             {"target_gone", pending->first.text(), m_as_of, "not published again in time"});
         pending = m_drop_at.erase(pending);
     }
+    for (auto held = m_held.begin(); held != m_held.end();) {
+        if (now < held->second.apply_at) {
+            ++held;
+            continue;
+        }
+        apply_decoded(held->second.item, m_decode(held->second.item), now, changes);
+        held = m_held.erase(held);
+    }
     return changes;
 }
 
-std::vector<published_item> published_state::items_after(std::uint64_t revision) const
+std::vector<published_item> published_state::items_after(store_revision revision,
+                                                         base::config_version version) const
 {
     std::vector<published_item> newer;
     for (const auto& [key, item] : m_items) {
-        if (item.revision > revision) {
+        const bool is_newer_configuration =
+            m_config && key == m_config_key && m_config->version() > version;
+        if (item.revision > revision || is_newer_configuration) {
             newer.push_back(item);
         }
     }
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -35,14 +35,19 @@
     return target_item{entry};
 }
 
+store_revision rev(std::uint64_t number)
+{
+    return {store_era{1}, number};
+}
+
 published_item item(std::string key, std::string value, std::uint64_t revision)
 {
-    return {std::move(key), std::move(value), revision, false};
+    return {std::move(key), std::move(value), rev(revision), false};
 }
 
 published_item removed(std::string key, std::uint64_t revision)
 {
-    return {std::move(key), {}, revision, true};
+    return {std::move(key), {}, rev(revision), true};
 }
 
 std::uint64_t version_of(const published_state& state)
@@ -53,25 +58,25 @@
 TEST(published_state, older_items_never_replace_newer_ones)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("target/a", "new", 9)}, 9, at(seconds{1}), at(seconds{1}));
-    (void)state.apply_changes({item("target/a", "old", 7)}, 9, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("target/a", "new", 9)}, rev(9), at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("target/a", "old", 7)}, rev(9), at(seconds{1}), at(seconds{1}));
     EXPECT_EQ(state.targets().at(target_name{"a"}).address, "new");
 }
 
 TEST(published_state, the_configuration_version_never_decreases)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("config", "5", 10)}, 10, at(seconds{1}), at(seconds{1}));
-    (void)state.apply_changes({item("config", "4", 11)}, 11, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("config", "5", 10)}, rev(10), at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("config", "4", 11)}, rev(11), at(seconds{1}), at(seconds{1}));
     EXPECT_EQ(version_of(state), 5U);
 }
 
 TEST(published_state, a_snapshot_removes_items_that_it_lacks)
 {
     published_state state(&decode);
-    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, rev(2),
                                at(seconds{1}), at(seconds{1}));
-    (void)state.apply_snapshot({item("target/b", "y", 2)}, 5, at(seconds{2}), at(seconds{2}));
+    (void)state.apply_snapshot({item("target/b", "y", 2)}, rev(5), at(seconds{2}), at(seconds{2}));
     EXPECT_FALSE(state.targets().contains(target_name{"a"}));
     EXPECT_TRUE(state.targets().contains(target_name{"b"}));
 }
@@ -79,17 +84,17 @@
 TEST(published_state, a_snapshot_keeps_items_that_changed_after_it_was_read)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("target/new", "x", 8)}, 8, at(seconds{1}), at(seconds{1}));
-    (void)state.apply_snapshot({}, 6, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("target/new", "x", 8)}, rev(8), at(seconds{1}), at(seconds{1}));
+    (void)state.apply_snapshot({}, rev(6), at(seconds{1}), at(seconds{1}));
     EXPECT_TRUE(state.targets().contains(target_name{"new"}));
 }
 
 TEST(published_state, an_unreadable_target_is_dropped_and_the_others_are_kept)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+    (void)state.apply_changes({item("target/a", "x", 1), item("target/b", "y", 2)}, rev(2),
                               at(seconds{1}), at(seconds{1}));
-    (void)state.apply_changes({item("target/a", "unreadable", 3)}, 3, at(seconds{1}),
+    (void)state.apply_changes({item("target/a", "unreadable", 3)}, rev(3), at(seconds{1}),
                               at(seconds{1}));
     EXPECT_FALSE(state.targets().contains(target_name{"a"}));
     EXPECT_TRUE(state.targets().contains(target_name{"b"}));
@@ -98,12 +103,12 @@
 TEST(published_state, targets_that_expired_in_an_outage_get_time_to_publish_again)
 {
     published_state state(&decode);
-    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, rev(2),
                                at(seconds{1}), at(seconds{1}));
     // Contact comes back after six seconds, and both items are gone.
-    (void)state.apply_snapshot({}, 9, at(seconds{7}), at(seconds{7}));
+    (void)state.apply_snapshot({}, rev(9), at(seconds{7}), at(seconds{7}));
     EXPECT_EQ(state.targets().size(), 2U);
-    (void)state.apply_changes({item("target/a", "x", 10)}, 10, at(seconds{8}), at(seconds{8}));
+    (void)state.apply_changes({item("target/a", "x", 10)}, rev(10), at(seconds{8}), at(seconds{8}));
     (void)state.tick(at(milliseconds{9100}));
     EXPECT_EQ(state.targets().size(), 2U);
     (void)state.tick(at(milliseconds{9300}));
@@ -116,17 +121,17 @@
 TEST(published_state, a_target_that_becomes_unreadable_after_an_outage_is_dropped_at_once)
 {
     published_state state(&decode);
-    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, 2,
+    (void)state.apply_snapshot({item("target/a", "x", 1), item("target/b", "y", 2)}, rev(2),
                                at(seconds{1}), at(seconds{1}));
-    (void)state.apply_snapshot({item("target/a", "unreadable", 9)}, 9, at(seconds{7}),
+    (void)state.apply_snapshot({item("target/a", "unreadable", 9)}, rev(9), at(seconds{7}),
                                at(seconds{7}));
     EXPECT_FALSE(state.targets().contains(target_name{"a"}));
     EXPECT_TRUE(state.targets().contains(target_name{"b"}));
     // Its pending expiry must not drop it after it became readable again.
-    (void)state.apply_changes({item("target/b", "unreadable", 10)}, 10, at(seconds{8}),
+    (void)state.apply_changes({item("target/b", "unreadable", 10)}, rev(10), at(seconds{8}),
                               at(seconds{8}));
     EXPECT_FALSE(state.targets().contains(target_name{"b"}));
-    (void)state.apply_changes({item("target/b", "y", 11)}, 11, at(milliseconds{8500}),
+    (void)state.apply_changes({item("target/b", "y", 11)}, rev(11), at(milliseconds{8500}),
                               at(milliseconds{8500}));
     (void)state.tick(at(seconds{10}));
     EXPECT_TRUE(state.targets().contains(target_name{"b"}));
@@ -137,9 +142,9 @@
 TEST(published_state, a_peer_gets_no_value_of_an_item_that_names_no_target)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("target/a", "unreadable", 3), item("target/b", "y", 4)}, 4,
+    (void)state.apply_changes({item("target/a", "unreadable", 3), item("target/b", "y", 4)}, rev(4),
                               at(seconds{1}), at(seconds{1}));
-    const auto items = state.items_after(0);
+    const auto items = state.items_after({}, {});
     ASSERT_EQ(items.size(), 2U);
     for (const auto& copied : items) {
         EXPECT_EQ(copied.value, copied.key == "target/b" ? "y" : "");
@@ -150,17 +155,17 @@
 TEST(published_state, without_an_outage_a_removed_target_is_dropped_at_once)
 {
     published_state state(&decode);
-    (void)state.apply_snapshot({item("target/a", "x", 1)}, 1, at(seconds{1}), at(seconds{1}));
-    (void)state.apply_changes({removed("target/a", 2)}, 2, at(seconds{2}), at(seconds{2}));
+    (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({removed("target/a", 2)}, rev(2), at(seconds{2}), at(seconds{2}));
     EXPECT_TRUE(state.targets().empty());
 }
 
 TEST(published_state, evacuations_start_and_end)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("evac/dc", "{}", 1)}, 1, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({item("evac/dc", "{}", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
     EXPECT_TRUE(state.is_evacuated(data_center_name{"dc"}));
-    (void)state.apply_changes({removed("evac/dc", 2)}, 2, at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({removed("evac/dc", 2)}, rev(2), at(seconds{1}), at(seconds{1}));
     EXPECT_FALSE(state.is_evacuated(data_center_name{"dc"}));
 }
 
@@ -175,14 +180,14 @@
 TEST(published_state, a_peer_gets_the_items_that_changed_after_a_revision)
 {
     published_state state(&decode);
-    (void)state.apply_changes({item("target/a", "x", 3), item("target/b", "y", 4)}, 4,
+    (void)state.apply_changes({item("target/a", "x", 3), item("target/b", "y", 4)}, rev(4),
                               at(seconds{1}), at(seconds{1}));
-    (void)state.apply_changes({removed("target/a", 6)}, 6, at(seconds{1}), at(seconds{1}));
-    const auto newer = state.items_after(4);
+    (void)state.apply_changes({removed("target/a", 6)}, rev(6), at(seconds{1}), at(seconds{1}));
+    const auto newer = state.items_after(rev(4), {});
     ASSERT_EQ(newer.size(), 1U);
     EXPECT_EQ(newer.front().key, "target/a");
     EXPECT_TRUE(newer.front().removed);
-    EXPECT_EQ(state.items_revision(), 6U);
+    EXPECT_EQ(state.items_revision(), rev(6));
 }
 
 } // namespace
--- a/src/chicorylink/fleet/target_pool_fixture.hpp
+++ b/src/chicorylink/fleet/target_pool_fixture.hpp
@@ -80,7 +80,8 @@
                  base::time_point now = at(std::chrono::seconds{1}))
     {
         ++m_revision;
-        (void)m_state.apply_changes({{key, value, m_revision, removed}}, m_revision, now, now);
+        const store_revision revision{store_era{}, m_revision};
+        (void)m_state.apply_changes({{key, value, revision, removed}}, revision, now, now);
         m_pool.sync(m_state, east, data_center_regions, now);
     }
 
--- a/src/chicorylink/front/http_get_client.cpp
+++ b/src/chicorylink/front/http_get_client.cpp
@@ -60,7 +60,7 @@
     if (!endpoint) {
         boost::asio::post(m_loop, [this, alive = m_alive] {
             if (*alive && m_on_done) {
-                complete({0, {}, "not an IP:port address", false, m_sent_at});
+                complete({0, {}, "not an IP:port address", false, m_sent_at, {}});
             }
         });
         return;
@@ -76,20 +76,21 @@
                 return;
             }
             if (!channel) {
-                complete({0, {}, problem, false, m_sent_at});
+                complete({0, {}, problem, false, m_sent_at, {}});
                 return;
             }
             m_channel = channel;
-            m_channel->start({[this](std::string_view data) { on_data(data); },
-                              [this](channel_end) {
-                                  if (m_on_done) {
-                                      complete({0, {}, "the connection ended", false, m_sent_at});
-                                  }
-                                  else {
-                                      m_channel = nullptr;
-                                  }
-                              },
-                              {}});
+            m_channel->start(
+                {[this](std::string_view data) { on_data(data); },
+                 [this](channel_end) {
+                     if (m_on_done) {
+                         complete({0, {}, "the connection ended", false, m_sent_at, {}});
+                     }
+                     else {
+                         m_channel = nullptr;
+                     }
+                 },
+                 {}});
             send(bytes);
         });
 }
@@ -100,7 +101,7 @@
     m_timer.async_wait(
         [this, alive = m_alive, number = m_request_number](boost::system::error_code stopped) {
             if (!stopped && *alive && number == m_request_number && m_on_done) {
-                complete({0, {}, "no answer in time", false, m_sent_at});
+                complete({0, {}, "no answer in time", false, m_sent_at, {}});
             }
         });
 }
@@ -118,7 +119,7 @@
     }
     m_parser->feed(bytes);
     if (m_parser->problem() != parse_problem::none) {
-        complete({0, {}, "the answer is not HTTP or is too large", true, m_sent_at});
+        complete({0, {}, "the answer is not HTTP or is too large", true, m_sent_at, {}});
         return;
     }
     if (m_parser->is_complete()) {
@@ -126,7 +127,12 @@
         if (!m_parser->head().keep_alive) {
             close();
         }
-        complete({m_parser->head().status, std::move(body), {}, false, m_sent_at});
+        complete({m_parser->head().status,
+                  std::move(body),
+                  {},
+                  false,
+                  m_sent_at,
+                  m_parser->head().fields});
         return;
     }
     if (m_parser->has_head()) {
--- a/src/chicorylink/front/item_copy.cpp
+++ b/src/chicorylink/front/item_copy.cpp
@@ -2,60 +2,92 @@
 
 #include <charconv>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace chicorylink::front {
 namespace {
 
 constexpr std::string_view item_copy_prefix = "/items?after=";
+constexpr std::string_view era_parameter = "&era=";
+/// Position of the era in an item; absent in copies of earlier releases.
+constexpr std::size_t era_column = 4;
+constexpr std::string_view version_parameter = "&version=";
+
+/// Removes a name and the number behind it from the start of a text.
+std::optional<std::uint64_t> take_number(std::string_view& text, std::string_view name)
+{
+    if (!text.starts_with(name)) {
+        return std::nullopt;
+    }
+    text.remove_prefix(name.size());
+    std::uint64_t value = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (problem != std::errc{}) {
+        return std::nullopt;
+    }
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    return value;
+}
 
 } // namespace
 
-std::string item_copy_target(std::uint64_t after)
+std::string item_copy_target(const item_copy_query& query)
 {
-    return std::string{item_copy_prefix} + std::to_string(after);
+    return fmt::format("{}{}{}{}{}{}", item_copy_prefix, query.after.number, era_parameter,
+                       query.after.era.value(), version_parameter, query.version.value());
 }
 
-std::optional<std::uint64_t> read_item_copy_target(std::string_view target)
+std::optional<item_copy_query> read_item_copy_target(std::string_view target)
 {
-    if (!target.starts_with(item_copy_prefix)) {
+    const auto after = take_number(target, item_copy_prefix);
+    if (!after) {
         return std::nullopt;
     }
-    target.remove_prefix(item_copy_prefix.size());
-    std::uint64_t after = 0;
-    const auto [end, problem] =
-        std::from_chars(target.data(), target.data() + target.size(), after);
-    return problem == std::errc{} ? std::optional{after} : std::nullopt;
+    // Daemons of earlier releases state neither.
+    const auto era = take_number(target, era_parameter).value_or(0);
+    const auto version = take_number(target, version_parameter).value_or(0);
+    return item_copy_query{{fleet::store_era{era}, *after}, base::config_version{version}};
 }
 
 std::string encode(const item_copy& copy)
 {
     nlohmann::json root;
-    root["as_of"] = copy.as_of;
-    root["after"] = copy.after;
+    root["as_of"] = copy.as_of.number;
+    root["era"] = copy.as_of.era.value();
+    root["after"] = copy.after.number;
+    root["after_era"] = copy.after.era.value();
     root["age_ms"] = copy.confirmed_age ? copy.confirmed_age->count() : -1;
     auto& items = root["items"] = nlohmann::json::array();
     for (const auto& item : copy.items) {
-        items.push_back({item.key, item.value, item.revision, item.removed});
+        items.push_back(
+            {item.key, item.value, item.revision.number, item.removed, item.revision.era.value()});
     }
     const auto bytes = nlohmann::json::to_msgpack(root);
     return {bytes.begin(), bytes.end()};
 }
 
-base::result<item_copy> decode_item_copy(std::string_view bytes)
+base::result<item_copy> decode_item_copy(std::string_view bytes, fleet::store_era known_era)
 {
     try {
         const auto root = nlohmann::json::from_msgpack(bytes.begin(), bytes.end());
         item_copy copy;
-        copy.as_of = root.at("as_of").get<std::uint64_t>();
-        copy.after = root.at("after").get<std::uint64_t>();
+        copy.as_of = {fleet::store_era{root.value("era", known_era.value())},
+                      root.at("as_of").get<std::uint64_t>()};
+        copy.after = {fleet::store_era{root.value("after_era", known_era.value())},
+                      root.at("after").get<std::uint64_t>()};
         const auto age = root.at("age_ms").get<std::int64_t>();
         if (age >= 0) {
             copy.confirmed_age = base::milliseconds{age};
         }
         for (const auto& item : root.at("items")) {
-            copy.items.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
-                                  item.at(2).get<std::uint64_t>(), item.at(3).get<bool>()});
+            const fleet::store_era era{item.size() > era_column
+                                           ? item.at(era_column).get<std::uint64_t>()
+                                           : known_era.value()};
+            copy.items.push_back({item.at(0).get<std::string>(),
+                                  item.at(1).get<std::string>(),
+                                  {era, item.at(2).get<std::uint64_t>()},
+                                  item.at(3).get<bool>()});
         }
         return copy;
     }
--- a/src/chicorylink/front/resolution_test.cpp
+++ b/src/chicorylink/front/resolution_test.cpp
@@ -161,17 +161,25 @@
 TEST(item_copy, carries_arbitrary_bytes)
 {
     item_copy copy;
-    copy.as_of = 9;
-    copy.after = 4;
+    copy.as_of = {fleet::store_era{2}, 9};
+    copy.after = {fleet::store_era{1}, 4};
     copy.confirmed_age = milliseconds{120};
-    copy.items = {{"k", std::string("\xff\x00\"", 3), 7, false}, {"gone", {}, 8, true}};
-    const auto read = decode_item_copy(encode(copy));
+    copy.items = {{"k", std::string("\xff\x00\"", 3), {fleet::store_era{2}, 7}, false},
+                  {"gone", {}, {fleet::store_era{2}, 8}, true}};
+    const auto read = decode_item_copy(encode(copy), {});
     ASSERT_TRUE(read);
     EXPECT_EQ(read->items.front().value, copy.items.front().value);
     EXPECT_TRUE(read->items.back().removed);
     EXPECT_EQ(read->confirmed_age, milliseconds{120});
-    EXPECT_FALSE(decode_item_copy("nonsense"));
-    EXPECT_EQ(read_item_copy_target(item_copy_target(17)), 17U);
+    EXPECT_FALSE(decode_item_copy("nonsense", {}));
+    EXPECT_EQ(read->as_of, copy.as_of);
+    EXPECT_EQ(read->after, copy.after);
+    EXPECT_EQ(read->items.front().revision, copy.items.front().revision);
+    const auto query = read_item_copy_target(
+        item_copy_target({{fleet::store_era{3}, 17}, base::config_version{5}}));
+    ASSERT_TRUE(query);
+    EXPECT_EQ(query->after, (fleet::store_revision{fleet::store_era{3}, 17}));
+    EXPECT_EQ(query->version, base::config_version{5});
     EXPECT_FALSE(read_item_copy_target("/metrics"));
 }
 
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -120,6 +120,25 @@
     return best;
 }
 
+base::result<store_response> state_reader::read_response(const read_result& result) const
+{
+    BOOST_LEAF_AUTO(response, m_core.protocol.read_store_response(result.body, result.fields));
+    const auto known = m_core.state.as_of().era;
+    if (!response.era) {
+        response.as_of.era = known;
+        for (auto& item : response.items) {
+            item.revision.era = known;
+        }
+    }
+    else if (*response.era < known) {
+        return base::fail(base::error_kind::invalid_message,
+                          fmt::format("store answer: era {} is older than {}",
+                                      response.era->value(), known.value()),
+                          "check which store answers at the address in the settings");
+    }
+    return response;
+}
+
 void state_reader::read_snapshot(const std::string& after)
 {
     if (after.empty()) {
@@ -138,15 +157,15 @@
     }
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(page, m_core.protocol.read_store_response(result.body));
+            BOOST_LEAF_AUTO(page, read_response(result));
             add_page(std::move(page), result.sent_at);
             return {};
         },
         [&](const base::error& problem) {
-            retry_later({0, {}, base::describe(problem), true, result.sent_at});
+            retry_later({0, {}, base::describe(problem), true, result.sent_at, {}});
         },
         [&] {
-            retry_later({0, {}, "the answer can't be read", true, result.sent_at});
+            retry_later({0, {}, "the answer can't be read", true, result.sent_at, {}});
         });
 }
 
@@ -157,6 +176,11 @@
         m_snapshot_as_of = page.as_of;
         m_snapshot_sent_at = sent_at;
     }
+    if (page.as_of.era != m_snapshot_as_of.era) {
+        // The store was restored between two pages.
+        read_snapshot({});
+        return;
+    }
     std::move(page.items.begin(), page.items.end(), std::back_inserter(m_page_items));
     if (page.has_more && !m_page_items.empty()) {
         read_snapshot(m_page_items.back().key);
@@ -172,11 +196,12 @@
 void state_reader::watch_if_due()
 {
     const auto wait = watch_time(base::boot_now());
-    if (!wait || m_watch_from == 0 || m_store.is_busy() || m_is_delayed) {
+    if (!wait || m_watch_from.number == 0 || m_store.is_busy() || m_is_delayed) {
         return;
     }
     m_core.counters.add("store_reads_total");
-    m_store.get(m_core.protocol.watch_target(m_watch_from, *wait), *wait + watch_response_margin,
+    m_store.get(m_core.protocol.watch_target(m_watch_from.number, *wait),
+                *wait + watch_response_margin,
                 [this](const read_result& result) { on_watch(result); });
 }
 
@@ -185,21 +210,27 @@
 void state_reader::on_watch(const read_result& result)
 {
     if (result.status == history_gone) {
-        write_log(m_core, log_event(m_core, "store_history_gone").add("revision", m_watch_from));
+        write_log(m_core,
+                  log_event(m_core, "store_history_gone").add("revision", m_watch_from.number));
         read_snapshot({});
         return;
     }
     if (result.status != ok) {
         if (result.is_unreadable) {
-            m_watch_from = 0;
+            m_watch_from = {};
         }
         retry_later(result);
         return;
     }
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(update, m_core.protocol.read_store_response(result.body));
+            BOOST_LEAF_AUTO(update, read_response(result));
             on_store_response(update);
+            if (update.as_of.era != m_watch_from.era) {
+                // The new era may have reached the revision of the watch again, with other changes.
+                read_snapshot({});
+                return {};
+            }
             report_changes(m_core.state.apply_changes(update.items, update.as_of, result.sent_at,
                                                       base::boot_now()),
                            "store");
@@ -213,12 +244,12 @@
             return {};
         },
         [&](const base::error& problem) {
-            m_watch_from = 0;
-            retry_later({0, {}, base::describe(problem), true, result.sent_at});
+            m_watch_from = {};
+            retry_later({0, {}, base::describe(problem), true, result.sent_at, {}});
         },
         [&] {
-            m_watch_from = 0;
-            retry_later({0, {}, "the answer can't be read", true, result.sent_at});
+            m_watch_from = {};
+            retry_later({0, {}, "the answer can't be read", true, result.sent_at, {}});
         });
 }
 
@@ -257,7 +288,7 @@
             return;
         }
         m_is_delayed = false;
-        if (m_watch_from == 0) {
+        if (m_watch_from.number == 0) {
             read_snapshot({});
         }
         else {
@@ -277,10 +308,18 @@
         m_core.state.confirm(echoed - *message.confirmed_age);
     }
     const bool reads_store =
-        (m_store.is_busy() || m_is_delayed) && !m_is_store_lost && m_watch_from != 0;
-    if (confirms && message.items_revision > m_core.state.items_revision() && !reads_store &&
-        m_core.state.as_of() != 0) {
-        copy_from(message.from.ip, m_core.state.items_revision());
+        (m_store.is_busy() || m_is_delayed) && !m_is_store_lost && m_watch_from.number != 0;
+    const auto known = m_core.state.items_revision();
+    auto newest = message.items_revision;
+    if (newest.era == fleet::store_era{}) {
+        newest.era = known.era;
+    }
+    const bool has_newer_items = confirms && !reads_store && newest > known;
+    // A store that returned from an older copy holds an older version than the one in force.
+    const bool has_lost_configuration =
+        config && message.version > config->version() && newest <= known;
+    if ((has_newer_items || has_lost_configuration) && m_core.state.as_of().number != 0) {
+        copy_from(message.from.ip, {known, config ? config->version() : base::config_version{}});
     }
 }
 
@@ -294,11 +333,11 @@
         return;
     }
     if (const auto* best = confirmed_peer(now)) {
-        copy_from(best->first, 0);
+        copy_from(best->first, {});
     }
 }
 
-void state_reader::copy_from(const std::string& ip, std::uint64_t after)
+void state_reader::copy_from(const std::string& ip, const item_copy_query& query)
 {
     if (m_peer && m_peer->is_busy()) {
         return;
@@ -310,7 +349,7 @@
         m_peer = std::make_unique<http_get_client>(m_core.loop, address);
     }
     m_core.counters.add("peer_copies_total");
-    m_peer->get(item_copy_target(after), copy_timeout,
+    m_peer->get(item_copy_target(query), copy_timeout,
                 [this](const read_result& result) { on_copy(result); });
 }
 
@@ -325,14 +364,14 @@
     }
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
-            BOOST_LEAF_AUTO(copy, decode_item_copy(result.body));
-            if (copy.as_of == 0 || !copy.confirmed_age) {
+            BOOST_LEAF_AUTO(copy, decode_item_copy(result.body, m_core.state.as_of().era));
+            if (copy.as_of.number == 0 || !copy.confirmed_age) {
                 return {};
             }
             const auto confirmed_at = result.sent_at - *copy.confirmed_age;
             const auto now = base::boot_now();
             report_changes(
-                copy.after == 0
+                copy.after.number == 0
                     ? m_core.state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now)
                     : m_core.state.apply_changes(copy.items, copy.as_of, confirmed_at, now),
                 m_peer->address());
@@ -350,9 +389,13 @@
                                   std::string_view source)
 {
     for (const auto& change : changes) {
+        if (change.event == fleet::published_state::restored_event) {
+            m_core.counters.add("store_restores_total");
+        }
         write_log(m_core, log_event(m_core, change.event)
                               .add("name", logged(change.name))
-                              .add("revision", change.revision)
+                              .add("revision", change.revision.number)
+                              .add("era", change.revision.era.value())
                               .add("detail", logged(change.detail))
                               .add("source", source));
     }
