fleet: a new era of the store confirms no configuration before it is written again

A withdrawn key worked for longer than it may: where the store's copy lacked the withdrawal and this VM had not read it before the store was away, the first contact afterwards confirmed the older configuration as the newest one.

The first response of an era proves only what the copy holds. Configurations are confirmed from 2.2 s after the first contact, the time in which lost items are written again, or at once when the configuration in force was written again: its number differs from the one of the same version in the era before, or lies above the first contact's. Until then the time runs that keys work without a confirmation.

--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -35,7 +35,7 @@
 /// revision, but may be older facts than this process knows, until what the store has lost is
 /// written again. So the first item of the new era for a key does not undo a known fact: a target
 /// that has left stays unused, and evacuations stay as they are known. These items take effect when
-/// the time to write them again has passed.
+/// the time to write them again has passed. Until then the store confirms no configuration.
 class published_state {
 public:
     /// Loss of contact after which targets whose items expired get time to publish again.
@@ -64,7 +64,8 @@
                                                base::time_point now);
 
     /// @brief Records that the configuration in force here was the newest one at a given time.
-    void confirm(base::time_point at);
+    /// Ignored at the start of an era, when a newer one may be lost and not yet written again.
+    void confirm(base::time_point at, base::time_point now);
 
     /// @brief Drops targets that did not publish again after an outage, and applies restored items
     /// that were not written again in time.
@@ -145,6 +146,8 @@
     /// First contact in the present era, and the store's revision then; zero in the first era.
     base::time_point m_era_begun_at{};
     store_revision m_era_begun_as_of;
+    /// Until then the present era confirms no configuration.
+    base::time_point m_unconfirmed_until{};
 };
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -47,12 +47,13 @@
     m_era_begun_at = now;
     m_era_begun_as_of = as_of;
     m_regained_at = now;
+    m_unconfirmed_until = now + republish_time;
     return true;
 }
 
-void published_state::confirm(base::time_point at)
+void published_state::confirm(base::time_point at, base::time_point now)
 {
-    if (!m_confirmed_at || at > *m_confirmed_at) {
+    if (now >= m_unconfirmed_until && (!m_confirmed_at || at > *m_confirmed_at)) {
         m_confirmed_at = at;
     }
 }
@@ -72,7 +73,7 @@
     }
     if (is_current) {
         m_as_of = std::max(m_as_of, as_of);
-        confirm(confirmed_at);
+        confirm(confirmed_at, now);
     }
     return changes;
 }
@@ -103,7 +104,7 @@
         apply_item(item, now, changes);
     }
     m_as_of = std::max(m_as_of, as_of);
-    confirm(confirmed_at);
+    confirm(confirmed_at, now);
     return changes;
 }
 
@@ -196,6 +197,9 @@
     const auto version = decoded.value->version();
     auto& kept = m_items[item.key];
     const bool is_new = item.revision > kept.revision;
+    // A restored item keeps its number, so another one shows that the version was written again.
+    const bool has_other_number = m_config && version == m_config->version() && is_new &&
+                                  item.revision.number != kept.revision.number;
     if (!m_config || version > m_config->version()) {
         m_config = decoded.value;
         m_config_key = item.key;
@@ -210,6 +214,10 @@
     }
     kept.revision = std::max(kept.revision, item.revision);
     m_items_revision = std::max(m_items_revision, kept.revision);
+    const bool is_in_force = version == m_config->version();
+    if (has_other_number || (is_in_force && item.revision > m_era_begun_as_of)) {
+        m_unconfirmed_until = {};
+    }
 }
 
 void published_state::apply_decoded(const published_item& item, const decoded_item& decoded,
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -172,8 +172,8 @@
 TEST(published_state, the_confirmation_time_never_decreases)
 {
     published_state state(&decode);
-    state.confirm(at(seconds{5}));
-    state.confirm(at(seconds{4}));
+    state.confirm(at(seconds{5}), at(seconds{6}));
+    state.confirm(at(seconds{4}), at(seconds{6}));
     EXPECT_EQ(state.confirmed_at(), at(seconds{5}));
 }
 
--- a/src/chicorylink/fleet/store_era_test.cpp
+++ b/src/chicorylink/fleet/store_era_test.cpp
@@ -272,6 +272,38 @@
     EXPECT_EQ(target(), nullptr);
 }
 
+// Guards against a withdrawn key that works for too long: the lost part may have withdrawn it
+// without this process having seen it.
+TEST_F(store_era_changes, a_new_era_confirms_nothing_before_lost_items_are_written_again)
+{
+    know({item("config", "5", rev(1, 11))});
+    restore({item("config", "5", rev(2, 11))});
+    EXPECT_EQ(m_state.confirmed_at(), base::time_point{before});
+    (void)m_state.apply_changes({}, rev(2, 12), restored_at + milliseconds{2100},
+                                restored_at + milliseconds{2150});
+    EXPECT_EQ(m_state.confirmed_at(), base::time_point{before});
+    m_state.confirm(restored_at + milliseconds{2100}, restored_at + milliseconds{2150});
+    EXPECT_EQ(m_state.confirmed_at(), base::time_point{before});
+    const auto settled = restored_at + published_state::republish_time;
+    (void)m_state.apply_changes({}, rev(2, 12), settled, settled);
+    EXPECT_EQ(m_state.confirmed_at(), settled);
+}
+
+TEST_F(store_era_changes, a_configuration_written_again_confirms_at_once)
+{
+    know({item("config", "5", rev(1, 20))});
+    restore({item("config", "4", rev(2, 12))});
+    change(item("config", "5", rev(2, 13)), restored + milliseconds{300});
+    EXPECT_EQ(m_state.confirmed_at(), restored_at + milliseconds{300});
+}
+
+TEST_F(store_era_changes, a_configuration_written_again_before_the_first_contact_confirms_at_once)
+{
+    know({item("config", "5", rev(1, 20))});
+    restore({item("config", "5", rev(2, 12))});
+    EXPECT_EQ(m_state.confirmed_at(), restored_at);
+}
+
 TEST_F(store_era_changes, several_restorations_in_a_row)
 {
     know({item("config", "5", rev(1, 20))});
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -305,7 +305,7 @@
         // The sender had received our heartbeat that it echoes when it stated this age, so its
         // confirmation is at least as recent as that heartbeat's send time minus the age.
         const base::time_point echoed{base::milliseconds{message.echo_ms}};
-        m_core.state.confirm(echoed - *message.confirmed_age);
+        m_core.state.confirm(echoed - *message.confirmed_age, base::boot_now());
     }
     const bool reads_store =
         (m_store.is_busy() || m_is_delayed) && !m_is_store_lost && m_watch_from.number != 0;
