--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -178,7 +178,8 @@
     }
     if (page.as_of.era != m_snapshot_as_of.era) {
         // The store was restored between two pages.
-        read_snapshot({});
+        m_watch_from = {};
+        delay_next_call(min_retry_delay);
         return;
     }
     std::move(page.items.begin(), page.items.end(), std::back_inserter(m_page_items));
