front: ask for all items of a VM that has read a newer era of the store

Targets and evacuations that the store had lost stayed in use for good at a VM that learned of the new era from a peer: it asked for the items that changed after the known revision, and a peer that has started since never knew what was lost, so its copy lists no removal of it.

A VM now asks for all items across eras, and takes items that are missing for removed ones. A partial copy that crosses an era on its way is asked for again.

--- a/include/chicorylink/front/item_copy.hpp
+++ b/include/chicorylink/front/item_copy.hpp
@@ -22,6 +22,16 @@
     base::config_version version;
 };
 
+/// @brief What to ask a VM for.
+/// @param newest Revision of the newest item that the other VM knows.
+/// @param known The same of this VM.
+/// @param version The version of the configuration that this VM knows.
+/// @return All items if the other VM has read a newer era of the store: it may never have known
+/// what the era before has lost, and then lists no removal of it.
+[[nodiscard]] item_copy_query items_to_copy(fleet::store_revision newest,
+                                            fleet::store_revision known,
+                                            base::config_version version);
+
 /// @brief The request target at which a VM serves its copy of the published items to VMs that
 /// don't read the store.
 [[nodiscard]] std::string item_copy_target(const item_copy_query& query);
--- a/src/chicorylink/front/item_copy.cpp
+++ b/src/chicorylink/front/item_copy.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+item_copy_query items_to_copy(fleet::store_revision newest, fleet::store_revision known,
+                              base::config_version version)
+{
+    return newest.era > known.era ? item_copy_query{} : item_copy_query{known, version};
+}
+
 std::string item_copy_target(const item_copy_query& query)
 {
     return fmt::format("{}{}{}{}{}{}", item_copy_prefix, query.after.number, era_parameter,
--- a/src/chicorylink/front/resolution_test.cpp
+++ b/src/chicorylink/front/resolution_test.cpp
@@ -183,5 +183,17 @@
     EXPECT_FALSE(read_item_copy_target("/metrics"));
 }
 
+// Guards against lost targets that stay in use for good, because the copy of a VM that never knew
+// them lists no removal.
+TEST(item_copy, across_eras_all_items_are_asked_for)
+{
+    const fleet::store_revision known{fleet::store_era{1}, 20};
+    const base::config_version version{5};
+    const auto within = items_to_copy({fleet::store_era{1}, 21}, known, version);
+    EXPECT_EQ(within.after, known);
+    EXPECT_EQ(within.version, version);
+    EXPECT_EQ(items_to_copy({fleet::store_era{2}, 12}, known, version).after.number, 0U);
+}
+
 } // namespace
 } // namespace chicorylink::front
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -317,10 +317,12 @@
     }
     const bool has_newer_items = confirms && !reads_store && newest > known;
     // A store that returned from an older copy holds an older version than the one in force.
-    const bool has_lost_configuration =
-        config && message.version > config->version() && newest <= known;
-    if ((has_newer_items || has_lost_configuration) && m_core.state.as_of().number != 0) {
-        copy_from(message.from.ip, {known, config ? config->version() : base::config_version{}});
+    const auto version = config ? config->version() : base::config_version{};
+    const bool has_lost_configuration = message.version > version && newest <= known;
+    const bool may_copy = has_newer_items || (has_lost_configuration &&
+                                              base::boot_now() - m_copied_at >= copy_interval);
+    if (may_copy && m_core.state.as_of().number != 0) {
+        copy_from(message.from.ip, items_to_copy(newest, known, version));
     }
 }
 
@@ -369,6 +371,11 @@
             if (copy.as_of.number == 0 || !copy.confirmed_age) {
                 return {};
             }
+            if (copy.after.number != 0 && copy.as_of.era > m_core.state.as_of().era) {
+                const auto& address = m_peer->address();
+                copy_from(address.substr(0, address.rfind(':')), {});
+                return {};
+            }
             const auto confirmed_at = result.sent_at - *copy.confirmed_age;
             const auto now = base::boot_now();
             report_changes(
