--- a/fuzz/fuzz_front_input.cpp
+++ b/fuzz/fuzz_front_input.cpp
@@ -77,7 +77,7 @@
     }
     base::leaf::try_handle_all(
         [&]() -> base::result<void> {
-            BOOST_LEAF_CHECK(front::decode_item_copy(text));
+            BOOST_LEAF_CHECK(front::decode_item_copy(text, {}));
             return {};
         },
         [] {});
