front: take a waiting stream's retry from the budget before the search

Several streams that waited for the retry budget were reset although their callers still waited: each saw room for the same retry when it looked for a target, and the placement's answer comes later. The first one took the retry when it was sent, the others found none and were given up.

The retry is now taken before the search, and a stream that gets none goes on waiting.

planned_stop.streams_that_wait_for_the_retry_budget_go_on_waiting_when_another_takes_it failed before: a stream ended after its first event.

--- a/process_tests/planned_stop_test.cpp
+++ b/process_tests/planned_stop_test.cpp
@@ -6,10 +6,14 @@
 #include "scripted_target.hpp"
 #include "suite.hpp"
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -177,5 +181,83 @@
     EXPECT_EQ(last.body, "done");
 }
 
+// Guards against streams that are reset although their callers still wait: several of them wait for
+// the retry budget, room for one of them appears, and each takes it to be its own.
+TEST_F(planned_stop, streams_that_wait_for_the_retry_budget_go_on_waiting_when_another_takes_it)
+{
+    constexpr int stream_count = 5;
+    std::atomic<bool> is_broken = false;
+    const auto script = [&](http_exchange& exchange) {
+        if (!exchange.path().starts_with("/stream/")) {
+            return exchange.send(exchange.response("done"));
+        }
+        exchange.send(exchange.head("Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n"));
+        if (!exchange.header("Last-Event-Id").empty()) {
+            return exchange.send(http_exchange::chunk(event(2)) + "0\r\n\r\n");
+        }
+        exchange.send(http_exchange::chunk(event(1)));
+        return wait_until([&] { return is_broken.load(); }, seconds{3}) && false;
+    };
+    std::vector<std::unique_ptr<scripted_target>> targets;
+    m_fleet.set_retry_slack(0);
+    m_fleet.publish_config(1, {"secret"});
+    for (int number = 0; number < 4 * stream_count; ++number) {
+        targets.push_back(std::make_unique<scripted_target>(script));
+        m_fleet.publish_target(fmt::format("i-{}", number), targets.back()->address(), "east-a");
+    }
+    // One of them places the requests of both.
+    const std::array<const char*, 2> vms{east_vm, west_vm};
+    for (const auto* ip : vms) {
+        m_fleet.start(ip, "east");
+    }
+    for (const auto* ip : vms) {
+        ASSERT_TRUE(wait_until([ip] { return front_fleet::is_ready(ip); }, seconds{10}));
+    }
+    ASSERT_TRUE(
+        wait_until([] { return front_fleet::directory(east_vm, "east").size() == 2; }, seconds{5}));
+    std::vector<reply> results(stream_count * vms.size());
+    std::vector<std::thread> callers;
+    for (std::size_t number = 0; number < results.size(); ++number) {
+        callers.emplace_back([&, number] {
+            results[number] = perform(front_fleet::request(vms.at(number % vms.size()), "/stream/x",
+                                                           fmt::format("stream-{}", number)));
+        });
+    }
+    const auto received = [&] {
+        int sum = 0;
+        for (const auto& target : targets) {
+            sum += target->request_count();
+        }
+        return sum;
+    };
+    EXPECT_TRUE(wait_until([&] { return received() == 2 * stream_count; }, seconds{2}));
+    std::this_thread::sleep_for(milliseconds{100});
+    is_broken = true;
+    std::array<connection, 2> kept;
+    const auto send_others = [&](int first, int last) {
+        for (int number = first; number < last; ++number) {
+            for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+                const auto id = fmt::format("other-{}-{}", vm, number);
+                EXPECT_EQ(
+                    kept.at(vm).perform(front_fleet::request(vms.at(vm), "/safe/x", id)).status,
+                    200);
+            }
+        }
+    };
+    // Each VM allows one retry per 6.25 requests.
+    std::this_thread::sleep_for(milliseconds{400});
+    send_others(0, 3);
+    std::this_thread::sleep_for(milliseconds{600});
+    send_others(3, 40);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    for (const auto& result : results) {
+        EXPECT_TRUE(result.complete);
+        EXPECT_EQ(result.body, event(1) + event(2));
+    }
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -48,7 +48,7 @@
          {{"revokeMs", withdrawal_bound.count()},
           {"graceS", 8},
           {"retryBudgetRatio", 0.2},
-          {"budgetSlack", 58},
+          {"budgetSlack", m_retry_slack},
           {"budgetWindowS", 10}}},
         {"platform", {{"address", m_store_address}}}};
     std::ofstream(file) << settings.dump();
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -50,6 +50,9 @@
     /// @brief Sets the store that daemons started afterwards read; by default the fleet's own.
     void set_store_address(std::string address) { m_store_address = std::move(address); }
 
+    /// @brief Sets the retries beyond their ratio to requests, for daemons started afterwards.
+    void set_retry_slack(double slack) { m_retry_slack = slack; }
+
     /// @brief Publishes a target that is ready in data center `zone`.
     /// @param started_ms The start of its run, which tells runs of one name apart.
     void publish_target(const std::string& name, const std::string& address,
@@ -86,6 +89,7 @@
     std::vector<std::string> m_seeds;
     stand_ins::published_store m_store{"127.0.0.1:0"};
     std::string m_store_address = m_store.address();
+    double m_retry_slack = 58;
     std::map<std::string, std::unique_ptr<child_process>> m_vms;
 };
 
--- a/src/chicorylink/front/exchange_search.cpp
+++ b/src/chicorylink/front/exchange_search.cpp
@@ -37,13 +37,17 @@
 void exchange::search_again(base::time_point now)
 {
     m_search_at.reset();
-    if (!m_is_retry_due ||
-        m_core.retries.has_room(m_resolved.service->name, m_core.members.size(now).known, now)) {
-        dispatch(now);
-    }
-    else if (!await_target("no retry budget", now)) {
-        execute(fleet::give_up(m_history, m_last_end), "no retry budget", now);
+    // Taken before the search: until a target is found, other streams may use up the budget.
+    if (m_is_retry_due &&
+        !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
+        m_core.counters.add("retries_denied_total");
+        if (!await_target("no retry budget", now)) {
+            execute(fleet::give_up(m_history, m_last_end), "no retry budget", now);
+        }
+        return;
     }
+    m_is_retry_due = false;
+    dispatch(now);
 }
 
 } // namespace chicorylink::front
