front: a stream that has begun waits while its key is unconfirmed

Callers saw a stream reset when its target broke off in a moment in which neither the store nor another VM confirmed the configuration: keys count as stale then, and the stream was refused its next attempt at once, with seconds left. The same held while it waited for a target, on the way to another region it was sent without that check.

It now waits as it does for a target, and each search checks the key first.

planned_stop.a_stream_waits_while_its_key_is_unconfirmed failed before: the stream ended with the broken attempt.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -199,6 +199,8 @@
     /// waits for it.
     /// @return False if the stream can only be given up.
     bool await_target(std::string_view reason, base::time_point now);
+    /// @brief Refuses the request, unless its stream can wait for the cause to pass.
+    void wait_or_refuse(const refusal& cause, base::time_point now);
     void search_again(base::time_point now);
 
     // Parts of prompts that crash targets.
--- a/process_tests/planned_stop_test.cpp
+++ b/process_tests/planned_stop_test.cpp
@@ -259,5 +259,40 @@
     }
 }
 
+// Guards against a stream that is reset because its target breaks off in a moment in which neither
+// the store nor a peer confirms the caller's key.
+TEST_F(planned_stop, a_stream_waits_while_its_key_is_unconfirmed)
+{
+    std::atomic<bool> is_broken = false;
+    start([&](http_exchange& exchange) {
+        exchange.send(exchange.head("Content-Type: text/event-stream\r\n"
+                                    "Transfer-Encoding: chunked\r\n"));
+        if (!exchange.header("Last-Event-Id").empty()) {
+            return exchange.send(http_exchange::chunk(event(event_count)) + "0\r\n\r\n");
+        }
+        for (int number = 1; !is_broken; ++number) {
+            if (!exchange.send(http_exchange::chunk(event(number))) ||
+                !exchange.pause(milliseconds{200})) {
+                return false;
+            }
+        }
+        return false;
+    });
+    auto outgoing = front_fleet::request(west_vm, "/west-stream/x", "id-1");
+    outgoing.headers[2] = "X-Chicorylink-Deadline-Ms: 15000";
+    reply result;
+    std::thread caller([&] { result = perform(outgoing); });
+    EXPECT_TRUE(wait_until([&] { return m_west->request_count("id-1") == 1; }, seconds{2}));
+    m_fleet.store().set_read_mode(stand_ins::published_store::read_mode::refuse);
+    std::this_thread::sleep_for(front_fleet::withdrawal_bound);
+    EXPECT_EQ(perform(front_fleet::request(west_vm, "/safe/x", "id-2")).status, 503);
+    is_broken = true;
+    std::this_thread::sleep_for(milliseconds{500});
+    m_fleet.store().set_read_mode(stand_ins::published_store::read_mode::normal);
+    caller.join();
+    EXPECT_TRUE(result.complete);
+    EXPECT_TRUE(result.body.ends_with(event(event_count)));
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -175,7 +175,7 @@
     switch (step) {
     case next_step::send_again:
         if (const auto refused = resolve_request(now)) {
-            refuse(*refused, now);
+            wait_or_refuse(*refused, now);
             return;
         }
         m_core.counters.add("retries_total");
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -164,7 +164,7 @@
     // The process may have been suspended while it waited.
     if (const auto refused = resolve_request(now)) {
         release_place();
-        refuse(*refused, now);
+        wait_or_refuse(*refused, now);
         return;
     }
     if (refuse_quarantined(now)) {
--- a/src/chicorylink/front/exchange_search.cpp
+++ b/src/chicorylink/front/exchange_search.cpp
@@ -34,9 +34,20 @@
     return true;
 }
 
+void exchange::wait_or_refuse(const refusal& cause, base::time_point now)
+{
+    if (!await_target(cause.reason, now)) {
+        refuse(cause, now);
+    }
+}
+
 void exchange::search_again(base::time_point now)
 {
     m_search_at.reset();
+    if (const auto refused = resolve_request(now)) {
+        wait_or_refuse(*refused, now);
+        return;
+    }
     // Taken before the search: until a target is found, other streams may use up the budget.
     if (m_is_retry_due &&
         !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
