front: an unexpected error at the end of a stop doesn't keep the process from exiting

The last requests are ended, and those that have arrived are read, in the tick that schedules the next one. An exception there left the process without ticks, so that it never exited by itself. Found by reading; no test provokes one.

--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -248,11 +248,13 @@
     m_core.log.flush();
     const auto end_at = end_of_requests(m_core);
     if (end_at && now >= *end_at && !m_core.has_ended_requests) {
-        end_requests(now);
+        run_guarded(m_core, "end_requests", [&] { end_requests(now); });
     }
     if (can_exit(now)) {
-        m_callers->read_arrived();
-        m_peers->read_arrived();
+        run_guarded(m_core, "exit", [&] {
+            m_callers->read_arrived();
+            m_peers->read_arrived();
+        });
         // Requests that were read behind others are handled by tasks posted before this one.
         boost::asio::post(m_loop, [this, now] {
             m_callers->close_all(now);
