--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -131,6 +131,7 @@
     m_items_revision = std::max(m_items_revision, item.revision);
     m_held.erase(item.key);
     if (item.key == m_config_key) {
+        // The configuration in force stays when its item was removed or can't be read.
         known->second.revision = item.revision;
         apply_decoded(item, decoded, now, changes);
         return;
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -38,16 +38,10 @@
 /// them all. The delay is a small part of the time within which a change must take effect.
 constexpr base::milliseconds delay_after_changes{150};
 
-/// A configuration that has been unconfirmed for this long is confirmed through a copy from a peer
-/// or a watch of the store; further copies follow at `copy_interval`. A third of the key withdrawal
-/// bound is left for the calls of a few VMs and for spreading their results to the others.
-constexpr base::milliseconds unconfirmed_before_copy{2400};
+/// A configuration that has been unconfirmed for this long is confirmed through a watch of the
+/// store, after copies from peers were tried. A third of the key withdrawal bound is left for the
+/// calls of a few VMs and for spreading their results to the others.
 constexpr base::milliseconds unconfirmed_before_watch{2600};
-constexpr base::milliseconds copy_interval{700};
-constexpr base::milliseconds copy_timeout{600};
-
-/// A peer whose own confirmation is older than this is of no use.
-constexpr base::milliseconds max_confirmation_age{3000};
 
 /// Most bytes of a text of the store in a log line; longer than a key.
 constexpr std::size_t max_logged_bytes = 240;
@@ -103,23 +97,6 @@
     return fleet::should_query_store(vm, now) ? std::optional{first_watch_time} : std::nullopt;
 }
 
-const std::pair<const std::string, fleet::member>*
-state_reader::confirmed_peer(base::time_point now) const
-{
-    const std::pair<const std::string, fleet::member>* best = nullptr;
-    for (const auto& entry : m_core.members.members()) {
-        const auto& peer = entry.second;
-        if (!fleet::roster::is_live(peer, now) || !peer.confirmed_age ||
-            *peer.confirmed_age > max_confirmation_age) {
-            continue;
-        }
-        if (best == nullptr || *peer.confirmed_age < *best->second.confirmed_age) {
-            best = &entry;
-        }
-    }
-    return best;
-}
-
 base::result<store_response> state_reader::read_response(const read_result& result) const
 {
     BOOST_LEAF_AUTO(response, m_core.protocol.read_store_response(result.body, result.fields));
@@ -298,64 +275,6 @@
     });
 }
 
-void state_reader::on_heartbeat(const fleet::heartbeat& message)
-{
-    const auto& config = m_core.state.config();
-    const bool confirms = message.confirmed_age && *message.confirmed_age <= max_confirmation_age;
-    if (confirms && config && message.version == config->version() && message.echo_ms > 0) {
-        // The sender had received our heartbeat that it echoes when it stated this age, so its
-        // confirmation is at least as recent as that heartbeat's send time minus the age.
-        const base::time_point echoed{base::milliseconds{message.echo_ms}};
-        m_core.state.confirm(echoed - *message.confirmed_age, base::boot_now());
-    }
-    const bool reads_store =
-        (m_store.is_busy() || m_is_delayed) && !m_is_store_lost && m_watch_from.number != 0;
-    const auto known = m_core.state.items_revision();
-    auto newest = message.items_revision;
-    if (newest.era == fleet::store_era{}) {
-        newest.era = known.era;
-    }
-    const bool has_newer_items = confirms && !reads_store && newest > known;
-    // A store that returned from an older copy holds an older version than the one in force.
-    const auto version = config ? config->version() : base::config_version{};
-    const bool has_lost_configuration = message.version > version && newest <= known;
-    const bool may_copy = has_newer_items || (has_lost_configuration &&
-                                              base::boot_now() - m_copied_at >= copy_interval);
-    if (may_copy && m_core.state.as_of().number != 0) {
-        copy_from(message.from.ip, items_to_copy(newest, known, version));
-    }
-}
-
-void state_reader::tick(base::time_point now)
-{
-    watch_if_due();
-    const auto confirmed = m_core.state.confirmed_at();
-    const bool unconfirmed = !confirmed || now - *confirmed > unconfirmed_before_copy;
-    const bool tried_store = m_is_store_lost || m_last_response_at;
-    if (!unconfirmed || !tried_store || now - m_copied_at < copy_interval) {
-        return;
-    }
-    if (const auto* best = confirmed_peer(now)) {
-        copy_from(best->first, {});
-    }
-}
-
-void state_reader::copy_from(const std::string& ip, const item_copy_query& query)
-{
-    if (m_peer && m_peer->is_busy()) {
-        return;
-    }
-    m_copied_at = base::boot_now();
-    const auto& control = m_core.settings.control_address;
-    const auto address = ip + control.substr(control.rfind(':'));
-    if (!m_peer || m_peer->address() != address) {
-        m_peer = std::make_unique<http_get_client>(m_core.loop, address);
-    }
-    m_core.counters.add("peer_copies_total");
-    m_peer->get(item_copy_target(query), copy_timeout,
-                [this](const read_result& result) { on_copy(result); });
-}
-
 void state_reader::on_copy(const read_result& result)
 {
     if (result.status != ok) {
