--- a/process_tests/truncated_head_test.cpp
+++ b/process_tests/truncated_head_test.cpp
@@ -28,8 +28,8 @@
 using http_exchange = scripted_target::http_exchange;
 using script = scripted_target::script;
 
-constexpr const char* west_vm = "127.0.13.1";
-constexpr const char* east_vm = "127.0.13.2";
+constexpr const char* west_vm = "127.0.15.1";
+constexpr const char* east_vm = "127.0.15.2";
 
 constexpr std::string_view end_of_head = "\r\n\r\n";
 constexpr std::string_view whole_body = "the whole body of the target's response";
