front: close the listener before the line that tells it

A connection that completes between the last accept and the close of the listener is reset; formatting the log line lay between them since.

--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -76,11 +76,13 @@
             add_connection(std::move(socket));
         }
     }
+    // At once: a connection that completes before the close is reset.
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
     write_log(m_core, log_event(m_core, "listener_closed")
                           .add("from", m_side == connection_side::peer ? "peer" : "caller")
                           .add("accepted_at_last", accepted)
                           .add("reason", problem.message()));
-    m_acceptor.close(problem);
 }
 
 void request_listener::on_closed(const caller_connection* key)
