front: log which counts decide on a retry

Nothing told how a VM had decided on a retry: neither how much of its share was spent, nor among how many VMs it shared the slack, nor for how long it had been up. So logs couldn't tell VMs that forget their count at a restart from VMs that know too few others, or from retries that nobody counts.

`retry_granted` and `retry_denied` tell all of it, one line a decision. The budget knows when its process started; nothing is decided differently.

--- a/include/chicorylink/fleet/retry_budget.hpp
+++ b/include/chicorylink/fleet/retry_budget.hpp
@@ -4,7 +4,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
 
-#include <cstdint>
+#include <cstddef>
 #include <deque>
 #include <unordered_map>
 
@@ -19,6 +19,15 @@
     base::milliseconds window{10'000};
 };
 
+/// @brief What one decision on a retry was made from, for the log.
+struct retry_usage {
+    /// This process's requests and retries of the window.
+    std::size_t requests = 0;
+    std::size_t retries = 0;
+    /// Retries that this process may make in the window.
+    double allowed = 0;
+};
+
 /// @brief This process's share of the fleet's retries, by service.
 ///
 /// A process may retry in proportion to its own requests and to its share of the slack, so that all
@@ -30,7 +39,11 @@
     static constexpr double used_ratio = 0.8;
     static constexpr double used_slack = 0.5;
 
-    explicit retry_budget(retry_bound bound) : m_bound(bound) {}
+    /// @param started_at When this process started.
+    retry_budget(retry_bound bound, base::time_point started_at)
+        : m_bound(bound), m_started_at(started_at)
+    {
+    }
 
     void set_bound(retry_bound bound) { m_bound = bound; }
 
@@ -40,6 +53,13 @@
     /// @brief Whether a retry is allowed now.
     [[nodiscard]] bool has_room(const service_name& service, std::size_t vms, base::time_point now);
 
+    /// @brief The requests, retries and limit that decide now.
+    [[nodiscard]] retry_usage usage(const service_name& service, std::size_t vms,
+                                    base::time_point now);
+
+    /// @brief Time since this process started.
+    [[nodiscard]] base::milliseconds uptime(base::time_point now) const;
+
     /// @brief Takes one retry; false if the share is used up.
     /// @param vms Number of VMs that share the slack, this one included.
     [[nodiscard]] bool take(const service_name& service, std::size_t vms, base::time_point now);
@@ -53,6 +73,7 @@
     void drop_expired(history& service_history, base::time_point now) const;
 
     retry_bound m_bound;
+    base::time_point m_started_at;
     std::unordered_map<service_name, history> m_services;
 };
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -216,6 +216,9 @@
     /// @brief Records that the connection of a request broke, or that its answer ended early.
     void note_broken_answer(const attempt& broken, base::time_point now);
 
+    /// @brief Takes one retry of the request's service from the budget and logs the decision.
+    [[nodiscard]] bool take_retry(base::time_point now);
+
     // After an attempt.
     void end_attempt(fleet::attempt_end end, fleet::target_outcome outcome, std::string_view detail,
                      base::time_point now);
--- a/src/chicorylink/fleet/retry_budget.cpp
+++ b/src/chicorylink/fleet/retry_budget.cpp
@@ -22,7 +22,7 @@
     entry.requests.push_back(now);
 }
 
-bool retry_budget::has_room(const service_name& service, std::size_t vms, base::time_point now)
+retry_usage retry_budget::usage(const service_name& service, std::size_t vms, base::time_point now)
 {
     auto& entry = m_services[service];
     drop_expired(entry, now);
@@ -30,7 +30,18 @@
         m_bound.ratio * used_ratio * static_cast<double>(entry.requests.size());
     const double from_slack =
         m_bound.slack * used_slack / static_cast<double>(std::max<std::size_t>(vms, 1));
-    return static_cast<double>(entry.retries.size()) + 1 <= from_requests + from_slack;
+    return {entry.requests.size(), entry.retries.size(), from_requests + from_slack};
+}
+
+base::milliseconds retry_budget::uptime(base::time_point now) const
+{
+    return std::chrono::duration_cast<base::milliseconds>(now - m_started_at);
+}
+
+bool retry_budget::has_room(const service_name& service, std::size_t vms, base::time_point now)
+{
+    const auto used = usage(service, vms, now);
+    return static_cast<double>(used.retries) + 1 <= used.allowed;
 }
 
 bool retry_budget::take(const service_name& service, std::size_t vms, base::time_point now)
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -154,9 +154,7 @@
         ++m_history.runs;
     }
     auto step = fleet::decide_next(*m_resolved.route, m_history, end, time_left(now));
-    if (step == next_step::send_again && m_history.arrivals > 0 &&
-        !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
-        m_core.counters.add("retries_denied_total");
+    if (step == next_step::send_again && m_history.arrivals > 0 && !take_retry(now)) {
         if (await_target("no retry budget", now)) {
             m_is_retry_due = true;
             return;
@@ -166,6 +164,26 @@
     execute(step, detail, now);
 }
 
+bool exchange::take_retry(base::time_point now)
+{
+    const auto& service = m_resolved.service->name;
+    const auto vms = m_core.members.size(now).known;
+    const bool is_granted = m_core.retries.take(service, vms, now);
+    if (!is_granted) {
+        m_core.counters.add("retries_denied_total");
+    }
+    const auto used = m_core.retries.usage(service, vms, now);
+    write_log(m_core, log_event(m_core, is_granted ? "retry_granted" : "retry_denied")
+                          .add("request", m_request.id)
+                          .add("service", service.text())
+                          .add("requests", std::uint64_t{used.requests})
+                          .add("retries", std::uint64_t{used.retries})
+                          .add("allowed", used.allowed)
+                          .add("vms", std::uint64_t{vms})
+                          .add("up_ms", m_core.retries.uptime(now).count()));
+    return is_granted;
+}
+
 void exchange::execute(next_step step, std::string_view detail, base::time_point now)
 {
     if (m_silent_attempt && step != next_step::send_again) {
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -314,9 +314,7 @@
 
 void exchange::send(std::string bytes, base::milliseconds connect_timeout, base::time_point now)
 {
-    if (std::exchange(m_is_retry_due, false) &&
-        !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
-        m_core.counters.add("retries_denied_total");
+    if (std::exchange(m_is_retry_due, false) && !take_retry(now)) {
         if (m_silent_attempt) {
             resume_silent_attempt(now);
             return;
--- a/src/chicorylink/front/exchange_search.cpp
+++ b/src/chicorylink/front/exchange_search.cpp
@@ -49,9 +49,7 @@
         return;
     }
     // Taken before the search: until a target is found, other streams may use up the budget.
-    if (m_is_retry_due &&
-        !m_core.retries.take(m_resolved.service->name, m_core.members.size(now).known, now)) {
-        m_core.counters.add("retries_denied_total");
+    if (m_is_retry_due && !take_retry(now)) {
         if (!await_target("no retry budget", now)) {
             execute(fleet::give_up(m_history, m_last_end), "no retry budget", now);
         }
