--- /dev/null
+++ b/src/chicorylink/fleet/retry_budget_test.cpp
@@ -0,0 +1,146 @@
+// The retries of a whole fleet whose VMs restart. Each request needs more retries than it may get.
+
+#include "chicorylink/fleet/retry_budget.hpp"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace chicorylink::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const retry_bound bound{0.2, 58, seconds{10}};
+const service_name service{"s"};
+
+/// VMs that get requests at a steady rate and, during trouble, try to send each of them three more
+/// times.
+class retrying_fleet {
+public:
+    static constexpr std::size_t vms = 9;
+    static constexpr milliseconds tick{10};
+
+    retrying_fleet(double requests_per_second, unsigned seed)
+        : m_per_tick(requests_per_second * std::chrono::duration<double>(tick).count()),
+          m_random(seed)
+    {
+        m_budgets.assign(vms, retry_budget{bound, m_now});
+    }
+
+    void run_for(milliseconds time, bool in_trouble)
+    {
+        for (const auto end = m_now + time; m_now < end; m_now += tick) {
+            for (int count = std::poisson_distribution{m_per_tick}(m_random); count > 0; --count) {
+                request(in_trouble);
+            }
+        }
+    }
+
+    void restart(std::size_t vm) { m_budgets.at(vm) = retry_budget{bound, m_now}; }
+
+    void restart_all()
+    {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            restart(vm);
+        }
+    }
+
+    /// @brief The largest excess of retries in any window over what the bound allows there.
+    [[nodiscard]] double worst_excess() const
+    {
+        double worst = -bound.slack;
+        for (const auto from : m_retries) {
+            const auto in_window = [&](const auto& times, base::time_point begin) {
+                return static_cast<double>(
+                    std::lower_bound(times.begin(), times.end(), begin + bound.window) -
+                    std::lower_bound(times.begin(), times.end(), begin));
+            };
+            const auto requests = std::max({in_window(m_requests, from),
+                                            in_window(m_requests, from - bound.window / 2),
+                                            in_window(m_requests, from - bound.window)});
+            worst =
+                std::max(worst, in_window(m_retries, from) - bound.ratio * requests - bound.slack);
+        }
+        return worst;
+    }
+
+    [[nodiscard]] std::size_t retries() const { return m_retries.size(); }
+
+private:
+    void request(bool in_trouble)
+    {
+        auto& budget =
+            m_budgets.at(std::uniform_int_distribution<std::size_t>{0, vms - 1}(m_random));
+        budget.note_request(service, m_now);
+        m_requests.push_back(m_now);
+        for (int retry = 0; in_trouble && retry < 3; ++retry) {
+            if (budget.take(service, vms, m_now)) {
+                m_retries.push_back(m_now);
+            }
+        }
+    }
+
+    double m_per_tick;
+    std::mt19937 m_random;
+    base::time_point m_now{std::chrono::hours{1}};
+    std::vector<retry_budget> m_budgets;
+    std::vector<base::time_point> m_requests;
+    std::vector<base::time_point> m_retries;
+};
+
+// Guards against VMs that forget at a restart what they have retried: each run of a VM spent the
+// whole share of its VM again, so that a fleet that restarted within a window retried too often.
+TEST(retry_budget, holds_when_vms_restart_within_a_window)
+{
+    for (const double per_second : {20.0, 70.0, 250.0}) {
+        for (const milliseconds pause : {milliseconds{700}, milliseconds{2'000}}) {
+            for (const unsigned seed : {1, 2, 3}) {
+                SCOPED_TRACE(testing::Message() << per_second << "/s, restarts every "
+                                                << pause.count() << " ms, seed " << seed);
+                retrying_fleet fleet(per_second, seed);
+                fleet.run_for(seconds{20}, false);
+                fleet.run_for(seconds{2}, true);
+                for (int restart = 0; restart < 8; ++restart) {
+                    fleet.restart_all();
+                    fleet.run_for(pause, true);
+                }
+                fleet.run_for(seconds{15}, true);
+                EXPECT_LE(fleet.worst_excess(), 0);
+            }
+        }
+    }
+}
+
+// The same while VMs restart one after the other, as in a planned stop of all of them.
+TEST(retry_budget, holds_when_vms_restart_in_turn)
+{
+    for (const double per_second : {20.0, 70.0, 250.0}) {
+        for (const unsigned seed : {1, 2, 3}) {
+            SCOPED_TRACE(testing::Message() << per_second << "/s, seed " << seed);
+            retrying_fleet fleet(per_second, seed);
+            fleet.run_for(seconds{20}, false);
+            for (std::size_t vm = 0; vm < 3 * retrying_fleet::vms; ++vm) {
+                fleet.run_for(milliseconds{400}, true);
+                fleet.restart(vm % retrying_fleet::vms);
+            }
+            EXPECT_LE(fleet.worst_excess(), 0);
+        }
+    }
+}
+
+// What is kept back for restarts must not be missed by a fleet that has been up for a window.
+TEST(retry_budget, a_fleet_that_does_not_restart_gets_most_of_the_bound)
+{
+    retrying_fleet fleet(250.0, 1);
+    fleet.run_for(seconds{20}, false);
+    fleet.run_for(seconds{10}, true);
+    EXPECT_GE(static_cast<double>(fleet.retries()), 0.7 * (bound.ratio * 2'500 + bound.slack));
+    EXPECT_LE(fleet.worst_excess(), 0);
+}
+
+} // namespace
+} // namespace chicorylink::fleet
