front: read whether a process belongs to the first start of the fleet

The platform's settings say so, and the daemon ignored it. A process that starts later may take the place of one that has retried requests; the retry budget is told which case it is, and `started` logs it. Nothing is decided differently yet.

--- a/include/chicorylink/fleet/retry_budget.hpp
+++ b/include/chicorylink/fleet/retry_budget.hpp
@@ -19,6 +19,10 @@
     base::milliseconds window{10'000};
 };
 
+/// @brief Whether a process belongs to the first start of the whole fleet. A later one may take the
+/// place of a process that has retried requests, or start behind a partition.
+enum class fleet_start { first, later };
+
 /// @brief What one decision on a retry was made from, for the log.
 struct retry_usage {
     /// This process's requests and retries of the window.
@@ -40,8 +44,8 @@
     static constexpr double used_slack = 0.5;
 
     /// @param started_at When this process started.
-    retry_budget(retry_bound bound, base::time_point started_at)
-        : m_bound(bound), m_started_at(started_at)
+    retry_budget(retry_bound bound, fleet_start start, base::time_point started_at)
+        : m_bound(bound), m_start(start), m_started_at(started_at)
     {
     }
 
@@ -73,6 +77,7 @@
     void drop_expired(history& service_history, base::time_point now) const;
 
     retry_bound m_bound;
+    fleet_start m_start;
     base::time_point m_started_at;
     std::unordered_map<service_name, history> m_services;
 };
--- a/include/chicorylink/front/front_settings.hpp
+++ b/include/chicorylink/front/front_settings.hpp
@@ -43,6 +43,7 @@
     std::string store_address;
     std::map<fleet::data_center_name, fleet::region_name> regions;
     platform_bounds bounds;
+    fleet::fleet_start start = fleet::fleet_start::later;
 };
 
 /// @brief The names of all regions.
--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -33,6 +33,7 @@
     }
     const nlohmann::json settings{
         {"node", "vm-" + ip},
+        {"bootstrap", !m_vms.contains(ip)},
         {"ip", ip},
         {"zone", region + "-a"},
         {"region", region},
--- a/src/chicorylink/fleet/admission_limits_test.cpp
+++ b/src/chicorylink/fleet/admission_limits_test.cpp
@@ -131,7 +131,7 @@
     std::size_t retries = 0;
     std::size_t requests = 0;
     for (std::size_t vm = 0; vm < vms; ++vm) {
-        retry_budget allowance(bound, at(seconds{-10}));
+        retry_budget allowance(bound, fleet_start::first, at(seconds{0}));
         for (int number = 0; number < 200; ++number) {
             const auto now = at(milliseconds{number * 40});
             allowance.note_request(service_name{"s"}, now);
@@ -147,7 +147,7 @@
 
 TEST(retry_budget, recovers_after_the_window)
 {
-    retry_budget allowance({0.2, 4, seconds{10}}, at(seconds{-10}));
+    retry_budget allowance({0.2, 4, seconds{10}}, fleet_start::first, at(seconds{0}));
     EXPECT_TRUE(allowance.take(service_name{"s"}, 1, at(seconds{1})));
     EXPECT_TRUE(allowance.take(service_name{"s"}, 1, at(seconds{1})));
     EXPECT_FALSE(allowance.take(service_name{"s"}, 1, at(seconds{2})));
--- a/src/chicorylink/fleet/retry_budget_test.cpp
+++ b/src/chicorylink/fleet/retry_budget_test.cpp
@@ -28,7 +28,7 @@
         : m_per_tick(requests_per_second * std::chrono::duration<double>(tick).count()),
           m_random(seed)
     {
-        m_budgets.assign(vms, retry_budget{bound, m_now});
+        m_budgets.assign(vms, retry_budget{bound, fleet_start::first, m_now});
     }
 
     void run_for(milliseconds time, bool in_trouble)
@@ -40,7 +40,10 @@
         }
     }
 
-    void restart(std::size_t vm) { m_budgets.at(vm) = retry_budget{bound, m_now}; }
+    void restart(std::size_t vm)
+    {
+        m_budgets.at(vm) = retry_budget{bound, fleet_start::later, m_now};
+    }
 
     void restart_all()
     {
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -25,7 +25,7 @@
     : loop(event_loop), settings(std::move(initial_settings)), protocol(platform),
       log(STDOUT_FILENO), state(platform.decode_item),
       members(settings.self, settings.seed_ips, region_names(settings)),
-      quota(settings.self.region, now), retries(settings.bounds.retries, now),
+      quota(settings.self.region, now), retries(settings.bounds.retries, settings.start, now),
       pacer(now + fleet::designation_delay), connections(event_loop), target_fields(platform.names)
 {
 }
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -147,7 +147,8 @@
                           .add("callers", m_core.settings.callers_address)
                           .add("region", m_core.settings.self.region.text())
                           .add("data_center", m_core.settings.self.data_center.text())
-                          .add("run", m_core.settings.self.run.value()));
+                          .add("run", m_core.settings.self.run.value())
+                          .add("first_start", m_core.settings.start == fleet::fleet_start::first));
     m_reader->start();
     wait_for_signal();
     schedule_tick();
