fleet: a restarted VM doesn't retry what its last process may have retried

What was seen: targets got more repeated requests than the whole fleet may send.

Cause: a process counts its retries by itself and begins with an empty count, while what the process before it retried is still in the window. So each restart gave a VM its share again, of the slack and of the part by requests, of which a VM may spend ten seconds' worth at once.

Ruled out: retries that are taken from no budget.

Now a process that starts later than the fleet gets, until it has been up for a window, only what the process before it can't have taken: a fifth of the ratio, and 0.3 of the slack as it grows with the uptime, so that many restarts get no more than one. Over any window, the process before, at 0.8 and 0.5, and all later ones together stay within the bound.

--- a/include/chicorylink/fleet/retry_budget.hpp
+++ b/include/chicorylink/fleet/retry_budget.hpp
@@ -38,11 +38,17 @@
 /// shares together stay below the bound whatever the processes know of each other.
 class retry_budget {
 public:
-    /// Fractions of the bound that are used; the rest covers processes that restart with empty
-    /// counts and VMs that disagree on their number.
+    /// Fractions of the bound that are used; the rest covers processes that restart and VMs that
+    /// disagree on their number.
     static constexpr double used_ratio = 0.8;
     static constexpr double used_slack = 0.5;
 
+    /// The fractions in the first window of a process that starts later than the fleet. The one
+    /// before it may have retried as often as it could, which nobody remembers. The slack grows with
+    /// the uptime, so that a process that restarts again and again gets no more of it.
+    static constexpr double restarted_ratio = 1 - used_ratio;
+    static constexpr double restarted_slack = 0.3;
+
     /// @param started_at When this process started.
     retry_budget(retry_bound bound, fleet_start start, base::time_point started_at)
         : m_bound(bound), m_start(start), m_started_at(started_at)
@@ -74,6 +80,13 @@
         std::deque<base::time_point> retries;
     };
 
+    /// The fractions of the bound that this process may use now.
+    struct fractions {
+        double ratio = used_ratio;
+        double slack = used_slack;
+    };
+
+    [[nodiscard]] fractions usable_fractions(base::time_point now) const;
     void drop_expired(history& service_history, base::time_point now) const;
 
     retry_bound m_bound;
--- a/src/chicorylink/fleet/retry_budget.cpp
+++ b/src/chicorylink/fleet/retry_budget.cpp
@@ -26,11 +26,20 @@
 {
     auto& entry = m_services[service];
     drop_expired(entry, now);
-    const double from_requests =
-        m_bound.ratio * used_ratio * static_cast<double>(entry.requests.size());
-    const double from_slack =
-        m_bound.slack * used_slack / static_cast<double>(std::max<std::size_t>(vms, 1));
-    return {entry.requests.size(), entry.retries.size(), from_requests + from_slack};
+    const auto usable = usable_fractions(now);
+    const double allowed =
+        m_bound.ratio * usable.ratio * static_cast<double>(entry.requests.size()) +
+        m_bound.slack * usable.slack / static_cast<double>(std::max<std::size_t>(vms, 1));
+    return {entry.requests.size(), entry.retries.size(), allowed};
+}
+
+retry_budget::fractions retry_budget::usable_fractions(base::time_point now) const
+{
+    if (m_start == fleet_start::first || uptime(now) >= m_bound.window) {
+        return {};
+    }
+    const double window_share = std::chrono::duration<double>(uptime(now)) / m_bound.window;
+    return {restarted_ratio, restarted_slack * window_share};
 }
 
 base::milliseconds retry_budget::uptime(base::time_point now) const
