fleet: a VM that doesn't know the whole fleet gets no slack for retries

Cause: the slack of the retry budget is shared by the number of VMs that a VM knows. One that starts behind a partition knows only those of its side, and one behind a partition of 20 s forgets the others, so that each side spends the whole slack.

A census now remembers for ten minutes each VM that was heard of and did not leave. A VM that started later than the fleet gets slack only while one of each region is in the census, or after ten minutes in which nobody was heard of. What a VM may retry in proportion to its own requests needs no knowledge of others and stays.

Test: retry_budget.holds_when_vms_know_only_a_part_of_the_fleet; without this change 17 to 194 retries too many in all of its twelve cases.

--- a/include/chicorylink/fleet/retry_budget.hpp
+++ b/include/chicorylink/fleet/retry_budget.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/names.hpp"
+#include "chicorylink/fleet/retry_sharers.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -44,8 +45,8 @@
     static constexpr double used_slack = 0.5;
 
     /// The fractions in the first window of a process that starts later than the fleet. The one
-    /// before it may have retried as often as it could, which nobody remembers. The slack grows with
-    /// the uptime, so that a process that restarts again and again gets no more of it.
+    /// before it may have retried as often as it could, which nobody remembers. The slack grows
+    /// with the uptime, so that a process that restarts again and again gets no more of it.
     static constexpr double restarted_ratio = 1 - used_ratio;
     static constexpr double restarted_slack = 0.3;
 
@@ -61,18 +62,19 @@
     void note_request(const service_name& service, base::time_point now);
 
     /// @brief Whether a retry is allowed now.
-    [[nodiscard]] bool has_room(const service_name& service, std::size_t vms, base::time_point now);
+    [[nodiscard]] bool has_room(const service_name& service, const retry_sharers& sharers,
+                                base::time_point now);
 
     /// @brief The requests, retries and limit that decide now.
-    [[nodiscard]] retry_usage usage(const service_name& service, std::size_t vms,
+    [[nodiscard]] retry_usage usage(const service_name& service, const retry_sharers& sharers,
                                     base::time_point now);
 
     /// @brief Time since this process started.
     [[nodiscard]] base::milliseconds uptime(base::time_point now) const;
 
     /// @brief Takes one retry; false if the share is used up.
-    /// @param vms Number of VMs that share the slack, this one included.
-    [[nodiscard]] bool take(const service_name& service, std::size_t vms, base::time_point now);
+    [[nodiscard]] bool take(const service_name& service, const retry_sharers& sharers,
+                            base::time_point now);
 
 private:
     struct history {
@@ -86,7 +88,8 @@
         double slack = used_slack;
     };
 
-    [[nodiscard]] fractions usable_fractions(base::time_point now) const;
+    [[nodiscard]] fractions usable_fractions(const retry_sharers& sharers,
+                                             base::time_point now) const;
     void drop_expired(history& service_history, base::time_point now) const;
 
     retry_bound m_bound;
--- a/include/chicorylink/fleet/roster.hpp
+++ b/include/chicorylink/fleet/roster.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/heartbeat.hpp"
+#include "chicorylink/fleet/vm_census.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -127,6 +128,12 @@
     };
     [[nodiscard]] fleet_size size(base::time_point now) const;
 
+    /// @brief The VMs that share the fleet's slack for retries.
+    [[nodiscard]] retry_sharers sharers() const
+    {
+        return m_census.sharers(m_self.region, m_regions);
+    }
+
 private:
     [[nodiscard]] bool is_due(const std::string& ip, base::milliseconds interval,
                               base::time_point now);
@@ -139,6 +146,7 @@
     std::vector<std::string> m_seeds;
     std::set<region_name> m_regions;
     std::map<std::string, member> m_members;
+    vm_census m_census;
     /// Runs that were replaced by another run at the same address.
     std::map<std::string, base::incarnation> m_replaced;
     std::map<std::string, base::time_point> m_sent_at;
--- a/src/chicorylink/fleet/admission_limits_test.cpp
+++ b/src/chicorylink/fleet/admission_limits_test.cpp
@@ -137,8 +137,8 @@
             allowance.note_request(service_name{"s"}, now);
             ++requests;
             // Every request fails and needs two retries.
-            retries += allowance.take(service_name{"s"}, vms, now) ? 1 : 0;
-            retries += allowance.take(service_name{"s"}, vms, now) ? 1 : 0;
+            retries += allowance.take(service_name{"s"}, {vms, true}, now) ? 1 : 0;
+            retries += allowance.take(service_name{"s"}, {vms, true}, now) ? 1 : 0;
         }
     }
     EXPECT_LE(static_cast<double>(retries), 0.2 * static_cast<double>(requests) + 58);
@@ -148,10 +148,10 @@
 TEST(retry_budget, recovers_after_the_window)
 {
     retry_budget allowance({0.2, 4, seconds{10}}, fleet_start::first, at(seconds{0}));
-    EXPECT_TRUE(allowance.take(service_name{"s"}, 1, at(seconds{1})));
-    EXPECT_TRUE(allowance.take(service_name{"s"}, 1, at(seconds{1})));
-    EXPECT_FALSE(allowance.take(service_name{"s"}, 1, at(seconds{2})));
-    EXPECT_TRUE(allowance.take(service_name{"s"}, 1, at(seconds{12})));
+    EXPECT_TRUE(allowance.take(service_name{"s"}, {1, true}, at(seconds{1})));
+    EXPECT_TRUE(allowance.take(service_name{"s"}, {1, true}, at(seconds{1})));
+    EXPECT_FALSE(allowance.take(service_name{"s"}, {1, true}, at(seconds{2})));
+    EXPECT_TRUE(allowance.take(service_name{"s"}, {1, true}, at(seconds{12})));
 }
 
 } // namespace
--- a/src/chicorylink/fleet/retry_budget_test.cpp
+++ b/src/chicorylink/fleet/retry_budget_test.cpp
@@ -1,9 +1,13 @@
-// The retries of a whole fleet whose VMs restart. Each request needs more retries than it may get.
+// The retries of a whole fleet whose VMs restart and are cut off. Each request needs more retries
+// than it may get.
 
 #include "chicorylink/fleet/retry_budget.hpp"
+#include "chicorylink/fleet/vm_census.hpp"
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -16,6 +20,9 @@
 
 const retry_bound bound{0.2, 58, seconds{10}};
 const service_name service{"s"};
+const std::vector<region_name> regions{region_name{"east"}, region_name{"north"},
+                                       region_name{"west"}};
+const std::set<region_name> all_regions{regions.begin(), regions.end()};
 
 /// VMs that get requests at a steady rate and, during trouble, try to send each of them three more
 /// times.
@@ -23,35 +30,41 @@
 public:
     static constexpr std::size_t vms = 9;
     static constexpr milliseconds tick{10};
+    static constexpr milliseconds heartbeat_interval{250};
 
     retrying_fleet(double requests_per_second, unsigned seed)
         : m_per_tick(requests_per_second * std::chrono::duration<double>(tick).count()),
           m_random(seed)
     {
-        m_budgets.assign(vms, retry_budget{bound, fleet_start::first, m_now});
+        m_vms.assign(vms, vm{retry_budget{bound, fleet_start::first, m_now}, {}});
     }
 
     void run_for(milliseconds time, bool in_trouble)
     {
         for (const auto end = m_now + time; m_now < end; m_now += tick) {
+            exchange_heartbeats();
             for (int count = std::poisson_distribution{m_per_tick}(m_random); count > 0; --count) {
                 request(in_trouble);
             }
         }
     }
 
-    void restart(std::size_t vm)
+    void restart(std::size_t number)
     {
-        m_budgets.at(vm) = retry_budget{bound, fleet_start::later, m_now};
+        m_vms.at(number) = {retry_budget{bound, fleet_start::later, m_now}, {}};
     }
 
     void restart_all()
     {
-        for (std::size_t vm = 0; vm < vms; ++vm) {
-            restart(vm);
+        for (std::size_t number = 0; number < vms; ++number) {
+            restart(number);
         }
     }
 
+    /// @brief From now on, VMs hear only those of the same part: regions, or each VM by itself.
+    void cut_regions() { m_parts = regions.size(); }
+    void cut_all() { m_parts = vms; }
+
     /// @brief The largest excess of retries in any window over what the bound allows there.
     [[nodiscard]] double worst_excess() const
     {
@@ -74,14 +87,42 @@
     [[nodiscard]] std::size_t retries() const { return m_retries.size(); }
 
 private:
+    struct vm {
+        retry_budget budget;
+        vm_census census;
+    };
+
+    static const region_name& region_of(std::size_t number)
+    {
+        return regions.at(number % regions.size());
+    }
+
+    void exchange_heartbeats()
+    {
+        if (m_now - m_heartbeats_at < heartbeat_interval) {
+            return;
+        }
+        m_heartbeats_at = m_now;
+        for (std::size_t to = 0; to < vms; ++to) {
+            auto& census = m_vms.at(to).census;
+            census.expire(m_now);
+            for (std::size_t from = 0; from < vms; ++from) {
+                if (from != to && from % m_parts == to % m_parts) {
+                    census.note(std::to_string(from), region_of(from), member_state::ready, m_now);
+                }
+            }
+        }
+    }
+
     void request(bool in_trouble)
     {
-        auto& budget =
-            m_budgets.at(std::uniform_int_distribution<std::size_t>{0, vms - 1}(m_random));
+        const auto number = std::uniform_int_distribution<std::size_t>{0, vms - 1}(m_random);
+        auto& [budget, census] = m_vms.at(number);
         budget.note_request(service, m_now);
         m_requests.push_back(m_now);
+        const auto sharers = census.sharers(region_of(number), all_regions);
         for (int retry = 0; in_trouble && retry < 3; ++retry) {
-            if (budget.take(service, vms, m_now)) {
+            if (budget.take(service, sharers, m_now)) {
                 m_retries.push_back(m_now);
             }
         }
@@ -90,7 +131,9 @@
     double m_per_tick;
     std::mt19937 m_random;
     base::time_point m_now{std::chrono::hours{1}};
-    std::vector<retry_budget> m_budgets;
+    base::time_point m_heartbeats_at{};
+    std::size_t m_parts = 1;
+    std::vector<vm> m_vms;
     std::vector<base::time_point> m_requests;
     std::vector<base::time_point> m_retries;
 };
@@ -126,15 +169,37 @@
             SCOPED_TRACE(testing::Message() << per_second << "/s, seed " << seed);
             retrying_fleet fleet(per_second, seed);
             fleet.run_for(seconds{20}, false);
-            for (std::size_t vm = 0; vm < 3 * retrying_fleet::vms; ++vm) {
+            for (std::size_t number = 0; number < 3 * retrying_fleet::vms; ++number) {
                 fleet.run_for(milliseconds{400}, true);
-                fleet.restart(vm % retrying_fleet::vms);
+                fleet.restart(number % retrying_fleet::vms);
             }
             EXPECT_LE(fleet.worst_excess(), 0);
         }
     }
 }
 
+// Guards against VMs that know few others, since they started behind a partition or since it
+// lasted long: those of each part of the fleet shared the whole slack.
+TEST(retry_budget, holds_when_vms_know_only_a_part_of_the_fleet)
+{
+    for (const bool restart : {true, false}) {
+        for (const bool each_vm : {true, false}) {
+            for (const unsigned seed : {1, 2, 3}) {
+                SCOPED_TRACE(testing::Message() << "restart " << restart << ", each VM by itself "
+                                                << each_vm << ", seed " << seed);
+                retrying_fleet fleet(20.0, seed);
+                fleet.run_for(seconds{20}, false);
+                each_vm ? fleet.cut_all() : fleet.cut_regions();
+                if (restart) {
+                    fleet.restart_all();
+                }
+                fleet.run_for(seconds{60}, true);
+                EXPECT_LE(fleet.worst_excess(), 0);
+            }
+        }
+    }
+}
+
 // What is kept back for restarts must not be missed by a fleet that has been up for a window.
 TEST(retry_budget, a_fleet_that_does_not_restart_gets_most_of_the_bound)
 {
--- a/src/chicorylink/fleet/roster.cpp
+++ b/src/chicorylink/fleet/roster.cpp
@@ -102,6 +102,7 @@
     known.confirmed_age = message.confirmed_age;
     known.silence_reported = false;
     note_round_trip(known, message, now);
+    m_census.note(ip, known.region, known.state, now);
     return effect;
 }
 
@@ -130,6 +131,7 @@
         known.state = reported.state;
         known.heard_at = heard_at;
         known.silence_reported = false;
+        m_census.note(reported.ip, known.region, known.state, heard_at);
     }
 }
 
@@ -327,6 +329,7 @@
             ++entry;
         }
     }
+    m_census.expire(now);
     return fell_silent;
 }
 
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -167,19 +167,20 @@
 bool exchange::take_retry(base::time_point now)
 {
     const auto& service = m_resolved.service->name;
-    const auto vms = m_core.members.size(now).known;
-    const bool is_granted = m_core.retries.take(service, vms, now);
+    const auto sharers = m_core.members.sharers();
+    const bool is_granted = m_core.retries.take(service, sharers, now);
     if (!is_granted) {
         m_core.counters.add("retries_denied_total");
     }
-    const auto used = m_core.retries.usage(service, vms, now);
+    const auto used = m_core.retries.usage(service, sharers, now);
     write_log(m_core, log_event(m_core, is_granted ? "retry_granted" : "retry_denied")
                           .add("request", m_request.id)
                           .add("service", service.text())
                           .add("requests", std::uint64_t{used.requests})
                           .add("retries", std::uint64_t{used.retries})
                           .add("allowed", used.allowed)
-                          .add("vms", std::uint64_t{vms})
+                          .add("vms", std::uint64_t{sharers.vms})
+                          .add("all_regions", sharers.all_regions)
                           .add("up_ms", m_core.retries.uptime(now).count()));
     return is_granted;
 }
--- a/src/chicorylink/front/exchange_silence.cpp
+++ b/src/chicorylink/front/exchange_silence.cpp
@@ -43,7 +43,7 @@
         m_history.runs + 1 >= m_resolved.route->max_attempts ||
         m_history.arrivals + 1 >= fleet::max_arrivals || m_history.sends >= fleet::max_sends ||
         time_left(now) < fleet::min_attempt_time ||
-        !m_core.retries.has_room(m_resolved.service->name, m_core.members.size(now).known, now)) {
+        !m_core.retries.has_room(m_resolved.service->name, m_core.members.sharers(), now)) {
         return false;
     }
     // A silent target may still respond, so a request that has no other target stays with it.
