--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -16,26 +16,26 @@
 /// How long a crash counts as evidence.
 inline constexpr base::milliseconds crash_lifetime{120'000};
 
-/// A part is suspected only of crashes that are at least this old, so that survivals of requests
-/// with an unrelated part can arrive from all regions.
+/// A subject is suspected only of crashes that are at least this old, so that survivals of requests
+/// with an unrelated subject can arrive from all regions.
 inline constexpr base::milliseconds crash_settle_time{3'000};
 
 /// Targets that are lost at the same time count as one crash.
 inline constexpr base::milliseconds min_crash_distance{250};
 
-/// Crashes that make a part suspect.
+/// Crashes that make a subject suspect.
 inline constexpr std::size_t min_crashes = 4;
 
-/// Enough crashes to make a part suspect even if they fall into only two bursts.
+/// Enough crashes to make a subject suspect even if they fall into only two bursts.
 inline constexpr std::size_t min_crashes_in_bursts = 5;
 
 /// How long crashes and survivals are told to other VMs.
 inline constexpr base::milliseconds crash_report_time{6'000};
 
-inline constexpr std::size_t max_crash_parts = 512;
-inline constexpr std::size_t max_crashes_per_part = 64;
+inline constexpr std::size_t max_crash_subjects = 512;
+inline constexpr std::size_t max_crashes_per_subject = 64;
 inline constexpr std::size_t max_survivals = 4096;
-inline constexpr std::size_t max_counted_parts = 1024;
+inline constexpr std::size_t max_counted_subjects = 1024;
 inline constexpr std::size_t max_unconfirmed_ends = 64;
 inline constexpr std::size_t max_known_crashes = 256;
 
@@ -46,34 +46,34 @@
 inline constexpr std::size_t max_crash_reports = 128;
 inline constexpr std::size_t max_survival_reports = 128;
 
-/// @brief A part that explains crashes of targets.
+/// @brief A subject that explains crashes of targets.
 struct crash_suspect {
-    prompt_part_id part;
+    crash_subject subject;
     std::size_t crashes = 0;
     base::time_point last_crash_at{};
 };
 
-/// @brief Records which parts of prompts were at targets when they crashed, and which survived.
+/// @brief Records which subjects were at targets when they crashed, and which survived.
 ///
-/// A crash cuts all requests at its target, so that many unrelated parts are recorded too. A
-/// part is cleared of all crashes before a request with it began an answer that survived.
+/// A crash cuts all requests at its target, so that many unrelated subjects are recorded too. A
+/// subject is cleared of all crashes before a request with it began an answer that survived.
 class crash_evidence {
 public:
-    /// @brief Counts a request of this VM. Among parts with the same crashes the rarest is to
-    /// blame: all its requests crash targets, and the other parts are in more requests.
-    void note_request(std::span<const prompt_part_id> parts, base::time_point now);
+    /// @brief Counts a request of this VM. Among subjects with the same crashes the rarest is to
+    /// blame: all its requests crash targets, and the other subjects are in more requests.
+    void note_request(std::span<const crash_subject> subjects, base::time_point now);
 
     /// @brief Records that the connection of a request broke before its answer survived.
-    void note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+    void note_crash(std::span<const crash_subject> subjects, const target_run& run,
                     base::time_point now);
 
     /// @brief Records an answer that ended soon, with its connection: it may be complete. It counts
     /// as cut if another request shows that the target crashed at that time.
-    void note_unconfirmed_end(std::span<const prompt_part_id> parts, const target_run& run,
+    void note_unconfirmed_end(std::span<const crash_subject> subjects, const target_run& run,
                               base::time_point now);
 
     /// @param begun_at When the answer that survived began.
-    void note_survival(std::span<const prompt_part_id> parts, base::time_point begun_at,
+    void note_survival(std::span<const crash_subject> subjects, base::time_point begun_at,
                        base::time_point now);
 
     /// @brief Applies the reports of another VM.
@@ -82,30 +82,30 @@
     void apply(const crash_reports& reports, bool is_relayed, base::milliseconds delay,
                base::time_point now);
 
-    /// @brief The parts that explain several crashes.
+    /// @brief The subjects that explain several crashes.
     /// @param known Parts that are already known to crash targets.
-    [[nodiscard]] std::vector<crash_suspect> suspects(const std::vector<prompt_part_id>& known,
+    [[nodiscard]] std::vector<crash_suspect> suspects(const std::vector<crash_subject>& known,
                                                       base::time_point now) const;
 
-    /// @brief The newest crash of which a part is not cleared; the epoch if there is none.
-    [[nodiscard]] base::time_point last_crash(prompt_part_id part) const;
+    /// @brief The newest crash of which a subject is not cleared; the epoch if there is none.
+    [[nodiscard]] base::time_point last_crash(crash_subject subject) const;
 
     /// @brief When the newest answer that survived began; the epoch if there is none.
-    [[nodiscard]] base::time_point survived_at(prompt_part_id part) const;
+    [[nodiscard]] base::time_point survived_at(crash_subject subject) const;
 
     /// @brief The reports of this VM to send now; each is returned `sends_per_report` times.
     /// @param known Parts whose survivals are told although no crash is recorded.
-    [[nodiscard]] crash_reports take_own(const std::vector<prompt_part_id>& known,
+    [[nodiscard]] crash_reports take_own(const std::vector<crash_subject>& known,
                                          base::time_point now);
 
     /// @brief The recent reports of this VM and of those that told it directly.
-    [[nodiscard]] crash_reports recent(const std::vector<prompt_part_id>& known,
+    [[nodiscard]] crash_reports recent(const std::vector<crash_subject>& known,
                                        base::time_point now) const;
 
     /// @brief Drops what is too old.
     void expire(base::time_point now);
 
-    [[nodiscard]] std::size_t part_count() const { return m_parts.size(); }
+    [[nodiscard]] std::size_t subject_count() const { return m_subjects.size(); }
 
 private:
     struct crash {
@@ -134,13 +134,13 @@
         base::time_point last_at{};
     };
     struct unconfirmed_end {
-        std::vector<prompt_part_id> parts;
+        std::vector<crash_subject> subjects;
         target_run run;
         base::time_point at{};
     };
-    /// The crashes of one part that no other part explains.
+    /// The crashes of one subject that no other subject explains.
     struct unexplained {
-        prompt_part_id part;
+        crash_subject subject;
         std::set<target_run> runs;
         std::vector<base::time_point> times;
     };
@@ -150,21 +150,21 @@
         return item.at > entry.survived_at;
     }
     [[nodiscard]] static std::size_t live_count(const evidence& entry);
-    [[nodiscard]] evidence& entry_for(prompt_part_id part);
-    void add_crash(prompt_part_id part, const crash& item);
-    void add_survival(prompt_part_id part, const survival& item);
+    [[nodiscard]] evidence& entry_for(crash_subject subject);
+    void add_crash(crash_subject subject, const crash& item);
+    void add_survival(crash_subject subject, const survival& item);
     void add_known_crash(const target_run& run, base::time_point at);
-    [[nodiscard]] std::uint64_t requests_with(prompt_part_id part) const;
+    [[nodiscard]] std::uint64_t requests_with(crash_subject subject) const;
     void confirm_ends(const target_run& run, base::time_point at);
     [[nodiscard]] std::vector<unexplained>
-    unexplained_parts(const std::set<target_run>& explained) const;
+    unexplained_subjects(const std::set<target_run>& explained) const;
     /// @brief Parts with evidence, those with most crashes first, and the other known ones.
-    [[nodiscard]] std::vector<prompt_part_id>
-    reported_parts(const std::vector<prompt_part_id>& known) const;
+    [[nodiscard]] std::vector<crash_subject>
+    reported_subjects(const std::vector<crash_subject>& known) const;
 
-    std::map<prompt_part_id, evidence> m_parts;
-    std::map<prompt_part_id, survival> m_survivals;
-    std::map<prompt_part_id, request_count> m_requests;
+    std::map<crash_subject, evidence> m_subjects;
+    std::map<crash_subject, survival> m_survivals;
+    std::map<crash_subject, request_count> m_requests;
     std::map<target_run, base::time_point> m_known_crashes;
     std::vector<unconfirmed_end> m_unconfirmed_ends;
 };
--- a/include/chicorylink/fleet/prompt_quarantine.hpp
+++ b/include/chicorylink/fleet/crash_quarantine.hpp
@@ -1,10 +1,10 @@
-#ifndef CHICORYLINK_FLEET_PROMPT_QUARANTINE_HPP
-#define CHICORYLINK_FLEET_PROMPT_QUARANTINE_HPP
+#ifndef CHICORYLINK_FLEET_CRASH_QUARANTINE_HPP
+#define CHICORYLINK_FLEET_CRASH_QUARANTINE_HPP
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/crash_evidence.hpp"
 #include "chicorylink/fleet/crash_report.hpp"
-#include "chicorylink/fleet/part_quarantines.hpp"
+#include "chicorylink/fleet/subject_quarantines.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,7 +15,7 @@
 
 namespace chicorylink::fleet {
 
-/// @brief Why a part's quarantine began or ended.
+/// @brief Why a subject's quarantine began or ended.
 enum class quarantine_cause : std::uint8_t {
     /// Began: it explains several crashes.
     crashes,
@@ -23,15 +23,15 @@
     crash_on_probation,
     /// Began: another VM reported it.
     reported,
-    /// Ended: a request with the part was answered.
+    /// Ended: a request with the subject was answered.
     survived,
     /// Ended: its time is over.
     expired,
 };
 
-/// @brief The begin or the end of a part's quarantine, for the log.
+/// @brief The begin or the end of a subject's quarantine, for the log.
 struct quarantine_change {
-    prompt_part_id part;
+    crash_subject subject;
     quarantine_cause cause = quarantine_cause::crashes;
     /// Crashes known to this VM.
     std::size_t crashes = 0;
@@ -42,22 +42,22 @@
 /// @brief Whether the change is the begin of a quarantine.
 [[nodiscard]] bool is_begin(quarantine_cause cause);
 
-/// @brief Finds the parts of prompts that crash targets and refuses requests with them.
+/// @brief Finds what crashes targets and refuses requests with it.
 ///
-/// All VMs get the same reports and decide alike, so that the whole fleet stops sending a part.
-class prompt_quarantine {
+/// All VMs get the same reports and decide alike, so that the whole fleet stops sending it.
+class crash_quarantine {
 public:
-    /// @brief Time until requests with these parts are accepted again; none if they are now.
-    [[nodiscard]] std::optional<base::milliseconds> time_left(std::span<const prompt_part_id> parts,
-                                                              base::time_point now) const;
+    /// @brief Time until requests with these subjects are accepted again; none if they are now.
+    [[nodiscard]] std::optional<base::milliseconds>
+    time_left(std::span<const crash_subject> subjects, base::time_point now) const;
 
     /// @brief See `crash_evidence` for these.
-    void note_request(std::span<const prompt_part_id> parts, base::time_point now);
-    void note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+    void note_request(std::span<const crash_subject> subjects, base::time_point now);
+    void note_crash(std::span<const crash_subject> subjects, const target_run& run,
                     base::time_point now);
-    void note_unconfirmed_end(std::span<const prompt_part_id> parts, const target_run& run,
+    void note_unconfirmed_end(std::span<const crash_subject> subjects, const target_run& run,
                               base::time_point now);
-    void note_survival(std::span<const prompt_part_id> parts, base::time_point begun_at,
+    void note_survival(std::span<const crash_subject> subjects, base::time_point begun_at,
                        base::time_point now);
 
     /// @brief Applies the reports of another VM.
@@ -66,7 +66,7 @@
     void apply(const crash_reports& reports, bool is_relayed, base::milliseconds delay,
                base::time_point now);
 
-    /// @brief Decides on the parts that are quarantined.
+    /// @brief Decides on the subjects that are quarantined.
     /// @return What has changed since the last call.
     std::vector<quarantine_change> update(base::time_point now);
 
@@ -80,10 +80,10 @@
 
 private:
     crash_evidence m_evidence;
-    part_quarantines m_quarantines;
+    subject_quarantines m_quarantines;
     std::vector<quarantine_change> m_changes;
 };
 
 } // namespace chicorylink::fleet
 
-#endif // CHICORYLINK_FLEET_PROMPT_QUARANTINE_HPP
+#endif // CHICORYLINK_FLEET_CRASH_QUARANTINE_HPP
--- a/include/chicorylink/fleet/crash_report.hpp
+++ b/include/chicorylink/fleet/crash_report.hpp
@@ -3,7 +3,7 @@
 
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
-#include "chicorylink/fleet/prompt.hpp"
+#include "chicorylink/fleet/crash_subject.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -20,9 +20,9 @@
     friend auto operator<=>(const target_run&, const target_run&) = default;
 };
 
-/// @brief A target may have crashed while it answered a request with this part.
+/// @brief A target may have crashed while it answered a request with this subject.
 struct crash_report {
-    prompt_part_id part;
+    crash_subject subject;
     target_run run;
     /// Time since the connection broke.
     base::milliseconds age{0};
@@ -30,26 +30,26 @@
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
-/// @brief A target has answered a request with this part.
+/// @brief A target has answered a request with this subject.
 struct survival_report {
-    prompt_part_id part;
+    crash_subject subject;
     /// Time since the answer began.
     base::milliseconds age{0};
 
     friend bool operator==(const survival_report&, const survival_report&) = default;
 };
 
-/// @brief Requests with this part are refused.
+/// @brief Requests with this subject are refused.
 struct quarantine_report {
-    prompt_part_id part;
-    /// How often in succession the part was quarantined.
+    crash_subject subject;
+    /// How often in succession the subject was quarantined.
     std::uint32_t number = 0;
     base::milliseconds left{0};
 
     friend bool operator==(const quarantine_report&, const quarantine_report&) = default;
 };
 
-/// @brief What VMs tell each other about parts of prompts that crash targets.
+/// @brief What VMs tell each other about what crashes targets.
 struct crash_reports {
     std::vector<crash_report> crashes;
     std::vector<survival_report> survivals;
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -204,6 +204,8 @@
     void search_again(base::time_point now);
 
     // Parts of prompts that crash targets.
+    /// @brief What in the request may be the cause when its target crashes.
+    [[nodiscard]] std::vector<fleet::crash_subject> crash_subjects() const;
     void note_prompt_parts(base::time_point now);
     /// @brief Refuses the request if a part of its prompt is quarantined.
     /// @return Whether it is.
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -4,11 +4,11 @@
 #include "chicorylink/base/line_buffer.hpp"
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/metrics.hpp"
+#include "chicorylink/fleet/crash_quarantine.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
 #include "chicorylink/fleet/limit_watch.hpp"
 #include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/placement_coordinator.hpp"
-#include "chicorylink/fleet/prompt_quarantine.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_budget.hpp"
@@ -60,7 +60,7 @@
     fleet::region_digests remote_digests;
     fleet::retry_detector caller_retries;
     /// Parts of prompts that crash targets.
-    fleet::prompt_quarantine quarantine;
+    fleet::crash_quarantine quarantine;
     connection_pool connections;
     field_inventory target_fields;
     /// None until the daemon has opened its listeners.
--- a/src/chicorylink/fleet/codec_crashes.hpp
+++ b/src/chicorylink/fleet/codec_crashes.hpp
@@ -8,8 +8,8 @@
 
 #include <flatbuffers/flatbuffers.h>
 
-// Heartbeats and placement messages both carry reports about prompt parts, as structs with the same
-// fields. An absent vector takes no bytes; most messages have no such reports.
+// Heartbeats and placement messages both carry reports about prompt subjects, as structs with the
+// same fields. An absent vector takes no bytes; most messages have no such reports.
 
 namespace chicorylink::fleet {
 
@@ -19,7 +19,7 @@
     std::vector<crash_report> reports;
     if (from != nullptr) {
         for (const auto* entry : *from) {
-            reports.push_back({prompt_part_id{entry->part()},
+            reports.push_back({crash_subject{entry->part()},
                                {base::target_id{entry->target()}, entry->started_ms()},
                                base::milliseconds{entry->age_ms()}});
         }
@@ -37,7 +37,7 @@
     std::vector<Coded> list;
     list.reserve(reports.size());
     for (const auto& report : reports) {
-        list.emplace_back(report.part.value(), report.run.target.value(), report.run.started_ms,
+        list.emplace_back(report.subject.hash, report.run.target.value(), report.run.started_ms,
                           to_wire_ms(report.age));
     }
     return to.CreateVectorOfStructs(list);
@@ -49,7 +49,7 @@
     std::vector<survival_report> reports;
     if (from != nullptr) {
         for (const auto* entry : *from) {
-            reports.push_back({prompt_part_id{entry->part()}, base::milliseconds{entry->age_ms()}});
+            reports.push_back({crash_subject{entry->part()}, base::milliseconds{entry->age_ms()}});
         }
     }
     return reports;
@@ -65,7 +65,7 @@
     std::vector<Coded> list;
     list.reserve(reports.size());
     for (const auto& report : reports) {
-        list.emplace_back(report.part.value(), to_wire_ms(report.age));
+        list.emplace_back(report.subject.hash, to_wire_ms(report.age));
     }
     return to.CreateVectorOfStructs(list);
 }
@@ -76,7 +76,7 @@
     std::vector<quarantine_report> reports;
     if (from != nullptr) {
         for (const auto* entry : *from) {
-            reports.push_back({prompt_part_id{entry->part()}, entry->number(),
+            reports.push_back({crash_subject{entry->part()}, entry->number(),
                                base::milliseconds{entry->left_ms()}});
         }
     }
@@ -93,7 +93,7 @@
     std::vector<Coded> list;
     list.reserve(reports.size());
     for (const auto& report : reports) {
-        list.emplace_back(report.part.value(), report.number, to_wire_ms(report.left));
+        list.emplace_back(report.subject.hash, report.number, to_wire_ms(report.left));
     }
     return to.CreateVectorOfStructs(list);
 }
--- a/src/chicorylink/fleet/crash_codec_test.cpp
+++ b/src/chicorylink/fleet/crash_codec_test.cpp
@@ -15,10 +15,10 @@
 {
     crash_reports reports;
     reports.crashes.push_back(
-        {prompt_part_id{11}, {base::target_id{12}, 1'700'000'000'000}, milliseconds{13}});
-    reports.crashes.push_back({prompt_part_id{21}, {base::target_id{22}, 23}, milliseconds{24}});
-    reports.survivals.push_back({prompt_part_id{31}, milliseconds{32}});
-    reports.quarantines.push_back({prompt_part_id{41}, 2, milliseconds{240'000}});
+        {crash_subject{11}, {base::target_id{12}, 1'700'000'000'000}, milliseconds{13}});
+    reports.crashes.push_back({crash_subject{21}, {base::target_id{22}, 23}, milliseconds{24}});
+    reports.survivals.push_back({crash_subject{31}, milliseconds{32}});
+    reports.quarantines.push_back({crash_subject{41}, 2, milliseconds{240'000}});
     return reports;
 }
 
--- a/src/chicorylink/fleet/crash_evidence.cpp
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -7,10 +7,11 @@
 namespace chicorylink::fleet {
 namespace {
 
-/// How long survivals of parts without evidence are kept, for reports of crashes that arrive later.
+/// How long survivals of subjects without evidence are kept, for reports of crashes that arrive
+/// later.
 constexpr base::milliseconds survival_lifetime{10'000};
 
-/// A part that is in no request for so long is counted anew.
+/// A subject that is in no request for so long is counted anew.
 constexpr base::milliseconds request_count_lifetime{60'000};
 
 /// Two requests were cut by the same crash if their connections ended within this time.
@@ -60,13 +61,13 @@
                       [&](const crash& item) { return is_live(entry, item); }));
 }
 
-crash_evidence::evidence& crash_evidence::entry_for(prompt_part_id part)
+crash_evidence::evidence& crash_evidence::entry_for(crash_subject subject)
 {
-    const auto found = m_parts.find(part);
-    if (found != m_parts.end()) {
+    const auto found = m_subjects.find(subject);
+    if (found != m_subjects.end()) {
         return found->second;
     }
-    if (m_parts.size() >= max_crash_parts) {
+    if (m_subjects.size() >= max_crash_subjects) {
         const auto newest = [](const evidence& entry) {
             base::time_point at{};
             for (const auto& item : entry.crashes) {
@@ -74,20 +75,20 @@
             }
             return at;
         };
-        erase_oldest(m_parts,
+        erase_oldest(m_subjects,
                      [&](const evidence& a, const evidence& b) { return newest(a) < newest(b); });
     }
-    auto& entry = m_parts[part];
-    const auto survived = m_survivals.find(part);
+    auto& entry = m_subjects[subject];
+    const auto survived = m_survivals.find(subject);
     if (survived != m_survivals.end()) {
         entry.survived_at = survived->second.begun_at;
     }
     return entry;
 }
 
-void crash_evidence::add_crash(prompt_part_id part, const crash& item)
+void crash_evidence::add_crash(crash_subject subject, const crash& item)
 {
-    auto& entry = entry_for(part);
+    auto& entry = entry_for(subject);
     const auto known = std::find_if(entry.crashes.begin(), entry.crashes.end(),
                                     [&](const crash& other) { return other.run == item.run; });
     if (known != entry.crashes.end()) {
@@ -95,8 +96,9 @@
         known->is_direct = known->is_direct || item.is_direct;
         return;
     }
-    if (entry.crashes.size() >= max_crashes_per_part) {
-        // Crashes of which the part is cleared go first, then the newest: older ones have settled.
+    if (entry.crashes.size() >= max_crashes_per_subject) {
+        // Crashes of which the subject is cleared go first, then the newest: older ones have
+        // settled.
         auto dropped = std::find_if(entry.crashes.begin(), entry.crashes.end(),
                                     [&](const crash& other) { return !is_live(entry, other); });
         if (dropped == entry.crashes.end()) {
@@ -122,67 +124,67 @@
     std::erase_if(m_unconfirmed_ends, [&](const unconfirmed_end& end) {
         const bool is_same = end.run == run && std::chrono::abs(end.at - at) <= same_crash_time;
         if (is_same) {
-            for (const auto part : end.parts) {
-                add_crash(part, {run, end.at, true, sends_per_report});
+            for (const auto subject : end.subjects) {
+                add_crash(subject, {run, end.at, true, sends_per_report});
             }
         }
         return is_same;
     });
 }
 
-void crash_evidence::note_request(std::span<const prompt_part_id> parts, base::time_point now)
+void crash_evidence::note_request(std::span<const crash_subject> subjects, base::time_point now)
 {
-    for (const auto part : parts) {
-        if (!m_requests.contains(part) && m_requests.size() >= max_counted_parts) {
+    for (const auto subject : subjects) {
+        if (!m_requests.contains(subject) && m_requests.size() >= max_counted_subjects) {
             erase_oldest(m_requests, [](const request_count& a, const request_count& b) {
                 return a.last_at < b.last_at;
             });
         }
-        auto& entry = m_requests[part];
+        auto& entry = m_requests[subject];
         ++entry.count;
         entry.last_at = now;
     }
 }
 
-std::uint64_t crash_evidence::requests_with(prompt_part_id part) const
+std::uint64_t crash_evidence::requests_with(crash_subject subject) const
 {
-    const auto found = m_requests.find(part);
+    const auto found = m_requests.find(subject);
     return found == m_requests.end() ? 0 : found->second.count;
 }
 
-void crash_evidence::note_crash(std::span<const prompt_part_id> parts, const target_run& run,
+void crash_evidence::note_crash(std::span<const crash_subject> subjects, const target_run& run,
                                 base::time_point now)
 {
-    for (const auto part : parts) {
-        add_crash(part, {run, now, true, sends_per_report});
+    for (const auto subject : subjects) {
+        add_crash(subject, {run, now, true, sends_per_report});
     }
     add_known_crash(run, now);
 }
 
-void crash_evidence::note_unconfirmed_end(std::span<const prompt_part_id> parts,
+void crash_evidence::note_unconfirmed_end(std::span<const crash_subject> subjects,
                                           const target_run& run, base::time_point now)
 {
     if (m_unconfirmed_ends.size() >= max_unconfirmed_ends) {
         m_unconfirmed_ends.erase(m_unconfirmed_ends.begin());
     }
-    m_unconfirmed_ends.push_back({{parts.begin(), parts.end()}, run, now});
+    m_unconfirmed_ends.push_back({{subjects.begin(), subjects.end()}, run, now});
     const auto known = m_known_crashes.find(run);
     if (known != m_known_crashes.end()) {
         confirm_ends(run, known->second);
     }
 }
 
-void crash_evidence::add_survival(prompt_part_id part, const survival& item)
+void crash_evidence::add_survival(crash_subject subject, const survival& item)
 {
-    const auto evidence_of = m_parts.find(part);
-    if (evidence_of != m_parts.end()) {
+    const auto evidence_of = m_subjects.find(subject);
+    if (evidence_of != m_subjects.end()) {
         auto& entry = evidence_of->second;
         entry.survived_at = std::max(entry.survived_at, item.begun_at);
     }
-    else if (m_survivals.size() >= max_survivals && !m_survivals.contains(part)) {
+    else if (m_survivals.size() >= max_survivals && !m_survivals.contains(subject)) {
         return;
     }
-    auto& known = m_survivals[part];
+    auto& known = m_survivals[subject];
     if (item.begun_at > known.begun_at) {
         known.begun_at = item.begun_at;
         known.noted_at = item.noted_at;
@@ -191,11 +193,11 @@
     }
 }
 
-void crash_evidence::note_survival(std::span<const prompt_part_id> parts, base::time_point begun_at,
-                                   base::time_point now)
+void crash_evidence::note_survival(std::span<const crash_subject> subjects,
+                                   base::time_point begun_at, base::time_point now)
 {
-    for (const auto part : parts) {
-        add_survival(part, {begun_at, now, true, true, {}, {}, 0});
+    for (const auto subject : subjects) {
+        add_survival(subject, {begun_at, now, true, true, {}, {}, 0});
     }
 }
 
@@ -203,23 +205,24 @@
                            base::time_point now)
 {
     for (const auto& report : reports.survivals) {
-        add_survival(report.part, {now - report.age - delay, now, !is_relayed, false, {}, {}, 0});
+        add_survival(report.subject,
+                     {now - report.age - delay, now, !is_relayed, false, {}, {}, 0});
     }
     for (const auto& report : reports.crashes) {
         const auto at = now - report.age - delay;
         if (now - at < crash_lifetime) {
-            add_crash(report.part, {report.run, at, !is_relayed, 0});
+            add_crash(report.subject, {report.run, at, !is_relayed, 0});
             add_known_crash(report.run, at);
         }
     }
 }
 
 std::vector<crash_evidence::unexplained>
-crash_evidence::unexplained_parts(const std::set<target_run>& explained) const
+crash_evidence::unexplained_subjects(const std::set<target_run>& explained) const
 {
-    std::vector<unexplained> parts;
-    for (const auto& [part, entry] : m_parts) {
-        unexplained candidate{part, {}, {}};
+    std::vector<unexplained> subjects;
+    for (const auto& [subject, entry] : m_subjects) {
+        unexplained candidate{subject, {}, {}};
         for (const auto& item : entry.crashes) {
             if (is_live(entry, item) && !explained.contains(item.run)) {
                 candidate.runs.insert(item.run);
@@ -228,42 +231,43 @@
         }
         if (candidate.runs.size() >= min_crashes) {
             std::sort(candidate.times.begin(), candidate.times.end());
-            parts.push_back(std::move(candidate));
+            subjects.push_back(std::move(candidate));
         }
     }
-    return parts;
+    return subjects;
 }
 
-std::vector<crash_suspect> crash_evidence::suspects(const std::vector<prompt_part_id>& known,
+std::vector<crash_suspect> crash_evidence::suspects(const std::vector<crash_subject>& known,
                                                     base::time_point now) const
 {
     std::set<target_run> explained;
-    for (const auto part : known) {
-        const auto found = m_parts.find(part);
-        if (found != m_parts.end()) {
+    for (const auto subject : known) {
+        const auto found = m_subjects.find(subject);
+        if (found != m_subjects.end()) {
             for (const auto& item : found->second.crashes) {
                 explained.insert(item.run);
             }
         }
     }
     std::vector<crash_suspect> found;
-    for (auto parts = unexplained_parts(explained); !parts.empty();
-         parts = unexplained_parts(explained)) {
+    for (auto subjects = unexplained_subjects(explained); !subjects.empty();
+         subjects = unexplained_subjects(explained)) {
         const auto leader =
-            std::max_element(parts.begin(), parts.end(), [](const auto& a, const auto& b) {
+            std::max_element(subjects.begin(), subjects.end(), [](const auto& a, const auto& b) {
                 return a.runs.size() < b.runs.size();
             });
         const auto runs = leader->runs;
-        std::erase_if(parts, [&](const unexplained& other) { return other.runs != runs; });
-        std::uint64_t fewest = requests_with(parts.front().part);
-        for (const auto& part : parts) {
-            fewest = std::min(fewest, requests_with(part.part));
+        std::erase_if(subjects, [&](const unexplained& other) { return other.runs != runs; });
+        std::uint64_t fewest = requests_with(subjects.front().subject);
+        for (const auto& subject : subjects) {
+            fewest = std::min(fewest, requests_with(subject.subject));
         }
-        // A VM that has seen no request with a part can't tell which one is to blame.
-        const bool can_tell = parts.size() == 1 || fewest > 0;
-        for (const auto& part : parts) {
-            if (can_tell && is_suspect(part.times, now) && requests_with(part.part) == fewest) {
-                found.push_back({part.part, runs.size(), part.times.back()});
+        // A VM that has seen no request with a subject can't tell which one is to blame.
+        const bool can_tell = subjects.size() == 1 || fewest > 0;
+        for (const auto& subject : subjects) {
+            if (can_tell && is_suspect(subject.times, now) &&
+                requests_with(subject.subject) == fewest) {
+                found.push_back({subject.subject, runs.size(), subject.times.back()});
             }
         }
         explained.insert(runs.begin(), runs.end());
@@ -271,11 +275,11 @@
     return found;
 }
 
-base::time_point crash_evidence::last_crash(prompt_part_id part) const
+base::time_point crash_evidence::last_crash(crash_subject subject) const
 {
     base::time_point last{};
-    const auto found = m_parts.find(part);
-    if (found != m_parts.end()) {
+    const auto found = m_subjects.find(subject);
+    if (found != m_subjects.end()) {
         for (const auto& item : found->second.crashes) {
             if (is_live(found->second, item)) {
                 last = std::max(last, item.at);
@@ -285,23 +289,23 @@
     return last;
 }
 
-base::time_point crash_evidence::survived_at(prompt_part_id part) const
+base::time_point crash_evidence::survived_at(crash_subject subject) const
 {
-    const auto evidence_of = m_parts.find(part);
-    if (evidence_of != m_parts.end()) {
+    const auto evidence_of = m_subjects.find(subject);
+    if (evidence_of != m_subjects.end()) {
         return evidence_of->second.survived_at;
     }
-    const auto survived = m_survivals.find(part);
+    const auto survived = m_survivals.find(subject);
     return survived == m_survivals.end() ? base::time_point{} : survived->second.begun_at;
 }
 
 void crash_evidence::expire(base::time_point now)
 {
-    for (auto& [part, entry] : m_parts) {
+    for (auto& [subject, entry] : m_subjects) {
         std::erase_if(entry.crashes,
                       [&](const crash& item) { return now - item.at >= crash_lifetime; });
     }
-    std::erase_if(m_parts, [](const auto& entry) { return entry.second.crashes.empty(); });
+    std::erase_if(m_subjects, [](const auto& entry) { return entry.second.crashes.empty(); });
     std::erase_if(m_survivals, [&](const auto& entry) {
         return now - entry.second.noted_at >= survival_lifetime;
     });
--- a/src/chicorylink/fleet/crash_evidence_reports.cpp
+++ b/src/chicorylink/fleet/crash_evidence_reports.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-// The part of `crash_evidence` that makes reports for other VMs.
+// The subject of `crash_evidence` that makes reports for other VMs.
 
 namespace chicorylink::fleet {
 namespace {
 
-/// How often the survival of a part that stays in use is reported.
+/// How often the survival of a subject that stays in use is reported.
 constexpr base::milliseconds survival_report_interval{250};
 
 base::milliseconds age_of(base::time_point then, base::time_point now)
@@ -16,46 +16,46 @@
     return std::chrono::duration_cast<base::milliseconds>(now - then);
 }
 
-bool is_in(const std::vector<prompt_part_id>& parts, prompt_part_id part)
+bool is_in(const std::vector<crash_subject>& subjects, crash_subject subject)
 {
-    return std::find(parts.begin(), parts.end(), part) != parts.end();
+    return std::find(subjects.begin(), subjects.end(), subject) != subjects.end();
 }
 
 } // namespace
 
-std::vector<prompt_part_id>
-crash_evidence::reported_parts(const std::vector<prompt_part_id>& known) const
+std::vector<crash_subject>
+crash_evidence::reported_subjects(const std::vector<crash_subject>& known) const
 {
-    std::vector<std::pair<std::size_t, prompt_part_id>> ranked;
-    for (const auto& [part, entry] : m_parts) {
-        ranked.emplace_back(live_count(entry), part);
+    std::vector<std::pair<std::size_t, crash_subject>> ranked;
+    for (const auto& [subject, entry] : m_subjects) {
+        ranked.emplace_back(live_count(entry), subject);
     }
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<prompt_part_id> parts = known;
-    for (const auto& [count, part] : ranked) {
-        if (!is_in(known, part)) {
-            parts.push_back(part);
+    std::vector<crash_subject> subjects = known;
+    for (const auto& [count, subject] : ranked) {
+        if (!is_in(known, subject)) {
+            subjects.push_back(subject);
         }
     }
-    return parts;
+    return subjects;
 }
 
-crash_reports crash_evidence::take_own(const std::vector<prompt_part_id>& known,
+crash_reports crash_evidence::take_own(const std::vector<crash_subject>& known,
                                        base::time_point now)
 {
     crash_reports reports;
-    for (const auto part : reported_parts(known)) {
-        const auto evidence_of = m_parts.find(part);
-        if (evidence_of != m_parts.end()) {
+    for (const auto subject : reported_subjects(known)) {
+        const auto evidence_of = m_subjects.find(subject);
+        if (evidence_of != m_subjects.end()) {
             for (auto& item : evidence_of->second.crashes) {
                 if (item.sends_left > 0 && reports.crashes.size() < max_crash_reports) {
                     --item.sends_left;
-                    reports.crashes.push_back({part, item.run, age_of(item.at, now)});
+                    reports.crashes.push_back({subject, item.run, age_of(item.at, now)});
                 }
             }
         }
-        const auto survived = m_survivals.find(part);
+        const auto survived = m_survivals.find(subject);
         if (survived == m_survivals.end()) {
             continue;
         }
@@ -68,32 +68,32 @@
         }
         if (item.sends_left > 0 && reports.survivals.size() < max_survival_reports) {
             --item.sends_left;
-            reports.survivals.push_back({part, age_of(item.reported, now)});
+            reports.survivals.push_back({subject, age_of(item.reported, now)});
         }
     }
     return reports;
 }
 
-crash_reports crash_evidence::recent(const std::vector<prompt_part_id>& known,
+crash_reports crash_evidence::recent(const std::vector<crash_subject>& known,
                                      base::time_point now) const
 {
     crash_reports reports;
-    for (const auto part : reported_parts(known)) {
-        const auto evidence_of = m_parts.find(part);
-        if (evidence_of != m_parts.end()) {
+    for (const auto subject : reported_subjects(known)) {
+        const auto evidence_of = m_subjects.find(subject);
+        if (evidence_of != m_subjects.end()) {
             for (const auto& item : evidence_of->second.crashes) {
                 if (item.is_direct && is_live(evidence_of->second, item) &&
                     now - item.at <= crash_report_time &&
                     reports.crashes.size() < max_crash_reports) {
-                    reports.crashes.push_back({part, item.run, age_of(item.at, now)});
+                    reports.crashes.push_back({subject, item.run, age_of(item.at, now)});
                 }
             }
         }
-        const auto survived = m_survivals.find(part);
+        const auto survived = m_survivals.find(subject);
         if (survived != m_survivals.end() && survived->second.is_direct &&
             now - survived->second.noted_at <= crash_report_time &&
             reports.survivals.size() < max_survival_reports) {
-            reports.survivals.push_back({part, age_of(survived->second.begun_at, now)});
+            reports.survivals.push_back({subject, age_of(survived->second.begun_at, now)});
         }
     }
     return reports;
--- a/src/chicorylink/fleet/crash_fleet_fixture.hpp
+++ b/src/chicorylink/fleet/crash_fleet_fixture.hpp
@@ -1,7 +1,7 @@
 #ifndef CHICORYLINK_FLEET_CRASH_FLEET_FIXTURE_HPP
 #define CHICORYLINK_FLEET_CRASH_FLEET_FIXTURE_HPP
 
-#include "chicorylink/fleet/prompt_quarantine.hpp"
+#include "chicorylink/fleet/crash_quarantine.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -37,8 +37,8 @@
 public:
     using milliseconds = base::milliseconds;
 
-    static constexpr prompt_part_id common_part{1};
-    static constexpr prompt_part_id deadly_part{2};
+    static constexpr crash_subject common_part{1};
+    static constexpr crash_subject deadly_part{2};
 
     explicit crash_fleet(const crash_fleet_plan& plan)
         : m_plan(plan), m_random(plan.seed), m_vms(plan.regions * plan.vms),
@@ -72,10 +72,10 @@
     [[nodiscard]] std::size_t sound_sent() const { return m_sound_sent; }
     [[nodiscard]] std::size_t sound_refused() const { return m_sound_refused; }
     /// @brief Parts that were quarantined at any VM.
-    [[nodiscard]] const std::set<prompt_part_id>& quarantined() const { return m_quarantined; }
-    [[nodiscard]] bool refuses(std::size_t vm, prompt_part_id part) const
+    [[nodiscard]] const std::set<crash_subject>& quarantined() const { return m_quarantined; }
+    [[nodiscard]] bool refuses(std::size_t vm, crash_subject subject) const
     {
-        return m_vms.at(vm).guard.time_left(std::vector{part}, m_now).has_value();
+        return m_vms.at(vm).guard.time_left(std::vector{subject}, m_now).has_value();
     }
     /// @brief Deadly requests sent later than some time after the fifth crash.
     [[nodiscard]] std::size_t sent_after_fifth_crash(milliseconds delay) const
@@ -96,7 +96,7 @@
 
     struct request {
         std::size_t vm = 0;
-        std::vector<prompt_part_id> parts;
+        std::vector<crash_subject> parts;
         bool is_deadly = false;
         base::time_point begins_at{};
         base::time_point ends_at{};
@@ -115,7 +115,7 @@
         base::time_point made_at{};
     };
     struct simulated_vm {
-        prompt_quarantine guard;
+        crash_quarantine guard;
         base::time_point digest_due{};
         base::time_point remote_due{};
         /// Newest digests of other regions, by region.
@@ -150,7 +150,7 @@
             for (auto& vm : m_vms) {
                 for (const auto& change : vm.guard.update(m_now)) {
                     if (is_begin(change.cause)) {
-                        m_quarantined.insert(change.part);
+                        m_quarantined.insert(change.subject);
                     }
                 }
             }
@@ -164,12 +164,12 @@
             request item;
             item.vm = static_cast<std::size_t>(between(0, static_cast<int>(m_vms.size()) - 1));
             const auto sessions = static_cast<int>(m_plan.sessions);
-            const prompt_part_id session{100 + static_cast<std::uint64_t>(between(1, sessions))};
+            const crash_subject session{100 + static_cast<std::uint64_t>(between(1, sessions))};
             item.parts = {common_part, session};
             item.is_deadly = is_deadly;
             if (is_deadly) {
                 // No other request has its session.
-                item.parts = {common_part, prompt_part_id{1'000'000 + ++m_deadly_number},
+                item.parts = {common_part, crash_subject{1'000'000 + ++m_deadly_number},
                               deadly_part};
             }
             send(std::move(item));
@@ -359,7 +359,7 @@
     std::vector<request> m_repeats;
     std::vector<base::time_point> m_deadly_sends;
     std::vector<base::time_point> m_crashes;
-    std::set<prompt_part_id> m_quarantined;
+    std::set<crash_subject> m_quarantined;
     std::uint64_t m_deadly_number = 0;
     std::size_t m_sound_sent = 0;
     std::size_t m_sound_refused = 0;
--- a/src/chicorylink/fleet/prompt_quarantine_test.cpp
+++ b/src/chicorylink/fleet/crash_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "chicorylink/fleet/prompt_quarantine.hpp"
+#include "chicorylink/fleet/crash_quarantine.hpp"
 
 #include <algorithm>
 #include <vector>
@@ -11,9 +11,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr prompt_part_id common_part{1};
-constexpr prompt_part_id deadly_part{2};
-constexpr prompt_part_id other_part{3};
+constexpr crash_subject common_part{1};
+constexpr crash_subject deadly_part{2};
+constexpr crash_subject other_part{3};
 
 base::time_point at(milliseconds time)
 {
@@ -26,7 +26,7 @@
 }
 
 /// Crashes targets with these parts, one a second from the given time on.
-void crash_targets(prompt_quarantine& guard, const std::vector<prompt_part_id>& parts, int count,
+void crash_targets(crash_quarantine& guard, const std::vector<crash_subject>& parts, int count,
                    seconds from)
 {
     for (int number = 0; number < count; ++number) {
@@ -35,29 +35,29 @@
     }
 }
 
-bool refuses(const prompt_quarantine& guard, prompt_part_id part, base::time_point now)
+bool refuses(const crash_quarantine& guard, crash_subject subject, base::time_point now)
 {
-    return guard.time_left(std::vector{part}, now).has_value();
+    return guard.time_left(std::vector{subject}, now).has_value();
 }
 
 /// A VM that has quarantined the deadly part at 10 s, whose last crash was at 3 s.
-prompt_quarantine guard_with_quarantine()
+crash_quarantine guard_with_quarantine()
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {deadly_part}, 4, seconds{0});
     guard.update(at(seconds{10}));
     return guard;
 }
 
-TEST(prompt_quarantine, a_part_of_four_crashes_is_refused_once_they_have_settled)
+TEST(crash_quarantine, a_part_of_four_crashes_is_refused_once_they_have_settled)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {deadly_part}, 4, seconds{0});
     guard.update(at(seconds{5}));
     EXPECT_FALSE(refuses(guard, deadly_part, at(seconds{5})));
     const auto changes = guard.update(at(seconds{6}));
     ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().part, deadly_part);
+    EXPECT_EQ(changes.front().subject, deadly_part);
     EXPECT_EQ(changes.front().cause, quarantine_cause::crashes);
     EXPECT_EQ(changes.front().crashes, 4U);
     EXPECT_EQ(guard.time_left(std::vector{common_part, deadly_part}, at(seconds{6})),
@@ -65,9 +65,9 @@
     EXPECT_TRUE(guard.update(at(seconds{7})).empty());
 }
 
-TEST(prompt_quarantine, a_run_of_a_target_counts_once)
+TEST(crash_quarantine, a_run_of_a_target_counts_once)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     for (int second = 0; second < 9; ++second) {
         guard.note_crash(std::vector{deadly_part}, run_of(1), at(seconds{second}));
     }
@@ -76,9 +76,9 @@
 
 // Guards against a ban of all parts that were at targets lost at the same time, which the VMs
 // notice within some hundred milliseconds.
-TEST(prompt_quarantine, targets_lost_at_once_count_as_one_crash)
+TEST(crash_quarantine, targets_lost_at_once_count_as_one_crash)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     for (int target = 0; target < 9; ++target) {
         guard.note_crash(std::vector{common_part}, run_of(static_cast<std::uint64_t>(target) + 1),
                          at(milliseconds{25 * target}));
@@ -86,26 +86,26 @@
     EXPECT_TRUE(guard.update(at(seconds{20})).empty());
 }
 
-TEST(prompt_quarantine, an_answer_that_began_later_clears_a_part)
+TEST(crash_quarantine, an_answer_that_began_later_clears_a_part)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {common_part}, 4, seconds{0});
     guard.note_survival(std::vector{common_part}, at(milliseconds{3'100}), at(seconds{5}));
     EXPECT_TRUE(guard.update(at(seconds{20})).empty());
 }
 
-TEST(prompt_quarantine, an_answer_that_began_before_the_crashes_clears_nothing)
+TEST(crash_quarantine, an_answer_that_began_before_the_crashes_clears_nothing)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     guard.note_survival(std::vector{deadly_part}, at(seconds{0}), at(seconds{1}));
     crash_targets(guard, {deadly_part}, 4, seconds{1});
     EXPECT_EQ(guard.update(at(seconds{20})).size(), 1U);
 }
 
 // A survival may be heard before the crash that it refutes.
-TEST(prompt_quarantine, a_survival_clears_crashes_that_are_reported_later)
+TEST(crash_quarantine, a_survival_clears_crashes_that_are_reported_later)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     guard.note_survival(std::vector{common_part}, at(seconds{4}), at(seconds{5}));
     crash_reports late;
     for (std::uint64_t target = 1; target <= 4; ++target) {
@@ -116,19 +116,19 @@
 }
 
 // Guards against a ban of requests that were cut because another one crashed their target.
-TEST(prompt_quarantine, crashes_of_a_part_with_more_of_them_blame_no_other_part)
+TEST(crash_quarantine, crashes_of_a_part_with_more_of_them_blame_no_other_part)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {deadly_part, other_part}, 4, seconds{0});
     guard.note_crash(std::vector{deadly_part}, run_of(9), at(seconds{5}));
     const auto changes = guard.update(at(seconds{20}));
     ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().part, deadly_part);
+    EXPECT_EQ(changes.front().subject, deadly_part);
 }
 
-TEST(prompt_quarantine, equally_rare_parts_with_the_same_crashes_are_refused_together)
+TEST(crash_quarantine, equally_rare_parts_with_the_same_crashes_are_refused_together)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     guard.note_request(std::vector{deadly_part, other_part}, at(seconds{0}));
     crash_targets(guard, {deadly_part, other_part}, 3, seconds{0});
     EXPECT_TRUE(guard.update(at(seconds{20})).empty());
@@ -137,28 +137,28 @@
 }
 
 // Guards against a ban of all parts of a prompt by a VM that only heard of the crashes.
-TEST(prompt_quarantine, a_vm_without_requests_of_its_own_blames_none_of_several_parts)
+TEST(crash_quarantine, a_vm_without_requests_of_its_own_blames_none_of_several_parts)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {common_part, deadly_part}, 5, seconds{0});
     EXPECT_TRUE(guard.update(at(seconds{10})).empty());
 }
 
 // Guards against a ban of what all requests have in common while no answer survives anywhere.
-TEST(prompt_quarantine, the_rarest_of_parts_with_the_same_crashes_is_refused)
+TEST(crash_quarantine, the_rarest_of_parts_with_the_same_crashes_is_refused)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     guard.note_request(std::vector{common_part, deadly_part}, at(seconds{0}));
     guard.note_request(std::vector{common_part, other_part}, at(seconds{0}));
     crash_targets(guard, {common_part, deadly_part}, 4, seconds{0});
     const auto changes = guard.update(at(seconds{10}));
     ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().part, deadly_part);
+    EXPECT_EQ(changes.front().subject, deadly_part);
 }
 
-TEST(prompt_quarantine, five_crashes_at_two_moments_make_a_part_suspect)
+TEST(crash_quarantine, five_crashes_at_two_moments_make_a_part_suspect)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     for (int crash = 0; crash < 5; ++crash) {
         guard.note_crash(std::vector{deadly_part}, run_of(static_cast<std::uint64_t>(crash) + 1),
                          at(milliseconds{crash < 2 ? 0 : 300}));
@@ -167,40 +167,40 @@
     EXPECT_EQ(guard.update(at(seconds{4})).size(), 1U);
 }
 
-TEST(prompt_quarantine, old_crashes_are_forgotten)
+TEST(crash_quarantine, old_crashes_are_forgotten)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {deadly_part}, 2, seconds{0});
     const auto later = std::chrono::duration_cast<seconds>(crash_lifetime) + seconds{2};
     crash_targets(guard, {deadly_part}, 2, later);
     EXPECT_TRUE(guard.update(at(later + seconds{10})).empty());
     EXPECT_TRUE(guard.update(at(later + crash_lifetime + seconds{10})).empty());
-    EXPECT_EQ(guard.evidence().part_count(), 0U);
+    EXPECT_EQ(guard.evidence().subject_count(), 0U);
 }
 
-TEST(prompt_quarantine, a_suspect_is_not_forgotten_among_many_parts)
+TEST(crash_quarantine, a_suspect_is_not_forgotten_among_many_parts)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     std::uint64_t next_part = 100;
     for (int crash = 0; crash < 40; ++crash) {
-        std::vector<prompt_part_id> parts{deadly_part};
+        std::vector<crash_subject> parts{deadly_part};
         for (int count = 0; count < 50; ++count) {
             parts.emplace_back(++next_part);
         }
         const auto now = at(milliseconds{300 * crash});
         guard.note_crash(parts, run_of(static_cast<std::uint64_t>(crash) + 1), now);
-        EXPECT_LE(guard.evidence().part_count(), max_crash_parts);
+        EXPECT_LE(guard.evidence().subject_count(), max_crash_subjects);
         EXPECT_LE(guard.take_own(now).crashes.size(), max_crash_reports);
         EXPECT_LE(guard.digest_reports(now).crashes.size(), max_crash_reports);
     }
     const auto changes = guard.update(at(seconds{12}));
     ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().part, deadly_part);
+    EXPECT_EQ(changes.front().subject, deadly_part);
 }
 
-TEST(prompt_quarantine, reports_are_sent_twice_and_told_for_a_while)
+TEST(crash_quarantine, reports_are_sent_twice_and_told_for_a_while)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     crash_targets(guard, {deadly_part}, 1, seconds{0});
     guard.note_survival(std::vector{other_part}, at(seconds{0}), at(seconds{1}));
     EXPECT_EQ(guard.take_own(at(milliseconds{25})).crashes.size(), 1U);
@@ -215,9 +215,9 @@
 }
 
 // Guards against reports that go round between VMs and look newer with each of them.
-TEST(prompt_quarantine, relayed_reports_are_not_passed_on)
+TEST(crash_quarantine, relayed_reports_are_not_passed_on)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     guard.apply({{{deadly_part, run_of(1), milliseconds{0}}}, {{deadly_part, milliseconds{0}}}, {}},
                 true, milliseconds{0}, at(seconds{0}));
     EXPECT_TRUE(guard.take_own(at(seconds{1})).empty());
@@ -228,7 +228,7 @@
     EXPECT_EQ(guard.digest_reports(at(seconds{1})).crashes.size(), 1U);
 }
 
-TEST(prompt_quarantine, a_survivor_lifts_the_quarantine)
+TEST(crash_quarantine, a_survivor_lifts_the_quarantine)
 {
     auto guard = guard_with_quarantine();
     ASSERT_TRUE(refuses(guard, deadly_part, at(seconds{10})));
@@ -246,7 +246,7 @@
     EXPECT_FALSE(refuses(guard, deadly_part, at(seconds{12})));
 }
 
-TEST(prompt_quarantine, a_released_part_explains_no_crashes)
+TEST(crash_quarantine, a_released_part_explains_no_crashes)
 {
     auto guard = guard_with_quarantine();
     guard.note_survival(std::vector{deadly_part}, at(seconds{9}), at(seconds{11}));
@@ -255,10 +255,10 @@
     guard.note_survival(std::vector{deadly_part}, at(seconds{24}), at(seconds{26}));
     const auto changes = guard.update(at(seconds{30}));
     ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().part, other_part);
+    EXPECT_EQ(changes.front().subject, other_part);
 }
 
-TEST(prompt_quarantine, a_crash_on_probation_doubles_the_time)
+TEST(crash_quarantine, a_crash_on_probation_doubles_the_time)
 {
     auto guard = guard_with_quarantine();
     const auto end = seconds{3} + first_quarantine_time;
@@ -273,7 +273,7 @@
     EXPECT_EQ(guard.time_left(std::vector{deadly_part}, at(crashed)), 2 * first_quarantine_time);
 }
 
-TEST(prompt_quarantine, the_time_is_bounded)
+TEST(crash_quarantine, the_time_is_bounded)
 {
     EXPECT_EQ(quarantine_time(1), first_quarantine_time);
     EXPECT_EQ(quarantine_time(2), 2 * first_quarantine_time);
@@ -281,10 +281,10 @@
 }
 
 // Guards against VMs that prolong a quarantine for each other.
-TEST(prompt_quarantine, a_reported_quarantine_does_not_prolong_a_known_one)
+TEST(crash_quarantine, a_reported_quarantine_does_not_prolong_a_known_one)
 {
     auto first = guard_with_quarantine();
-    prompt_quarantine second;
+    crash_quarantine second;
     for (int second_of_time = 10; second_of_time < 300; ++second_of_time) {
         const auto now = at(seconds{second_of_time});
         second.apply(first.digest_reports(now), true, milliseconds{0}, now + milliseconds{200});
@@ -297,9 +297,9 @@
     }
 }
 
-TEST(prompt_quarantine, an_end_with_the_connection_counts_when_the_target_crashed)
+TEST(crash_quarantine, an_end_with_the_connection_counts_when_the_target_crashed)
 {
-    prompt_quarantine guard;
+    crash_quarantine guard;
     for (int crash = 0; crash < 4; ++crash) {
         const auto run = run_of(static_cast<std::uint64_t>(crash) + 1);
         const auto now = at(seconds{crash});
@@ -312,7 +312,7 @@
     guard.note_unconfirmed_end(std::vector{common_part}, run_of(3), at(seconds{8}));
     const auto changes = guard.update(at(seconds{9}));
     ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().part, deadly_part);
+    EXPECT_EQ(changes.front().subject, deadly_part);
 }
 
 } // namespace
--- a/src/chicorylink/front/exchange_parts.cpp
+++ b/src/chicorylink/front/exchange_parts.cpp
@@ -14,17 +14,25 @@
 
 } // namespace
 
-void exchange::note_prompt_parts(base::time_point now)
+std::vector<fleet::crash_subject> exchange::crash_subjects() const
 {
+    std::vector<fleet::crash_subject> subjects;
     if (m_prompt) {
-        m_core.quarantine.note_request(fleet::shared_part_ids(*m_prompt), now);
+        for (const auto part : fleet::shared_part_ids(*m_prompt)) {
+            subjects.push_back({part.value(), fleet::crash_subject_kind::prompt_part});
+        }
     }
+    return subjects;
+}
+
+void exchange::note_prompt_parts(base::time_point now)
+{
+    m_core.quarantine.note_request(crash_subjects(), now);
 }
 
 bool exchange::refuse_quarantined(base::time_point now)
 {
-    const auto left = m_prompt ? m_core.quarantine.time_left(fleet::shared_part_ids(*m_prompt), now)
-                               : std::nullopt;
+    const auto left = m_core.quarantine.time_left(crash_subjects(), now);
     if (!left) {
         return false;
     }
@@ -66,7 +74,7 @@
 void exchange::note_survival(base::time_point now)
 {
     m_attempt->has_survived = true;
-    m_core.quarantine.note_survival(fleet::shared_part_ids(*m_prompt), *m_attempt->begun_at, now);
+    m_core.quarantine.note_survival(crash_subjects(), *m_attempt->begun_at, now);
 }
 
 void exchange::note_answer_end(base::time_point now)
@@ -77,8 +85,7 @@
     const bool is_framed = m_attempt->head.chunked || m_attempt->head.content_length;
     if (!is_framed) {
         // The end of the connection may be that of the target.
-        m_core.quarantine.note_unconfirmed_end(fleet::shared_part_ids(*m_prompt), m_attempt->run,
-                                               now);
+        m_core.quarantine.note_unconfirmed_end(crash_subjects(), m_attempt->run, now);
     }
     else if (m_attempt->begun_at) {
         note_survival(now);
@@ -91,7 +98,7 @@
         return;
     }
     m_core.counters.add("prompt_part_crashes_total");
-    m_core.quarantine.note_crash(fleet::shared_part_ids(*m_prompt), broken.run, now);
+    m_core.quarantine.note_crash(crash_subjects(), broken.run, now);
     update_quarantine(m_core, now);
 }
 
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -140,7 +140,7 @@
     for (const auto& change : core.quarantine.update(now)) {
         const bool is_begin = fleet::is_begin(change.cause);
         auto line = log_event(core, is_begin ? "prompt_part_quarantined" : "prompt_part_released");
-        line.add("part", fmt::format("{:016x}", change.part.value()));
+        line.add("part", fmt::format("{:016x}", change.subject.hash));
         line.add("cause", fleet::to_string(change.cause));
         if (is_begin) {
             line.add("crashes", std::uint64_t{change.crashes});
