front: log a fingerprint of requests whose attempts fail

A request that comes again has another id each time, so logs couldn't tell one request that crashes its targets again and again from many requests that each fail once.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -256,6 +256,8 @@
     caller_connection* m_caller;
     incoming_request m_request;
     std::optional<fleet::prompt> m_prompt;
+    /// The same for all requests that repeat this one; 0 until the route is known.
+    std::uint64_t m_fingerprint = 0;
     resolved_request m_resolved;
     base::time_point m_deadline{};
     std::unique_ptr<attempt> m_attempt;
--- /dev/null
+++ b/include/chicorylink/front/request_fingerprint.hpp
@@ -0,0 +1,22 @@
+#ifndef CHICORYLINK_FRONT_REQUEST_FINGERPRINT_HPP
+#define CHICORYLINK_FRONT_REQUEST_FINGERPRINT_HPP
+
+#include <cstdint>
+
+namespace chicorylink::fleet {
+struct team;
+} // namespace chicorylink::fleet
+
+namespace chicorylink::front {
+
+struct incoming_request;
+
+/// @brief Hash of what stays the same when a caller sends a request again: method, host, path with
+/// query, team and body. The id and the other headers may differ.
+/// @param team The caller's team; null on a public route.
+[[nodiscard]] std::uint64_t request_fingerprint(const incoming_request& request,
+                                                const fleet::team* team);
+
+} // namespace chicorylink::front
+
+#endif // CHICORYLINK_FRONT_REQUEST_FINGERPRINT_HPP
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -5,6 +5,7 @@
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/request_fingerprint.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
@@ -93,6 +94,7 @@
     m_deadline =
         now + std::min(timeout, requested_timeout(m_request.head, names).value_or(timeout));
     m_prompt = prompt_of(m_request.head, names);
+    m_fingerprint = request_fingerprint(m_request, m_resolved.team);
     note_prompt_parts(now);
     m_is_caller_retry = m_core.caller_retries.is_retry(
         m_resolved.route->name, requested_timeout(m_request.head, names).value_or(timeout));
@@ -296,6 +298,7 @@
     const auto took = std::chrono::duration_cast<base::milliseconds>(now - ended.sent_at);
     write_log(m_core, log_event(m_core, "attempt_ended")
                           .add("request", m_request.id)
+                          .add("fingerprint", fmt::format("{:016x}", m_fingerprint))
                           .add("result", result)
                           .add("detail", detail)
                           .add("target", ended.target.text())
