--- a/process_tests/crashing_part_test.cpp
+++ b/process_tests/crashing_part_test.cpp
@@ -107,7 +107,10 @@
         const auto port = static_cast<unsigned short>(first_target_port + number);
         const auto address = fmt::format("{}:{}", targets_ip, port);
         m_targets.push_back(std::make_unique<crashing_target>(
-            fmt::format("i-{}", number), targets_ip, port, deadly_part,
+            fmt::format("i-{}", number), targets_ip, port,
+            [](const auto& exchange) {
+                return has_shared_part(exchange.header("X-Chicorylink-Prompt-Prefix"), deadly_part);
+            },
             [this, zone, address](const auto& ended, const auto& next) {
                 if (ended.name != next.name) {
                     m_fleet.store().remove("servers/" + ended.name);
--- a/process_tests/support/crashing_target.cpp
+++ b/process_tests/support/crashing_target.cpp
@@ -15,6 +15,9 @@
 /// From the arrival of a deadly request to the begin of its answer.
 constexpr milliseconds time_to_answer{100};
 
+/// The work for an answer that is not streamed.
+constexpr milliseconds plain_work_time{30};
+
 /// Between the two halves of an event, so that a crash may come inside one.
 constexpr milliseconds half_event_pause{20};
 
@@ -38,6 +41,11 @@
                                        "Transfer-Encoding: chunked\r\n"));
 }
 
+bool is_streamed(const http_exchange& exchange)
+{
+    return exchange.path().starts_with("/stream/");
+}
+
 int first_event(const http_exchange& exchange)
 {
     const auto last = exchange.header("Last-Event-Id");
@@ -55,9 +63,8 @@
 }
 
 crashing_target::crashing_target(std::string name, std::string ip, unsigned short port,
-                                 std::string deadly_part, on_restart restarted)
-    : m_name(std::move(name)), m_ip(std::move(ip)), m_port(port),
-      m_deadly_part(std::move(deadly_part)),
+                                 predicate is_deadly, on_restart restarted)
+    : m_name(std::move(name)), m_ip(std::move(ip)), m_port(port), m_is_deadly(std::move(is_deadly)),
       m_restarted(std::move(restarted)), m_run{fmt::format("{}-1", m_name), 1}, m_target(listen()),
       m_restarting([this] { restart_after_crashes(); })
 {
@@ -129,10 +136,12 @@
         !expected.empty() && expected != current_run().name) {
         return exchange.send(exchange.response("", "X-Chicorylink-Not-Run: 1\r\n", 421));
     }
-    if (has_shared_part(exchange.header("X-Chicorylink-Prompt-Prefix"), m_deadly_part)) {
+    if (m_is_deadly(exchange)) {
         return crash_on(exchange);
     }
-    return stream(exchange);
+    return is_streamed(exchange)
+               ? stream(exchange)
+               : exchange.pause(plain_work_time) && exchange.send(exchange.response("done"));
 }
 
 bool crashing_target::crash_on(http_exchange& exchange)
@@ -148,10 +157,10 @@
     }
     // By turns the caller has no answer yet, a head, and an event and a half of the stream.
     const auto first = first_event(exchange);
-    if (number % 3 != 0) {
+    if (is_streamed(exchange) && number % 3 != 0) {
         send_stream_head(exchange);
     }
-    if (number % 3 == 2) {
+    if (is_streamed(exchange) && number % 3 == 2) {
         send_event(exchange, first);
         begin_event(exchange, first + 1);
     }
--- a/process_tests/support/crashing_target.hpp
+++ b/process_tests/support/crashing_target.hpp
@@ -19,10 +19,11 @@
 /// @brief Whether a request's prompt has a part that others may share; its last part is its own.
 [[nodiscard]] bool has_shared_part(const std::string& prompt_parts, std::string_view part);
 
-/// @brief A target that streams answers and crashes when it begins one on a deadly prompt part.
+/// @brief A target that crashes when it begins to answer a deadly request.
 ///
-/// A crash closes all of its connections, most of them inside an event. The port refuses for
-/// `down_time`; then a new run listens there, mostly under a new name.
+/// It streams the answers of paths below `/stream/` and answers the others at once. A crash closes
+/// all of its connections, most of them inside an event. The port refuses for `down_time`; then a
+/// new run listens there, mostly under a new name.
 class crashing_target {
 public:
     using clock = std::chrono::steady_clock;
@@ -45,8 +46,10 @@
     /// Called when a run ends, with that run and the next one, before the next one listens.
     using on_restart = std::function<void(const run& ended, const run& next)>;
 
+    using predicate = std::function<bool(const scripted_target::http_exchange&)>;
+
     /// @param name Begin of the names of its runs.
-    crashing_target(std::string name, std::string ip, unsigned short port, std::string deadly_part,
+    crashing_target(std::string name, std::string ip, unsigned short port, predicate is_deadly,
                     on_restart restarted);
     ~crashing_target();
     crashing_target(const crashing_target&) = delete;
@@ -61,9 +64,9 @@
     void cut_each(int n) { m_cut_each = n; }
 
     [[nodiscard]] run current_run();
-    /// @brief The requests with the deadly part that arrived.
+    /// @brief The deadly requests that arrived.
     [[nodiscard]] std::vector<arrival> deadly_arrivals();
-    /// @brief When runs crashed on the deadly part.
+    /// @brief When runs crashed on deadly requests.
     [[nodiscard]] std::vector<clock::time_point> deadly_crashes();
 
 private:
@@ -77,7 +80,7 @@
     std::string m_name;
     std::string m_ip;
     unsigned short m_port;
-    std::string m_deadly_part;
+    predicate m_is_deadly;
     on_restart m_restarted;
     std::atomic<int> m_cut_each{0};
     std::atomic<int> m_answers{0};
