--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -16,23 +16,34 @@
 /// How long a crash counts as evidence.
 inline constexpr base::milliseconds crash_lifetime{120'000};
 
-/// A subject is suspected only of crashes that are at least this old, so that survivals of requests
-/// with an unrelated subject can arrive from all regions.
-inline constexpr base::milliseconds crash_settle_time{3'000};
-
 /// Targets that are lost at the same time count as one crash.
 inline constexpr base::milliseconds min_crash_distance{250};
 
-/// Crashes that make a subject suspect.
-inline constexpr std::size_t min_crashes = 4;
+/// @brief Which crashes make a subject suspect.
+struct suspicion_limits {
+    /// Crashes that are apart from each other.
+    std::size_t crashes = 0;
+    /// Enough crashes even if they fall into few bursts.
+    std::size_t crashes_in_bursts = 0;
+    /// Only crashes that are at least this old count, so that survivals of requests with an
+    /// unrelated subject can arrive from all regions.
+    base::milliseconds settle_time{0};
+};
+
+/// A part is in many requests that are unrelated to each other, so that its survivals come from all
+/// VMs. The evidence against a whole request is stronger: it is at one target at a time.
+inline constexpr suspicion_limits part_limits{4, 5, base::milliseconds{3'000}};
+inline constexpr suspicion_limits request_limits{3, 3, base::milliseconds{1'500}};
 
-/// Enough crashes to make a subject suspect even if they fall into only two bursts.
-inline constexpr std::size_t min_crashes_in_bursts = 5;
+[[nodiscard]] constexpr const suspicion_limits& limits_of(crash_subject_kind kind)
+{
+    return kind == crash_subject_kind::whole_request ? request_limits : part_limits;
+}
 
 /// How long crashes and survivals are told to other VMs.
 inline constexpr base::milliseconds crash_report_time{6'000};
 
-inline constexpr std::size_t max_crash_subjects = 512;
+inline constexpr std::size_t max_crash_subjects = 1024;
 inline constexpr std::size_t max_crashes_per_subject = 64;
 inline constexpr std::size_t max_survivals = 4096;
 inline constexpr std::size_t max_counted_subjects = 1024;
@@ -42,7 +53,7 @@
 /// How often this VM sends each report, since datagrams get lost.
 inline constexpr int sends_per_report = 2;
 
-/// Bounds on the reports in one message.
+/// Bounds on the reports of one kind of subject in one message.
 inline constexpr std::size_t max_crash_reports = 128;
 inline constexpr std::size_t max_survival_reports = 128;
 
@@ -59,8 +70,8 @@
 /// subject is cleared of all crashes before a request with it began an answer that survived.
 class crash_evidence {
 public:
-    /// @brief Counts a request of this VM. Among subjects with the same crashes the rarest is to
-    /// blame: all its requests crash targets, and the other subjects are in more requests.
+    /// @brief Counts a request of this VM. Among parts with the same crashes the rarest is to
+    /// blame: all its requests crash targets, and the other parts are in more requests.
     void note_request(std::span<const crash_subject> subjects, base::time_point now);
 
     /// @brief Records that the connection of a request broke before its answer survived.
@@ -157,7 +168,15 @@
     [[nodiscard]] std::uint64_t requests_with(crash_subject subject) const;
     void confirm_ends(const target_run& run, base::time_point at);
     [[nodiscard]] std::vector<unexplained>
-    unexplained_subjects(const std::set<target_run>& explained) const;
+    unexplained_subjects(crash_subject_kind kind, const std::set<target_run>& explained) const;
+    /// @brief The runs whose crashes accuse a subject.
+    [[nodiscard]] std::set<target_run> runs_of(crash_subject subject) const;
+    [[nodiscard]] std::vector<crash_suspect>
+    suspected_requests(const std::vector<crash_subject>& known, base::time_point now) const;
+    /// @param requests Whole requests that are known to crash targets.
+    [[nodiscard]] std::vector<crash_suspect>
+    suspected_parts(const std::vector<crash_subject>& known,
+                    const std::vector<crash_subject>& requests, base::time_point now) const;
     /// @brief Parts with evidence, those with most crashes first, and the other known ones.
     [[nodiscard]] std::vector<crash_subject>
     reported_subjects(const std::vector<crash_subject>& known) const;
--- a/include/chicorylink/fleet/crash_quarantine.hpp
+++ b/include/chicorylink/fleet/crash_quarantine.hpp
@@ -37,6 +37,13 @@
     std::size_t crashes = 0;
 };
 
+/// @brief Why a request is refused.
+struct active_quarantine {
+    crash_subject_kind kind = crash_subject_kind::prompt_part;
+    /// Time until requests with the subject are accepted again.
+    base::milliseconds left{0};
+};
+
 [[nodiscard]] std::string_view to_string(quarantine_cause cause);
 
 /// @brief Whether the change is the begin of a quarantine.
@@ -47,9 +54,9 @@
 /// All VMs get the same reports and decide alike, so that the whole fleet stops sending it.
 class crash_quarantine {
 public:
-    /// @brief Time until requests with these subjects are accepted again; none if they are now.
-    [[nodiscard]] std::optional<base::milliseconds>
-    time_left(std::span<const crash_subject> subjects, base::time_point now) const;
+    /// @brief The quarantine of these subjects that ends last; none if no one is quarantined.
+    [[nodiscard]] std::optional<active_quarantine> find(std::span<const crash_subject> subjects,
+                                                        base::time_point now) const;
 
     /// @brief See `crash_evidence` for these.
     void note_request(std::span<const crash_subject> subjects, base::time_point now);
--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -420,7 +420,10 @@
     VT_LIMITED_SERVICES = 24,
     VT_CRASHES = 26,
     VT_SURVIVALS = 28,
-    VT_QUARANTINES = 30
+    VT_QUARANTINES = 30,
+    VT_REQUEST_CRASHES = 32,
+    VT_REQUEST_SURVIVALS = 34,
+    VT_REQUEST_QUARANTINES = 36
   };
   const flatbuffers::String *region() const {
     return GetPointer<const flatbuffers::String *>(VT_REGION);
@@ -464,6 +467,15 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *> *quarantines() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *> *>(VT_QUARANTINES);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *> *request_crashes() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *> *>(VT_REQUEST_CRASHES);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *> *request_survivals() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *> *>(VT_REQUEST_SURVIVALS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *> *request_quarantines() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *> *>(VT_REQUEST_QUARANTINES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REGION) &&
@@ -491,6 +503,12 @@
            verifier.VerifyVector(survivals()) &&
            VerifyOffset(verifier, VT_QUARANTINES) &&
            verifier.VerifyVector(quarantines()) &&
+           VerifyOffset(verifier, VT_REQUEST_CRASHES) &&
+           verifier.VerifyVector(request_crashes()) &&
+           VerifyOffset(verifier, VT_REQUEST_SURVIVALS) &&
+           verifier.VerifyVector(request_survivals()) &&
+           VerifyOffset(verifier, VT_REQUEST_QUARANTINES) &&
+           verifier.VerifyVector(request_quarantines()) &&
            verifier.EndTable();
   }
 };
@@ -541,6 +559,15 @@
   void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> quarantines) {
     fbb_.AddOffset(RegionDigest::VT_QUARANTINES, quarantines);
   }
+  void add_request_crashes(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *>> request_crashes) {
+    fbb_.AddOffset(RegionDigest::VT_REQUEST_CRASHES, request_crashes);
+  }
+  void add_request_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *>> request_survivals) {
+    fbb_.AddOffset(RegionDigest::VT_REQUEST_SURVIVALS, request_survivals);
+  }
+  void add_request_quarantines(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> request_quarantines) {
+    fbb_.AddOffset(RegionDigest::VT_REQUEST_QUARANTINES, request_quarantines);
+  }
   explicit RegionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -567,9 +594,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::ServiceRate *>> limited_services = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *>> survivals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> quarantines = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> quarantines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartCrash *>> request_crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartSurvival *>> request_survivals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PartQuarantine *>> request_quarantines = 0) {
   RegionDigestBuilder builder_(_fbb);
   builder_.add_reporter(reporter);
+  builder_.add_request_quarantines(request_quarantines);
+  builder_.add_request_survivals(request_survivals);
+  builder_.add_request_crashes(request_crashes);
   builder_.add_quarantines(quarantines);
   builder_.add_survivals(survivals);
   builder_.add_crashes(crashes);
@@ -601,7 +634,10 @@
     const std::vector<chicorylink::fleet::codec::ServiceRate> *limited_services = nullptr,
     const std::vector<chicorylink::fleet::codec::PartCrash> *crashes = nullptr,
     const std::vector<chicorylink::fleet::codec::PartSurvival> *survivals = nullptr,
-    const std::vector<chicorylink::fleet::codec::PartQuarantine> *quarantines = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PartQuarantine> *quarantines = nullptr,
+    const std::vector<chicorylink::fleet::codec::PartCrash> *request_crashes = nullptr,
+    const std::vector<chicorylink::fleet::codec::PartSurvival> *request_survivals = nullptr,
+    const std::vector<chicorylink::fleet::codec::PartQuarantine> *request_quarantines = nullptr) {
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::DigestMember>(*members) : 0;
   auto usage__ = usage ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::TeamUsage>(*usage) : 0;
@@ -613,6 +649,9 @@
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartCrash>(*crashes) : 0;
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartSurvival>(*survivals) : 0;
   auto quarantines__ = quarantines ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartQuarantine>(*quarantines) : 0;
+  auto request_crashes__ = request_crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartCrash>(*request_crashes) : 0;
+  auto request_survivals__ = request_survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartSurvival>(*request_survivals) : 0;
+  auto request_quarantines__ = request_quarantines ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PartQuarantine>(*request_quarantines) : 0;
   return chicorylink::fleet::codec::CreateRegionDigest(
       _fbb,
       region__,
@@ -628,7 +667,10 @@
       limited_services__,
       crashes__,
       survivals__,
-      quarantines__);
+      quarantines__,
+      request_crashes__,
+      request_survivals__,
+      request_quarantines__);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -537,7 +537,9 @@
     VT_NOTICES = 12,
     VT_LIMITS = 14,
     VT_CRASHES = 16,
-    VT_SURVIVALS = 18
+    VT_SURVIVALS = 18,
+    VT_REQUEST_CRASHES = 20,
+    VT_REQUEST_SURVIVALS = 22
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -563,6 +565,12 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *survivals() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *>(VT_SURVIVALS);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *> *request_crashes() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *> *>(VT_REQUEST_CRASHES);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *request_survivals() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *>(VT_REQUEST_SURVIVALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -581,6 +589,10 @@
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_SURVIVALS) &&
            verifier.VerifyVector(survivals()) &&
+           VerifyOffset(verifier, VT_REQUEST_CRASHES) &&
+           verifier.VerifyVector(request_crashes()) &&
+           VerifyOffset(verifier, VT_REQUEST_SURVIVALS) &&
+           verifier.VerifyVector(request_survivals()) &&
            verifier.EndTable();
   }
 };
@@ -613,6 +625,12 @@
   void add_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals) {
     fbb_.AddOffset(PlacementMessage::VT_SURVIVALS, survivals);
   }
+  void add_request_crashes(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> request_crashes) {
+    fbb_.AddOffset(PlacementMessage::VT_REQUEST_CRASHES, request_crashes);
+  }
+  void add_request_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals) {
+    fbb_.AddOffset(PlacementMessage::VT_REQUEST_SURVIVALS, request_survivals);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -633,9 +651,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementNotice *>> notices = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementLimit *>> limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> request_crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_request_survivals(request_survivals);
+  builder_.add_request_crashes(request_crashes);
   builder_.add_survivals(survivals);
   builder_.add_crashes(crashes);
   builder_.add_limits(limits);
@@ -655,7 +677,9 @@
     const std::vector<chicorylink::fleet::codec::PlacementNotice> *notices = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementLimit> *limits = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementCrash> *crashes = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementSurvival> *survivals = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementSurvival> *survivals = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementCrash> *request_crashes = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
@@ -663,6 +687,8 @@
   auto limits__ = limits ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementLimit>(*limits) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementCrash>(*crashes) : 0;
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*survivals) : 0;
+  auto request_crashes__ = request_crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementCrash>(*request_crashes) : 0;
+  auto request_survivals__ = request_survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*request_survivals) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -672,7 +698,9 @@
       notices__,
       limits__,
       crashes__,
-      survivals__);
+      survivals__,
+      request_crashes__,
+      request_survivals__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/subject_quarantines.hpp
+++ b/include/chicorylink/fleet/subject_quarantines.hpp
@@ -19,8 +19,9 @@
 
 inline constexpr std::size_t max_quarantined_subjects = 64;
 
-/// @brief How long the given quarantine of a subject in succession lasts.
-[[nodiscard]] base::milliseconds quarantine_time(std::uint32_t number);
+/// @brief How long the given quarantine of a subject in succession lasts. A whole request that
+/// crashes one more target gets the longest time: only few may reach targets however long it comes.
+[[nodiscard]] base::milliseconds quarantine_time(crash_subject_kind kind, std::uint32_t number);
 
 /// @brief The subjects that are quarantined or on probation.
 ///
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -203,11 +203,11 @@
     void wait_or_refuse(const refusal& cause, base::time_point now);
     void search_again(base::time_point now);
 
-    // Parts of prompts that crash targets.
+    // Requests that crash targets.
     /// @brief What in the request may be the cause when its target crashes.
     [[nodiscard]] std::vector<fleet::crash_subject> crash_subjects() const;
-    void note_prompt_parts(base::time_point now);
-    /// @brief Refuses the request if a part of its prompt is quarantined.
+    void note_crash_subjects(base::time_point now);
+    /// @brief Refuses the request if it, or a part of its prompt, is quarantined.
     /// @return Whether it is.
     bool refuse_quarantined(base::time_point now);
     [[nodiscard]] bool is_watched_for_crashes(const attempt& watched) const;
--- a/src/chicorylink/fleet/codec_crashes.hpp
+++ b/src/chicorylink/fleet/codec_crashes.hpp
@@ -8,94 +8,94 @@
 
 #include <flatbuffers/flatbuffers.h>
 
-// Heartbeats and placement messages both carry reports about prompt subjects, as structs with the
-// same fields. An absent vector takes no bytes; most messages have no such reports.
+// Heartbeats and placement messages both carry reports about subjects of crashes, as structs with
+// the same fields and one vector for each kind of subject. An absent vector takes no bytes; most
+// messages have no such reports.
 
 namespace chicorylink::fleet {
 
 template <class Coded>
-std::vector<crash_report> read_crashes(const flatbuffers::Vector<const Coded*>* from)
+using coded_list = flatbuffers::Vector<const Coded*>;
+
+template <class Coded>
+using coded_offset = flatbuffers::Offset<coded_list<Coded>>;
+
+template <class Coded>
+void read_crashes(const coded_list<Coded>* from, crash_subject_kind kind,
+                  std::vector<crash_report>& to)
 {
-    std::vector<crash_report> reports;
     if (from != nullptr) {
         for (const auto* entry : *from) {
-            reports.push_back({crash_subject{entry->part()},
-                               {base::target_id{entry->target()}, entry->started_ms()},
-                               base::milliseconds{entry->age_ms()}});
+            to.push_back({{entry->part(), kind},
+                          {base::target_id{entry->target()}, entry->started_ms()},
+                          base::milliseconds{entry->age_ms()}});
         }
     }
-    return reports;
 }
 
 template <class Coded>
-flatbuffers::Offset<flatbuffers::Vector<const Coded*>>
-write_crashes(flatbuffers::FlatBufferBuilder& to, const std::vector<crash_report>& reports)
+void read_survivals(const coded_list<Coded>* from, crash_subject_kind kind,
+                    std::vector<survival_report>& to)
 {
-    if (reports.empty()) {
-        return 0;
-    }
-    std::vector<Coded> list;
-    list.reserve(reports.size());
-    for (const auto& report : reports) {
-        list.emplace_back(report.subject.hash, report.run.target.value(), report.run.started_ms,
-                          to_wire_ms(report.age));
+    if (from != nullptr) {
+        for (const auto* entry : *from) {
+            to.push_back({{entry->part(), kind}, base::milliseconds{entry->age_ms()}});
+        }
     }
-    return to.CreateVectorOfStructs(list);
 }
 
 template <class Coded>
-std::vector<survival_report> read_survivals(const flatbuffers::Vector<const Coded*>* from)
+void read_quarantines(const coded_list<Coded>* from, crash_subject_kind kind,
+                      std::vector<quarantine_report>& to)
 {
-    std::vector<survival_report> reports;
     if (from != nullptr) {
         for (const auto* entry : *from) {
-            reports.push_back({crash_subject{entry->part()}, base::milliseconds{entry->age_ms()}});
+            to.push_back(
+                {{entry->part(), kind}, entry->number(), base::milliseconds{entry->left_ms()}});
         }
     }
-    return reports;
 }
 
-template <class Coded>
-flatbuffers::Offset<flatbuffers::Vector<const Coded*>>
-write_survivals(flatbuffers::FlatBufferBuilder& to, const std::vector<survival_report>& reports)
+/// @brief Writes the reports about subjects of one kind, each made by `code`.
+template <class Coded, class Report, class Code>
+coded_offset<Coded> write_reports(flatbuffers::FlatBufferBuilder& to, crash_subject_kind kind,
+                                  const std::vector<Report>& reports, const Code& code)
 {
-    if (reports.empty()) {
-        return 0;
-    }
     std::vector<Coded> list;
-    list.reserve(reports.size());
     for (const auto& report : reports) {
-        list.emplace_back(report.subject.hash, to_wire_ms(report.age));
+        if (report.subject.kind == kind) {
+            list.push_back(code(report));
+        }
     }
-    return to.CreateVectorOfStructs(list);
+    return list.empty() ? coded_offset<Coded>{} : to.CreateVectorOfStructs(list);
 }
 
 template <class Coded>
-std::vector<quarantine_report> read_quarantines(const flatbuffers::Vector<const Coded*>* from)
+coded_offset<Coded> write_crashes(flatbuffers::FlatBufferBuilder& to, crash_subject_kind kind,
+                                  const std::vector<crash_report>& reports)
 {
-    std::vector<quarantine_report> reports;
-    if (from != nullptr) {
-        for (const auto* entry : *from) {
-            reports.push_back({crash_subject{entry->part()}, entry->number(),
-                               base::milliseconds{entry->left_ms()}});
-        }
-    }
-    return reports;
+    return write_reports<Coded>(to, kind, reports, [](const crash_report& report) {
+        return Coded{report.subject.hash, report.run.target.value(), report.run.started_ms,
+                     to_wire_ms(report.age)};
+    });
 }
 
 template <class Coded>
-flatbuffers::Offset<flatbuffers::Vector<const Coded*>>
-write_quarantines(flatbuffers::FlatBufferBuilder& to, const std::vector<quarantine_report>& reports)
+coded_offset<Coded> write_survivals(flatbuffers::FlatBufferBuilder& to, crash_subject_kind kind,
+                                    const std::vector<survival_report>& reports)
 {
-    if (reports.empty()) {
-        return 0;
-    }
-    std::vector<Coded> list;
-    list.reserve(reports.size());
-    for (const auto& report : reports) {
-        list.emplace_back(report.subject.hash, report.number, to_wire_ms(report.left));
-    }
-    return to.CreateVectorOfStructs(list);
+    return write_reports<Coded>(to, kind, reports, [](const survival_report& report) {
+        return Coded{report.subject.hash, to_wire_ms(report.age)};
+    });
+}
+
+template <class Coded>
+coded_offset<Coded> write_quarantines(flatbuffers::FlatBufferBuilder& to, crash_subject_kind kind,
+                                      const std::vector<quarantine_report>& reports)
+{
+    return write_reports<Coded>(to, kind, reports, [](const quarantine_report& report) {
+        return Coded{report.subject.hash, report.number, to_wire_ms(report.left)};
+    });
 }
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/crash_codec_test.cpp
+++ b/src/chicorylink/fleet/crash_codec_test.cpp
@@ -11,14 +11,19 @@
 
 using std::chrono::milliseconds;
 
+constexpr crash_subject request_subject{11, crash_subject_kind::whole_request};
+
 crash_reports sample_reports()
 {
     crash_reports reports;
     reports.crashes.push_back(
         {crash_subject{11}, {base::target_id{12}, 1'700'000'000'000}, milliseconds{13}});
     reports.crashes.push_back({crash_subject{21}, {base::target_id{22}, 23}, milliseconds{24}});
+    reports.crashes.push_back({request_subject, {base::target_id{32}, 33}, milliseconds{34}});
     reports.survivals.push_back({crash_subject{31}, milliseconds{32}});
+    reports.survivals.push_back({request_subject, milliseconds{42}});
     reports.quarantines.push_back({crash_subject{41}, 2, milliseconds{240'000}});
+    reports.quarantines.push_back({request_subject, 1, milliseconds{120'000}});
     return reports;
 }
 
@@ -66,10 +71,15 @@
     EXPECT_EQ(digest->crashes(), nullptr);
     EXPECT_EQ(digest->survivals(), nullptr);
     EXPECT_EQ(digest->quarantines(), nullptr);
+    EXPECT_EQ(digest->request_crashes(), nullptr);
+    EXPECT_EQ(digest->request_survivals(), nullptr);
+    EXPECT_EQ(digest->request_quarantines(), nullptr);
     const auto placement_bytes = encode(placement_message{});
     const auto* placement = codec::GetPlacementMessage(placement_bytes.data());
     EXPECT_EQ(placement->crashes(), nullptr);
     EXPECT_EQ(placement->survivals(), nullptr);
+    EXPECT_EQ(placement->request_crashes(), nullptr);
+    EXPECT_EQ(placement->request_survivals(), nullptr);
 }
 
 } // namespace
--- a/src/chicorylink/fleet/crash_evidence.cpp
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -17,29 +17,6 @@
 /// Two requests were cut by the same crash if their connections ended within this time.
 constexpr base::milliseconds same_crash_time{500};
 
-/// Counts crashes that are apart from each other; the times are sorted.
-std::size_t separate_crashes(std::span<const base::time_point> times)
-{
-    std::size_t count = 0;
-    base::time_point last{};
-    for (const auto at : times) {
-        if (count == 0 || at - last >= min_crash_distance) {
-            ++count;
-            last = at;
-        }
-    }
-    return count;
-}
-
-bool is_suspect(const std::vector<base::time_point>& times, base::time_point now)
-{
-    const auto settled = static_cast<std::size_t>(
-        std::count_if(times.begin(), times.end(),
-                      [&](base::time_point at) { return now - at >= crash_settle_time; }));
-    return separate_crashes(std::span{times}.first(settled)) >= min_crashes ||
-           (settled >= min_crashes_in_bursts && separate_crashes(times) >= 2);
-}
-
 template <class Map, class IsOlder>
 void erase_oldest(Map& entries, const IsOlder& is_older)
 {
@@ -135,6 +112,10 @@
 void crash_evidence::note_request(std::span<const crash_subject> subjects, base::time_point now)
 {
     for (const auto subject : subjects) {
+        // Most whole requests come only once.
+        if (subject.kind == crash_subject_kind::whole_request) {
+            continue;
+        }
         if (!m_requests.contains(subject) && m_requests.size() >= max_counted_subjects) {
             erase_oldest(m_requests, [](const request_count& a, const request_count& b) {
                 return a.last_at < b.last_at;
@@ -217,64 +198,6 @@
     }
 }
 
-std::vector<crash_evidence::unexplained>
-crash_evidence::unexplained_subjects(const std::set<target_run>& explained) const
-{
-    std::vector<unexplained> subjects;
-    for (const auto& [subject, entry] : m_subjects) {
-        unexplained candidate{subject, {}, {}};
-        for (const auto& item : entry.crashes) {
-            if (is_live(entry, item) && !explained.contains(item.run)) {
-                candidate.runs.insert(item.run);
-                candidate.times.push_back(item.at);
-            }
-        }
-        if (candidate.runs.size() >= min_crashes) {
-            std::sort(candidate.times.begin(), candidate.times.end());
-            subjects.push_back(std::move(candidate));
-        }
-    }
-    return subjects;
-}
-
-std::vector<crash_suspect> crash_evidence::suspects(const std::vector<crash_subject>& known,
-                                                    base::time_point now) const
-{
-    std::set<target_run> explained;
-    for (const auto subject : known) {
-        const auto found = m_subjects.find(subject);
-        if (found != m_subjects.end()) {
-            for (const auto& item : found->second.crashes) {
-                explained.insert(item.run);
-            }
-        }
-    }
-    std::vector<crash_suspect> found;
-    for (auto subjects = unexplained_subjects(explained); !subjects.empty();
-         subjects = unexplained_subjects(explained)) {
-        const auto leader =
-            std::max_element(subjects.begin(), subjects.end(), [](const auto& a, const auto& b) {
-                return a.runs.size() < b.runs.size();
-            });
-        const auto runs = leader->runs;
-        std::erase_if(subjects, [&](const unexplained& other) { return other.runs != runs; });
-        std::uint64_t fewest = requests_with(subjects.front().subject);
-        for (const auto& subject : subjects) {
-            fewest = std::min(fewest, requests_with(subject.subject));
-        }
-        // A VM that has seen no request with a subject can't tell which one is to blame.
-        const bool can_tell = subjects.size() == 1 || fewest > 0;
-        for (const auto& subject : subjects) {
-            if (can_tell && is_suspect(subject.times, now) &&
-                requests_with(subject.subject) == fewest) {
-                found.push_back({subject.subject, runs.size(), subject.times.back()});
-            }
-        }
-        explained.insert(runs.begin(), runs.end());
-    }
-    return found;
-}
-
 base::time_point crash_evidence::last_crash(crash_subject subject) const
 {
     base::time_point last{};
--- a/src/chicorylink/fleet/crash_evidence_reports.cpp
+++ b/src/chicorylink/fleet/crash_evidence_reports.cpp
@@ -21,6 +21,16 @@
     return std::find(subjects.begin(), subjects.end(), subject) != subjects.end();
 }
 
+/// @brief Whether a list of reports takes another one about a subject of this kind.
+template <class Report>
+bool has_room(const std::vector<Report>& reports, crash_subject_kind kind, std::size_t bound)
+{
+    return static_cast<std::size_t>(
+               std::count_if(reports.begin(), reports.end(), [&](const Report& report) {
+                   return report.subject.kind == kind;
+               })) < bound;
+}
+
 } // namespace
 
 std::vector<crash_subject>
@@ -49,7 +59,8 @@
         const auto evidence_of = m_subjects.find(subject);
         if (evidence_of != m_subjects.end()) {
             for (auto& item : evidence_of->second.crashes) {
-                if (item.sends_left > 0 && reports.crashes.size() < max_crash_reports) {
+                if (item.sends_left > 0 &&
+                    has_room(reports.crashes, subject.kind, max_crash_reports)) {
                     --item.sends_left;
                     reports.crashes.push_back({subject, item.run, age_of(item.at, now)});
                 }
@@ -66,7 +77,8 @@
             item.reported_at = now;
             item.sends_left = sends_per_report;
         }
-        if (item.sends_left > 0 && reports.survivals.size() < max_survival_reports) {
+        if (item.sends_left > 0 &&
+            has_room(reports.survivals, subject.kind, max_survival_reports)) {
             --item.sends_left;
             reports.survivals.push_back({subject, age_of(item.reported, now)});
         }
@@ -84,7 +96,7 @@
             for (const auto& item : evidence_of->second.crashes) {
                 if (item.is_direct && is_live(evidence_of->second, item) &&
                     now - item.at <= crash_report_time &&
-                    reports.crashes.size() < max_crash_reports) {
+                    has_room(reports.crashes, subject.kind, max_crash_reports)) {
                     reports.crashes.push_back({subject, item.run, age_of(item.at, now)});
                 }
             }
@@ -92,7 +104,7 @@
         const auto survived = m_survivals.find(subject);
         if (survived != m_survivals.end() && survived->second.is_direct &&
             now - survived->second.noted_at <= crash_report_time &&
-            reports.survivals.size() < max_survival_reports) {
+            has_room(reports.survivals, subject.kind, max_survival_reports)) {
             reports.survivals.push_back({subject, age_of(survived->second.begun_at, now)});
         }
     }
--- a/src/chicorylink/fleet/crash_fleet_fixture.hpp
+++ b/src/chicorylink/fleet/crash_fleet_fixture.hpp
@@ -28,6 +28,8 @@
     double reset_share = 0;
     /// Requests of a deadly part whose answer seems to end regularly when the target crashes.
     double unconfirmed_share = 0;
+    /// Whether all deadly requests are the same one, whose prompt has no part of its own.
+    bool deadly_is_whole_request = false;
     /// Datagrams that get lost.
     double lost_share = 0;
 };
@@ -39,6 +41,7 @@
 
     static constexpr crash_subject common_part{1};
     static constexpr crash_subject deadly_part{2};
+    static constexpr crash_subject deadly_request{2, crash_subject_kind::whole_request};
 
     explicit crash_fleet(const crash_fleet_plan& plan)
         : m_plan(plan), m_random(plan.seed), m_vms(plan.regions * plan.vms),
@@ -75,15 +78,15 @@
     [[nodiscard]] const std::set<crash_subject>& quarantined() const { return m_quarantined; }
     [[nodiscard]] bool refuses(std::size_t vm, crash_subject subject) const
     {
-        return m_vms.at(vm).guard.time_left(std::vector{subject}, m_now).has_value();
+        return m_vms.at(vm).guard.find(std::vector{subject}, m_now).has_value();
     }
-    /// @brief Deadly requests sent later than some time after the fifth crash.
-    [[nodiscard]] std::size_t sent_after_fifth_crash(milliseconds delay) const
+    /// @brief Deadly requests sent later than some time after a crash, which counts from 1.
+    [[nodiscard]] std::size_t sent_after_crash(std::size_t number, milliseconds delay) const
     {
-        if (m_crashes.size() < 5) {
+        if (m_crashes.size() < number) {
             return 0;
         }
-        const auto from = m_crashes.at(4) + delay;
+        const auto from = m_crashes.at(number - 1) + delay;
         return static_cast<std::size_t>(std::count_if(m_deadly_sends.begin(), m_deadly_sends.end(),
                                                       [&](auto at) { return at > from; }));
     }
@@ -165,12 +168,16 @@
             item.vm = static_cast<std::size_t>(between(0, static_cast<int>(m_vms.size()) - 1));
             const auto sessions = static_cast<int>(m_plan.sessions);
             const crash_subject session{100 + static_cast<std::uint64_t>(between(1, sessions))};
-            item.parts = {common_part, session};
+            const crash_subject itself{1'000'000 + ++m_number, crash_subject_kind::whole_request};
+            item.parts = {common_part, session, itself};
             item.is_deadly = is_deadly;
-            if (is_deadly) {
+            if (is_deadly && m_plan.deadly_is_whole_request) {
+                item.parts = {common_part, session, deadly_request};
+            }
+            else if (is_deadly) {
                 // No other request has its session.
-                item.parts = {common_part, crash_subject{1'000'000 + ++m_deadly_number},
-                              deadly_part};
+                item.parts = {common_part, crash_subject{1'000'000 + m_number}, deadly_part,
+                              itself};
             }
             send(std::move(item));
         }
@@ -181,7 +188,7 @@
         auto& guard = m_vms.at(item.vm).guard;
         guard.note_request(item.parts, m_now);
         m_sound_sent += item.is_deadly ? 0 : 1;
-        if (guard.time_left(item.parts, m_now)) {
+        if (guard.find(item.parts, m_now)) {
             m_sound_refused += item.is_deadly ? 0 : 1;
             return;
         }
@@ -360,7 +367,7 @@
     std::vector<base::time_point> m_deadly_sends;
     std::vector<base::time_point> m_crashes;
     std::set<crash_subject> m_quarantined;
-    std::uint64_t m_deadly_number = 0;
+    std::uint64_t m_number = 0;
     std::size_t m_sound_sent = 0;
     std::size_t m_sound_refused = 0;
 };
--- a/src/chicorylink/fleet/crash_fleet_test.cpp
+++ b/src/chicorylink/fleet/crash_fleet_test.cpp
@@ -20,12 +20,63 @@
 
 void expect_only_the_deadly_part_is_refused(const crash_fleet& fleet)
 {
-    ASSERT_GE(fleet.crashes().size(), min_crashes);
-    EXPECT_LE(fleet.sent_after_fifth_crash(contact_time), max_late_requests);
+    ASSERT_GE(fleet.crashes().size(), part_limits.crashes);
+    EXPECT_LE(fleet.sent_after_crash(5, contact_time), max_late_requests);
     EXPECT_EQ(fleet.quarantined(), std::set{deadly_part});
     EXPECT_EQ(fleet.sound_refused(), 0U);
 }
 
+void expect_only_the_deadly_request_is_refused(const crash_fleet& fleet)
+{
+    ASSERT_GE(fleet.crashes().size(), request_limits.crashes);
+    EXPECT_LE(fleet.sent_after_crash(3, contact_time), max_late_requests);
+    EXPECT_EQ(fleet.quarantined(), std::set{crash_fleet::deadly_request});
+    EXPECT_EQ(fleet.sound_refused(), 0U);
+}
+
+// Guards against one request that comes again and again and crashes a target each time: its prompt
+// has only parts that sound requests have too.
+TEST(crash_fleet, a_deadly_request_stops_reaching_targets_after_the_third_crash)
+{
+    for (const std::size_t vms : {1, 3}) {
+        for (const double per_second : {0.3, 1.4, 10.0}) {
+            for (const std::uint32_t seed : {1, 2, 3}) {
+                SCOPED_TRACE(testing::Message()
+                             << vms << " VMs, " << per_second << "/s, seed " << seed);
+                crash_fleet fleet({.vms = vms,
+                                   .seed = seed,
+                                   .deadly_per_second = per_second,
+                                   .deadly_is_whole_request = true});
+                fleet.run_for(seconds{per_second < 1 ? 60 : 25});
+                expect_only_the_deadly_request_is_refused(fleet);
+            }
+        }
+    }
+}
+
+TEST(crash_fleet, a_deadly_request_is_found_by_a_large_fleet)
+{
+    crash_fleet fleet({.vms = 28, .deadly_is_whole_request = true});
+    fleet.run_for(seconds{20});
+    expect_only_the_deadly_request_is_refused(fleet);
+}
+
+// The same in a service of three targets, which are all down most of the time.
+TEST(crash_fleet, a_deadly_request_is_found_by_a_small_service)
+{
+    for (std::uint32_t seed = 100; seed < 130; ++seed) {
+        SCOPED_TRACE(testing::Message() << "seed " << seed);
+        crash_fleet fleet({.targets = 1,
+                           .seed = seed,
+                           .requests_per_second = 20,
+                           .sessions = 20,
+                           .deadly_is_whole_request = true,
+                           .lost_share = 0.05});
+        fleet.run_for(seconds{30});
+        expect_only_the_deadly_request_is_refused(fleet);
+    }
+}
+
 // Guards against targets that crash one after the other, all through a fleet, on requests that
 // share only one part of their prompts.
 TEST(crash_fleet, a_deadly_part_stops_reaching_targets_after_the_fifth_crash)
--- a/src/chicorylink/fleet/crash_quarantine.cpp
+++ b/src/chicorylink/fleet/crash_quarantine.cpp
@@ -28,13 +28,14 @@
            cause == quarantine_cause::reported;
 }
 
-std::optional<base::milliseconds>
-crash_quarantine::time_left(std::span<const crash_subject> subjects, base::time_point now) const
+std::optional<active_quarantine> crash_quarantine::find(std::span<const crash_subject> subjects,
+                                                        base::time_point now) const
 {
-    std::optional<base::milliseconds> longest;
+    std::optional<active_quarantine> longest;
     for (const auto subject : subjects) {
-        if (const auto left = m_quarantines.time_left(subject, now)) {
-            longest = std::max(longest.value_or(*left), *left);
+        const auto left = m_quarantines.time_left(subject, now);
+        if (left && (!longest || *left > longest->left)) {
+            longest = {subject.kind, *left};
         }
     }
     return longest;
--- a/src/chicorylink/fleet/crash_quarantine_test.cpp
+++ b/src/chicorylink/fleet/crash_quarantine_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/fleet/crash_quarantine.hpp"
+#include "chicorylink/fleet/crash_test_support.hpp"
 
 #include <algorithm>
 #include <vector>
@@ -11,34 +12,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr crash_subject common_part{1};
-constexpr crash_subject deadly_part{2};
-constexpr crash_subject other_part{3};
-
-base::time_point at(milliseconds time)
-{
-    return base::time_point{std::chrono::hours{1}} + time;
-}
-
-target_run run_of(std::uint64_t target, std::int64_t started_ms = 1)
-{
-    return {base::target_id{target}, started_ms};
-}
-
-/// Crashes targets with these parts, one a second from the given time on.
-void crash_targets(crash_quarantine& guard, const std::vector<crash_subject>& parts, int count,
-                   seconds from)
-{
-    for (int number = 0; number < count; ++number) {
-        const auto now = at(from + seconds{number});
-        guard.note_crash(parts, run_of(static_cast<std::uint64_t>(number) + 1, from.count()), now);
-    }
-}
-
-bool refuses(const crash_quarantine& guard, crash_subject subject, base::time_point now)
-{
-    return guard.time_left(std::vector{subject}, now).has_value();
-}
+using test_support::at;
+using test_support::common_part;
+using test_support::crash_targets;
+using test_support::deadly_part;
+using test_support::other_part;
+using test_support::refuses;
+using test_support::run_of;
 
 /// A VM that has quarantined the deadly part at 10 s, whose last crash was at 3 s.
 crash_quarantine guard_with_quarantine()
@@ -60,7 +40,7 @@
     EXPECT_EQ(changes.front().subject, deadly_part);
     EXPECT_EQ(changes.front().cause, quarantine_cause::crashes);
     EXPECT_EQ(changes.front().crashes, 4U);
-    EXPECT_EQ(guard.time_left(std::vector{common_part, deadly_part}, at(seconds{6})),
+    EXPECT_EQ(guard.find(std::vector{common_part, deadly_part}, at(seconds{6}))->left,
               first_quarantine_time - seconds{3});
     EXPECT_TRUE(guard.update(at(seconds{7})).empty());
 }
@@ -270,14 +250,14 @@
     const auto changes = guard.update(at(crashed));
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes.front().cause, quarantine_cause::crash_on_probation);
-    EXPECT_EQ(guard.time_left(std::vector{deadly_part}, at(crashed)), 2 * first_quarantine_time);
+    EXPECT_EQ(guard.find(std::vector{deadly_part}, at(crashed))->left, 2 * first_quarantine_time);
 }
 
 TEST(crash_quarantine, the_time_is_bounded)
 {
-    EXPECT_EQ(quarantine_time(1), first_quarantine_time);
-    EXPECT_EQ(quarantine_time(2), 2 * first_quarantine_time);
-    EXPECT_EQ(quarantine_time(1'000'000), max_quarantine_time);
+    EXPECT_EQ(quarantine_time(crash_subject_kind::prompt_part, 1), first_quarantine_time);
+    EXPECT_EQ(quarantine_time(crash_subject_kind::prompt_part, 2), 2 * first_quarantine_time);
+    EXPECT_EQ(quarantine_time(crash_subject_kind::prompt_part, 1'000'000), max_quarantine_time);
 }
 
 // Guards against VMs that prolong a quarantine for each other.
@@ -314,6 +294,5 @@
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes.front().subject, deadly_part);
 }
-
 } // namespace
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -91,8 +91,15 @@
             digest.limited_services.push_back({entry->service(), entry->per_second()});
         }
     }
-    digest.crashes = {read_crashes(from.crashes()), read_survivals(from.survivals()),
-                      read_quarantines(from.quarantines())};
+    auto& [crashes, survivals, quarantines] = digest.crashes;
+    constexpr auto part = crash_subject_kind::prompt_part;
+    constexpr auto request = crash_subject_kind::whole_request;
+    read_crashes(from.crashes(), part, crashes);
+    read_crashes(from.request_crashes(), request, crashes);
+    read_survivals(from.survivals(), part, survivals);
+    read_survivals(from.request_survivals(), request, survivals);
+    read_quarantines(from.quarantines(), part, quarantines);
+    read_quarantines(from.request_quarantines(), request, quarantines);
     return digest;
 }
 
@@ -156,14 +163,20 @@
     const auto notices = write_notices<codec::TargetNotice>(to, digest.notices);
     const auto limits = write_limits<codec::TargetLimit>(to, digest.limits);
     const auto limited_services = write_rates(to, digest.limited_services);
-    const auto crashes = write_crashes<codec::PartCrash>(to, digest.crashes.crashes);
-    const auto survivals = write_survivals<codec::PartSurvival>(to, digest.crashes.survivals);
-    const auto quarantines =
-        write_quarantines<codec::PartQuarantine>(to, digest.crashes.quarantines);
-    return codec::CreateRegionDigest(to, region, digest.reporter.value(), to_wire_ms(digest.age),
-                                     to_wire_ms(digest.round_trip), member_list, usage, targets,
-                                     outlook_list, notices, limits, limited_services, crashes,
-                                     survivals, quarantines);
+    constexpr auto part = crash_subject_kind::prompt_part;
+    constexpr auto request = crash_subject_kind::whole_request;
+    const auto& [crashes, survivals, quarantines] = digest.crashes;
+    const auto part_crashes = write_crashes<codec::PartCrash>(to, part, crashes);
+    const auto part_survivals = write_survivals<codec::PartSurvival>(to, part, survivals);
+    const auto part_quarantines = write_quarantines<codec::PartQuarantine>(to, part, quarantines);
+    const auto request_crashes = write_crashes<codec::PartCrash>(to, request, crashes);
+    const auto request_survivals = write_survivals<codec::PartSurvival>(to, request, survivals);
+    const auto request_quarantines =
+        write_quarantines<codec::PartQuarantine>(to, request, quarantines);
+    return codec::CreateRegionDigest(
+        to, region, digest.reporter.value(), to_wire_ms(digest.age), to_wire_ms(digest.round_trip),
+        member_list, usage, targets, outlook_list, notices, limits, limited_services, part_crashes,
+        part_survivals, part_quarantines, request_crashes, request_survivals, request_quarantines);
 }
 
 } // namespace
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -121,11 +121,18 @@
     const auto notes = to.CreateVectorOfStructs(note_list);
     const auto notices = write_notices<codec::PlacementNotice>(to, message.notices);
     const auto limits = write_limits<codec::PlacementLimit>(to, message.limits);
-    const auto crashes = write_crashes<codec::PlacementCrash>(to, message.crashes.crashes);
-    const auto survivals = write_survivals<codec::PlacementSurvival>(to, message.crashes.survivals);
+    constexpr auto part = crash_subject_kind::prompt_part;
+    constexpr auto request = crash_subject_kind::whole_request;
+    const auto& reports = message.crashes;
+    const auto crashes = write_crashes<codec::PlacementCrash>(to, part, reports.crashes);
+    const auto survivals = write_survivals<codec::PlacementSurvival>(to, part, reports.survivals);
+    const auto request_crashes = write_crashes<codec::PlacementCrash>(to, request, reports.crashes);
+    const auto request_survivals =
+        write_survivals<codec::PlacementSurvival>(to, request, reports.survivals);
     codec::FinishPlacementMessageBuffer(
         to, codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices,
-                                          limits, crashes, survivals));
+                                          limits, crashes, survivals, request_crashes,
+                                          request_survivals));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
@@ -166,7 +173,12 @@
     }
     message.notices = read_notices(from->notices());
     message.limits = read_limits(from->limits());
-    message.crashes = {read_crashes(from->crashes()), read_survivals(from->survivals()), {}};
+    constexpr auto part = crash_subject_kind::prompt_part;
+    constexpr auto request = crash_subject_kind::whole_request;
+    read_crashes(from->crashes(), part, message.crashes.crashes);
+    read_crashes(from->request_crashes(), request, message.crashes.crashes);
+    read_survivals(from->survivals(), part, message.crashes.survivals);
+    read_survivals(from->request_survivals(), request, message.crashes.survivals);
     return message;
 }
 
--- a/src/chicorylink/fleet/subject_quarantines.cpp
+++ b/src/chicorylink/fleet/subject_quarantines.cpp
@@ -5,8 +5,11 @@
 
 namespace chicorylink::fleet {
 
-base::milliseconds quarantine_time(std::uint32_t number)
+base::milliseconds quarantine_time(crash_subject_kind kind, std::uint32_t number)
 {
+    if (kind == crash_subject_kind::whole_request && number > 1) {
+        return max_quarantine_time;
+    }
     auto time = first_quarantine_time;
     for (std::uint32_t done = 1; done < number && time < max_quarantine_time; ++done) {
         time *= 2;
@@ -26,7 +29,8 @@
 
 void subject_quarantines::begin(crash_subject subject, base::time_point last_crash_at)
 {
-    store(subject, {1, last_crash_at, last_crash_at + quarantine_time(1), false, false});
+    store(subject,
+          {1, last_crash_at, last_crash_at + quarantine_time(subject.kind, 1), false, false});
 }
 
 bool subject_quarantines::on_crash(crash_subject subject, base::time_point at)
@@ -40,7 +44,7 @@
     const bool is_again = at >= entry.until;
     entry.number += is_again ? 1 : 0;
     entry.last_crash_at = at;
-    entry.until = at + quarantine_time(entry.number);
+    entry.until = at + quarantine_time(subject.kind, entry.number);
     entry.end_reported = false;
     return is_again;
 }
@@ -48,7 +52,7 @@
 bool subject_quarantines::adopt(const quarantine_report& report, base::time_point survived_at,
                                 base::milliseconds delay, base::time_point now)
 {
-    const auto time = quarantine_time(report.number);
+    const auto time = quarantine_time(report.subject.kind, report.number);
     const auto left = std::min(report.left, time) - delay;
     const auto found = m_subjects.find(report.subject);
     const auto known = found == m_subjects.end() ? 0 : found->second.number;
@@ -123,8 +127,8 @@
     }
     std::erase_if(m_subjects, [&](const auto& known) {
         const auto& entry = known.second;
-        const auto probation =
-            entry.is_released ? base::milliseconds{0} : quarantine_time(entry.number);
+        const auto probation = entry.is_released ? base::milliseconds{0}
+                                                 : quarantine_time(known.first.kind, entry.number);
         return now >= entry.until + probation;
     });
     return ended;
--- a/src/chicorylink/front/exchange_parts.cpp
+++ b/src/chicorylink/front/exchange_crashes.cpp
@@ -2,13 +2,13 @@
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
-// The part of `exchange` that refuses quarantined parts of prompts, and reports which parts were in
-// a request whose target may have crashed.
+// The part of `exchange` that refuses requests that crash targets, and reports what was in a
+// request whose target may have crashed.
 
 namespace chicorylink::front {
 namespace {
 
-/// A target that crashes on a prompt does so soon after it begins to write the answer; an answer
+/// A target that crashes on a request does so soon after it begins to write the answer; an answer
 /// that goes on for this long has survived.
 constexpr base::milliseconds survival_time{1000};
 
@@ -16,7 +16,8 @@
 
 std::vector<fleet::crash_subject> exchange::crash_subjects() const
 {
-    std::vector<fleet::crash_subject> subjects;
+    std::vector<fleet::crash_subject> subjects{
+        {m_fingerprint, fleet::crash_subject_kind::whole_request}};
     if (m_prompt) {
         for (const auto part : fleet::shared_part_ids(*m_prompt)) {
             subjects.push_back({part.value(), fleet::crash_subject_kind::prompt_part});
@@ -25,30 +26,33 @@
     return subjects;
 }
 
-void exchange::note_prompt_parts(base::time_point now)
+void exchange::note_crash_subjects(base::time_point now)
 {
     m_core.quarantine.note_request(crash_subjects(), now);
 }
 
 bool exchange::refuse_quarantined(base::time_point now)
 {
-    const auto left = m_core.quarantine.time_left(crash_subjects(), now);
-    if (!left) {
+    const auto quarantined = m_core.quarantine.find(crash_subjects(), now);
+    if (!quarantined) {
         return false;
     }
+    const std::string_view reason = quarantined->kind == fleet::crash_subject_kind::whole_request
+                                        ? "request_quarantined"
+                                        : "prompt_part_quarantined";
     m_core.counters.add("quarantined_requests_total");
     if (m_history.runs > 0 && m_last_end == fleet::attempt_end::failed) {
-        execute(fleet::give_up(m_history, m_last_end), "prompt_part_quarantined", now);
+        execute(fleet::give_up(m_history, m_last_end), reason, now);
     }
     else {
-        refuse({unavailable_status, "prompt_part_quarantined", *left}, now);
+        refuse({unavailable_status, reason, quarantined->left}, now);
     }
     return true;
 }
 
 bool exchange::is_watched_for_crashes(const attempt& watched) const
 {
-    return m_prompt && !watched.target.empty() && !watched.has_survived;
+    return !watched.target.empty() && !watched.has_survived;
 }
 
 void exchange::note_target_run()
@@ -74,7 +78,7 @@
 void exchange::note_survival(base::time_point now)
 {
     m_attempt->has_survived = true;
-    m_core.quarantine.note_survival(crash_subjects(), *m_attempt->begun_at, now);
+    m_core.quarantine.note_survival(crash_subjects(), m_attempt->begun_at.value_or(now), now);
 }
 
 void exchange::note_answer_end(base::time_point now)
@@ -87,7 +91,7 @@
         // The end of the connection may be that of the target.
         m_core.quarantine.note_unconfirmed_end(crash_subjects(), m_attempt->run, now);
     }
-    else if (m_attempt->begun_at) {
+    else if (m_attempt->begun_at || !is_stream()) {
         note_survival(now);
     }
 }
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -139,12 +139,15 @@
 {
     for (const auto& change : core.quarantine.update(now)) {
         const bool is_begin = fleet::is_begin(change.cause);
-        auto line = log_event(core, is_begin ? "prompt_part_quarantined" : "prompt_part_released");
-        line.add("part", fmt::format("{:016x}", change.subject.hash));
+        const bool is_request = change.subject.kind == fleet::crash_subject_kind::whole_request;
+        const std::string_view what = is_request ? "request" : "prompt_part";
+        auto line =
+            log_event(core, fmt::format("{}_{}", what, is_begin ? "quarantined" : "released"));
+        line.add(is_request ? "fingerprint" : "part", fmt::format("{:016x}", change.subject.hash));
         line.add("cause", fleet::to_string(change.cause));
         if (is_begin) {
             line.add("crashes", std::uint64_t{change.crashes});
-            core.counters.add("prompt_part_quarantines_total");
+            core.counters.add(fmt::format("{}_quarantines_total", what));
         }
         write_log(core, line);
     }
