fleet: survivals of whole requests leave room for those of parts

Each answered request now has a survival of its own, and at some hundred requests a second they fill the bounded list for ten seconds, so that no part could be cleared of a crash any more. Whole requests get half of it. Subjects with too few crashes are passed over before their runs are compared.

Test: crash_quarantine.answers_to_many_requests_do_not_keep_a_part_from_being_cleared failed before.

--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -46,6 +46,8 @@
 inline constexpr std::size_t max_crash_subjects = 1024;
 inline constexpr std::size_t max_crashes_per_subject = 64;
 inline constexpr std::size_t max_survivals = 4096;
+/// Each request has a survival of its own; the rest is for parts.
+inline constexpr std::size_t max_request_survivals = 2048;
 inline constexpr std::size_t max_counted_subjects = 1024;
 inline constexpr std::size_t max_unconfirmed_ends = 64;
 inline constexpr std::size_t max_known_crashes = 256;
--- a/src/chicorylink/fleet/crash_evidence.cpp
+++ b/src/chicorylink/fleet/crash_evidence.cpp
@@ -157,12 +157,14 @@
 
 void crash_evidence::add_survival(crash_subject subject, const survival& item)
 {
+    const auto bound =
+        subject.kind == crash_subject_kind::whole_request ? max_request_survivals : max_survivals;
     const auto evidence_of = m_subjects.find(subject);
     if (evidence_of != m_subjects.end()) {
         auto& entry = evidence_of->second;
         entry.survived_at = std::max(entry.survived_at, item.begun_at);
     }
-    else if (m_survivals.size() >= max_survivals && !m_survivals.contains(subject)) {
+    else if (m_survivals.size() >= bound && !m_survivals.contains(subject)) {
         return;
     }
     auto& known = m_survivals[subject];
--- a/src/chicorylink/fleet/crash_evidence_suspects.cpp
+++ b/src/chicorylink/fleet/crash_evidence_suspects.cpp
@@ -72,7 +72,7 @@
 {
     std::vector<unexplained> subjects;
     for (const auto& [subject, entry] : m_subjects) {
-        if (subject.kind != kind) {
+        if (subject.kind != kind || entry.crashes.size() < limits_of(kind).crashes) {
             continue;
         }
         unexplained candidate{subject, {}, {}};
--- a/src/chicorylink/fleet/crash_quarantine_request_test.cpp
+++ b/src/chicorylink/fleet/crash_quarantine_request_test.cpp
@@ -132,5 +132,20 @@
     EXPECT_TRUE(refuses(guard, deadly_request, end));
 }
 
+// Guards against survivals of single requests that leave no room for those of parts.
+TEST(crash_quarantine, answers_to_many_requests_do_not_keep_a_part_from_being_cleared)
+{
+    crash_quarantine guard;
+    for (std::uint64_t number = 0; number < 10'000; ++number) {
+        guard.note_survival(
+            std::vector{crash_subject{1'000 + number, crash_subject_kind::whole_request}},
+            at(seconds{5}), at(seconds{5}));
+    }
+    guard.note_survival(std::vector{deadly_part}, at(seconds{5}), at(seconds{5}));
+    crash_targets(guard, {deadly_part}, 4, seconds{0});
+    guard.update(at(seconds{10}));
+    EXPECT_FALSE(refuses(guard, deadly_part, at(seconds{10})));
+}
+
 } // namespace
 } // namespace chicorylink::fleet
