--- a/process_tests/crashing_part_test.cpp
+++ b/process_tests/crashing_part_test.cpp
@@ -1,11 +1,11 @@
 // A part of prompts that crashes targets must not take down one target after the other.
 
 #include "crashing_target.hpp"
+#include "crashing_targets_fixture.hpp"
 #include "fleet.hpp"
 #include "front_fleet.hpp"
 #include "http_call.hpp"
 #include "prompt_traffic.hpp"
-#include "suite.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -27,13 +27,6 @@
 using clock = crashing_target::clock;
 using outcomes = std::vector<prompt_traffic::outcome>;
 
-const std::vector<std::string> east_vms{"127.0.11.1", "127.0.11.2"};
-const std::vector<std::string> west_vms{"127.0.11.3", "127.0.11.4"};
-const std::vector<std::string> all_vms{"127.0.11.1", "127.0.11.3", "127.0.11.2", "127.0.11.4"};
-
-constexpr const char* targets_ip = "127.0.11.100";
-constexpr unsigned short first_target_port = 21901;
-
 constexpr const char* deadly_part = "dead0b17";
 
 /// The promise: after the fifth crash and this time at most a few requests with the part arrive.
@@ -64,71 +57,29 @@
     return begin == std::string::npos ? 0 : std::stoi(text.substr(begin + line.size()));
 }
 
-int counter_of_all(const std::string& name)
-{
-    int sum = 0;
-    for (const auto& ip : all_vms) {
-        sum += counter(ip, name);
-    }
-    return sum;
-}
-
-/// Two regions of two VMs each, with three and two targets.
-class crashing_part : public testing::Test {
+/// Three targets in one region and two in the other.
+class crashing_part : public crashing_targets_fixture {
 protected:
-    void start()
-    {
-        m_fleet.publish_config(1, {"secret"});
-        for (const auto* zone : {"east-a", "west-a", "east-a", "west-a", "east-a"}) {
-            add_target(zone);
-        }
-        m_fleet.set_seeds({east_vms.front(), west_vms.front()});
-        for (const auto& ip : east_vms) {
-            m_fleet.start(ip, "east");
-        }
-        for (const auto& ip : west_vms) {
-            m_fleet.start(ip, "west");
-        }
-        for (const auto& ip : all_vms) {
-            ASSERT_TRUE(wait_until([&] { return front_fleet::is_ready(ip); }, seconds{10}));
-            ASSERT_TRUE(wait_until(
-                [&] {
-                    return front_fleet::directory(ip, "east").size() == east_vms.size() &&
-                           front_fleet::directory(ip, "west").size() == west_vms.size();
-                },
-                seconds{5}))
-                << ip << front_fleet::directory(ip, "east") << front_fleet::directory(ip, "west");
-        }
-    }
-
-    void add_target(const std::string& zone)
+    crashing_part()
+        : crashing_targets_fixture({"chicorylink_crashing_part",
+                                    "127.0.11.",
+                                    21901,
+                                    {"east-a", "west-a", "east-a", "west-a", "east-a"},
+                                    [](const auto& exchange) {
+                                        return has_shared_part(
+                                            exchange.header("X-Chicorylink-Prompt-Prefix"),
+                                            deadly_part);
+                                    }})
     {
-        const auto number = m_targets.size();
-        const auto port = static_cast<unsigned short>(first_target_port + number);
-        const auto address = fmt::format("{}:{}", targets_ip, port);
-        m_targets.push_back(std::make_unique<crashing_target>(
-            fmt::format("i-{}", number), targets_ip, port,
-            [](const auto& exchange) {
-                return has_shared_part(exchange.header("X-Chicorylink-Prompt-Prefix"), deadly_part);
-            },
-            [this, zone, address](const auto& ended, const auto& next) {
-                if (ended.name != next.name) {
-                    m_fleet.store().remove("servers/" + ended.name);
-                }
-                m_fleet.publish_target(next.name, address, zone, next.number);
-            }));
-        m_fleet.publish_target(m_targets.back()->current_run().name, address, zone);
     }
 
-    [[nodiscard]] std::vector<clock::time_point> crashes() const
+    [[nodiscard]] int counter_of_all(const std::string& name) const
     {
-        std::vector<clock::time_point> all;
-        for (const auto& target : m_targets) {
-            const auto own = target->deadly_crashes();
-            all.insert(all.end(), own.begin(), own.end());
+        int sum = 0;
+        for (const auto& ip : all_vms()) {
+            sum += counter(ip, name);
         }
-        std::sort(all.begin(), all.end());
-        return all;
+        return sum;
     }
 
     /// Waits for the fifth crash, or for a time in which there are fewer.
@@ -143,30 +94,6 @@
         return all.empty() ? clock::now() : all[std::min(all.size(), crashes_before_promise) - 1];
     }
 
-    /// The arrivals of deadly requests at targets.
-    [[nodiscard]] std::size_t arrivals_since(clock::time_point from) const
-    {
-        std::size_t count = 0;
-        for (const auto& target : m_targets) {
-            const auto all = target->deadly_arrivals();
-            count += static_cast<std::size_t>(std::count_if(
-                all.begin(), all.end(), [&](const auto& entry) { return entry.at >= from; }));
-        }
-        return count;
-    }
-
-    [[nodiscard]] std::string list_arrivals(clock::time_point from) const
-    {
-        std::string lines = fmt::format("seed {}, {} crashes\n", seed(), crashes().size());
-        for (const auto& target : m_targets) {
-            for (const auto& entry : target->deadly_arrivals()) {
-                const auto after = std::chrono::duration_cast<milliseconds>(entry.at - from);
-                lines += fmt::format("{} ms {}\n", after.count(), entry.request_id);
-            }
-        }
-        return lines;
-    }
-
     /// Callers of deadly prompts must be told at once when to come back.
     static void expect_refused_at_once(const outcomes& all, clock::time_point from)
     {
@@ -211,9 +138,7 @@
                              [](const auto& one) { return !one.is_deadly && one.is_quarantined; });
     }
 
-    front_fleet m_fleet{binaries(), "chicorylink_crashing_part"};
-    std::vector<std::unique_ptr<crashing_target>> m_targets;
-    prompt_traffic m_traffic{all_vms, deadly_part, seed()};
+    prompt_traffic m_traffic{all_vms(), deadly_part, seed()};
 };
 
 // Guards against one part of prompts that crashes target after target: each VM sees only some of
@@ -236,7 +161,7 @@
     const auto all = m_traffic.outcomes();
 
     EXPECT_LE(arrivals_since(fifth_crash + contact_time), promised_arrivals)
-        << list_arrivals(fifth_crash);
+        << "seed " << seed() << ", " << list_arrivals(fifth_crash);
     expect_refused_at_once(all, fifth_crash + contact_time);
     const auto calm_share = served_share(all, calm_from, calm_to);
     EXPECT_GT(calm_share, 0.9);
@@ -253,7 +178,7 @@
     m_traffic.start_sound();
     m_traffic.start_deadly();
     const auto fifth_crash = wait_for_fifth_crash();
-    const auto& restarted_vm = east_vms.back();
+    const auto restarted_vm = east_vms().back();
     m_fleet.at(restarted_vm).kill();
     m_fleet.start(restarted_vm, "east");
     const auto restarted_at = clock::now();
@@ -267,7 +192,8 @@
     }
     m_traffic.stop();
 
-    EXPECT_LE(arrivals_since(holds_from), promised_arrivals) << list_arrivals(holds_from);
+    EXPECT_LE(arrivals_since(holds_from), promised_arrivals)
+        << "seed " << seed() << ", " << list_arrivals(holds_from);
     expect_refused_at_once(m_traffic.outcomes(), holds_from);
 }
 
--- a/process_tests/crashing_request_test.cpp
+++ b/process_tests/crashing_request_test.cpp
@@ -2,10 +2,10 @@
 // take down one target after the other.
 
 #include "crashing_target.hpp"
+#include "crashing_targets_fixture.hpp"
 #include "fleet.hpp"
 #include "front_fleet.hpp"
 #include "http_call.hpp"
-#include "suite.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -29,13 +29,6 @@
 using std::chrono::seconds;
 using clock = crashing_target::clock;
 
-const std::vector<std::string> east_vms{"127.0.19.1", "127.0.19.2"};
-const std::vector<std::string> west_vms{"127.0.19.3", "127.0.19.4"};
-const std::vector<std::string> all_vms{"127.0.19.1", "127.0.19.3", "127.0.19.2", "127.0.19.4"};
-const std::string late_vm{"127.0.19.5"};
-
-constexpr const char* targets_ip = "127.0.19.100";
-constexpr unsigned short first_target_port = 21931;
 constexpr const char* deadly_path = "/safe/deadly";
 
 /// The promise: after the third crash and this time at most a few of its repeats arrive.
@@ -64,54 +57,23 @@
     bool is_quarantined = false;
 };
 
-/// Two regions of two VMs each, with two targets and one.
-class crashing_request : public testing::Test {
+/// Two targets in one region and one in the other.
+class crashing_request : public crashing_targets_fixture {
 protected:
-    void start()
+    crashing_request()
+        : crashing_targets_fixture(
+              {"chicorylink_crashing_request",
+               "127.0.19.",
+               21931,
+               {"east-a", "east-a", "west-a"},
+               [](const auto& exchange) { return exchange.path() == deadly_path; }})
     {
-        m_fleet.publish_config(1, {"secret"});
-        for (const auto* zone : {"east-a", "east-a", "west-a"}) {
-            add_target(zone);
-        }
-        m_fleet.set_seeds({east_vms.front(), west_vms.front()});
-        for (const auto& ip : east_vms) {
-            m_fleet.start(ip, "east");
-        }
-        for (const auto& ip : west_vms) {
-            m_fleet.start(ip, "west");
-        }
-        for (const auto& ip : all_vms) {
-            ASSERT_TRUE(wait_until([&] { return front_fleet::is_ready(ip); }, seconds{10}));
-            ASSERT_TRUE(wait_until(
-                [&] {
-                    return front_fleet::directory(ip, "east").size() == east_vms.size() &&
-                           front_fleet::directory(ip, "west").size() == west_vms.size();
-                },
-                seconds{5}));
-        }
-    }
-
-    void add_target(const std::string& zone)
-    {
-        const auto number = m_targets.size();
-        const auto port = static_cast<unsigned short>(first_target_port + number);
-        const auto address = fmt::format("{}:{}", targets_ip, port);
-        m_targets.push_back(std::make_unique<crashing_target>(
-            fmt::format("i-{}", number), targets_ip, port,
-            [](const auto& exchange) { return exchange.path() == deadly_path; },
-            [this, zone, address](const auto& ended, const auto& next) {
-                if (ended.name != next.name) {
-                    m_fleet.store().remove("servers/" + ended.name);
-                }
-                m_fleet.publish_target(next.name, address, zone, next.number);
-            }));
-        m_fleet.publish_target(m_targets.back()->current_run().name, address, zone);
     }
 
     /// One caller at each VM sends sound requests, each with a path of its own.
     void start_sound()
     {
-        for (const auto& ip : all_vms) {
+        for (const auto& ip : all_vms()) {
             m_callers.emplace_back([this, ip] {
                 for (int number = 0; !m_is_stopping; ++number) {
                     send(ip, fmt::format("/safe/sound-{}-{}", ip, number));
@@ -126,9 +88,10 @@
     {
         m_callers.emplace_back([this] {
             std::mt19937 random(seed());
+            const auto vms = all_vms();
             while (!m_is_stopping) {
                 for (int attempt = 0; attempt < 2; ++attempt) {
-                    const auto status = send(all_vms[random() % all_vms.size()], deadly_path);
+                    const auto status = send(vms[random() % vms.size()], deadly_path);
                     if (status == 503) {
                         break;
                     }
@@ -163,17 +126,6 @@
         return result.status;
     }
 
-    [[nodiscard]] std::vector<clock::time_point> crashes() const
-    {
-        std::vector<clock::time_point> all;
-        for (const auto& target : m_targets) {
-            const auto own = target->deadly_crashes();
-            all.insert(all.end(), own.begin(), own.end());
-        }
-        std::sort(all.begin(), all.end());
-        return all;
-    }
-
     /// @return When the third target crashed.
     [[nodiscard]] clock::time_point wait_for_third_crash() const
     {
@@ -183,17 +135,6 @@
         return has_crashed ? crashes()[crashes_before_promise - 1] : clock::now();
     }
 
-    [[nodiscard]] std::size_t arrivals_since(clock::time_point from) const
-    {
-        std::size_t count = 0;
-        for (const auto& target : m_targets) {
-            const auto all = target->deadly_arrivals();
-            count += static_cast<std::size_t>(std::count_if(
-                all.begin(), all.end(), [&](const auto& entry) { return entry.at >= from; }));
-        }
-        return count;
-    }
-
     /// Callers of the deadly request must be told at once when to come back.
     void expect_refused_at_once(clock::time_point from)
     {
@@ -226,8 +167,6 @@
         EXPECT_GE(served, 0.95 * sent);
     }
 
-    front_fleet m_fleet{binaries(), "chicorylink_crashing_request"};
-    std::vector<std::unique_ptr<crashing_target>> m_targets;
     std::atomic<bool> m_is_stopping{false};
     std::atomic<unsigned> m_sent{0};
     std::mutex m_mutex;
@@ -249,7 +188,8 @@
     std::this_thread::sleep_until(promise_from + observed);
     stop();
 
-    EXPECT_LE(arrivals_since(promise_from), promised_arrivals) << "seed " << seed();
+    EXPECT_LE(arrivals_since(promise_from), promised_arrivals)
+        << "seed " << seed() << ", " << list_arrivals(promise_from);
     expect_refused_at_once(promise_from);
     expect_sound_requests_are_served(promise_from + seconds{1});
 }
@@ -263,7 +203,7 @@
     std::this_thread::sleep_for(seconds{1});
     std::string last_sent_to;
     for (std::size_t turn = 0; crashes().size() < crashes_before_promise && turn < 40; ++turn) {
-        last_sent_to = all_vms[turn % all_vms.size()];
+        last_sent_to = all_vms().at(turn % all_vms().size());
         send(last_sent_to, deadly_path);
         std::this_thread::sleep_for(milliseconds{100});
     }
@@ -272,10 +212,11 @@
     m_fleet.at(last_sent_to).kill();
     start_deadly();
     std::this_thread::sleep_for(seconds{1});
-    const bool is_east =
-        std::find(east_vms.begin(), east_vms.end(), last_sent_to) != east_vms.end();
+    const auto east = east_vms();
+    const bool is_east = std::find(east.begin(), east.end(), last_sent_to) != east.end();
     m_fleet.start(last_sent_to, is_east ? "east" : "west");
     std::this_thread::sleep_until(promise_from);
+    const auto late_vm = vm(5);
     m_fleet.start(late_vm, "east");
     ASSERT_TRUE(wait_until([&] { return front_fleet::is_ready(late_vm); }, seconds{10}));
     std::this_thread::sleep_for(seconds{2});
@@ -285,7 +226,8 @@
     }
     stop();
 
-    EXPECT_LE(arrivals_since(promise_from), promised_arrivals) << "seed " << seed();
+    EXPECT_LE(arrivals_since(promise_from), promised_arrivals)
+        << "seed " << seed() << ", " << list_arrivals(promise_from);
     expect_refused_at_once(promise_from);
 }
 
