--- a/include/chicorylink/fleet/crash_evidence.hpp
+++ b/include/chicorylink/fleet/crash_evidence.hpp
@@ -96,7 +96,7 @@
                base::time_point now);
 
     /// @brief The subjects that explain several crashes.
-    /// @param known Parts that are already known to crash targets.
+    /// @param known Subjects that are already known to crash targets.
     [[nodiscard]] std::vector<crash_suspect> suspects(const std::vector<crash_subject>& known,
                                                       base::time_point now) const;
 
@@ -107,7 +107,7 @@
     [[nodiscard]] base::time_point survived_at(crash_subject subject) const;
 
     /// @brief The reports of this VM to send now; each is returned `sends_per_report` times.
-    /// @param known Parts whose survivals are told although no crash is recorded.
+    /// @param known Subjects whose survivals are told although no crash is recorded.
     [[nodiscard]] crash_reports take_own(const std::vector<crash_subject>& known,
                                          base::time_point now);
 
@@ -173,13 +173,14 @@
     unexplained_subjects(crash_subject_kind kind, const std::set<target_run>& explained) const;
     /// @brief The runs whose crashes accuse a subject.
     [[nodiscard]] std::set<target_run> runs_of(crash_subject subject) const;
+    /// @param known As of `suspects`.
     [[nodiscard]] std::vector<crash_suspect>
     suspected_requests(const std::vector<crash_subject>& known, base::time_point now) const;
     /// @param requests Whole requests that are known to crash targets.
     [[nodiscard]] std::vector<crash_suspect>
     suspected_parts(const std::vector<crash_subject>& known,
                     const std::vector<crash_subject>& requests, base::time_point now) const;
-    /// @brief Parts with evidence, those with most crashes first, and the other known ones.
+    /// @brief Subjects with evidence, those with most crashes first, and the other known ones.
     [[nodiscard]] std::vector<crash_subject>
     reported_subjects(const std::vector<crash_subject>& known) const;
 
