front: the fingerprint of a request has the shared parts of its prompt

Cause: the callers of this test send the same body with different prompts, so that sound and deadly requests had one fingerprint. Mostly an answer to a sound one cleared it; when none came within 1.5 s of the crashes, the whole request was quarantined, and all callers with it. Requests whose prompts differ are not the same request, even if a caller describes the prompt by its parts alone.

The shared parts of the prompt now belong to the fingerprint; the last one, which may be new each time, does not. Test: request_fingerprint.shared_parts_of_the_prompt_tell_requests_apart.

--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -94,7 +94,7 @@
     m_deadline =
         now + std::min(timeout, requested_timeout(m_request.head, names).value_or(timeout));
     m_prompt = prompt_of(m_request.head, names);
-    m_fingerprint = request_fingerprint(m_request, m_resolved.team);
+    m_fingerprint = request_fingerprint(m_request, m_resolved.team, m_prompt);
     note_crash_subjects(now);
     m_is_caller_retry = m_core.caller_retries.is_retry(
         m_resolved.route->name, requested_timeout(m_request.head, names).value_or(timeout));
--- a/src/chicorylink/front/request_fingerprint.cpp
+++ b/src/chicorylink/front/request_fingerprint.cpp
@@ -8,7 +8,8 @@
 
 namespace chicorylink::front {
 
-std::uint64_t request_fingerprint(const incoming_request& request, const fleet::team* team)
+std::uint64_t request_fingerprint(const incoming_request& request, const fleet::team* team,
+                                  const std::optional<fleet::prompt>& prompt)
 {
     const auto* host = find_field(request.head.fields, "Host");
     auto hash = base::hash_name(request.head.method);
@@ -19,6 +20,11 @@
           std::string_view{request.body}}) {
         hash = base::hash_pair(hash, base::hash_name(text));
     }
+    if (prompt) {
+        for (const auto part : fleet::shared_part_ids(*prompt)) {
+            hash = base::hash_pair(hash, part.value());
+        }
+    }
     return hash;
 }
 
