--- a/src/chicorylink/fleet/crash_evidence_suspects.cpp
+++ b/src/chicorylink/fleet/crash_evidence_suspects.cpp
@@ -95,6 +95,7 @@
 {
     auto found = suspected_requests(known, now);
     std::vector<crash_subject> requests;
+    requests.reserve(found.size() + known.size());
     for (const auto& suspect : found) {
         requests.push_back(suspect.subject);
     }
--- a/src/chicorylink/fleet/crash_quarantine_test.cpp
+++ b/src/chicorylink/fleet/crash_quarantine_test.cpp
@@ -165,7 +165,7 @@
     for (int crash = 0; crash < 40; ++crash) {
         std::vector<crash_subject> parts{deadly_part};
         for (int count = 0; count < 50; ++count) {
-            parts.emplace_back(++next_part);
+            parts.push_back({++next_part});
         }
         const auto now = at(milliseconds{300 * crash});
         guard.note_crash(parts, run_of(static_cast<std::uint64_t>(crash) + 1), now);
