review: a peer's copy leaves out an evacuation for good

A machine that starts reads the store in pages and states the revision of its newest item although an item of an earlier page has changed meanwhile. A peer that copies "items after my revision" from it gets the later items only, and from then on asks nobody for the missing one.

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -157,8 +157,11 @@
 class Store(Listener):
     """The platform's store: linearizable reads, and watches that wait for changes."""
 
-    def __init__(self, record, ip):
+    def __init__(self, record, ip, page_items=500):
         self.record = record
+        self.page_items = page_items
+        self.answer_s = 0.004
+        self.silent = set()
         self.changed = threading.Condition()
         self.items = {}
         self.log = []
@@ -175,10 +178,20 @@
                     "lease": 0}
             self.items[key] = item
             self.log.append(item)
+            revision = self.revision
             self.changed.notify_all()
-        self.record.add(f"store acknowledges {key} = {json.dumps(value)[:160]}")
+        self.record.add(f"store acknowledges {key} = {json.dumps(value)[:160]}, revision {revision}")
         return time.monotonic()
 
+    def silence_open_connections(self):
+        with self.lock:
+            self.silent |= self.open
+        self.record.add(f"{len(self.silent)} open connections to the store go silent; new ones work")
+
+    def slow_down(self, answer_s):
+        self.answer_s = answer_s
+        self.record.add(f"the store takes {answer_s * 1000:.0f} ms an answer")
+
     def remove(self, key):
         with self.changed:
             self.revision += 1
@@ -198,6 +211,12 @@
             path, _, query = target.partition("?")
             values = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
             status, body = self.answer(path, values)
+            time.sleep(self.answer_s)
+            if connection in self.silent:
+                # It stays open and takes bytes, but nothing comes back any more.
+                while connection.recv(65536):
+                    pass
+                return
             text = json.dumps(body).encode()
             connection.sendall(b"HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
                                b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
@@ -208,8 +227,8 @@
             with self.changed:
                 after = values.get("after", "")
                 keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-                return 200, {"items": [self.items[k] for k in keys[:500]],
-                             "hasMore": len(keys) > 500, "asOf": self.revision}
+                return 200, {"items": [self.items[k] for k in keys[:self.page_items]],
+                             "hasMore": len(keys) > self.page_items, "asOf": self.revision}
         if path == "/kv-key":
             with self.changed:
                 item = self.items.get(values.get("key", ""))
@@ -401,7 +420,7 @@
 class Rig:
     """The store and the machines of one run, and the temporary folder of their files."""
 
-    def __init__(self, case_folder, regions, machines_per_region):
+    def __init__(self, case_folder, regions, machines_per_region, page_items=500):
         if not os.path.exists(os.path.join(REPOSITORY, PROGRAM)):
             print(f"{PROGRAM} is missing: run the build of the deploy file first")
             sys.exit(NOT_RUN)
@@ -410,7 +429,7 @@
         self.folder = self._folder.name
         self.regions = regions
         self.net = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
-        self.store = Store(self.record, f"{self.net}.250")
+        self.store = Store(self.record, f"{self.net}.250", page_items)
         self.servers = []
         ips = {}
         for number, region in enumerate(regions):
@@ -426,7 +445,8 @@
         return dict(ports)
 
     def add_server(self, name, region, service, work, slots=64):
-        server = Server(self.record, name, f"{self.net}.{200 + len(self.servers)}", work)
+        server = Server(self.record, name, f"{self.net}.{100 + len(self.servers)}", work)
+        server.zone = f"{region}-a"
         self.servers.append(server)
         self.store.put(f"servers/{name}", server.entry(service, f"{region}-a", slots))
         return server
@@ -442,6 +462,15 @@
             time.sleep(0.1)
         raise RuntimeError("the machines did not become ready")
 
+    def by_reads(self, region, over_s):
+        """The machines of a region, in the order of how often they read the store."""
+        machines = [m for m in self.machines.values() if m.region == region]
+        before = {m.name: reads_of(m) for m in machines}
+        time.sleep(over_s)
+        reads = {m.name: reads_of(m) - before[m.name] for m in machines}
+        self.record.add(f"reads of the store in {over_s} s: {reads}")
+        return sorted(machines, key=lambda m: reads[m.name])
+
     def log_lines(self, name):
         with open(os.path.join(self.folder, f"{name}.log"), encoding="utf-8",
                   errors="replace") as file:
@@ -459,6 +488,18 @@
         self._folder.cleanup()
 
 
+def reads_of(machine):
+    """How many calls of the store a machine's metrics count."""
+    connection = Connection((machine.ip, machine.ports["control"]), timeout=2)
+    connection.send(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    text = connection.answer()[2].decode()
+    connection.close()
+    for line in text.splitlines():
+        if line.split(" ")[0].endswith("store_reads_total"):
+            return float(line.split(" ")[1])
+    return 0.0
+
+
 def free_ports(ips):
     """One set of ports that are free at all addresses; the peers' port and the one after it."""
     names = ["front", "ready", "control", "directory", "peer"]
