--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,8 +15,10 @@
 PAGE_ITEMS = 50          # `page = 50` in the site files; the protocol allows up to about 500
 ANSWER_S = 0.004         # "4 ms an answer"
 SLOW_X, SLOW_S = 60, 4.5  # the sheet's figures for platform_slow
-RESTART_AFTER_S = (1.1, 1.2, 1.0)   # by round, after the store became slow
-EVACUATED_AFTER_S = 0.2  # after the start: the machine has read the first page, not the second
+EVACUATED_AFTER_S = 0.2  # after its first page, and before the second is read
+STARTED_AFTER_S = 0.19   # after a call of the region's first machine: its next one begins, with
+                         # the delay after changes, just before the evacuation
+ROUNDS = 3
 BOUND_S = (lib.BOUNDS["evacuateMs"] + lib.BOUNDS["maxStretchMs"]) / 1000
 COLD_SERVERS = 10
 HEARTBEAT_S = 1.2
@@ -71,14 +73,19 @@
     return asked
 
 
-def one_round(rig, number, restarted):
+def one_round(rig, number, restarted, first):
     restarted.signal(signal.SIGTERM)
     restarted.process.wait()
     slow_since = time.monotonic()
     if lib.trouble():
         rig.store.slow_down(SLOW_X * ANSWER_S)
-    time.sleep(RESTART_AFTER_S[number])
+    time.sleep(1)
+    lib.wait_for_read(first)
+    time.sleep(STARTED_AFTER_S)
+    pages = rig.store.first_pages
     restarted.start()
+    while rig.store.first_pages == pages:
+        time.sleep(0.002)
     time.sleep(EVACUATED_AFTER_S)
     evacuated = rig.store.put("op/evacuate/pampa-a", {"zone": "pampa-a"})
     time.sleep(max(0.0, slow_since + SLOW_S - time.monotonic()))
@@ -112,11 +119,11 @@
     rig.start()
     time.sleep(1)
     # The second of them reads the store in long watches, and others of the region hear from it.
-    restarted = rig.by_reads("pampa", 7)[1]
+    _, restarted, first = rig.by_reads("pampa", 7)
     threading.Thread(target=write_entries, args=(rig,), daemon=True).start()
     time.sleep(1)
-    for number in range(len(RESTART_AFTER_S)):
-        if one_round(rig, number, restarted):
+    for number in range(ROUNDS):
+        if one_round(rig, number, restarted, first):
             return rig, True
         rig.store.remove("op/evacuate/pampa-a")
         time.sleep(3)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -162,6 +162,7 @@
         self.page_items = page_items
         self.answer_s = 0.004
         self.silent = set()
+        self.first_pages = 0
         self.changed = threading.Condition()
         self.items = {}
         self.log = []
@@ -226,6 +227,7 @@
         if path == "/kv-range":
             with self.changed:
                 after = values.get("after", "")
+                self.first_pages += 1 if after == "" else 0
                 keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
                 return 200, {"items": [self.items[k] for k in keys[:self.page_items]],
                              "hasMore": len(keys) > self.page_items, "asOf": self.revision}
@@ -500,6 +502,16 @@
     return 0.0
 
 
+def wait_for_read(machine, limit_s=15):
+    """Returns when a machine's metrics show that it has just begun a call to the store."""
+    known, end = reads_of(machine), time.monotonic() + limit_s
+    while time.monotonic() < end:
+        if reads_of(machine) > known:
+            return
+        time.sleep(0.005)
+    raise RuntimeError(f"{machine.name} doesn't read the store")
+
+
 def free_ports(ips):
     """One set of ports that are free at all addresses; the peers' port and the one after it."""
     names = ["front", "ready", "control", "directory", "peer"]
