--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -534,26 +534,33 @@
     return True
 
 
+active_rigs = []
+
+
+def end_early(number, frame):
+    for active in active_rigs:
+        active.stop()
+    os._exit(NOT_RUN)
+
+
 def run(case, folder):
     """Runs a case and ends the process with its result."""
-    rig = None
+    signal.signal(signal.SIGTERM, end_early)
+    signal.signal(signal.SIGINT, end_early)
     try:
-        rig, broken = case(folder)
+        _, broken = case(folder)
         result = BROKEN if broken else HELD
     except Exception as problem:  # the case couldn't run
         print(f"the case couldn't run: {type(problem).__name__}: {problem}")
         result = NOT_RUN
     finally:
-        for active in Rig_active:
+        for active in active_rigs:
             active.stop()
     print({HELD: "held", BROKEN: "BROKEN", NOT_RUN: "not run"}[result], flush=True)
     os._exit(result)
 
 
-Rig_active = []
-
-
 def new_rig(*arguments, kind=Rig):
     rig = kind(*arguments)
-    Rig_active.append(rig)
+    active_rigs.append(rig)
     return rig
