front: the log tells of copies with items newer than their revision

The logs could not tell a VM that was never told of newer items from one that was told and left an item out.

New: `peer_copy_ahead` with the revision that was asked for, the one up to which the copy is complete and its newest item; counter `peer_copies_ahead_total`.

--- a/include/chicorylink/front/state_reader.hpp
+++ b/include/chicorylink/front/state_reader.hpp
@@ -22,6 +22,7 @@
 namespace chicorylink::front {
 
 struct front_core;
+struct item_copy;
 struct item_copy_query;
 
 /// @brief Keeps this VM's copy of the store up to date.
@@ -64,6 +65,8 @@
     void on_store_response(const store_response& response);
     void copy_from(const std::string& ip, const item_copy_query& query);
     void on_copy(const read_result& result);
+    /// @brief Logs a copy with items that are newer than the revision up to which it is complete.
+    void note_copy(const item_copy& copy);
     void report_changes(const std::vector<fleet::applied_change>& changes, std::string_view source);
 
     front_core& m_core;
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -295,6 +295,7 @@
                 copy_from(address.substr(0, address.rfind(':')), {});
                 return {};
             }
+            note_copy(copy);
             const auto confirmed_at = result.sent_at - *copy.confirmed_age;
             const auto now = base::boot_now();
             report_changes(
@@ -312,6 +313,23 @@
         [] {});
 }
 
+void state_reader::note_copy(const item_copy& copy)
+{
+    const auto newest = std::max_element(
+        copy.items.begin(), copy.items.end(),
+        [](const auto& left, const auto& right) { return left.revision < right.revision; });
+    if (newest == copy.items.end() || newest->revision <= copy.as_of) {
+        return;
+    }
+    m_core.counters.add("peer_copies_ahead_total");
+    write_log(m_core, log_event(m_core, "peer_copy_ahead")
+                          .add("address", m_peer->address())
+                          .add("after", copy.after.number)
+                          .add("as_of", copy.as_of.number)
+                          .add("newest", newest->revision.number)
+                          .add("items", copy.items.size()));
+}
+
 void state_reader::report_changes(const std::vector<fleet::applied_change>& changes,
                                   std::string_view source)
 {
