--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -77,8 +77,8 @@
     /// @brief Latest time at which the configuration was confirmed to be the newest one.
     [[nodiscard]] std::optional<base::time_point> confirmed_at() const { return m_confirmed_at; }
 
-    /// @brief Store revision that this copy has reached; its number is zero before the first
-    /// snapshot.
+    /// @brief Store revision up to which this copy has every change; its number is zero before the
+    /// first snapshot.
     [[nodiscard]] store_revision as_of() const { return m_as_of; }
 
     [[nodiscard]] const std::map<target_name, target_entry>& targets() const { return m_targets; }
@@ -91,8 +91,9 @@
     /// @brief Increases with each change of targets or evacuations.
     [[nodiscard]] std::uint64_t generation() const { return m_generation; }
 
-    /// @brief Revision of the newest known item.
-    [[nodiscard]] store_revision items_revision() const { return m_items_revision; }
+    /// @brief Revision of the newest known item, but not more than `as_of`: the later pages of a
+    /// snapshot may hold newer items, and changes between that and those may be unknown.
+    [[nodiscard]] store_revision items_revision() const;
 
     /// @brief Items for a peer: those that changed after a revision, including removed ones, and
     /// the configuration in force if the peer's version is older.
@@ -138,7 +139,7 @@
     std::map<std::string, held_item> m_held;
     std::set<data_center_name> m_evacuated;
     store_revision m_as_of;
-    store_revision m_items_revision;
+    store_revision m_newest_item;
     std::uint64_t m_generation = 0;
     std::optional<base::time_point> m_confirmed_at;
     std::optional<base::time_point> m_last_contact;
--- a/include/chicorylink/front/item_copy.hpp
+++ b/include/chicorylink/front/item_copy.hpp
@@ -23,8 +23,8 @@
 };
 
 /// @brief What to ask a VM for.
-/// @param newest Revision of the newest item that the other VM knows.
-/// @param known The same of this VM.
+/// @param newest Revision of the newest item that the other VM announces.
+/// @param known The revision up to which this VM has every change.
 /// @param version The version of the configuration that this VM knows.
 /// @return All items if the other VM has read a newer era of the store: it may never have known
 /// what the era before has lost, and then lists no removal of it.
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -128,7 +128,7 @@
     if (is_older) {
         return;
     }
-    m_items_revision = std::max(m_items_revision, item.revision);
+    m_newest_item = std::max(m_newest_item, item.revision);
     m_held.erase(item.key);
     if (item.key == m_config_key) {
         // The configuration in force stays when its item was removed or can't be read.
@@ -215,7 +215,7 @@
                            "its version is not newer than the one in force"});
     }
     kept.revision = std::max(kept.revision, item.revision);
-    m_items_revision = std::max(m_items_revision, kept.revision);
+    m_newest_item = std::max(m_newest_item, kept.revision);
     const bool is_in_force = version == m_config->version();
     if (has_other_number || (is_in_force && item.revision > m_era_begun_as_of)) {
         m_unconfirmed_until = {};
@@ -308,6 +308,11 @@
     return changes;
 }
 
+store_revision published_state::items_revision() const
+{
+    return std::min(m_newest_item, m_as_of);
+}
+
 std::vector<published_item> published_state::items_after(store_revision revision,
                                                          base::config_version version) const
 {
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -190,5 +190,48 @@
     EXPECT_EQ(state.items_revision(), rev(6));
 }
 
+/// Copies to one VM what another one announces, as a VM that doesn't read the store does.
+void copy_newer_items(const published_state& from, published_state& to, base::time_point now)
+{
+    if (from.items_revision() > to.items_revision()) {
+        (void)to.apply_changes(from.items_after(to.as_of(), {}), from.as_of(), now, now);
+    }
+}
+
+// Guards against an evacuation that a VM never hears of. It is written while another VM reads the
+// pages of a snapshot: behind its first page, and before a later page that holds a newer change.
+TEST(published_state, a_peer_gets_a_change_that_the_pages_of_a_snapshot_missed)
+{
+    published_state reader(&decode);
+    published_state peer(&decode);
+    (void)peer.apply_snapshot({item("target/a", "x", 3)}, rev(10), at(seconds{1}), at(seconds{1}));
+    // The first page was read at revision 10, the next one after revision 12.
+    (void)reader.apply_snapshot({item("target/a", "x", 3), item("target/z", "z", 12)}, rev(10),
+                                at(seconds{2}), at(seconds{2}));
+    copy_newer_items(reader, peer, at(seconds{2}));
+    // The reader's watch continues behind the first page.
+    (void)reader.apply_changes({item("evac/dc", "{}", 11), item("target/z", "z", 12)}, rev(12),
+                               at(seconds{3}), at(seconds{3}));
+    copy_newer_items(reader, peer, at(seconds{3}));
+    EXPECT_TRUE(peer.is_evacuated(data_center_name{"dc"}));
+    EXPECT_TRUE(peer.targets().contains(target_name{"z"}));
+    EXPECT_EQ(peer.items_revision(), rev(12));
+}
+
+// Guards against a gap that is passed on: a VM whose whole copy comes from one that has a gap.
+TEST(published_state, a_whole_copy_with_a_gap_is_completed)
+{
+    published_state reader(&decode);
+    published_state peer(&decode);
+    (void)reader.apply_snapshot({item("target/z", "z", 12)}, rev(10), at(seconds{1}),
+                                at(seconds{1}));
+    (void)peer.apply_snapshot(reader.items_after({}, {}), reader.as_of(), at(seconds{1}),
+                              at(seconds{1}));
+    (void)reader.apply_changes({item("evac/dc", "{}", 11)}, rev(12), at(seconds{2}),
+                               at(seconds{2}));
+    copy_newer_items(reader, peer, at(seconds{2}));
+    EXPECT_TRUE(peer.is_evacuated(data_center_name{"dc"}));
+}
+
 } // namespace
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/state_reader_copies.cpp
+++ b/src/chicorylink/front/state_reader_copies.cpp
@@ -62,7 +62,7 @@
     const bool may_copy = has_newer_items || (has_lost_configuration &&
                                               base::boot_now() - m_copied_at >= copy_interval);
     if (may_copy && m_core.state.as_of().number != 0) {
-        copy_from(message.from.ip, items_to_copy(newest, known, version));
+        copy_from(message.from.ip, items_to_copy(newest, m_core.state.as_of(), version));
     }
 }
 
