fleet, front: a copy from a VM that has started lists no removal before its start

Queries state the revision up to which the asking VM has every change, so those of VMs that keep up still get changes alone (item_copy.holds_the_changes_alone_when_all_removals_since_are_known).

Test, which failed before:

item_copy.brings_a_removal_from_before_the_snapshot_of_its_vm Value of: peer.targets().contains(fleet::target_name{"a"}) Actual: true Expected: false

--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -95,6 +95,10 @@
     /// snapshot may hold newer items, and changes between that and those may be unknown.
     [[nodiscard]] store_revision items_revision() const;
 
+    /// @brief Revision since which this copy knows every removal. What the store removed before its
+    /// latest snapshot may be missing here altogether.
+    [[nodiscard]] store_revision knows_removals_since() const { return m_knows_removals_since; }
+
     /// @brief Items for a peer: those that changed after a revision, including removed ones, and
     /// the configuration in force if the peer's version is older.
     [[nodiscard]] std::vector<published_item> items_after(store_revision revision,
@@ -139,6 +143,7 @@
     std::map<std::string, held_item> m_held;
     std::set<data_center_name> m_evacuated;
     store_revision m_as_of;
+    store_revision m_knows_removals_since;
     store_revision m_newest_item;
     std::uint64_t m_generation = 0;
     std::optional<base::time_point> m_confirmed_at;
--- a/include/chicorylink/front/item_copy.hpp
+++ b/include/chicorylink/front/item_copy.hpp
@@ -12,6 +12,11 @@
 #include <string_view>
 #include <vector>
 
+namespace chicorylink::fleet {
+class published_state;
+struct applied_change;
+} // namespace chicorylink::fleet
+
 namespace chicorylink::front {
 
 /// @brief Which of a VM's items another VM lacks.
@@ -51,6 +56,19 @@
     std::optional<base::milliseconds> confirmed_age;
 };
 
+/// @brief The answer to another VM's query.
+/// @return All items if this VM may not know a removal since the revision that the query names.
+[[nodiscard]] item_copy make_item_copy(const fleet::published_state& state,
+                                       const item_copy_query& query, base::time_point now);
+
+/// @brief Applies a copy from another VM.
+/// @param confirmed_at When the copy's configuration was the newest one.
+/// @return What has changed.
+std::vector<fleet::applied_change> apply_item_copy(fleet::published_state& state,
+                                                   const item_copy& copy,
+                                                   base::time_point confirmed_at,
+                                                   base::time_point now);
+
 /// @brief Encodes a copy as MessagePack, since values may hold any bytes.
 [[nodiscard]] std::string encode(const item_copy& copy);
 
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -103,6 +103,9 @@
     for (const auto& item : missing) {
         apply_item(item, now, changes);
     }
+    if (as_of > m_as_of) {
+        m_knows_removals_since = as_of;
+    }
     m_as_of = std::max(m_as_of, as_of);
     confirm(confirmed_at, now);
     return changes;
--- a/src/chicorylink/front/front_daemon_status.cpp
+++ b/src/chicorylink/front/front_daemon_status.cpp
@@ -87,15 +87,8 @@
         return {200, "text/plain", m_core.counters.render()};
     }
     if (const auto query = read_item_copy_target(head.target)) {
-        item_copy copy{m_core.state.items_after(query->after, query->version),
-                       query->after,
-                       m_core.state.as_of(),
-                       {}};
-        if (const auto confirmed = m_core.state.confirmed_at()) {
-            copy.confirmed_age =
-                std::chrono::duration_cast<base::milliseconds>(base::boot_now() - *confirmed);
-        }
-        return {200, "application/msgpack", encode(copy)};
+        return {200, "application/msgpack",
+                encode(make_item_copy(m_core.state, *query, base::boot_now()))};
     }
     return {not_found_status, "text/plain", "not found\n"};
 }
--- a/src/chicorylink/front/item_copy.cpp
+++ b/src/chicorylink/front/item_copy.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/front/item_copy.hpp"
 
+#include "chicorylink/fleet/published_state.hpp"
+
 #include <charconv>
 
 #include <fmt/format.h>
@@ -56,6 +58,28 @@
     return item_copy_query{{fleet::store_era{era}, *after}, base::config_version{version}};
 }
 
+item_copy make_item_copy(const fleet::published_state& state, const item_copy_query& query,
+                         base::time_point now)
+{
+    // A whole copy shows removals by what it lacks.
+    const bool is_whole = query.after < state.knows_removals_since();
+    const auto after = is_whole ? fleet::store_revision{} : query.after;
+    item_copy copy{state.items_after(after, query.version), after, state.as_of(), {}};
+    if (const auto confirmed = state.confirmed_at()) {
+        copy.confirmed_age = std::chrono::duration_cast<base::milliseconds>(now - *confirmed);
+    }
+    return copy;
+}
+
+std::vector<fleet::applied_change> apply_item_copy(fleet::published_state& state,
+                                                   const item_copy& copy,
+                                                   base::time_point confirmed_at,
+                                                   base::time_point now)
+{
+    return copy.after.number == 0 ? state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now)
+                                  : state.apply_changes(copy.items, copy.as_of, confirmed_at, now);
+}
+
 std::string encode(const item_copy& copy)
 {
     nlohmann::json root;
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -297,12 +297,8 @@
             }
             note_copy(copy);
             const auto confirmed_at = result.sent_at - *copy.confirmed_age;
-            const auto now = base::boot_now();
-            report_changes(
-                copy.after.number == 0
-                    ? m_core.state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now)
-                    : m_core.state.apply_changes(copy.items, copy.as_of, confirmed_at, now),
-                m_peer->address());
+            report_changes(apply_item_copy(m_core.state, copy, confirmed_at, base::boot_now()),
+                           m_peer->address());
             return {};
         },
         [&](const base::error& problem) {
