fleet: the log tells of removals that are deferred, and why

The log could not tell a removal that was heard late from one that was heard and put off, nor why.

New: `target_removal_deferred`.

--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -129,7 +129,8 @@
     /// A restored target, with what is known to have happened to it since.
     [[nodiscard]] decoded_item with_known_facts(const decoded_item& restored) const;
     /// Drops a target whose item was removed, after an outage only when its time has passed.
-    void remove_target(const target_name& name, base::time_point now);
+    void remove_target(const target_name& name, store_revision revision, base::time_point now,
+                       std::vector<applied_change>& changes);
     void drop_target(const target_name& name);
 
     item_decoder m_decode;
@@ -149,6 +150,8 @@
     std::optional<base::time_point> m_confirmed_at;
     std::optional<base::time_point> m_last_contact;
     std::optional<base::time_point> m_regained_at;
+    /// How long the contact was lost before.
+    base::milliseconds m_lost_for{0};
     /// First contact in the present era, and the store's revision then; zero in the first era.
     base::time_point m_era_begun_at{};
     store_revision m_era_begun_as_of;
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -27,6 +27,7 @@
 {
     if (m_last_contact && now - *m_last_contact > outage_threshold) {
         m_regained_at = now;
+        m_lost_for = std::chrono::duration_cast<base::milliseconds>(now - *m_last_contact);
     }
     m_last_contact = now;
 }
@@ -246,7 +247,7 @@
             drop_target(gone->name);
         }
         else if (m_targets.contains(gone->name)) {
-            remove_target(gone->name, now);
+            remove_target(gone->name, item.revision, now, changes);
         }
         changes.push_back({"target_gone", gone->name.text(), item.revision, gone->problem});
     }
@@ -268,11 +269,17 @@
     }
 }
 
-void published_state::remove_target(const target_name& name, base::time_point now)
+void published_state::remove_target(const target_name& name, store_revision revision,
+                                    base::time_point now, std::vector<applied_change>& changes)
 {
     // Items expire while the store is unavailable, although their targets live and publish again.
     if (m_regained_at && now - *m_regained_at < republish_time) {
         m_drop_at.emplace(name, *m_regained_at + republish_time);
+        const auto ago =
+            std::chrono::duration_cast<base::milliseconds>(now - *m_regained_at).count();
+        changes.push_back({"target_removal_deferred", name.text(), revision,
+                           fmt::format("the store was regained {} ms ago, after {} ms", ago,
+                                       m_lost_for.count())});
         return;
     }
     drop_target(name);
