fleet, front: a removal after a quiet time is no end of an outage

The store was stable all the while.

Cause: a removal that comes within 2.2 s of a regained contact is put off, because items expire while the store is away. Any contact after 1.5 s without one counted as regained. Only the first delegate of a region has contact that often: the second one watches the store for six seconds at a time, and the others copy items when there are newer ones. Evidence: `target_removal_deferred` at five of seven VMs, "after 10671 ms" at the one that broke the bound and "after 3612 ms" at a second delegate that reads the store itself. What is left of the bound, 0.8 s, is too little when both delegates of a region are gone.

Change: VMs tell each other, in heartbeats and in copies, since when they know the store to answer. The span of another VM closes a pause, also afterwards: a removal that was put off takes effect then. A region that was cut off from the store keeps the time for its targets, although other regions were not: a VM tells when it last read the store in vain, and the span of another region closes no pause with such a read. Both ends of a span are told so that a late message makes it shorter, never longer. VMs of earlier releases state no beginning; what they say counts as one moment.

With contacts of other VMs counted as moments, as before, these failed:

published_state.a_removal_after_a_quiet_time_is_no_end_of_an_outage published_state.a_copy_at_the_end_of_an_outage_defers_removals item_copy.shows_that_the_store_was_not_away

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -694,7 +694,9 @@
     VT_TARGETS = 34,
     VT_DIGESTS = 36,
     VT_DATA_CENTER = 38,
-    VT_ITEMS_ERA = 40
+    VT_ITEMS_ERA = 40,
+    VT_CONTACT_AGE_MS = 42,
+    VT_FAILED_READ_AGE_MS = 44
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -753,6 +755,12 @@
   uint64_t items_era() const {
     return GetField<uint64_t>(VT_ITEMS_ERA, 0);
   }
+  int64_t contact_age_ms() const {
+    return GetField<int64_t>(VT_CONTACT_AGE_MS, -1LL);
+  }
+  int64_t failed_read_age_ms() const {
+    return GetField<int64_t>(VT_FAILED_READ_AGE_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -781,6 +789,8 @@
            verifier.VerifyVectorOfTables(digests()) &&
            VerifyField<uint32_t>(verifier, VT_DATA_CENTER, 4) &&
            VerifyField<uint64_t>(verifier, VT_ITEMS_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_CONTACT_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_FAILED_READ_AGE_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -846,6 +856,12 @@
   void add_items_era(uint64_t items_era) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_ITEMS_ERA, items_era, 0);
   }
+  void add_contact_age_ms(int64_t contact_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_CONTACT_AGE_MS, contact_age_ms, -1LL);
+  }
+  void add_failed_read_age_ms(int64_t failed_read_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_FAILED_READ_AGE_MS, failed_read_age_ms, -1LL);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -877,8 +893,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::TargetUse *>> targets = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>>> digests = 0,
     uint32_t data_center = 0,
-    uint64_t items_era = 0) {
+    uint64_t items_era = 0,
+    int64_t contact_age_ms = -1LL,
+    int64_t failed_read_age_ms = -1LL) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_failed_read_age_ms(failed_read_age_ms);
+  builder_.add_contact_age_ms(contact_age_ms);
   builder_.add_items_era(items_era);
   builder_.add_items_revision(items_revision);
   builder_.add_confirmed_age_ms(confirmed_age_ms);
@@ -921,7 +941,9 @@
     const std::vector<chicorylink::fleet::codec::TargetUse> *targets = nullptr,
     const std::vector<flatbuffers::Offset<chicorylink::fleet::codec::RegionDigest>> *digests = nullptr,
     uint32_t data_center = 0,
-    uint64_t items_era = 0) {
+    uint64_t items_era = 0,
+    int64_t contact_age_ms = -1LL,
+    int64_t failed_read_age_ms = -1LL) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -948,7 +970,9 @@
       targets__,
       digests__,
       data_center,
-      items_era);
+      items_era,
+      contact_age_ms,
+      failed_read_age_ms);
 }
 
 inline const chicorylink::fleet::codec::Heartbeat *GetHeartbeat(const void *buf) {
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -43,6 +43,10 @@
     store_revision items_revision;
     /// Time since the sender's configuration was last confirmed to be the newest one.
     std::optional<base::milliseconds> confirmed_age;
+    /// Time since which the sender knows the store to answer without an outage.
+    std::optional<base::milliseconds> contact_age;
+    /// Time since the sender last read the store in vain.
+    std::optional<base::milliseconds> failed_read_age;
     /// Set if the sender knows too few other VMs; requests all digests at once.
     bool wants_digests = false;
     /// What the sender itself has admitted and has at targets; the latter is sent only within a
--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/published_item.hpp"
+#include "chicorylink/fleet/store_contact.hpp"
 #include "chicorylink/fleet/store_revision.hpp"
 
 #include <cstdint>
@@ -38,10 +39,8 @@
 /// the time to write them again has passed. Until then the store confirms no configuration.
 class published_state {
 public:
-    /// Loss of contact after which targets whose items expired get time to publish again.
-    static constexpr base::milliseconds outage_threshold{1500};
-    /// Time after an outage or the start of an era within which live targets publish again, and
-    /// lost items are written again.
+    /// Time after an outage of the store or the start of an era within which live targets publish
+    /// again, and lost items are written again.
     static constexpr base::milliseconds republish_time{2200};
     /// Time after the start of an era within which the restored item of an ended target expires.
     static constexpr base::milliseconds expiry_time{5000};
@@ -54,14 +53,34 @@
     /// ignored, except a newer configuration.
     /// @param as_of Store revision after these changes.
     /// @param confirmed_at Time at which nothing newer than `as_of` existed for these items.
+    /// @param heard When another VM, whose copy this is, knew the store to answer; none if the
+    /// changes come from the store itself.
     std::vector<applied_change> apply_changes(const std::vector<published_item>& items,
                                               store_revision as_of, base::time_point confirmed_at,
-                                              base::time_point now);
+                                              base::time_point now,
+                                              const std::optional<contact_report>& heard = {});
 
     /// @brief Applies all items of the store; known items that it no longer has are removed.
     std::vector<applied_change> apply_snapshot(const std::vector<published_item>& items,
                                                store_revision as_of, base::time_point confirmed_at,
-                                               base::time_point now);
+                                               base::time_point now,
+                                               const std::optional<contact_report>& heard = {});
+
+    /// @brief Records when another VM knew the store to answer.
+    void note_contact(const contact_report& heard) { m_contact.note(heard); }
+
+    /// @brief Records that this VM read the store in vain.
+    void note_failed_read(base::time_point at);
+    /// @brief Records the same of another VM of this region.
+    void note_failed_read_of_peer(base::time_point at) { m_contact.note_failure(at); }
+    /// @brief When this VM last read the store in vain.
+    [[nodiscard]] std::optional<base::time_point> failed_read_at() const
+    {
+        return m_failed_read_at;
+    }
+
+    /// @brief When the store is known to have answered this VM or others.
+    [[nodiscard]] const store_contact& contact() const { return m_contact; }
 
     /// @brief Records that the configuration in force here was the newest one at a given time.
     /// Ignored at the start of an era, when a newer one may be lost and not yet written again.
@@ -111,7 +130,6 @@
         base::time_point apply_at;
     };
 
-    void note_contact(base::time_point now);
     /// Returns false if the contact is from an older era than known.
     bool enter_era(store_revision as_of, base::time_point now,
                    std::vector<applied_change>& changes);
@@ -128,6 +146,9 @@
                                                              const decoded_item& decoded) const;
     /// A restored target, with what is known to have happened to it since.
     [[nodiscard]] decoded_item with_known_facts(const decoded_item& restored) const;
+    /// Until when targets whose items expired have time to publish again; none without an outage.
+    [[nodiscard]] std::optional<base::time_point> republish_deadline() const;
+    [[nodiscard]] std::string describe_outage(base::time_point now) const;
     /// Drops a target whose item was removed, after an outage only when its time has passed.
     void remove_target(const target_name& name, store_revision revision, base::time_point now,
                        std::vector<applied_change>& changes);
@@ -148,10 +169,8 @@
     store_revision m_newest_item;
     std::uint64_t m_generation = 0;
     std::optional<base::time_point> m_confirmed_at;
-    std::optional<base::time_point> m_last_contact;
-    std::optional<base::time_point> m_regained_at;
-    /// How long the contact was lost before.
-    base::milliseconds m_lost_for{0};
+    store_contact m_contact;
+    std::optional<base::time_point> m_failed_read_at;
     /// First contact in the present era, and the store's revision then; zero in the first era.
     base::time_point m_era_begun_at{};
     store_revision m_era_begun_as_of;
--- a/include/chicorylink/front/item_copy.hpp
+++ b/include/chicorylink/front/item_copy.hpp
@@ -54,6 +54,8 @@
     fleet::store_revision as_of;
     /// How long ago the configuration was confirmed as the newest one; none if it never was.
     std::optional<base::milliseconds> confirmed_age;
+    /// Since how long the VM knows the store to answer without an outage; none if unknown.
+    std::optional<base::milliseconds> contact_age;
 };
 
 /// @brief The answer to another VM's query.
@@ -61,13 +63,13 @@
 [[nodiscard]] item_copy make_item_copy(const fleet::published_state& state,
                                        const item_copy_query& query, base::time_point now);
 
-/// @brief Applies a copy from another VM.
-/// @param confirmed_at When the copy's configuration was the newest one.
+/// @brief Applies a copy from another VM, if its configuration was ever confirmed.
+/// @param asked_at When the other VM was asked for it.
+/// @param is_local Whether the other VM is in the same region.
 /// @return What has changed.
 std::vector<fleet::applied_change> apply_item_copy(fleet::published_state& state,
-                                                   const item_copy& copy,
-                                                   base::time_point confirmed_at,
-                                                   base::time_point now);
+                                                   const item_copy& copy, base::time_point asked_at,
+                                                   bool is_local, base::time_point now);
 
 /// @brief Encodes a copy as MessagePack, since values may hold any bytes.
 [[nodiscard]] std::string encode(const item_copy& copy);
--- a/include/chicorylink/front/state_reader.hpp
+++ b/include/chicorylink/front/state_reader.hpp
@@ -63,8 +63,12 @@
     void delay_next_call(base::milliseconds delay);
     void retry_later(const read_result& result);
     void on_store_response(const store_response& response);
+    /// @brief Records when a heartbeat's sender knew the store to answer.
+    void note_contact(const fleet::heartbeat& message);
     void copy_from(const std::string& ip, const item_copy_query& query);
     void on_copy(const read_result& result);
+    /// @brief The VM that was last asked for a copy.
+    [[nodiscard]] std::string peer_ip() const;
     /// @brief Logs a copy with items that are newer than the revision up to which it is complete.
     void note_copy(const item_copy& copy);
     void report_changes(const std::vector<fleet::applied_change>& changes, std::string_view source);
--- a/src/chicorylink/fleet/configuration_test.cpp
+++ b/src/chicorylink/fleet/configuration_test.cpp
@@ -116,6 +116,8 @@
     message.version = base::config_version{12};
     message.confirmed_age = milliseconds{340};
     message.items_revision = {store_era{3}, 99};
+    message.contact_age = milliseconds{70'000};
+    message.failed_read_age = milliseconds{80'000};
     message.usage = {{base::team_id{3}, 1000}};
     message.targets = {{base::target_id{4}, 5, 6000, 7, 8, milliseconds{90}}};
     region_digest digest;
@@ -131,6 +133,8 @@
     EXPECT_EQ(read->state, member_state::leaving);
     EXPECT_EQ(read->confirmed_age, milliseconds{340});
     EXPECT_EQ(read->items_revision, (store_revision{store_era{3}, 99}));
+    EXPECT_EQ(read->contact_age, milliseconds{70'000});
+    EXPECT_EQ(read->failed_read_age, milliseconds{80'000});
     EXPECT_EQ(read->targets.front().waiting, 8U);
     ASSERT_EQ(read->digests.size(), 1U);
     EXPECT_EQ(read->digests.front().members.front().ip, "10.2.0.9");
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -37,6 +37,12 @@
         std::min<std::uint8_t>(value, static_cast<std::uint8_t>(member_state::leaving)));
 }
 
+/// An age on the wire; negative when there is none.
+std::optional<base::milliseconds> read_age(std::int64_t ms)
+{
+    return ms < 0 ? std::nullopt : std::optional{base::milliseconds{ms}};
+}
+
 std::vector<team_usage> read_usage(const flatbuffers::Vector<const codec::TeamUsage*>* from)
 {
     std::vector<team_usage> usage;
@@ -194,13 +200,17 @@
     const auto usage = write_usage(to, message.usage);
     const auto targets = write_targets(to, message.targets);
     const auto digest_list = to.CreateVector(digests);
-    const auto age = message.confirmed_age ? message.confirmed_age->count() : -1;
+    const auto ms_or_none = [](const std::optional<base::milliseconds>& age) {
+        return age ? age->count() : -1;
+    };
     const auto root = codec::CreateHeartbeat(
         to, vm, ip, region, message.from.run.value(), message.from.capacity.value(),
         static_cast<std::uint8_t>(message.state), message.sequence, message.sent_ms,
-        message.echo_ms, to_wire_ms(message.echo_held), message.version.value(), age,
-        message.wants_digests, message.items_revision.number, usage, targets, digest_list,
-        message.data_center.value(), message.items_revision.era.value());
+        message.echo_ms, to_wire_ms(message.echo_held), message.version.value(),
+        ms_or_none(message.confirmed_age), message.wants_digests, message.items_revision.number,
+        usage, targets, digest_list, message.data_center.value(),
+        message.items_revision.era.value(), ms_or_none(message.contact_age),
+        ms_or_none(message.failed_read_age));
     codec::FinishHeartbeatBuffer(to, root);
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
@@ -226,9 +236,9 @@
     message.echo_ms = from->echo_ms();
     message.echo_held = base::milliseconds{from->echo_held_ms()};
     message.version = base::config_version{from->version()};
-    if (from->confirmed_age_ms() >= 0) {
-        message.confirmed_age = base::milliseconds{from->confirmed_age_ms()};
-    }
+    message.confirmed_age = read_age(from->confirmed_age_ms());
+    message.contact_age = read_age(from->contact_age_ms());
+    message.failed_read_age = read_age(from->failed_read_age_ms());
     message.wants_digests = from->wants_digests();
     message.items_revision = {store_era{from->items_era()}, from->items_revision()};
     message.usage = read_usage(from->usage());
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -23,15 +23,6 @@
 
 } // namespace
 
-void published_state::note_contact(base::time_point now)
-{
-    if (m_last_contact && now - *m_last_contact > outage_threshold) {
-        m_regained_at = now;
-        m_lost_for = std::chrono::duration_cast<base::milliseconds>(now - *m_last_contact);
-    }
-    m_last_contact = now;
-}
-
 bool published_state::enter_era(store_revision as_of, base::time_point now,
                                 std::vector<applied_change>& changes)
 {
@@ -47,7 +38,6 @@
     m_as_of = as_of;
     m_era_begun_at = now;
     m_era_begun_as_of = as_of;
-    m_regained_at = now;
     m_unconfirmed_until = now + republish_time;
     return true;
 }
@@ -59,15 +49,15 @@
     }
 }
 
-std::vector<applied_change> published_state::apply_changes(const std::vector<published_item>& items,
-                                                           store_revision as_of,
-                                                           base::time_point confirmed_at,
-                                                           base::time_point now)
+std::vector<applied_change>
+published_state::apply_changes(const std::vector<published_item>& items, store_revision as_of,
+                               base::time_point confirmed_at, base::time_point now,
+                               const std::optional<contact_report>& heard)
 {
     std::vector<applied_change> changes;
     const bool is_current = enter_era(as_of, now, changes);
     if (is_current) {
-        note_contact(now);
+        m_contact.note(heard.value_or(contact_report{{now, now}, true}));
     }
     for (const auto& item : items) {
         apply_item(item, now, changes);
@@ -81,14 +71,15 @@
 
 std::vector<applied_change>
 published_state::apply_snapshot(const std::vector<published_item>& items, store_revision as_of,
-                                base::time_point confirmed_at, base::time_point now)
+                                base::time_point confirmed_at, base::time_point now,
+                                const std::optional<contact_report>& heard)
 {
     if (as_of.era < m_as_of.era) {
-        return apply_changes(items, as_of, confirmed_at, now);
+        return apply_changes(items, as_of, confirmed_at, now, heard);
     }
     std::vector<applied_change> changes;
     enter_era(as_of, now, changes);
-    note_contact(now);
+    m_contact.note(heard.value_or(contact_report{{now, now}, true}));
     std::unordered_set<std::string> present;
     for (const auto& item : items) {
         present.insert(item.key);
@@ -269,17 +260,45 @@
     }
 }
 
+void published_state::note_failed_read(base::time_point at)
+{
+    m_failed_read_at = at;
+    m_contact.note_failure(at);
+}
+
+std::optional<base::time_point> published_state::republish_deadline() const
+{
+    std::optional<base::time_point> regained_at;
+    if (m_contact.outage()) {
+        regained_at = m_contact.outage()->regained_at;
+    }
+    if (m_era_begun_as_of.number != 0) {
+        regained_at = std::max(regained_at.value_or(m_era_begun_at), m_era_begun_at);
+    }
+    return regained_at ? std::optional{*regained_at + republish_time} : std::nullopt;
+}
+
+std::string published_state::describe_outage(base::time_point now) const
+{
+    const auto ms = [](auto time) {
+        return std::chrono::duration_cast<base::milliseconds>(time).count();
+    };
+    if (const auto& outage = m_contact.outage()) {
+        return fmt::format("the store was regained {} ms ago, after {} ms",
+                           ms(now - outage->regained_at),
+                           ms(outage->regained_at - outage->lost_at));
+    }
+    return fmt::format("the store came back from an older copy {} ms ago",
+                       ms(now - m_era_begun_at));
+}
+
 void published_state::remove_target(const target_name& name, store_revision revision,
                                     base::time_point now, std::vector<applied_change>& changes)
 {
     // Items expire while the store is unavailable, although their targets live and publish again.
-    if (m_regained_at && now - *m_regained_at < republish_time) {
-        m_drop_at.emplace(name, *m_regained_at + republish_time);
-        const auto ago =
-            std::chrono::duration_cast<base::milliseconds>(now - *m_regained_at).count();
-        changes.push_back({"target_removal_deferred", name.text(), revision,
-                           fmt::format("the store was regained {} ms ago, after {} ms", ago,
-                                       m_lost_for.count())});
+    if (const auto deadline = republish_deadline(); deadline && now < *deadline) {
+        m_drop_at.emplace(name, *deadline);
+        changes.push_back({"target_removal_deferred", name.text(), revision, describe_outage(now)});
         return;
     }
     drop_target(name);
@@ -296,15 +315,17 @@
 std::vector<applied_change> published_state::tick(base::time_point now)
 {
     std::vector<applied_change> changes;
+    // Another VM may have shown meanwhile that there was no outage.
+    const bool was_away = republish_deadline().has_value();
     for (auto pending = m_drop_at.begin(); pending != m_drop_at.end();) {
-        if (now < pending->second) {
+        if (was_away && now < pending->second) {
             ++pending;
             continue;
         }
         m_targets.erase(pending->first);
         ++m_generation;
-        changes.push_back(
-            {"target_gone", pending->first.text(), m_as_of, "not published again in time"});
+        changes.push_back({"target_gone", pending->first.text(), m_as_of,
+                           was_away ? "not published again in time" : "the store was not away"});
         pending = m_drop_at.erase(pending);
     }
     for (auto held = m_held.begin(); held != m_held.end();) {
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -233,5 +233,49 @@
     EXPECT_TRUE(peer.is_evacuated(data_center_name{"dc"}));
 }
 
+// Guards against a removed target that stays in use at a VM that doesn't read the store. It copies
+// items only when there are newer ones, so a removal after a quiet time looks like the end of an
+// outage.
+TEST(published_state, a_removal_after_a_quiet_time_is_no_end_of_an_outage)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
+    const contact_report heard{{at(seconds{1}), at(milliseconds{10'500})}, false};
+    (void)state.apply_changes({removed("target/a", 2)}, rev(2), at(milliseconds{10'500}),
+                              at(seconds{11}), heard);
+    EXPECT_TRUE(state.targets().empty());
+}
+
+// The same for a VM whose watches of the store are long, and which learns only afterwards that
+// another VM had contact all the while.
+TEST(published_state, a_deferred_removal_takes_effect_when_another_vm_had_contact)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
+    (void)state.apply_changes({removed("target/a", 2)}, rev(2), at(seconds{5}), at(seconds{5}));
+    (void)state.tick(at(milliseconds{5100}));
+    EXPECT_EQ(state.targets().size(), 1U);
+    state.note_contact({{at(seconds{1}), at(milliseconds{4800})}, true});
+    const auto changes = state.tick(at(milliseconds{5200}));
+    EXPECT_TRUE(state.targets().empty());
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().event, "target_gone");
+}
+
+// Guards against the loss of all targets at the end of an outage, at VMs that hear of it from
+// others.
+TEST(published_state, a_copy_at_the_end_of_an_outage_defers_removals)
+{
+    published_state state(&decode);
+    (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
+    // The other VM's first answer after the outage came at 9 s; what it confirms is older.
+    const contact_report heard{{at(seconds{9}), at(milliseconds{8900})}, true};
+    (void)state.apply_changes({removed("target/a", 2)}, rev(2), heard.span.until,
+                              at(milliseconds{9500}), heard);
+    EXPECT_EQ(state.targets().size(), 1U);
+    (void)state.tick(heard.span.since + published_state::republish_time);
+    EXPECT_TRUE(state.targets().empty());
+}
+
 } // namespace
 } // namespace chicorylink::fleet
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -178,8 +178,17 @@
         message.version = m_core.state.config()->version();
     }
     message.items_revision = m_core.state.items_revision();
+    const auto age_of = [now](base::time_point then) {
+        return std::chrono::duration_cast<base::milliseconds>(now - then);
+    };
     if (const auto confirmed = m_core.state.confirmed_at()) {
-        message.confirmed_age = std::chrono::duration_cast<base::milliseconds>(now - *confirmed);
+        message.confirmed_age = age_of(*confirmed);
+    }
+    if (const auto& contact = m_core.state.contact().span()) {
+        message.contact_age = age_of(contact->since);
+    }
+    if (const auto failed = m_core.state.failed_read_at()) {
+        message.failed_read_age = age_of(*failed);
     }
     message.wants_digests = due.wants_digests;
     const bool same_region = known != nullptr && known->region == m_core.settings.self.region;
--- a/src/chicorylink/front/item_copy.cpp
+++ b/src/chicorylink/front/item_copy.cpp
@@ -61,23 +61,38 @@
 item_copy make_item_copy(const fleet::published_state& state, const item_copy_query& query,
                          base::time_point now)
 {
+    const auto age_of = [now](base::time_point then) {
+        return std::chrono::duration_cast<base::milliseconds>(now - then);
+    };
     // A whole copy shows removals by what it lacks.
     const bool is_whole = query.after < state.knows_removals_since();
-    const auto after = is_whole ? fleet::store_revision{} : query.after;
-    item_copy copy{state.items_after(after, query.version), after, state.as_of(), {}};
+    item_copy copy;
+    copy.after = is_whole ? fleet::store_revision{} : query.after;
+    copy.items = state.items_after(copy.after, query.version);
+    copy.as_of = state.as_of();
     if (const auto confirmed = state.confirmed_at()) {
-        copy.confirmed_age = std::chrono::duration_cast<base::milliseconds>(now - *confirmed);
+        copy.confirmed_age = age_of(*confirmed);
+    }
+    if (const auto& contact = state.contact().span()) {
+        copy.contact_age = age_of(contact->since);
     }
     return copy;
 }
 
 std::vector<fleet::applied_change> apply_item_copy(fleet::published_state& state,
-                                                   const item_copy& copy,
-                                                   base::time_point confirmed_at,
-                                                   base::time_point now)
+                                                   const item_copy& copy, base::time_point asked_at,
+                                                   bool is_local, base::time_point now)
 {
-    return copy.after.number == 0 ? state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now)
-                                  : state.apply_changes(copy.items, copy.as_of, confirmed_at, now);
+    if (!copy.confirmed_age) {
+        return {};
+    }
+    // Both ends lie within the other VM's span, whatever time the copy took.
+    const auto confirmed_at = asked_at - *copy.confirmed_age;
+    const auto since = copy.contact_age ? now - *copy.contact_age : confirmed_at;
+    const fleet::contact_report heard{{since, confirmed_at}, is_local};
+    return copy.after.number == 0
+               ? state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now, heard)
+               : state.apply_changes(copy.items, copy.as_of, confirmed_at, now, heard);
 }
 
 std::string encode(const item_copy& copy)
@@ -88,6 +103,7 @@
     root["after"] = copy.after.number;
     root["after_era"] = copy.after.era.value();
     root["age_ms"] = copy.confirmed_age ? copy.confirmed_age->count() : -1;
+    root["contact_age_ms"] = copy.contact_age ? copy.contact_age->count() : -1;
     auto& items = root["items"] = nlohmann::json::array();
     for (const auto& item : copy.items) {
         items.push_back(
@@ -110,6 +126,11 @@
         if (age >= 0) {
             copy.confirmed_age = base::milliseconds{age};
         }
+        // Daemons of earlier releases state none.
+        const auto contact_age = root.value("contact_age_ms", std::int64_t{-1});
+        if (contact_age >= 0) {
+            copy.contact_age = base::milliseconds{contact_age};
+        }
         for (const auto& item : root.at("items")) {
             const fleet::store_era era{item.size() > era_column
                                            ? item.at(era_column).get<std::uint64_t>()
--- a/src/chicorylink/front/item_copy_test.cpp
+++ b/src/chicorylink/front/item_copy_test.cpp
@@ -36,7 +36,7 @@
 {
     const auto query = items_to_copy(from.items_revision(), to.as_of(), {});
     const auto copy = decode_item_copy(encode(make_item_copy(from, query, now)), {}).value();
-    (void)apply_item_copy(to, copy, now, now);
+    (void)apply_item_copy(to, copy, now, true, now);
 }
 
 // Guards against a removed target that stays in use at a VM whose copies come from one that was
@@ -70,5 +70,22 @@
     EXPECT_EQ(copy.as_of, rev(6));
 }
 
+// Guards against a removed target that stays in use at a VM that had copied nothing for a while.
+TEST(item_copy, shows_that_the_store_was_not_away)
+{
+    fleet::published_state reader(&decode);
+    fleet::published_state peer(&decode);
+    const fleet::published_item target{"a", {}, rev(4)};
+    (void)reader.apply_snapshot({target}, rev(4), at(seconds{1}), at(seconds{1}));
+    (void)peer.apply_snapshot({target}, rev(4), at(seconds{1}), at(seconds{1}));
+    for (int second = 2; second < 9; ++second) {
+        (void)reader.apply_changes({}, rev(4), at(seconds{second}), at(seconds{second}));
+    }
+    (void)reader.apply_changes({{"a", {}, rev(6), true}}, rev(6), at(seconds{9}), at(seconds{9}));
+    copy_newer_items(reader, peer, at(seconds{9}));
+    EXPECT_FALSE(peer.contact().outage());
+    EXPECT_TRUE(peer.targets().empty());
+}
+
 } // namespace
 } // namespace chicorylink::front
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -253,6 +253,9 @@
                               .add("waited_ms", age_of(result.sent_at, base::boot_now()).count()));
     }
     m_core.counters.add("store_failures_total");
+    if (!result.is_unreadable) {
+        m_core.state.note_failed_read(base::boot_now());
+    }
     m_retry_delay = std::clamp(m_retry_delay * 2, min_retry_delay, max_retry_delay);
     delay_next_call(m_retry_delay);
 }
@@ -291,14 +294,15 @@
                 return {};
             }
             if (copy.after.number != 0 && copy.as_of.era > m_core.state.as_of().era) {
-                const auto& address = m_peer->address();
-                copy_from(address.substr(0, address.rfind(':')), {});
+                copy_from(peer_ip(), {});
                 return {};
             }
             note_copy(copy);
-            const auto confirmed_at = result.sent_at - *copy.confirmed_age;
-            report_changes(apply_item_copy(m_core.state, copy, confirmed_at, base::boot_now()),
-                           m_peer->address());
+            const auto* peer = m_core.members.find(peer_ip());
+            const bool is_local = peer != nullptr && peer->region == m_core.settings.self.region;
+            report_changes(
+                apply_item_copy(m_core.state, copy, result.sent_at, is_local, base::boot_now()),
+                m_peer->address());
             return {};
         },
         [&](const base::error& problem) {
@@ -309,6 +313,12 @@
         [] {});
 }
 
+std::string state_reader::peer_ip() const
+{
+    const auto& address = m_peer->address();
+    return address.substr(0, address.rfind(':'));
+}
+
 void state_reader::note_copy(const item_copy& copy)
 {
     const auto newest = std::max_element(
--- a/src/chicorylink/front/state_reader_copies.cpp
+++ b/src/chicorylink/front/state_reader_copies.cpp
@@ -48,6 +48,7 @@
         const base::time_point echoed{base::milliseconds{message.echo_ms}};
         m_core.state.confirm(echoed - *message.confirmed_age, base::boot_now());
     }
+    note_contact(message);
     const bool reads_store =
         (m_store.is_busy() || m_is_delayed) && !m_is_store_lost && m_watch_from.number != 0;
     const auto known = m_core.state.items_revision();
@@ -66,6 +67,23 @@
     }
 }
 
+void state_reader::note_contact(const fleet::heartbeat& message)
+{
+    const auto now = base::boot_now();
+    const bool is_local = message.from.region == m_core.settings.self.region;
+    if (is_local && message.failed_read_age) {
+        m_core.state.note_failed_read_of_peer(now - *message.failed_read_age);
+    }
+    if (!message.confirmed_age || message.echo_ms == 0) {
+        return;
+    }
+    // Both ends lie within the sender's span, whatever time the heartbeat took.
+    const auto until =
+        base::time_point{base::milliseconds{message.echo_ms}} - *message.confirmed_age;
+    const auto since = message.contact_age ? now - *message.contact_age : until;
+    m_core.state.note_contact({{since, until}, is_local});
+}
+
 void state_reader::tick(base::time_point now)
 {
     watch_if_due();
