front, platform: what all requests hold of their responses is bounded

The report: a target sent bytes without end, the process that had called it kept them all and ran out of memory, and the requests of its other callers ended with it. One request alone holds about 1 MB here, but nothing bounded the sum: 480 requests whose callers don't read took a process to 545 MB of 260.

Cause: each request paused reading at 256 KB for itself, whatever the others held. Besides, it held up to 256 KB twice, in front of the caller's connection and in it, and emptied buffers kept their capacity, also on idle connections.

Change: response_buffers counts the bytes that all requests hold: those queued for callers and those held back until a response may begin, unfinished events among them. From an eighth of `memoryMb` on, one request may hold 16 KB in place of 256 KB, until half of that is free again. Reading pauses at that; an event or comments without end beyond it end the attempt. A response that has begun is passed on as it comes. Buffers of more than 16 KB are freed when they are empty. Log: `response_buffers_full`, `response_buffers_freed`; gauge `response_bytes_held`.

Test: response_memory.*, 200 callers that read nothing, 96 MB granted.

Not bounded by this: bodies of requests, from callers or from other VMs.

--- a/include/chicorylink/base/sse_parser.hpp
+++ b/include/chicorylink/base/sse_parser.hpp
@@ -33,8 +33,11 @@
     /// @brief Whether bytes of an unfinished event are left.
     [[nodiscard]] bool has_partial() const { return m_consumed < m_buffer.size(); }
 
+    /// @brief Number of bytes that are not returned in an event yet.
+    [[nodiscard]] std::size_t unread() const { return m_buffer.size() - m_consumed; }
+
     /// @brief Whether an event exceeds the size limit: more than `max_event_bytes` are unread.
-    [[nodiscard]] bool overflowed() const { return m_buffer.size() - m_consumed > max_event_bytes; }
+    [[nodiscard]] bool overflowed() const { return unread() > max_event_bytes; }
 
     /// @brief Discards all buffered bytes, including an unfinished event.
     void reset();
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -9,6 +9,7 @@
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_after_delay.hpp"
 #include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/front/held_bytes.hpp"
 #include "chicorylink/front/incoming_request.hpp"
 #include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/resolution.hpp"
@@ -79,6 +80,8 @@
         base::sse_parser events;
         /// Bytes held back until the response ends, or until the attempt's first event.
         std::string buffered_body;
+        /// Counts these bytes and the unfinished event; null before the first ones.
+        std::unique_ptr<held_bytes> held;
         /// Whether the request no longer counts as the target's load in the pool.
         bool released = false;
         bool ended = false;
@@ -163,6 +166,8 @@
     [[nodiscard]] bool comes_behind_last(const attempt& from, const base::sse_event& event) const;
     void note_progress(base::time_point now);
     void pause_for_slow_caller();
+    /// @brief Adds what an attempt holds to the count of all requests.
+    void count_held(attempt& from);
     void read_load(const message_head& head, base::time_point now);
     /// @brief Applies what the target's response says about itself: that it is leaving, or that
     /// it must get no requests for some time.
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -33,6 +33,7 @@
 namespace chicorylink::front {
 
 class exchange;
+class response_buffers;
 
 /// @brief State that the parts of one daemon share. Used on the event loop's thread only.
 struct front_core {
@@ -62,6 +63,8 @@
     /// Parts of prompts that crash targets.
     fleet::crash_quarantine quarantine;
     connection_pool connections;
+    /// Shared with connections that outlive this object.
+    std::shared_ptr<response_buffers> response_bytes;
     field_inventory target_fields;
     /// None until the daemon has opened its listeners.
     std::optional<placement_link> placements;
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -52,6 +52,8 @@
     void slow_tick(base::time_point now);
     void sync_state(base::time_point now);
     void log_readiness_change(base::time_point now);
+    /// @brief Logs when the bytes that all requests hold exceed their limit, and when no more.
+    void log_buffers_change();
     /// @brief Ends the requests that are still in progress near the end of the stop time.
     void end_requests(base::time_point now);
     [[nodiscard]] bool can_exit(base::time_point now);
@@ -76,6 +78,7 @@
     std::shared_ptr<const fleet::configuration> m_synced_config;
     std::uint64_t m_synced_generation = 0;
     readiness m_logged_readiness = readiness::no_configuration;
+    bool m_logged_full_buffers = false;
     std::optional<base::time_point> m_last_tick_at;
     std::optional<base::time_point> m_previous_tick_at;
     bool m_has_stopped_accepting = false;
--- a/include/chicorylink/front/front_settings.hpp
+++ b/include/chicorylink/front/front_settings.hpp
@@ -43,6 +43,8 @@
     std::string store_address;
     std::map<fleet::data_center_name, fleet::region_name> regions;
     platform_bounds bounds;
+    /// Memory that the process may use.
+    std::size_t memory_bytes = 256UL * 1024 * 1024;
     fleet::fleet_start start = fleet::fleet_start::later;
 };
 
--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -14,6 +14,9 @@
 
 namespace chicorylink::front {
 
+class held_bytes;
+class response_buffers;
+
 /// @brief How a connection ended.
 enum class channel_end {
     /// The remote end closed it after its last byte.
@@ -37,7 +40,7 @@
 
     /// @param socket A connected socket; the constructor makes it non-blocking.
     explicit tcp_channel(boost::asio::ip::tcp::socket socket);
-    ~tcp_channel() = default;
+    ~tcp_channel();
     tcp_channel(const tcp_channel&) = delete;
     tcp_channel& operator=(const tcp_channel&) = delete;
     tcp_channel(tcp_channel&&) = delete;
@@ -54,6 +57,9 @@
     /// @brief Queues bytes and sends at once as many as the socket accepts.
     void send(std::string_view bytes);
 
+    /// @brief Adds the queued bytes to a count of all responses.
+    void count_unsent(std::shared_ptr<response_buffers> all);
+
     /// @brief Number of queued bytes that are not sent yet.
     [[nodiscard]] std::size_t unsent() const { return m_send_buffer.size(); }
 
@@ -82,6 +88,7 @@
     void wait_readable();
     void on_readable();
     void write_some();
+    void update_count();
     void wait_writable();
     void end(channel_end reason);
     void begin_linger();
@@ -89,6 +96,8 @@
     boost::asio::ip::tcp::socket m_socket;
     handlers m_handlers;
     std::string m_send_buffer;
+    /// Null if the queued bytes are not counted.
+    std::unique_ptr<held_bytes> m_counted;
     bool m_waiting_read = false;
     bool m_waiting_write = false;
     bool m_reading_paused = false;
--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -45,6 +45,7 @@
           {"ready", at(ready_port)},
           {"control", at(control_port)},
           {"directory", at(directory_port)}}},
+        {"limits", {{"memoryMb", m_memory_mb}}},
         {"bounds",
          {{"revokeMs", withdrawal_bound.count()},
           {"graceS", 8},
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -53,6 +53,9 @@
     /// @brief Sets the retries beyond their ratio to requests, for daemons started afterwards.
     void set_retry_slack(double slack) { m_retry_slack = slack; }
 
+    /// @brief Sets the memory that daemons started afterwards may use.
+    void set_memory_mb(long memory_mb) { m_memory_mb = memory_mb; }
+
     /// @brief Publishes a target that is ready in data center `zone`.
     /// @param started_ms The start of its run, which tells runs of one name apart.
     void publish_target(const std::string& name, const std::string& address,
@@ -90,6 +93,7 @@
     stand_ins::published_store m_store{"127.0.0.1:0"};
     std::string m_store_address = m_store.address();
     double m_retry_slack = 58;
+    long m_memory_mb = 260;
     std::map<std::string, std::unique_ptr<child_process>> m_vms;
 };
 
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -4,6 +4,7 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/response_buffers.hpp"
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
@@ -18,9 +19,6 @@
 using fleet::attempt_end;
 using fleet::target_outcome;
 
-/// Bytes buffered for a slow caller before reading from the target pauses.
-constexpr std::size_t max_unsent_bytes = 256UL * 1024;
-
 /// Whether callers take a status as a promise that the request did not run and never will.
 bool promises_not_run(int status)
 {
@@ -132,12 +130,21 @@
 
 void exchange::pause_for_slow_caller()
 {
-    if (m_caller != nullptr && m_caller->unsent() > max_unsent_bytes && !m_reading_paused) {
+    const auto allowance = m_core.response_bytes->allowance();
+    if (m_caller != nullptr && m_caller->unsent() > allowance && !m_reading_paused) {
         m_reading_paused = true;
         m_attempt->call->pause_reading();
     }
 }
 
+void exchange::count_held(attempt& from)
+{
+    if (!from.held) {
+        from.held = std::make_unique<held_bytes>(m_core.response_bytes);
+    }
+    from.held->set(from.buffered_body.size() + from.events.unread());
+}
+
 void exchange::on_body(std::uint32_t number, std::string_view piece)
 {
     const auto now = base::boot_now();
@@ -153,9 +160,10 @@
         note_progress(now);
         note_answer_progress(now);
         from.buffered_body.append(piece);
-        if (from.buffered_body.size() > max_unsent_bytes) {
+        if (m_response_begun || from.buffered_body.size() > m_core.response_bytes->allowance()) {
             flush_buffered(now);
         }
+        count_held(from);
         pause_for_slow_caller();
         return;
     }
@@ -170,11 +178,13 @@
         }
         on_event(from, *event, now);
     }
-    if (from.events.overflowed()) {
+    count_held(from);
+    const auto allowance = m_core.response_bytes->allowance();
+    if (from.events.overflowed() || from.events.unread() > allowance) {
         reject_body(number, "an event has no end", now);
         return;
     }
-    if (from.buffered_body.size() > max_unsent_bytes) {
+    if (from.buffered_body.size() > allowance) {
         reject_body(number, "comments without an event", now);
         return;
     }
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/front/front_core.hpp"
 
+#include "chicorylink/front/response_buffers.hpp"
+
 #include <chrono>
 #include <exception>
 #include <unistd.h>
@@ -26,7 +28,9 @@
       log(STDOUT_FILENO), state(platform.decode_item),
       members(settings.self, settings.seed_ips, region_names(settings)),
       quota(settings.self.region, now), retries(settings.bounds.retries, settings.start, now),
-      pacer(now + fleet::designation_delay), connections(event_loop), target_fields(platform.names)
+      pacer(now + fleet::designation_delay), connections(event_loop),
+      response_bytes(std::make_shared<response_buffers>(settings.memory_bytes)),
+      target_fields(platform.names)
 {
 }
 
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -3,6 +3,7 @@
 #include "chicorylink/base/boot_clock.hpp"
 #include "chicorylink/front/endpoint.hpp"
 #include "chicorylink/front/exchange.hpp"
+#include "chicorylink/front/response_buffers.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -324,6 +325,7 @@
         server->tick(now);
     }
     log_readiness_change(now);
+    log_buffers_change();
     if (now - m_settings_read_at >= settings_interval) {
         reload_settings();
     }
@@ -343,6 +345,19 @@
     }
 }
 
+void front_daemon::log_buffers_change()
+{
+    const auto& buffers = *m_core.response_bytes;
+    m_core.counters.set("response_bytes_held", static_cast<double>(buffers.held()));
+    if (std::exchange(m_logged_full_buffers, buffers.is_full()) != buffers.is_full()) {
+        write_log(m_core, log_event(m_core, buffers.is_full() ? "response_buffers_full"
+                                                              : "response_buffers_freed")
+                              .add("held_bytes", std::uint64_t{buffers.held()})
+                              .add("limit_bytes", std::uint64_t{buffers.limit()})
+                              .add("requests", std::uint64_t{m_core.exchanges.size()}));
+    }
+}
+
 void front_daemon::log_readiness_change(base::time_point now)
 {
     const auto current = readiness_of(m_core, now);
--- /dev/null
+++ b/src/chicorylink/front/held_bytes.cpp
@@ -0,0 +1,27 @@
+#include "chicorylink/front/held_bytes.hpp"
+
+#include "chicorylink/front/response_buffers.hpp"
+
+#include <utility>
+
+namespace chicorylink::front {
+
+held_bytes::held_bytes(std::shared_ptr<response_buffers> all) : m_all(std::move(all)) {}
+
+held_bytes::~held_bytes()
+{
+    m_all->remove(m_bytes);
+}
+
+void held_bytes::set(std::size_t bytes)
+{
+    if (bytes > m_bytes) {
+        m_all->add(bytes - m_bytes);
+    }
+    else {
+        m_all->remove(m_bytes - bytes);
+    }
+    m_bytes = bytes;
+}
+
+} // namespace chicorylink::front
--- a/src/chicorylink/front/message_parser.cpp
+++ b/src/chicorylink/front/message_parser.cpp
@@ -19,6 +19,9 @@
 /// blank line. More than this is malformed.
 constexpr std::size_t max_blank_bytes = 16;
 
+/// Larger buffers are freed when they are empty: messages under way are many.
+constexpr std::size_t max_kept_capacity = 16UL * 1024;
+
 std::string to_string(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -208,6 +211,9 @@
         }
     }
     m_buffer.erase(0, consumed);
+    if (m_buffer.empty() && m_buffer.capacity() > max_kept_capacity) {
+        m_buffer = {};
+    }
     if (!m_has_head && m_impl->has_head()) {
         m_has_head = true;
         m_impl->copy_framing(m_head);
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -55,8 +55,9 @@
 
 void request_listener::add_connection(boost::asio::ip::tcp::socket socket)
 {
-    auto connection = std::make_shared<caller_connection>(
-        m_core, std::make_shared<tcp_channel>(std::move(socket)), m_side);
+    auto channel = std::make_shared<tcp_channel>(std::move(socket));
+    channel->count_unsent(m_core.response_bytes);
+    auto connection = std::make_shared<caller_connection>(m_core, std::move(channel), m_side);
     const auto* key = connection.get();
     m_connections.emplace(key, connection);
     connection->start([this, key] { on_closed(key); });
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/front/tcp_channel.hpp"
 
+#include "chicorylink/front/held_bytes.hpp"
+
 #include <array>
 #include <netinet/tcp.h>
 #include <utility>
@@ -17,6 +19,9 @@
 /// Bytes per read: the largest TCP window on the users' links.
 constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 
+/// Larger buffers are freed when they are empty: idle connections are many.
+constexpr std::size_t max_kept_capacity = 16UL * 1024;
+
 /// How long to wait for the remote end to close after the last byte was sent.
 constexpr base::milliseconds linger_timeout{1000};
 
@@ -62,6 +67,21 @@
     set_options(m_socket);
 }
 
+tcp_channel::~tcp_channel() = default;
+
+void tcp_channel::count_unsent(std::shared_ptr<response_buffers> all)
+{
+    m_counted = std::make_unique<held_bytes>(std::move(all));
+    update_count();
+}
+
+void tcp_channel::update_count()
+{
+    if (m_counted) {
+        m_counted->set(m_send_buffer.size());
+    }
+}
+
 void tcp_channel::connect(boost::asio::io_context& loop, const tcp::endpoint& to,
                           base::milliseconds limit,
                           std::function<void(std::shared_ptr<tcp_channel>, std::string)> done)
@@ -158,7 +178,10 @@
         return;
     }
     m_send_buffer.append(bytes);
-    if (!m_waiting_write) {
+    if (m_waiting_write) {
+        update_count();
+    }
+    else {
         write_some();
     }
 }
@@ -170,6 +193,7 @@
     if (problem && problem != boost::asio::error::would_block) {
         // The error is reported from the loop, because the code that sends is still running.
         m_send_buffer.clear();
+        update_count();
         m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
             if (self->m_socket.is_open()) {
                 self->end(channel_end::broken);
@@ -179,10 +203,14 @@
         return;
     }
     m_send_buffer.erase(0, count);
+    update_count();
     if (!m_send_buffer.empty()) {
         wait_writable();
         return;
     }
+    if (m_send_buffer.capacity() > max_kept_capacity) {
+        m_send_buffer = {};
+    }
     if (m_closing) {
         begin_linger();
     }
@@ -240,6 +268,7 @@
 void tcp_channel::close()
 {
     m_handlers = {};
+    m_counted = nullptr;
     error_code ignored;
     m_socket.close(ignored);
 }
