--- a/src/chicorylink/front/message_parser.cpp
+++ b/src/chicorylink/front/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "chicorylink/front/message_parser.hpp"
 
+#include "chicorylink/front/free_if_empty.hpp"
+
 #include <ostream>
 #include <utility>
 
@@ -19,9 +21,6 @@
 /// blank line. More than this is malformed.
 constexpr std::size_t max_blank_bytes = 16;
 
-/// Larger buffers are freed when they are empty: messages under way are many.
-constexpr std::size_t max_kept_capacity = 16UL * 1024;
-
 std::string to_string(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -211,9 +210,7 @@
         }
     }
     m_buffer.erase(0, consumed);
-    if (m_buffer.empty() && m_buffer.capacity() > max_kept_capacity) {
-        m_buffer = {};
-    }
+    free_if_empty(m_buffer);
     if (!m_has_head && m_impl->has_head()) {
         m_has_head = true;
         m_impl->copy_framing(m_head);
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/front/tcp_channel.hpp"
 
+#include "chicorylink/front/free_if_empty.hpp"
 #include "chicorylink/front/held_bytes.hpp"
 
 #include <array>
@@ -19,9 +20,6 @@
 /// Bytes per read: the largest TCP window on the users' links.
 constexpr std::size_t read_buffer_bytes = 64UL * 1024;
 
-/// Larger buffers are freed when they are empty: idle connections are many.
-constexpr std::size_t max_kept_capacity = 16UL * 1024;
-
 /// How long to wait for the remote end to close after the last byte was sent.
 constexpr base::milliseconds linger_timeout{1000};
 
@@ -208,9 +206,7 @@
         wait_writable();
         return;
     }
-    if (m_send_buffer.capacity() > max_kept_capacity) {
-        m_send_buffer = {};
-    }
+    free_if_empty(m_send_buffer);
     if (m_closing) {
         begin_linger();
     }
