fleet: a deferred removal takes effect in a later era of the store, too

Found by reading: after a store has come back from a copy once, a removal that was put off stayed put off although another VM had shown that there was no outage, because the era's own time for publishing again counted as set, though over. What decides now is whether any such time still runs.

Test: published_state.a_deferred_removal_takes_effect_in_a_later_era_too. It was not run on the code before.

--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -316,16 +316,18 @@
 {
     std::vector<applied_change> changes;
     // Another VM may have shown meanwhile that there was no outage.
-    const bool was_away = republish_deadline().has_value();
+    const auto deadline = republish_deadline();
+    const bool may_return = deadline && now < *deadline;
     for (auto pending = m_drop_at.begin(); pending != m_drop_at.end();) {
-        if (was_away && now < pending->second) {
+        const bool in_time = now < pending->second;
+        if (may_return && in_time) {
             ++pending;
             continue;
         }
         m_targets.erase(pending->first);
         ++m_generation;
         changes.push_back({"target_gone", pending->first.text(), m_as_of,
-                           was_away ? "not published again in time" : "the store was not away"});
+                           in_time ? "the store was not away" : "not published again in time"});
         pending = m_drop_at.erase(pending);
     }
     for (auto held = m_held.begin(); held != m_held.end();) {
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -262,6 +262,22 @@
     EXPECT_EQ(changes.front().event, "target_gone");
 }
 
+// The same in a later era of the store, whose own time for publishing again is over.
+TEST(published_state, a_deferred_removal_takes_effect_in_a_later_era_too)
+{
+    published_state state(&decode);
+    const auto later = [](std::uint64_t number) { return store_revision{store_era{2}, number}; };
+    (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
+    (void)state.apply_snapshot({{"target/a", "x", later(1)}}, later(1), at(seconds{2}),
+                               at(seconds{2}));
+    (void)state.apply_changes({{"target/a", {}, later(2), true}}, later(2), at(seconds{30}),
+                              at(seconds{30}));
+    EXPECT_EQ(state.targets().size(), 1U);
+    state.note_contact({{at(seconds{1}), at(milliseconds{29'800})}, true});
+    (void)state.tick(at(milliseconds{30'100}));
+    EXPECT_TRUE(state.targets().empty());
+}
+
 // Guards against the loss of all targets at the end of an outage, at VMs that hear of it from
 // others.
 TEST(published_state, a_copy_at_the_end_of_an_outage_defers_removals)
