--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -45,7 +45,7 @@
     std::optional<base::milliseconds> confirmed_age;
     /// Time since which the sender knows the store to answer without an outage.
     std::optional<base::milliseconds> contact_age;
-    /// Time since the sender last read the store in vain.
+    /// Time since the sender's last failed read of the store.
     std::optional<base::milliseconds> failed_read_age;
     /// Set if the sender knows too few other VMs; requests all digests at once.
     bool wants_digests = false;
--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -53,27 +53,27 @@
     /// ignored, except a newer configuration.
     /// @param as_of Store revision after these changes.
     /// @param confirmed_at Time at which nothing newer than `as_of` existed for these items.
-    /// @param heard When another VM, whose copy this is, knew the store to answer; none if the
+    /// @param peer_contact Contact of the VM whose copy this is with the store; none if the
     /// changes come from the store itself.
-    std::vector<applied_change> apply_changes(const std::vector<published_item>& items,
-                                              store_revision as_of, base::time_point confirmed_at,
-                                              base::time_point now,
-                                              const std::optional<contact_report>& heard = {});
+    std::vector<applied_change>
+    apply_changes(const std::vector<published_item>& items, store_revision as_of,
+                  base::time_point confirmed_at, base::time_point now,
+                  const std::optional<contact_report>& peer_contact = {});
 
     /// @brief Applies all items of the store; known items that it no longer has are removed.
-    std::vector<applied_change> apply_snapshot(const std::vector<published_item>& items,
-                                               store_revision as_of, base::time_point confirmed_at,
-                                               base::time_point now,
-                                               const std::optional<contact_report>& heard = {});
+    std::vector<applied_change>
+    apply_snapshot(const std::vector<published_item>& items, store_revision as_of,
+                   base::time_point confirmed_at, base::time_point now,
+                   const std::optional<contact_report>& peer_contact = {});
 
-    /// @brief Records when another VM knew the store to answer.
-    void note_contact(const contact_report& heard) { m_contact.note(heard); }
+    /// @brief Records another VM's contact with the store.
+    void note_contact(const contact_report& reported) { m_contact.note(reported); }
 
-    /// @brief Records that this VM read the store in vain.
+    /// @brief Records a failed read of the store by this VM.
     void note_failed_read(base::time_point at);
     /// @brief Records the same of another VM of this region.
     void note_failed_read_of_peer(base::time_point at) { m_contact.note_failure(at); }
-    /// @brief When this VM last read the store in vain.
+    /// @brief Time of this VM's last failed read of the store.
     [[nodiscard]] std::optional<base::time_point> failed_read_at() const
     {
         return m_failed_read_at;
--- a/include/chicorylink/fleet/store_contact.hpp
+++ b/include/chicorylink/fleet/store_contact.hpp
@@ -20,12 +20,12 @@
     bool is_local = false;
 };
 
-/// @brief Tells outages of the store from times in which this VM alone heard nothing of it.
+/// @brief Tells outages of the store from times in which this VM alone had no contact.
 ///
 /// Few VMs read the store, and some of them rarely. So VMs tell each other since when and until
 /// when they know the store to answer, and the span of another VM closes a gap of this one. A VM of
 /// another region can't tell whether this region reached the store as well, so its span closes no
-/// gap in which a VM of this region read the store in vain.
+/// gap with a failed read by a VM of this region.
 class store_contact {
 public:
     /// Longest pause between two signs of contact that is no outage.
@@ -38,13 +38,13 @@
     };
 
     /// @brief Records that the store answered a VM of this region during a span.
-    /// @param heard Only its beginning counts if it ends before.
-    void note(const contact_span& heard);
+    /// @param span Only its beginning counts if it ends before.
+    void note(const contact_span& span);
 
     /// @brief Records that the store answered another VM.
-    void note(const contact_report& heard);
+    void note(const contact_report& reported);
 
-    /// @brief Records that a VM of this region read the store in vain.
+    /// @brief Records a failed read of the store by a VM of this region.
     void note_failure(base::time_point at);
 
     /// @brief The latest span without an outage; none before the first contact.
@@ -56,7 +56,7 @@
 private:
     std::optional<contact_span> m_span;
     std::optional<gap> m_outage;
-    /// The latest read of the store in vain.
+    /// Time of the latest failed read.
     std::optional<base::time_point> m_failed_at;
 };
 
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -52,12 +52,12 @@
 std::vector<applied_change>
 published_state::apply_changes(const std::vector<published_item>& items, store_revision as_of,
                                base::time_point confirmed_at, base::time_point now,
-                               const std::optional<contact_report>& heard)
+                               const std::optional<contact_report>& peer_contact)
 {
     std::vector<applied_change> changes;
     const bool is_current = enter_era(as_of, now, changes);
     if (is_current) {
-        m_contact.note(heard.value_or(contact_report{{now, now}, true}));
+        m_contact.note(peer_contact.value_or(contact_report{{now, now}, true}));
     }
     for (const auto& item : items) {
         apply_item(item, now, changes);
@@ -72,14 +72,14 @@
 std::vector<applied_change>
 published_state::apply_snapshot(const std::vector<published_item>& items, store_revision as_of,
                                 base::time_point confirmed_at, base::time_point now,
-                                const std::optional<contact_report>& heard)
+                                const std::optional<contact_report>& peer_contact)
 {
     if (as_of.era < m_as_of.era) {
-        return apply_changes(items, as_of, confirmed_at, now, heard);
+        return apply_changes(items, as_of, confirmed_at, now, peer_contact);
     }
     std::vector<applied_change> changes;
     enter_era(as_of, now, changes);
-    m_contact.note(heard.value_or(contact_report{{now, now}, true}));
+    m_contact.note(peer_contact.value_or(contact_report{{now, now}, true}));
     std::unordered_set<std::string> present;
     for (const auto& item : items) {
         present.insert(item.key);
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -240,9 +240,9 @@
 {
     published_state state(&decode);
     (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
-    const contact_report heard{{at(seconds{1}), at(milliseconds{10'500})}, false};
+    const contact_report contact{{at(seconds{1}), at(milliseconds{10'500})}, false};
     (void)state.apply_changes({removed("target/a", 2)}, rev(2), at(milliseconds{10'500}),
-                              at(seconds{11}), heard);
+                              at(seconds{11}), contact);
     EXPECT_TRUE(state.targets().empty());
 }
 
@@ -285,11 +285,11 @@
     published_state state(&decode);
     (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
     // The other VM's first answer after the outage came at 9 s; what it confirms is older.
-    const contact_report heard{{at(seconds{9}), at(milliseconds{8900})}, true};
-    (void)state.apply_changes({removed("target/a", 2)}, rev(2), heard.span.until,
-                              at(milliseconds{9500}), heard);
+    const contact_report contact{{at(seconds{9}), at(milliseconds{8900})}, true};
+    (void)state.apply_changes({removed("target/a", 2)}, rev(2), contact.span.until,
+                              at(milliseconds{9500}), contact);
     EXPECT_EQ(state.targets().size(), 1U);
-    (void)state.tick(heard.span.since + published_state::republish_time);
+    (void)state.tick(contact.span.since + published_state::republish_time);
     EXPECT_TRUE(state.targets().empty());
 }
 
--- a/src/chicorylink/fleet/store_contact.cpp
+++ b/src/chicorylink/fleet/store_contact.cpp
@@ -19,9 +19,9 @@
 
 } // namespace
 
-void store_contact::note(const contact_span& heard)
+void store_contact::note(const contact_span& span)
 {
-    const contact_span added{heard.since, std::max(heard.since, heard.until)};
+    const contact_span added{span.since, std::max(span.since, span.until)};
     if (!m_span) {
         m_span = added;
         return;
@@ -39,10 +39,10 @@
     }
 }
 
-void store_contact::note(const contact_report& heard)
+void store_contact::note(const contact_report& reported)
 {
-    auto span = heard.span;
-    if (!heard.is_local && m_failed_at) {
+    auto span = reported.span;
+    if (!reported.is_local && m_failed_at) {
         span.since = std::max(span.since, *m_failed_at);
     }
     note(span);
--- a/src/chicorylink/front/item_copy.cpp
+++ b/src/chicorylink/front/item_copy.cpp
@@ -89,10 +89,10 @@
     // Both ends lie within the other VM's span, whatever time the copy took.
     const auto confirmed_at = asked_at - *copy.confirmed_age;
     const auto since = copy.contact_age ? now - *copy.contact_age : confirmed_at;
-    const fleet::contact_report heard{{since, confirmed_at}, is_local};
+    const fleet::contact_report contact{{since, confirmed_at}, is_local};
     return copy.after.number == 0
-               ? state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now, heard)
-               : state.apply_changes(copy.items, copy.as_of, confirmed_at, now, heard);
+               ? state.apply_snapshot(copy.items, copy.as_of, confirmed_at, now, contact)
+               : state.apply_changes(copy.items, copy.as_of, confirmed_at, now, contact);
 }
 
 std::string encode(const item_copy& copy)
