fleet: a deferred removal is not logged as a target that is gone

What an operator saw: target_gone when the removal arrived, though requests went on to the target until a second target_gone. Cause: the line was written whatever became of the removal. Now target_removal_deferred stands alone, and target_gone follows when the target is dropped.

Test: published_state.a_deferred_removal_takes_effect_when_another_vm_had_contact checks the lines. It was not run on the code before, which wrote two lines there.

--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -149,8 +149,9 @@
     /// Until when targets whose items expired have time to publish again; none without an outage.
     [[nodiscard]] std::optional<base::time_point> republish_deadline() const;
     [[nodiscard]] std::string describe_outage(base::time_point now) const;
-    /// Drops a target whose item was removed, after an outage only when its time has passed.
-    void remove_target(const target_name& name, store_revision revision, base::time_point now,
+    /// Keeps a target whose item was removed until its time to publish again has passed.
+    /// Returns false if there is no such time now.
+    bool defer_removal(const target_name& name, store_revision revision, base::time_point now,
                        std::vector<applied_change>& changes);
     void drop_target(const target_name& name);
 
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -234,13 +234,12 @@
                                        entry.cold_left.count() > 0 ? " cold" : "")});
     }
     else if (const auto* gone = std::get_if<target_gone_item>(&decoded)) {
-        if (!item.removed) {
+        const bool is_deferred = item.removed && m_targets.contains(gone->name) &&
+                                 defer_removal(gone->name, item.revision, now, changes);
+        if (!is_deferred) {
             drop_target(gone->name);
+            changes.push_back({"target_gone", gone->name.text(), item.revision, gone->problem});
         }
-        else if (m_targets.contains(gone->name)) {
-            remove_target(gone->name, item.revision, now, changes);
-        }
-        changes.push_back({"target_gone", gone->name.text(), item.revision, gone->problem});
     }
     else if (const auto* evacuation = std::get_if<evacuation_item>(&decoded)) {
         if (evacuation->active) {
@@ -292,16 +291,17 @@
                        ms(now - m_era_begun_at));
 }
 
-void published_state::remove_target(const target_name& name, store_revision revision,
+bool published_state::defer_removal(const target_name& name, store_revision revision,
                                     base::time_point now, std::vector<applied_change>& changes)
 {
     // Items expire while the store is unavailable, although their targets live and publish again.
-    if (const auto deadline = republish_deadline(); deadline && now < *deadline) {
-        m_drop_at.emplace(name, *deadline);
-        changes.push_back({"target_removal_deferred", name.text(), revision, describe_outage(now)});
-        return;
+    const auto deadline = republish_deadline();
+    if (!deadline || now >= *deadline) {
+        return false;
     }
-    drop_target(name);
+    m_drop_at.emplace(name, *deadline);
+    changes.push_back({"target_removal_deferred", name.text(), revision, describe_outage(now)});
+    return true;
 }
 
 void published_state::drop_target(const target_name& name)
--- a/src/chicorylink/fleet/published_state_test.cpp
+++ b/src/chicorylink/fleet/published_state_test.cpp
@@ -252,7 +252,10 @@
 {
     published_state state(&decode);
     (void)state.apply_snapshot({item("target/a", "x", 1)}, rev(1), at(seconds{1}), at(seconds{1}));
-    (void)state.apply_changes({removed("target/a", 2)}, rev(2), at(seconds{5}), at(seconds{5}));
+    const auto deferred =
+        state.apply_changes({removed("target/a", 2)}, rev(2), at(seconds{5}), at(seconds{5}));
+    ASSERT_EQ(deferred.size(), 1U);
+    EXPECT_EQ(deferred.front().event, "target_removal_deferred");
     (void)state.tick(at(milliseconds{5100}));
     EXPECT_EQ(state.targets().size(), 1U);
     state.note_contact({{at(seconds{1}), at(milliseconds{4800})}, true});
