--- a/process_tests/response_memory_test.cpp
+++ b/process_tests/response_memory_test.cpp
@@ -165,6 +165,22 @@
                    ": " + std::string(4096, 'y') + "\n\n");
 }
 
+// Guards against streams of many small events that leave the process no time for other requests.
+TEST_F(response_memory, small_events_without_end_let_other_requests_go_on)
+{
+    expect_bounded("/stream/x",
+                   "Content-Type: text/event-stream\r\nContent-Length: 1000000000000\r\n",
+                   "id: 1\ndata: y\n\n", "data: y\n\n");
+}
+
+// The same for comments.
+TEST_F(response_memory, small_comments_without_end_let_other_requests_go_on)
+{
+    expect_bounded("/stream/x",
+                   "Content-Type: text/event-stream\r\nContent-Length: 1000000000000\r\n", {},
+                   ": still here\n\n");
+}
+
 // Guards against responses that are read on after their callers have gone.
 TEST_F(response_memory, bytes_for_callers_that_have_gone_end_with_them)
 {
@@ -189,6 +205,34 @@
     EXPECT_LT(peak_kb(), memory_mb * 1024);
 }
 
+// Guards against a sum of request bodies that grows with the number of callers: each body is within
+// the limit of the configuration.
+TEST_F(response_memory, large_requests_at_once_stay_within_the_limit)
+{
+    constexpr long usual_memory_mb = 260;
+    constexpr int senders = 30;
+    m_fleet.set_memory_mb(usual_memory_mb);
+    serve([](http_exchange& exchange) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{500});
+        return exchange.send(exchange.response("done"));
+    });
+    publish_slots(1);
+    start();
+    std::vector<std::thread> threads;
+    threads.reserve(senders);
+    for (int number = 0; number < senders; ++number) {
+        threads.emplace_back([this, number] {
+            auto outgoing = front_fleet::request(m_ip, "/safe/x", fmt::format("id-{}", number));
+            outgoing.body = std::string(4'000'000, 'y');
+            (void)perform(outgoing);
+        });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    EXPECT_LT(peak_kb(), usual_memory_mb * 1024);
+}
+
 /// One form of bytes without end: what comes first, and what is repeated behind it.
 struct endless_form {
     std::string name;
