base: the search for the end of an event takes time in proportion to its text

What callers saw: beside 200 streams of small events or comments without end, their requests to the same VM timed out; ten took 43 s (response_memory.small_events_*, small_comments_*).

Cause: for each event the parser searched all buffered text for a blank line with carriage returns, however near the event's end was, so a read of many small events took time with the square of its size. An unfinished event was searched from its beginning with each piece that arrived.

Change: one search for line breaks ends at the first blank line of either kind, and goes on where it ended when more bytes arrive.

--- a/include/chicorylink/base/sse_parser.hpp
+++ b/include/chicorylink/base/sse_parser.hpp
@@ -45,6 +45,8 @@
 private:
     std::string m_buffer;
     std::size_t m_consumed = 0;
+    /// Up to where the end of the unfinished event was searched.
+    std::size_t m_searched = 0;
 };
 
 } // namespace chicorylink::base
--- a/src/chicorylink/base/sse_parser.cpp
+++ b/src/chicorylink/base/sse_parser.cpp
@@ -6,14 +6,20 @@
 namespace {
 
 /// Returns the position after the blank line that ends the first event, or npos if there is none.
-std::size_t end_of_event(std::string_view text)
+/// @param from Position before which no line break is followed by a blank line.
+std::size_t end_of_event(std::string_view text, std::size_t from)
 {
-    const auto lf_end = text.find("\n\n");
-    const auto crlf_end = text.find("\r\n\r\n");
-    if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
-        return std::string_view::npos;
+    for (auto at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        const auto next_line = text.substr(at + 1);
+        if (next_line.starts_with('\n')) {
+            return at + 2;
+        }
+        if (at > 0 && text[at - 1] == '\r' && next_line.starts_with("\r\n")) {
+            return at + 3;
+        }
     }
-    return lf_end < crlf_end ? lf_end + 2 : crlf_end + 4;
+    return std::string_view::npos;
 }
 
 /// Returns the value of the first `id` field; empty if there is none.
@@ -56,6 +62,7 @@
 void sse_parser::feed(std::string_view bytes)
 {
     m_buffer.erase(0, m_consumed);
+    m_searched -= m_consumed;
     m_consumed = 0;
     m_buffer.append(bytes);
 }
@@ -63,11 +70,15 @@
 std::optional<sse_event> sse_parser::next()
 {
     const auto unread = std::string_view{m_buffer}.substr(m_consumed);
-    const auto end = end_of_event(unread);
+    const auto end = end_of_event(unread, m_searched - m_consumed);
     if (end == std::string_view::npos) {
+        // The last bytes may begin a blank line.
+        constexpr std::size_t lookahead = 2;
+        m_searched = m_buffer.size() - std::min(lookahead, unread.size());
         return std::nullopt;
     }
     m_consumed += end;
+    m_searched = m_consumed;
     const auto bytes = unread.substr(0, end);
     return sse_event{bytes, event_id(bytes), has_only_comments(bytes)};
 }
@@ -76,6 +87,7 @@
 {
     m_buffer.clear();
     m_consumed = 0;
+    m_searched = 0;
 }
 
 } // namespace chicorylink::base
