scripts: clang is installed for the fuzz targets

Cause: the fuzz step configures with clang++, which comes with no package of the list; on a machine that has only the listed packages it ended with "clang++ was not found".

Change: the package clang is in the list.

--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -5,6 +5,7 @@
 
 packages=(
   ccache
+  clang
   clang-format
   clang-tidy
   cmake
