scheduling, fleet, front: engines fetch shared parts of prompts from each other

Nothing asked for a transfer, although engines offer it and state their links.

Change: scheduling::plan_prefix chooses between reading and fetching for each engine; the coordinator names the holder in its answer, and the VM sends it with the request.

--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -25,6 +25,8 @@
 
 struct PlacementAnswer;
 
+struct PlacementTransfer;
+
 struct PlacementNote;
 
 struct PlacementNotice;
@@ -124,6 +126,29 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementAnswer, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementTransfer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t holder_;
+
+ public:
+  PlacementTransfer()
+      : number_(0),
+        holder_(0) {
+  }
+  PlacementTransfer(uint64_t _number, uint64_t _holder)
+      : number_(flatbuffers::EndianScalar(_number)),
+        holder_(flatbuffers::EndianScalar(_holder)) {
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t holder() const {
+    return flatbuffers::EndianScalar(holder_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementTransfer, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementNote FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t number_;
@@ -539,7 +564,8 @@
     VT_CRASHES = 16,
     VT_SURVIVALS = 18,
     VT_REQUEST_CRASHES = 20,
-    VT_REQUEST_SURVIVALS = 22
+    VT_REQUEST_SURVIVALS = 22,
+    VT_TRANSFERS = 24
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -571,6 +597,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *request_survivals() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *>(VT_REQUEST_SURVIVALS);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *> *transfers() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *> *>(VT_TRANSFERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -593,6 +622,8 @@
            verifier.VerifyVector(request_crashes()) &&
            VerifyOffset(verifier, VT_REQUEST_SURVIVALS) &&
            verifier.VerifyVector(request_survivals()) &&
+           VerifyOffset(verifier, VT_TRANSFERS) &&
+           verifier.VerifyVector(transfers()) &&
            verifier.EndTable();
   }
 };
@@ -631,6 +662,9 @@
   void add_request_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals) {
     fbb_.AddOffset(PlacementMessage::VT_REQUEST_SURVIVALS, request_survivals);
   }
+  void add_transfers(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers) {
+    fbb_.AddOffset(PlacementMessage::VT_TRANSFERS, transfers);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -653,9 +687,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> request_crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_transfers(transfers);
   builder_.add_request_survivals(request_survivals);
   builder_.add_request_crashes(request_crashes);
   builder_.add_survivals(survivals);
@@ -679,7 +715,8 @@
     const std::vector<chicorylink::fleet::codec::PlacementCrash> *crashes = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *survivals = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementCrash> *request_crashes = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementTransfer> *transfers = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
@@ -689,6 +726,7 @@
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*survivals) : 0;
   auto request_crashes__ = request_crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementCrash>(*request_crashes) : 0;
   auto request_survivals__ = request_survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*request_survivals) : 0;
+  auto transfers__ = transfers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementTransfer>(*transfers) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -700,7 +738,8 @@
       crashes__,
       survivals__,
       request_crashes__,
-      request_survivals__);
+      request_survivals__,
+      transfers__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -68,6 +68,11 @@
     bool is_repeat = false;
     /// Whether the coordinator counted the request toward the rate that the target states.
     bool is_paced = false;
+    /// Another target from whose cache this one fetches the rest of the prompt; may be empty.
+    target_name prefix_holder;
+    std::string prefix_holder_address;
+    /// Time until the transfer ends; the links of both are busy until then.
+    base::milliseconds transfer{0};
 };
 
 /// @brief Chooses the target with the lowest expected cost.
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -52,6 +52,8 @@
     std::uint32_t unread_tokens = 0;
     /// Whether the request counts toward the rate that the target states.
     bool is_paced = false;
+    /// The target from whose cache parts of the prompt are fetched; empty if they are not.
+    std::optional<base::target_id> prefix_holder;
 };
 
 enum class placement_event : std::uint8_t {
--- a/include/chicorylink/fleet/prompt_cache.hpp
+++ b/include/chicorylink/fleet/prompt_cache.hpp
@@ -21,12 +21,19 @@
     void set_capacity(std::uint64_t capacity) { m_capacity = capacity; }
 
     /// @brief Records that the engine reads a prompt.
-    void note_read(const prompt& read, base::time_point now);
+    /// @param ready_at When the engine is expected to have read it.
+    void note_read(const prompt& read, base::time_point now, base::time_point ready_at);
+    void note_read(const prompt& read, base::time_point now) { note_read(read, now, now); }
 
     /// @brief Number of leading tokens of a prompt that are assumed to be cached.
     [[nodiscard]] std::uint32_t cached_tokens(const prompt& request_prompt,
                                               base::time_point now) const;
 
+    /// @brief The same, without the parts that the engine has not read yet: another engine can only
+    /// fetch what is there.
+    [[nodiscard]] std::uint32_t ready_tokens(const prompt& request_prompt,
+                                             base::time_point now) const;
+
     void clear()
     {
         m_parts.clear();
@@ -37,8 +44,11 @@
     struct entry {
         std::uint32_t tokens = 0;
         base::time_point used_at{};
+        base::time_point ready_at{};
     };
 
+    [[nodiscard]] std::uint32_t count_tokens(const prompt& request_prompt, base::time_point now,
+                                             base::time_point ready_by) const;
     void evict(base::time_point now);
 
     std::unordered_map<std::uint64_t, entry> m_parts;
--- a/include/chicorylink/fleet/service.hpp
+++ b/include/chicorylink/fleet/service.hpp
@@ -21,6 +21,10 @@
     bool is_engine = false;
     /// Tokens that fit into one engine's memory; 0 if unknown.
     std::uint64_t memory_tokens = 0;
+    /// Prompt tokens per millisecond that one engine can fetch from another's cache; 0 if it can't.
+    double fetch_tokens_per_ms = 0;
+    /// Output tokens that one event of a stream holds; 0 if unknown.
+    std::uint32_t tokens_per_event = 0;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -40,8 +40,12 @@
     /// @brief The coordinator reserved a place at a target.
     /// @param request_prompt The request's prompt; null for a plain service.
     /// @param unread Prompt tokens that the target is assumed to have to read.
+    /// @param ready_at When it is expected to have read them.
     void on_reserved(const target_name& name, const prompt* request_prompt, std::uint32_t unread,
-                     std::uint8_t urgency, base::time_point now);
+                     std::uint8_t urgency, base::time_point now, base::time_point ready_at);
+
+    /// @brief One target fetches cached parts of a prompt from another.
+    void on_transfer(const target_name& to, const target_name& from, base::time_point ends_at);
 
     /// @brief The response to a reserved request began.
     void on_reserved_begun(const target_name& name, base::time_point now);
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -92,6 +92,10 @@
     /// Smoothed time to a complete response of a plain service, in milliseconds.
     double response_ms = 0;
     prompt_cache cache;
+    /// Prompt tokens per millisecond that it can fetch from another engine's cache; 0 if it can't.
+    double fetch_tokens_per_ms = 0;
+    /// When the transfers that this VM placed on the engine's link end.
+    base::time_point link_free_at{};
 };
 
 /// @brief Whether a target may get requests at all.
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -71,6 +71,8 @@
         std::uint32_t unread_tokens = 0;
         /// The value of `unread_tokens` when the request was sent.
         std::uint32_t unread_at_send = 0;
+        /// The target from whose cache parts of the prompt are fetched; may be empty.
+        fleet::target_name prefix_holder;
         base::milliseconds expected_wait{0};
         base::milliseconds expected_start{0};
         /// The place reserved by the region's coordinator; none if this VM chose the target itself.
--- a/include/chicorylink/front/header_names.hpp
+++ b/include/chicorylink/front/header_names.hpp
@@ -35,6 +35,8 @@
     std::string rate_limit;
     /// Priority of a request at a target; 0 is served first.
     std::string priority;
+    /// `IP:PORT` of the target from whose cache parts of a prompt are fetched.
+    std::string prefix_holder;
     /// A caller's API key.
     std::string key;
     /// Fields that only the gateway may send to a target; removed from callers' requests.
--- a/include/chicorylink/front/request_bytes.hpp
+++ b/include/chicorylink/front/request_bytes.hpp
@@ -15,6 +15,8 @@
     base::milliseconds time_left{0};
     /// Id of the last stream event sent to the caller; if empty, the caller's own field is kept.
     std::string last_event_id;
+    /// Address of the target from whose cache parts of the prompt are fetched; may be empty.
+    std::string prefix_holder_address;
 };
 
 /// @brief Serializes a request for a target: without the key, with team, deadline and expected
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/fleet/placement.hpp"
 
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/scheduling/prefix_transfer.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -68,16 +69,16 @@
     return excess / slots * request_ms;
 }
 
-std::uint32_t unread_tokens(const tracked_target& target, const prompt& request_prompt,
+std::uint32_t cached_tokens(const tracked_target& target, const prompt& request_prompt,
                             bool may_be_cached, base::time_point now)
 {
-    auto cached = target.cache.cached_tokens(request_prompt, now);
-    if (may_be_cached) {
-        const double home_cached =
-            home_cached_fraction * static_cast<double>(shared_tokens(request_prompt));
-        cached = std::max(cached, static_cast<std::uint32_t>(home_cached));
+    const auto cached = target.cache.cached_tokens(request_prompt, now);
+    if (!may_be_cached) {
+        return cached;
     }
-    return request_prompt.prompt_tokens > cached ? request_prompt.prompt_tokens - cached : 0;
+    const double home_cached =
+        home_cached_fraction * static_cast<double>(shared_tokens(request_prompt));
+    return std::max(cached, static_cast<std::uint32_t>(home_cached));
 }
 
 struct candidate {
@@ -99,6 +100,33 @@
     return found;
 }
 
+/// A target that has the most of a prompt cached, and how much that is.
+struct prefix_holder {
+    const tracked_target* target = nullptr;
+    std::uint32_t tokens = 0;
+};
+
+/// Finds the target to fetch a prompt's shared parts from. Among equal ones, the one whose link is
+/// free first.
+prefix_holder find_holder(const std::vector<candidate>& candidates, const prompt& request_prompt,
+                          base::time_point now)
+{
+    prefix_holder best;
+    for (const auto& option : candidates) {
+        const auto& target = *option.target;
+        if (target.fetch_tokens_per_ms <= 0 || is_ejected(target.health, now) ||
+            is_on_probation(target.health) || may_be_cold(target, now)) {
+            continue;
+        }
+        const auto tokens = target.cache.ready_tokens(request_prompt, now);
+        if (tokens > best.tokens || (best.target != nullptr && tokens == best.tokens &&
+                                     target.link_free_at < best.target->link_free_at)) {
+            best = {&target, tokens};
+        }
+    }
+    return best;
+}
+
 /// The preferred target of a session, by rendezvous hash.
 const tracked_target* home_target(const std::vector<candidate>& candidates, base::time_point now)
 {
@@ -164,8 +192,33 @@
            });
 }
 
+/// What a choice of target needs to know about the targets together.
+struct selection_context {
+    const tracked_target* home = nullptr;
+    prefix_holder holder;
+};
+
+/// Plans how a target gets a prompt: by reading, or partly by a transfer.
+scheduling::prefix_plan plan_prompt(const tracked_target& target, const prompt& request_prompt,
+                                    const selection_context& context, double wait,
+                                    base::time_point now)
+{
+    scheduling::prefix_request request;
+    request.prompt_tokens = request_prompt.prompt_tokens;
+    request.own_tokens = cached_tokens(target, request_prompt, &target == context.home, now);
+    request.queue_wait_ms = wait;
+    const auto* holder = context.holder.target;
+    if (holder != nullptr && holder != &target) {
+        request.holder_tokens = context.holder.tokens;
+        const auto free_at = std::max({holder->link_free_at, target.link_free_at, now});
+        request.link_wait_ms = std::chrono::duration<double, std::milli>(free_at - now).count();
+    }
+    return scheduling::plan_prefix(request,
+                                   {default_prompt_tokens_per_ms, target.fetch_tokens_per_ms});
+}
+
 placement_choice score(const candidate& option, const placement_request& request,
-                       bool may_be_cached, base::time_point now)
+                       const selection_context& context, base::time_point now)
 {
     const auto& target = *option.target;
     placement_choice choice;
@@ -176,9 +229,15 @@
                                                : reported_work(target, now));
     double start = wait;
     if (request.engine_prompt != nullptr && target.is_engine) {
-        choice.unread_tokens = unread_tokens(target, *request.engine_prompt, may_be_cached, now);
-        start += first_token_ms +
-                 static_cast<double>(choice.unread_tokens) / default_prompt_tokens_per_ms;
+        const auto plan = plan_prompt(target, *request.engine_prompt, context, wait, now);
+        choice.unread_tokens = plan.unread_tokens;
+        start = first_token_ms + plan.ready_ms;
+        if (plan.is_fetched) {
+            choice.prefix_holder = context.holder.target->entry.name;
+            choice.prefix_holder_address = context.holder.target->entry.address;
+            choice.transfer = base::milliseconds{static_cast<std::int64_t>(plan.transfer_ms)};
+            choice.cost += plan.link_ms;
+        }
         const auto reread =
             reread_tokens(request.engine_prompt->prompt_tokens,
                           shared_tokens(*request.engine_prompt), choice.unread_tokens);
@@ -208,12 +267,12 @@
 
 std::optional<placement_choice> best_of(const std::vector<candidate>& candidates,
                                         const placement_request& request,
-                                        const tracked_target* home, base::time_point now)
+                                        const selection_context& context, base::time_point now)
 {
     std::optional<placement_choice> best;
     std::uint64_t best_weight = 0;
     for (const auto& option : candidates) {
-        auto choice = score(option, request, option.target == home, now);
+        auto choice = score(option, request, context, now);
         const bool better = !best || choice.cost < best->cost ||
                             (choice.cost == best->cost && option.weight > best_weight);
         if (better) {
@@ -230,10 +289,13 @@
 choose_target(const target_pool& pool, const placement_request& request, base::time_point now)
 {
     const auto candidates = candidates_for(pool, request);
-    const tracked_target* home = nullptr;
+    selection_context context;
     if (!request.by_coordinator || request.engine_prompt == nullptr ||
         !is_cached(candidates, *request.engine_prompt, now)) {
-        home = home_target(candidates, now);
+        context.home = home_target(candidates, now);
+    }
+    if (request.engine_prompt != nullptr) {
+        context.holder = find_holder(candidates, *request.engine_prompt, now);
     }
     const auto usable = filter(candidates, [&](const tracked_target& target) {
         return may_receive(target, request.by_coordinator, now) &&
@@ -247,13 +309,13 @@
                (!is_on_probation(target.health) || is_idle(target));
     });
     limit_candidates(healthy, request.vm_count);
-    if (auto choice = best_of(healthy, request, home, now)) {
+    if (auto choice = best_of(healthy, request, context, now)) {
         return choice;
     }
-    if (auto choice = best_of(untried, request, home, now)) {
+    if (auto choice = best_of(untried, request, context, now)) {
         return choice;
     }
-    auto choice = best_of(usable, request, home, now);
+    auto choice = best_of(usable, request, context, now);
     if (choice) {
         choice->is_repeat = true;
     }
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -5,6 +5,7 @@
 #include "chicorylink/fleet/codec_numbers.hpp"
 #include "chicorylink/fleet/fleet_placement_generated.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace chicorylink::fleet {
@@ -105,7 +106,11 @@
         query_list.push_back(write_query(to, query));
     }
     std::vector<codec::PlacementAnswer> answer_list;
+    std::vector<codec::PlacementTransfer> transfer_list;
     for (const auto& answer : message.answers) {
+        if (answer.prefix_holder) {
+            transfer_list.emplace_back(answer.number, answer.prefix_holder->value());
+        }
         answer_list.emplace_back(answer.number, answer.target ? answer.target->value() : 0,
                                  to_wire_ms(answer.wait), to_wire_ms(answer.start),
                                  answer.unread_tokens, answer.is_reserved, answer.is_paced);
@@ -118,6 +123,7 @@
     }
     const auto queries = to.CreateVector(query_list);
     const auto answers = to.CreateVectorOfStructs(answer_list);
+    const auto transfers = to.CreateVectorOfStructs(transfer_list);
     const auto notes = to.CreateVectorOfStructs(note_list);
     const auto notices = write_notices<codec::PlacementNotice>(to, message.notices);
     const auto limits = write_limits<codec::PlacementLimit>(to, message.limits);
@@ -132,10 +138,30 @@
     codec::FinishPlacementMessageBuffer(
         to, codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices,
                                           limits, crashes, survivals, request_crashes,
-                                          request_survivals));
+                                          request_survivals, transfers));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
+namespace {
+
+void read_transfers(const codec::PlacementMessage& from, std::vector<placement_answer>& answers)
+{
+    if (from.transfers() == nullptr) {
+        return;
+    }
+    for (const auto* transfer : *from.transfers()) {
+        const auto answer =
+            std::find_if(answers.begin(), answers.end(), [&](const placement_answer& other) {
+                return other.number == transfer->number();
+            });
+        if (answer != answers.end()) {
+            answer->prefix_holder = base::target_id{transfer->holder()};
+        }
+    }
+}
+
+} // namespace
+
 base::result<placement_message> decode_placement(std::span<const std::uint8_t> bytes)
 {
     flatbuffers::Verifier verifier(bytes.data(), bytes.size());
@@ -159,13 +185,15 @@
                                   base::milliseconds{answer->wait_ms()},
                                   base::milliseconds{answer->start_ms()},
                                   answer->unread_tokens(),
-                                  answer->paced()};
+                                  answer->paced(),
+                                  std::nullopt};
             if (answer->target() != 0) {
                 read.target = base::target_id{answer->target()};
             }
             message.answers.push_back(read);
         }
     }
+    read_transfers(*from, message.answers);
     if (from->notes() != nullptr) {
         for (const auto* note : *from->notes()) {
             message.notes.push_back(read_note(*note));
--- a/src/chicorylink/fleet/placement_coordinator.cpp
+++ b/src/chicorylink/fleet/placement_coordinator.cpp
@@ -67,8 +67,12 @@
             m_pacer.note_sent(choice->target, coordinated_rate(*limit), now);
             answer.is_paced = true;
         }
-        pool.on_reserved(choice->target, request.engine_prompt, choice->unread_tokens, urgency,
-                         now);
+        pool.on_reserved(choice->target, request.engine_prompt, choice->unread_tokens, urgency, now,
+                         now + choice->start);
+        if (!choice->prefix_holder.empty()) {
+            pool.on_transfer(choice->target, choice->prefix_holder, now + choice->transfer);
+            answer.prefix_holder = base::id_of<base::target_id>(choice->prefix_holder.text());
+        }
         m_reservations.insert_or_assign({sender, query.number},
                                         reservation{choice->target, choice->unread_tokens, false,
                                                     urgency, now, now + choice->start});
--- a/src/chicorylink/fleet/prompt_cache.cpp
+++ b/src/chicorylink/fleet/prompt_cache.cpp
@@ -15,13 +15,17 @@
 
 } // namespace
 
-void prompt_cache::note_read(const prompt& read, base::time_point now)
+void prompt_cache::note_read(const prompt& read, base::time_point now, base::time_point ready_at)
 {
     for (const auto& part : read.parts) {
         auto [found, is_new] = m_parts.try_emplace(part.chain);
         if (is_new) {
             m_tokens += part.tokens;
             found->second.tokens = part.tokens;
+            found->second.ready_at = ready_at;
+        }
+        else if (now - found->second.used_at > max_idle_time) {
+            found->second.ready_at = ready_at;
         }
         found->second.used_at = now;
     }
@@ -56,11 +60,23 @@
 }
 
 std::uint32_t prompt_cache::cached_tokens(const prompt& request_prompt, base::time_point now) const
+{
+    return count_tokens(request_prompt, now, base::time_point::max());
+}
+
+std::uint32_t prompt_cache::ready_tokens(const prompt& request_prompt, base::time_point now) const
+{
+    return count_tokens(request_prompt, now, now);
+}
+
+std::uint32_t prompt_cache::count_tokens(const prompt& request_prompt, base::time_point now,
+                                         base::time_point ready_by) const
 {
     std::uint32_t cached = 0;
     for (const auto& part : request_prompt.parts) {
         const auto found = m_parts.find(part.chain);
-        if (found == m_parts.end() || now - found->second.used_at > max_idle_time) {
+        if (found == m_parts.end() || now - found->second.used_at > max_idle_time ||
+            found->second.ready_at > ready_by) {
             break;
         }
         cached += part.tokens;
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -15,6 +15,7 @@
         // A new run under the same name has an empty cache and no history.
         target.health = {};
         target.cache.clear();
+        target.link_free_at = {};
         target.load = {};
     }
     if (target.pushback.started_ms != entry.started_ms) {
@@ -102,6 +103,7 @@
         target.is_engine = service != nullptr && service->is_engine;
         target.cold_time = service == nullptr ? base::milliseconds{0} : service->cold_time;
         target.cache.set_capacity(service == nullptr ? 0 : service->memory_tokens);
+        target.fetch_tokens_per_ms = service == nullptr ? 0 : service->fetch_tokens_per_ms;
         const bool evacuated = state.is_evacuated(entry.data_center);
         if (target.evacuated && !evacuated && service != nullptr) {
             // Its targets may have become cold while they got no requests.
@@ -135,14 +137,25 @@
 }
 
 void target_pool::on_reserved(const target_name& name, const prompt* request_prompt,
-                              std::uint32_t unread, std::uint8_t urgency, base::time_point now)
+                              std::uint32_t unread, std::uint8_t urgency, base::time_point now,
+                              base::time_point ready_at)
 {
     if (auto* target = find_mutable(name)) {
         ++target->reserved.in_flight;
         target->reserved.unread_tokens.at(urgency) += unread;
         ++target->reserved.unread_requests.at(urgency);
         if (request_prompt != nullptr) {
-            target->cache.note_read(*request_prompt, now);
+            target->cache.note_read(*request_prompt, now, ready_at);
+        }
+    }
+}
+
+void target_pool::on_transfer(const target_name& to, const target_name& from,
+                              base::time_point ends_at)
+{
+    for (const auto& name : {to, from}) {
+        if (auto* target = find_mutable(name)) {
+            target->link_free_at = std::max(target->link_free_at, ends_at);
         }
     }
 }
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -346,6 +346,7 @@
         if (m_prompt) {
             line.add("prompt_tokens", m_prompt->prompt_tokens);
             line.add("unread_tokens", m_attempt->unread_at_send);
+            line.add("prefix_holder", m_attempt->prefix_holder.text());
         }
     }
     if (m_shortest_wait) {
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -197,6 +197,12 @@
     choice.start = answer.start;
     choice.unread_tokens = answer.unread_tokens;
     choice.is_paced = answer.is_paced;
+    const auto* holder =
+        answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
+    if (holder != nullptr && holder->entry.service == target->entry.service) {
+        choice.prefix_holder = holder->entry.name;
+        choice.prefix_holder_address = holder->entry.address;
+    }
     return choice;
 }
 
@@ -289,8 +295,13 @@
     note_target_run();
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
     note_paced(choice, now);
+    m_attempt->prefix_holder = choice.prefix_holder;
+    if (!choice.prefix_holder.empty()) {
+        m_core.counters.add("prefix_transfers_total");
+    }
     send(serialize_for_target(m_request, m_resolved, choice.target.text(),
-                              {time_left(now), m_last_event_id}, m_core.protocol.names),
+                              {time_left(now), m_last_event_id, choice.prefix_holder_address},
+                              m_core.protocol.names),
          local_connect_timeout, now);
 }
 
--- a/src/chicorylink/front/exchange_regions.cpp
+++ b/src/chicorylink/front/exchange_regions.cpp
@@ -139,7 +139,7 @@
     m_core.remote_traffic.note(decision.region, m_resolved.service->name, decision.tokens, now);
     send(serialize_for_peer(
              m_request, m_resolved,
-             {std::max(base::milliseconds{1}, time_left(now) - one_way), m_last_event_id},
+             {std::max(base::milliseconds{1}, time_left(now) - one_way), m_last_event_id, {}},
              m_core.protocol.names),
          remote_connect_timeout, now);
 }
--- a/src/chicorylink/front/request_bytes.cpp
+++ b/src/chicorylink/front/request_bytes.cpp
@@ -61,6 +61,9 @@
     if (resolved.service->is_engine) {
         fields.push_back({names.priority, std::to_string(urgency_of(resolved))});
     }
+    if (!details.prefix_holder_address.empty()) {
+        fields.push_back({names.prefix_holder, details.prefix_holder_address});
+    }
     return serialize(request, fields);
 }
 
