--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -25,7 +25,9 @@
 
 struct PlacementAnswer;
 
-struct PlacementTransfer;
+struct PlacementDetail;
+
+struct PlacementTokens;
 
 struct PlacementNote;
 
@@ -126,19 +128,27 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementAnswer, 32);
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementTransfer FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementDetail FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t number_;
   uint64_t holder_;
+  uint32_t end_ms_;
+  int32_t padding0__;
 
  public:
-  PlacementTransfer()
+  PlacementDetail()
       : number_(0),
-        holder_(0) {
+        holder_(0),
+        end_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
   }
-  PlacementTransfer(uint64_t _number, uint64_t _holder)
+  PlacementDetail(uint64_t _number, uint64_t _holder, uint32_t _end_ms)
       : number_(flatbuffers::EndianScalar(_number)),
-        holder_(flatbuffers::EndianScalar(_holder)) {
+        holder_(flatbuffers::EndianScalar(_holder)),
+        end_ms_(flatbuffers::EndianScalar(_end_ms)),
+        padding0__(0) {
+    (void)padding0__;
   }
   uint64_t number() const {
     return flatbuffers::EndianScalar(number_);
@@ -146,8 +156,40 @@
   uint64_t holder() const {
     return flatbuffers::EndianScalar(holder_);
   }
+  uint32_t end_ms() const {
+    return flatbuffers::EndianScalar(end_ms_);
+  }
 };
-FLATBUFFERS_STRUCT_END(PlacementTransfer, 16);
+FLATBUFFERS_STRUCT_END(PlacementDetail, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementTokens FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  uint32_t tokens_;
+  uint32_t elapsed_ms_;
+
+ public:
+  PlacementTokens()
+      : target_(0),
+        tokens_(0),
+        elapsed_ms_(0) {
+  }
+  PlacementTokens(uint64_t _target, uint32_t _tokens, uint32_t _elapsed_ms)
+      : target_(flatbuffers::EndianScalar(_target)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        elapsed_ms_(flatbuffers::EndianScalar(_elapsed_ms)) {
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+  uint32_t elapsed_ms() const {
+    return flatbuffers::EndianScalar(elapsed_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementTokens, 16);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementNote FLATBUFFERS_FINAL_CLASS {
  private:
@@ -357,7 +399,9 @@
     VT_LONGEST_START_MS = 24,
     VT_AVOIDED = 26,
     VT_MOST_REREAD_TOKENS = 28,
-    VT_DATA_CENTER = 30
+    VT_DATA_CENTER = 30,
+    VT_OUTPUT_TOKENS = 32,
+    VT_TIME_LEFT_MS = 34
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -401,6 +445,12 @@
   uint32_t data_center() const {
     return GetField<uint32_t>(VT_DATA_CENTER, 0);
   }
+  uint32_t output_tokens() const {
+    return GetField<uint32_t>(VT_OUTPUT_TOKENS, 0);
+  }
+  uint32_t time_left_ms() const {
+    return GetField<uint32_t>(VT_TIME_LEFT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -420,6 +470,8 @@
            verifier.VerifyVector(avoided()) &&
            VerifyField<uint32_t>(verifier, VT_MOST_REREAD_TOKENS, 4) &&
            VerifyField<uint32_t>(verifier, VT_DATA_CENTER, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OUTPUT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TIME_LEFT_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -470,6 +522,12 @@
   void add_data_center(uint32_t data_center) {
     fbb_.AddElement<uint32_t>(PlacementAsk::VT_DATA_CENTER, data_center, 0);
   }
+  void add_output_tokens(uint32_t output_tokens) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_OUTPUT_TOKENS, output_tokens, 0);
+  }
+  void add_time_left_ms(uint32_t time_left_ms) {
+    fbb_.AddElement<uint32_t>(PlacementAsk::VT_TIME_LEFT_MS, time_left_ms, 0);
+  }
   explicit PlacementAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -496,11 +554,15 @@
     uint32_t longest_start_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoided = 0,
     uint32_t most_reread_tokens = 4294967295,
-    uint32_t data_center = 0) {
+    uint32_t data_center = 0,
+    uint32_t output_tokens = 0,
+    uint32_t time_left_ms = 0) {
   PlacementAskBuilder builder_(_fbb);
   builder_.add_session(session);
   builder_.add_spread(spread);
   builder_.add_number(number);
+  builder_.add_time_left_ms(time_left_ms);
+  builder_.add_output_tokens(output_tokens);
   builder_.add_data_center(data_center);
   builder_.add_most_reread_tokens(most_reread_tokens);
   builder_.add_avoided(avoided);
@@ -530,7 +592,9 @@
     uint32_t longest_start_ms = 0,
     const std::vector<uint64_t> *avoided = nullptr,
     uint32_t most_reread_tokens = 4294967295,
-    uint32_t data_center = 0) {
+    uint32_t data_center = 0,
+    uint32_t output_tokens = 0,
+    uint32_t time_left_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto parts__ = parts ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PromptPart>(*parts) : 0;
   auto avoided__ = avoided ? _fbb.CreateVector<uint64_t>(*avoided) : 0;
@@ -549,7 +613,9 @@
       longest_start_ms,
       avoided__,
       most_reread_tokens,
-      data_center);
+      data_center,
+      output_tokens,
+      time_left_ms);
 }
 
 struct PlacementMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -565,7 +631,8 @@
     VT_SURVIVALS = 18,
     VT_REQUEST_CRASHES = 20,
     VT_REQUEST_SURVIVALS = 22,
-    VT_TRANSFERS = 24
+    VT_DETAILS = 24,
+    VT_TOKENS = 26
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -597,8 +664,11 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *request_survivals() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *> *>(VT_REQUEST_SURVIVALS);
   }
-  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *> *transfers() const {
-    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *> *>(VT_TRANSFERS);
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementDetail *> *details() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementDetail *> *>(VT_DETAILS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *> *tokens() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *> *>(VT_TOKENS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -622,8 +692,10 @@
            verifier.VerifyVector(request_crashes()) &&
            VerifyOffset(verifier, VT_REQUEST_SURVIVALS) &&
            verifier.VerifyVector(request_survivals()) &&
-           VerifyOffset(verifier, VT_TRANSFERS) &&
-           verifier.VerifyVector(transfers()) &&
+           VerifyOffset(verifier, VT_DETAILS) &&
+           verifier.VerifyVector(details()) &&
+           VerifyOffset(verifier, VT_TOKENS) &&
+           verifier.VerifyVector(tokens()) &&
            verifier.EndTable();
   }
 };
@@ -662,8 +734,11 @@
   void add_request_survivals(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals) {
     fbb_.AddOffset(PlacementMessage::VT_REQUEST_SURVIVALS, request_survivals);
   }
-  void add_transfers(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers) {
-    fbb_.AddOffset(PlacementMessage::VT_TRANSFERS, transfers);
+  void add_details(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementDetail *>> details) {
+    fbb_.AddOffset(PlacementMessage::VT_DETAILS, details);
+  }
+  void add_tokens(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *>> tokens) {
+    fbb_.AddOffset(PlacementMessage::VT_TOKENS, tokens);
   }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -688,10 +763,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> request_crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementDetail *>> details = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *>> tokens = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
-  builder_.add_transfers(transfers);
+  builder_.add_tokens(tokens);
+  builder_.add_details(details);
   builder_.add_request_survivals(request_survivals);
   builder_.add_request_crashes(request_crashes);
   builder_.add_survivals(survivals);
@@ -716,7 +793,8 @@
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *survivals = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementCrash> *request_crashes = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementTransfer> *transfers = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementDetail> *details = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementTokens> *tokens = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
@@ -726,7 +804,8 @@
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*survivals) : 0;
   auto request_crashes__ = request_crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementCrash>(*request_crashes) : 0;
   auto request_survivals__ = request_survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*request_survivals) : 0;
-  auto transfers__ = transfers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementTransfer>(*transfers) : 0;
+  auto details__ = details ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementDetail>(*details) : 0;
+  auto tokens__ = tokens ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementTokens>(*tokens) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -739,7 +818,8 @@
       survivals__,
       request_crashes__,
       request_survivals__,
-      transfers__);
+      details__,
+      tokens__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -15,9 +15,6 @@
 
 namespace chicorylink::fleet {
 
-/// @brief Prompt tokens that an engine is assumed to read per millisecond.
-inline constexpr double default_prompt_tokens_per_ms = 60.0;
-
 /// @brief Milliseconds from the end of reading a prompt to the first token, with an idle batch.
 inline constexpr double first_token_ms = 36.0;
 
@@ -43,6 +40,8 @@
     bool by_coordinator = false;
     /// Engines read requests with 0 first.
     std::uint8_t urgency = 0;
+    /// How long the caller waits for the end of a stream; none if its output is unknown.
+    std::optional<base::milliseconds> time_left;
     /// Data center of the sending VM; an unknown one counts as near to all targets.
     data_center_hash data_center;
     /// Targets of earlier attempts; they are chosen again only when no other is left.
@@ -73,8 +72,17 @@
     std::string prefix_holder_address;
     /// Time until the transfer ends; the links of both are busy until then.
     base::milliseconds transfer{0};
+    /// Expected time to the end of a stream; 0 if unknown.
+    base::milliseconds end{0};
 };
 
+/// @brief Whether a stream is expected to end after the caller's deadline.
+[[nodiscard]] inline bool ends_late(const placement_choice& choice,
+                                    const std::optional<base::milliseconds>& time_left)
+{
+    return time_left && choice.end > *time_left;
+}
+
 /// @brief Chooses the target with the lowest expected cost.
 ///
 /// Prompt parts of a session are kept together: they are assumed to be cached at the session's home
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -36,6 +36,8 @@
     base::milliseconds longest_start{0};
     /// Nothing is reserved if more shared tokens than this would have to be read.
     std::uint32_t most_reread_tokens = std::numeric_limits<std::uint32_t>::max();
+    /// How long the caller waits for the end of a stream; none if its output is unknown.
+    std::optional<base::milliseconds> time_left;
     /// Targets that failed this request or that the sending VM can't use now.
     std::vector<base::target_id> avoided;
 };
@@ -54,6 +56,16 @@
     bool is_paced = false;
     /// The target from whose cache parts of the prompt are fetched; empty if they are not.
     std::optional<base::target_id> prefix_holder;
+    /// Expected time to the end of a stream; 0 if unknown.
+    base::milliseconds end{0};
+};
+
+/// @brief Tokens that running streams of one VM got from a target since its last message.
+struct stream_tokens {
+    base::target_id target;
+    std::uint32_t tokens = 0;
+    /// Time since the events before them, over all streams.
+    base::milliseconds elapsed{0};
 };
 
 enum class placement_event : std::uint8_t {
@@ -83,6 +95,7 @@
     std::vector<limit_report> limits;
     /// Crashes and survivals that the sender saw.
     crash_reports crashes;
+    std::vector<stream_tokens> tokens;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/prompt.hpp
+++ b/include/chicorylink/fleet/prompt.hpp
@@ -29,6 +29,8 @@
 struct prompt {
     std::uint32_t prompt_tokens = 0;
     std::uint32_t answer_tokens = 0;
+    /// Expected tokens of the answer; 0 if unknown.
+    std::uint32_t output_tokens = 0;
     std::vector<prompt_part> parts;
     /// Chain hash of the session, the last shared part; it decides where the request goes.
     std::uint64_t session = 0;
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -44,6 +44,11 @@
     void on_reserved(const target_name& name, const prompt* request_prompt, std::uint32_t unread,
                      std::uint8_t urgency, base::time_point now, base::time_point ready_at);
 
+    /// @brief Streams of one VM got tokens from a target.
+    /// @param elapsed Time since the events before them, over all streams.
+    void on_tokens(base::target_id id, std::uint32_t tokens, base::milliseconds elapsed,
+                   base::time_point now);
+
     /// @brief One target fetches cached parts of a prompt from another.
     void on_transfer(const target_name& to, const target_name& from, base::time_point ends_at);
 
@@ -53,6 +58,9 @@
     /// @brief The prompt of a reserved request no longer counts as unread.
     void on_reserved_read(const target_name& name, std::uint32_t unread, std::uint8_t urgency);
 
+    /// @brief A reserved request ended before its target read the prompt.
+    void on_reserved_canceled(const target_name& name, std::uint32_t unread, std::uint8_t urgency);
+
     /// @brief A reserved request is no longer at its target.
     void on_reserved_ended(const target_name& name);
 
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -8,6 +8,8 @@
 #include "chicorylink/fleet/target_entry.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_pushback.hpp"
+#include "chicorylink/scheduling/prefill_budget.hpp"
+#include "chicorylink/scheduling/token_pace.hpp"
 
 #include <array>
 #include <cstddef>
@@ -26,8 +28,10 @@
     base::time_point reported_at{};
 };
 
-/// Number of urgency levels; an engine reads requests with the lowest number first.
-inline constexpr std::size_t urgency_levels = 10;
+using scheduling::urgency_levels;
+
+/// @brief Prompt tokens that an engine is assumed to read per millisecond.
+inline constexpr double default_prompt_tokens_per_ms = 60.0;
 
 /// @brief Places at a target that this VM reserved as coordinator for the VMs of its region.
 struct reserved_use {
@@ -96,6 +100,10 @@
     double fetch_tokens_per_ms = 0;
     /// When the transfers that this VM placed on the engine's link end.
     base::time_point link_free_at{};
+    /// Prompts that this VM placed at the engine as coordinator.
+    scheduling::prefill_budget prefill;
+    /// Tokens of running streams of all VMs of the region, if this VM is the coordinator.
+    scheduling::token_pace pace;
 };
 
 /// @brief Whether a target may get requests at all.
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -95,6 +95,8 @@
         fleet::target_run run;
         /// When the first event arrived, or the first bytes of a response that is no stream.
         std::optional<base::time_point> begun_at;
+        /// When the last event of a stream arrived.
+        std::optional<base::time_point> last_event_at;
         /// Whether the response shows that the target did not crash on the prompt.
         bool has_survived = false;
     };
@@ -105,6 +107,8 @@
     void dispatch(base::time_point now);
     [[nodiscard]] fleet::placement_query make_placement_query(base::time_point now) const;
     void on_placement_result(const placement_result& placement);
+    /// @brief How long the caller waits for the end of a stream of known output that has not begun.
+    [[nodiscard]] std::optional<base::milliseconds> stream_time_left(base::time_point now) const;
     /// @brief The target chosen by the coordinator, if this VM can use it.
     [[nodiscard]] std::optional<fleet::placement_choice>
     usable_choice(const fleet::placement_answer& answer, base::time_point now) const;
@@ -156,6 +160,8 @@
     void on_response_end(std::uint32_t number);
     void on_failure(std::uint32_t number, const upstream_failure& failure);
     void on_event(attempt& from, const base::sse_event& event, base::time_point now);
+    /// @brief Records how long a stream waited for the tokens of an event.
+    void note_tokens(attempt& from, base::time_point now);
     [[nodiscard]] bool is_silent_attempt(std::uint32_t number) const
     {
         return m_silent_attempt && m_silent_attempt->number == number;
@@ -279,6 +285,8 @@
     std::vector<std::string> m_attempted_addresses;
     /// The shortest retry delay that a VM of another region sent.
     std::optional<base::milliseconds> m_peer_retry_after;
+    /// The expected end of a stream that was refused because of it.
+    std::optional<base::milliseconds> m_expected_end;
     std::string m_last_event_id;
     /// When the caller was sent the last event.
     base::time_point m_last_event_at{};
--- a/include/chicorylink/front/header_names.hpp
+++ b/include/chicorylink/front/header_names.hpp
@@ -17,6 +17,8 @@
     /// Tokens of the prompt and maximum tokens of the response.
     std::string token_counts;
     std::string model;
+    /// The caller's estimate of the tokens of the response.
+    std::string output_estimate;
     /// Id of the last event of a stream that the sender has received.
     std::string last_event_id;
     /// A target's signature of its response; a response without it isn't from a target.
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -66,6 +66,10 @@
     /// @brief Queues what a target stated about its rate, for the region's delegates.
     void queue_limit(const fleet::limit_report& report, base::time_point now);
 
+    /// @brief Adds tokens of a stream to what the coordinator is told next.
+    void note_tokens(base::target_id target, std::uint32_t tokens,
+                     std::chrono::microseconds elapsed);
+
     /// @brief Times out unanswered queries, and sends queued notes and notices.
     void tick(base::time_point now);
 
@@ -84,6 +88,12 @@
         std::vector<fleet::placement_note> to_resend;
     };
 
+    /// Tokens that streams got, and how long they waited for them.
+    struct token_sum {
+        std::uint32_t tokens = 0;
+        std::chrono::microseconds elapsed{0};
+    };
+
     /// What a target said, to send with the next messages.
     template <class Content>
     struct outgoing {
@@ -97,6 +107,7 @@
     void expire_queries(base::time_point now);
     void send_notes();
     void send_notices(base::time_point now);
+    void send_tokens(base::time_point now);
 
     base::result<void> handle_message(std::span<const std::uint8_t> bytes,
                                       const boost::asio::ip::udp::endpoint& from);
@@ -116,6 +127,9 @@
     std::map<std::string, outgoing_notes> m_notes;
     std::vector<outgoing<fleet::target_notice>> m_notices;
     std::vector<outgoing<fleet::limit_report>> m_limits;
+    /// Tokens of running streams since the last report, by target.
+    std::map<base::target_id, token_sum> m_tokens;
+    base::time_point m_tokens_sent_at{};
     /// Coordinators that didn't answer, and until when they are not queried.
     std::map<std::string, base::time_point> m_silent_until;
 };
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -22,6 +22,9 @@
 /// Cost of an expected failure: the failed attempt and its retry.
 constexpr double failure_cost_ms = 300.0;
 
+/// Cost of a stream that is expected to end after its deadline: it gives its caller nothing.
+constexpr double late_end_cost_ms = 10'000.0;
+
 /// Fraction of a prompt's shared tokens that its home target is assumed to have cached even if this
 /// VM did not send them there: the other VMs of the region choose the same home target.
 constexpr double home_cached_fraction = 0.7;
@@ -54,6 +57,9 @@
     return work;
 }
 
+/// Wait at a target for a request that the coordinator places.
+double reserved_wait_ms(const tracked_target& target, std::uint8_t urgency, base::time_point now);
+
 double wait_ms(const tracked_target& target, const queued_work& work)
 {
     const auto running = static_cast<double>(work.in_flight);
@@ -69,6 +75,15 @@
     return excess / slots * request_ms;
 }
 
+double reserved_wait_ms(const tracked_target& target, std::uint8_t urgency, base::time_point now)
+{
+    const double queued = wait_ms(target, reserved_work(target, urgency, now));
+    return target.is_engine
+               ? std::max(queued, scheduling::wait_ms(target.prefill, urgency,
+                                                      default_prompt_tokens_per_ms, now))
+               : queued;
+}
+
 std::uint32_t cached_tokens(const tracked_target& target, const prompt& request_prompt,
                             bool may_be_cached, base::time_point now)
 {
@@ -224,9 +239,8 @@
     placement_choice choice;
     choice.target = target.entry.name;
     choice.address = target.entry.address;
-    const double wait =
-        wait_ms(target, request.by_coordinator ? reserved_work(target, request.urgency, now)
-                                               : reported_work(target, now));
+    const double wait = request.by_coordinator ? reserved_wait_ms(target, request.urgency, now)
+                                               : wait_ms(target, reported_work(target, now));
     double start = wait;
     if (request.engine_prompt != nullptr && target.is_engine) {
         const auto plan = plan_prompt(target, *request.engine_prompt, context, wait, now);
@@ -238,6 +252,12 @@
             choice.transfer = base::milliseconds{static_cast<std::int64_t>(plan.transfer_ms)};
             choice.cost += plan.link_ms;
         }
+        if (const auto decode =
+                scheduling::decode_time_ms(target.pace, request.engine_prompt->output_tokens, now);
+            decode && request.engine_prompt->output_tokens > 0) {
+            choice.end = base::milliseconds{static_cast<std::int64_t>(start + *decode)};
+            choice.cost += ends_late(choice, request.time_left) ? late_end_cost_ms : 0;
+        }
         const auto reread =
             reread_tokens(request.engine_prompt->prompt_tokens,
                           shared_tokens(*request.engine_prompt), choice.unread_tokens);
@@ -351,9 +371,8 @@
     std::vector<double> waits;
     for (const auto& [name, target] : pool.targets()) {
         if (is_usable(target, service, now)) {
-            waits.push_back(wait_ms(target, by_coordinator
-                                                ? reserved_work(target, typical_urgency, now)
-                                                : reported_work(target, now)));
+            waits.push_back(by_coordinator ? reserved_wait_ms(target, typical_urgency, now)
+                                           : wait_ms(target, reported_work(target, now)));
         }
     }
     outlook.usable_targets = static_cast<std::uint32_t>(waits.size());
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -40,7 +40,9 @@
         table.add_session(query.engine_prompt->session);
         table.add_prompt_tokens(query.engine_prompt->prompt_tokens);
         table.add_answer_tokens(query.engine_prompt->answer_tokens);
+        table.add_output_tokens(query.engine_prompt->output_tokens);
     }
+    table.add_time_left_ms(query.time_left ? to_wire_ms(*query.time_left) : 0);
     table.add_parts(parts);
     table.add_urgency(query.urgency);
     table.add_longest_wait_ms(to_wire_ms(query.longest_wait));
@@ -62,11 +64,15 @@
     query.longest_start = base::milliseconds{from.longest_start_ms()};
     query.most_reread_tokens = from.most_reread_tokens();
     query.data_center = data_center_hash{from.data_center()};
+    if (from.time_left_ms() > 0) {
+        query.time_left = base::milliseconds{from.time_left_ms()};
+    }
     if (from.has_prompt()) {
         prompt engine_prompt;
         engine_prompt.session = from.session();
         engine_prompt.prompt_tokens = from.prompt_tokens();
         engine_prompt.answer_tokens = from.answer_tokens();
+        engine_prompt.output_tokens = from.output_tokens();
         if (from.parts() != nullptr) {
             for (const auto* part : *from.parts()) {
                 engine_prompt.parts.push_back({part->chain(), part->tokens()});
@@ -106,10 +112,12 @@
         query_list.push_back(write_query(to, query));
     }
     std::vector<codec::PlacementAnswer> answer_list;
-    std::vector<codec::PlacementTransfer> transfer_list;
+    std::vector<codec::PlacementDetail> detail_list;
     for (const auto& answer : message.answers) {
-        if (answer.prefix_holder) {
-            transfer_list.emplace_back(answer.number, answer.prefix_holder->value());
+        if (answer.prefix_holder || answer.end.count() > 0) {
+            detail_list.emplace_back(answer.number,
+                                     answer.prefix_holder ? answer.prefix_holder->value() : 0,
+                                     to_wire_ms(answer.end));
         }
         answer_list.emplace_back(answer.number, answer.target ? answer.target->value() : 0,
                                  to_wire_ms(answer.wait), to_wire_ms(answer.start),
@@ -123,7 +131,12 @@
     }
     const auto queries = to.CreateVector(query_list);
     const auto answers = to.CreateVectorOfStructs(answer_list);
-    const auto transfers = to.CreateVectorOfStructs(transfer_list);
+    const auto details = to.CreateVectorOfStructs(detail_list);
+    std::vector<codec::PlacementTokens> token_list;
+    for (const auto& entry : message.tokens) {
+        token_list.emplace_back(entry.target.value(), entry.tokens, to_wire_ms(entry.elapsed));
+    }
+    const auto tokens = to.CreateVectorOfStructs(token_list);
     const auto notes = to.CreateVectorOfStructs(note_list);
     const auto notices = write_notices<codec::PlacementNotice>(to, message.notices);
     const auto limits = write_limits<codec::PlacementLimit>(to, message.limits);
@@ -138,24 +151,28 @@
     codec::FinishPlacementMessageBuffer(
         to, codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices,
                                           limits, crashes, survivals, request_crashes,
-                                          request_survivals, transfers));
+                                          request_survivals, details, tokens));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
 namespace {
 
-void read_transfers(const codec::PlacementMessage& from, std::vector<placement_answer>& answers)
+void read_details(const codec::PlacementMessage& from, std::vector<placement_answer>& answers)
 {
-    if (from.transfers() == nullptr) {
+    if (from.details() == nullptr) {
         return;
     }
-    for (const auto* transfer : *from.transfers()) {
+    for (const auto* detail : *from.details()) {
         const auto answer =
             std::find_if(answers.begin(), answers.end(), [&](const placement_answer& other) {
-                return other.number == transfer->number();
+                return other.number == detail->number();
             });
-        if (answer != answers.end()) {
-            answer->prefix_holder = base::target_id{transfer->holder()};
+        if (answer == answers.end()) {
+            continue;
+        }
+        answer->end = base::milliseconds{detail->end_ms()};
+        if (detail->holder() != 0) {
+            answer->prefix_holder = base::target_id{detail->holder()};
         }
     }
 }
@@ -186,14 +203,21 @@
                                   base::milliseconds{answer->start_ms()},
                                   answer->unread_tokens(),
                                   answer->paced(),
-                                  std::nullopt};
+                                  std::nullopt,
+                                  base::milliseconds{0}};
             if (answer->target() != 0) {
                 read.target = base::target_id{answer->target()};
             }
             message.answers.push_back(read);
         }
     }
-    read_transfers(*from, message.answers);
+    read_details(*from, message.answers);
+    if (from->tokens() != nullptr) {
+        for (const auto* entry : *from->tokens()) {
+            message.tokens.push_back({base::target_id{entry->target()}, entry->tokens(),
+                                      base::milliseconds{entry->elapsed_ms()}});
+        }
+    }
     if (from->notes() != nullptr) {
         for (const auto* note : *from->notes()) {
             message.notes.push_back(read_note(*note));
--- a/src/chicorylink/fleet/placement_coordinator.cpp
+++ b/src/chicorylink/fleet/placement_coordinator.cpp
@@ -38,6 +38,7 @@
     request.by_coordinator = true;
     request.urgency = urgency;
     request.data_center = query.data_center;
+    request.time_left = query.time_left;
     request.may_use = [&](const tracked_target& target) {
         const auto limit = limit_at(target.pushback.limit, now);
         // Requests for a target that may be cold are divided among the VMs in another way.
@@ -56,12 +57,14 @@
     answer.wait = choice->wait;
     answer.start = choice->start;
     answer.unread_tokens = choice->unread_tokens;
+    answer.end = choice->end;
     const auto reread = query.engine_prompt ? reread_tokens(query.engine_prompt->prompt_tokens,
                                                             shared_tokens(*query.engine_prompt),
                                                             choice->unread_tokens)
                                             : 0;
     answer.is_reserved = choice->wait <= query.longest_wait &&
-                         choice->start <= query.longest_start && reread <= query.most_reread_tokens;
+                         choice->start <= query.longest_start &&
+                         reread <= query.most_reread_tokens && !ends_late(*choice, query.time_left);
     if (answer.is_reserved) {
         if (const auto limit = limit_at(pool.find(choice->target)->pushback.limit, now)) {
             m_pacer.note_sent(choice->target, coordinated_rate(*limit), now);
@@ -112,6 +115,9 @@
 
 void placement_coordinator::release(target_pool& pool, reservation& place)
 {
+    if (!place.tokens_released) {
+        pool.on_reserved_canceled(place.target, place.unread_tokens, place.urgency);
+    }
     release_unread_tokens(pool, place);
     pool.on_reserved_ended(place.target);
 }
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -16,6 +16,8 @@
         target.health = {};
         target.cache.clear();
         target.link_free_at = {};
+        target.prefill = {};
+        target.pace = {};
         target.load = {};
     }
     if (target.pushback.started_ms != entry.started_ms) {
@@ -144,12 +146,25 @@
         ++target->reserved.in_flight;
         target->reserved.unread_tokens.at(urgency) += unread;
         ++target->reserved.unread_requests.at(urgency);
+        if (target->is_engine) {
+            scheduling::serve(target->prefill, default_prompt_tokens_per_ms, now);
+            scheduling::place(target->prefill, unread, urgency);
+        }
         if (request_prompt != nullptr) {
             target->cache.note_read(*request_prompt, now, ready_at);
         }
     }
 }
 
+void target_pool::on_tokens(base::target_id id, std::uint32_t tokens, base::milliseconds elapsed,
+                            base::time_point now)
+{
+    const auto name = m_names.find(id);
+    if (auto* target = name == m_names.end() ? nullptr : find_mutable(name->second)) {
+        scheduling::note_tokens(target->pace, tokens, static_cast<double>(elapsed.count()), now);
+    }
+}
+
 void target_pool::on_transfer(const target_name& to, const target_name& from,
                               base::time_point ends_at)
 {
@@ -178,6 +193,14 @@
     }
 }
 
+void target_pool::on_reserved_canceled(const target_name& name, std::uint32_t unread,
+                                       std::uint8_t urgency)
+{
+    if (auto* target = find_mutable(name)) {
+        scheduling::cancel(target->prefill, unread, urgency);
+    }
+}
+
 void target_pool::on_reserved_ended(const target_name& name)
 {
     if (auto* target = find_mutable(name)) {
--- a/src/chicorylink/fleet/target_pool_fixture.hpp
+++ b/src/chicorylink/fleet/target_pool_fixture.hpp
@@ -27,7 +27,8 @@
     {data_center_name{"east-b"}, east},
     {data_center_name{"west-a"}, region_name{"west"}}};
 
-/// Decodes items whose keys are target names and whose values are `engine` or `plain`, followed by
+/// Decodes items whose keys are target names and whose values are `engine`, `linked` or `plain`,
+/// and
 /// `,leaving`, `,cold` or `,b` for the second data center, or by `@` and the start of the run.
 inline decoded_item decode(const published_item& item)
 {
@@ -37,11 +38,16 @@
         engines.is_engine = true;
         engines.cold_time = std::chrono::milliseconds{3000};
         engines.cold_requests_per_second = 2.9;
+        // Engines that can fetch from each other's caches.
+        auto linked = engines;
+        linked.name = service_name{"linked"};
+        linked.fetch_tokens_per_ms = 140;
+        linked.tokens_per_event = 7;
         service plain;
         plain.name = service_name{"plain"};
         return configuration_item{std::make_shared<const configuration>(
-            base::config_version{1}, std::vector<route>{}, std::vector<service>{engines, plain},
-            std::vector<team>{}, caller_limits{})};
+            base::config_version{1}, std::vector<route>{},
+            std::vector<service>{engines, linked, plain}, std::vector<team>{}, caller_limits{})};
     }
     if (item.key.starts_with("evac/")) {
         return evacuation_item{data_center_name{item.key.substr(5)}, !item.removed};
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -354,6 +354,10 @@
         line.add("longest_wait_ms", longest_wait(make_region_request(now)).count());
         line.add("is_return", m_is_caller_retry);
     }
+    if (m_expected_end) {
+        line.add("expected_end_ms", m_expected_end->count());
+        line.add("expected_output_tokens", m_prompt->output_tokens);
+    }
     line.add("attempts", m_history.sends).add("total_ms", ms_since(now));
     if (m_response_begun) {
         line.add("first_ms", ms_since(m_response_begun_at));
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/base/ids.hpp"
 #include "chicorylink/fleet/stream_position.hpp"
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/exchange.hpp"
@@ -222,6 +223,7 @@
     note_progress(now);
     note_answer_progress(now);
     from.has_event = true;
+    note_tokens(*m_attempt, now);
     m_last_event_at = now;
     m_wait_logged = false;
     if (!m_response_begun) {
@@ -242,6 +244,17 @@
     }
 }
 
+void exchange::note_tokens(attempt& from, base::time_point now)
+{
+    const auto previous = std::exchange(from.last_event_at, now);
+    const auto tokens = m_resolved.service->tokens_per_event;
+    if (previous && tokens > 0 && !from.target.empty() && !m_reading_paused) {
+        m_core.placements->note_tokens(
+            base::id_of<base::target_id>(from.target.text()), tokens,
+            std::chrono::duration_cast<std::chrono::microseconds>(now - *previous));
+    }
+}
+
 void exchange::begin_response(const message_head& head, std::optional<std::uint64_t> length)
 {
     auto fields = head.fields;
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -114,6 +114,7 @@
     query.longest_wait = limits.wait;
     query.longest_start = limits.start;
     query.most_reread_tokens = limits.reread_tokens;
+    query.time_left = stream_time_left(now);
     for (const auto& [name, target] : m_core.pool.targets()) {
         const bool tried = std::find(m_tried_targets.begin(), m_tried_targets.end(), name) !=
                            m_tried_targets.end();
@@ -126,6 +127,16 @@
     return query;
 }
 
+std::optional<base::milliseconds> exchange::stream_time_left(base::time_point now) const
+{
+    // A stream that has begun goes on wherever it can: its caller has a part of it.
+    if (!is_stream() || !m_prompt || m_prompt->output_tokens == 0 || m_history.arrivals > 0 ||
+        m_history.has_begun) {
+        return std::nullopt;
+    }
+    return time_left(now);
+}
+
 void exchange::dispatch(base::time_point now)
 {
     if (refuse_quarantined(now)) {
@@ -197,8 +208,8 @@
     choice.start = answer.start;
     choice.unread_tokens = answer.unread_tokens;
     choice.is_paced = answer.is_paced;
-    const auto* holder =
-        answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
+    choice.end = answer.end;
+    const auto* holder = answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
     if (holder != nullptr && holder->entry.service == target->entry.service) {
         choice.prefix_holder = holder->entry.name;
         choice.prefix_holder_address = holder->entry.address;
@@ -209,8 +220,9 @@
 void exchange::send_or_refuse(const std::optional<fleet::placement_choice>& local_choice,
                               base::time_point now)
 {
-    const auto decision =
-        fleet::choose_region(local_choice, remote_candidates(now), make_region_request(now));
+    const bool is_late = local_choice && fleet::ends_late(*local_choice, stream_time_left(now));
+    const auto decision = fleet::choose_region(is_late ? std::nullopt : local_choice,
+                                               remote_candidates(now), make_region_request(now));
     switch (decision.kind) {
     case fleet::region_decision_kind::local:
         send_to_target(*local_choice, std::nullopt, now);
@@ -221,6 +233,14 @@
     case fleet::region_decision_kind::none:
         break;
     }
+    if (is_late) {
+        m_core.counters.add("late_ends_refused_total");
+        m_expected_end = local_choice->end;
+        refuse({unavailable_status, "ends_after_deadline",
+                retry_delay(local_choice->end - time_left(now), fleet::retry_jitter::queue)},
+               now);
+        return;
+    }
     const bool has_targets = decision.wait != base::milliseconds::max();
     if (!has_targets && send_to_limited_region(now)) {
         return;
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -26,6 +26,9 @@
 /// far longer.
 constexpr base::milliseconds coordinator_lookup_interval{25};
 
+/// How often the coordinator is told how fast streams get their tokens.
+constexpr base::milliseconds token_report_interval{500};
+
 /// How often each notice of a target is sent, since datagrams get lost.
 constexpr int sends_per_notice = 2;
 
@@ -114,6 +117,9 @@
     for (const auto& note : message.notes) {
         m_core.coordinator.apply_note(m_core.pool, sender, note, base::boot_now());
     }
+    for (const auto& entry : message.tokens) {
+        m_core.pool.on_tokens(entry.target, entry.tokens, entry.elapsed, base::boot_now());
+    }
     for (const auto& answer : message.answers) {
         handle_answer(answer, sender);
     }
@@ -190,6 +196,36 @@
     replace_queued(m_limits, report, now);
 }
 
+void placement_link::note_tokens(base::target_id target, std::uint32_t tokens,
+                                 std::chrono::microseconds elapsed)
+{
+    auto& sum = m_tokens[target];
+    sum.tokens += tokens;
+    sum.elapsed += elapsed;
+}
+
+void placement_link::send_tokens(base::time_point now)
+{
+    if (m_tokens.empty() || now - m_tokens_sent_at < token_report_interval) {
+        return;
+    }
+    m_tokens_sent_at = now;
+    fleet::placement_message message;
+    message.run = m_core.settings.self.run;
+    for (const auto& [target, sum] : std::exchange(m_tokens, {})) {
+        message.tokens.push_back(
+            {target, sum.tokens, std::chrono::duration_cast<base::milliseconds>(sum.elapsed)});
+    }
+    const auto& ip = coordinator_ip(now);
+    if (ip != m_core.settings.self.ip) {
+        m_datagrams.send(fleet::encode(message), endpoint_of(ip));
+        return;
+    }
+    for (const auto& entry : message.tokens) {
+        m_core.pool.on_tokens(entry.target, entry.tokens, entry.elapsed, now);
+    }
+}
+
 void placement_link::tick(base::time_point now)
 {
     // Answers that have arrived are handled before queries time out, however late they are read.
@@ -197,6 +233,7 @@
     expire_queries(now);
     send_notes();
     send_notices(now);
+    send_tokens(now);
     m_core.coordinator.tick(m_core.pool, now);
 }
 
--- a/src/chicorylink/front/resolution.cpp
+++ b/src/chicorylink/front/resolution.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/fleet/tracked_target.hpp"
+#include "chicorylink/front/plain_number.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
@@ -111,6 +112,11 @@
     fleet::prompt parsed;
     parsed.prompt_tokens = tokens->prompt_tokens;
     parsed.answer_tokens = tokens->answer_tokens;
+    const auto* estimate = find_field(head.fields, names.output_estimate);
+    if (const auto output = estimate == nullptr ? std::nullopt : parse_plain_number(*estimate)) {
+        parsed.output_tokens = static_cast<std::uint32_t>(
+            std::min(*output, static_cast<double>(parsed.answer_tokens)));
+    }
     const auto* model = find_field(head.fields, names.model);
     const auto* parts = find_field(head.fields, names.prompt_parts);
     if (parts != nullptr) {
