scheduling, fleet, front: urgent requests first in a short quota, refunds of unrun requests

Change: scheduling::choose_quota_path keeps a reserve of the balance free of less urgent and large requests and gives them a share of a quarter of the rate; what the share took may be overdrawn by urgent requests. The share is a second bucket of fleet_quota, reported like a team. A charge whose request surely has not run becomes a credit at this VM for a second, and for 1.5 s after the charge at most. Retry-After of a 429 is the time until the same decision admits the same request. Fields quota_* in the request line, counters.

Measured: scheduling_test 8 of 8, front_test 60 of 60, fleet_test 250 of 251 (the known crash_fleet.broken_connections_ban_no_part).

--- a/include/chicorylink/fleet/fleet_quota.hpp
+++ b/include/chicorylink/fleet/fleet_quota.hpp
@@ -3,8 +3,10 @@
 
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/quota_credit.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/team.hpp"
+#include "chicorylink/scheduling/quota_admission.hpp"
 
 #include <cstdint>
 #include <map>
@@ -23,6 +25,10 @@
 /// zero and the fleet may exceed its rate by the traffic of one or two heartbeat intervals; the
 /// slack of the quota covers that. While VMs that may still admit requests are silent, only the
 /// live VMs' share of the rate is used.
+///
+/// The share that is kept for less urgent and large requests is a second bucket of the team with an
+/// id of its own, so that the totals of its use reach the other processes on the same paths. A
+/// process that does not know it ignores the id.
 class fleet_quota {
 public:
     /// @param region Region of this VM.
@@ -45,14 +51,37 @@
     /// @brief Applies a digest: what a region has admitted since the start of its delegate.
     void on_region_usage(const region_digest& digest, base::time_point now);
 
-    /// @brief Whether a team's request may be admitted now.
-    [[nodiscard]] bool has_room(const team& caller_team, base::time_point now);
+    /// @brief Whether a team's request may be admitted now, from the quota or from the refunds of
+    /// earlier requests.
+    [[nodiscard]] bool has_room(const team& caller_team, base::time_point now,
+                                const scheduling::quota_demand& demand = {});
+
+    /// @brief Takes credit for a request that has room, so that no other one is admitted from it.
+    [[nodiscard]] quota_charge hold_credit(const team& caller_team,
+                                           const scheduling::quota_demand& demand,
+                                           base::time_point now);
 
-    /// @brief Charges a sent request to its team; `units` as returned by `units_of`.
+    /// @brief Charges an urgent request that is being sent; `units` as returned by `units_of`.
     void charge(const team& caller_team, std::uint64_t units, base::time_point now);
 
-    /// @brief Time until a refused team has room again.
-    [[nodiscard]] base::milliseconds time_until_room(const team& caller_team, base::time_point now);
+    /// @brief Charges a request that is being sent with what the held credit does not cover.
+    /// @return The whole charge.
+    [[nodiscard]] quota_charge charge(const team& caller_team,
+                                      const scheduling::quota_demand& demand,
+                                      const quota_charge& held, base::time_point now);
+
+    /// @brief Makes the charge of a request that was refused and surely has not run a credit of
+    /// its team. Reported totals stay as they are.
+    /// @return Units that may be spent again.
+    std::uint64_t refund(const team& caller_team, const quota_charge& charge, base::time_point now);
+
+    /// @brief Time until a request like a refused one would be admitted.
+    [[nodiscard]] base::milliseconds time_until_room(const team& caller_team, base::time_point now,
+                                                     const scheduling::quota_demand& demand = {});
+
+    /// @brief A team's levels, for the log; none without a limit.
+    [[nodiscard]] std::optional<scheduling::quota_state> state_of(const team& caller_team,
+                                                                  base::time_point now);
 
     /// @brief What this process has admitted since its start, for its heartbeats.
     [[nodiscard]] std::vector<team_usage> own_usage() const;
@@ -66,6 +95,7 @@
         quota limit;
         double balance = 0;
         std::uint64_t admitted = 0;
+        quota_credit credit;
     };
     /// The last totals from one process or delegate, from which differences are computed.
     struct reporter {
@@ -87,6 +117,11 @@
     };
 
     void refill(base::time_point now);
+    [[nodiscard]] bucket make_bucket(base::team_id id, const quota& limit) const;
+    /// @brief The bucket of a team's limit; null without one.
+    [[nodiscard]] bucket* limited_bucket(const team& caller_team);
+    [[nodiscard]] scheduling::quota_state state_of(const team& caller_team,
+                                                   const bucket& entry) const;
     void drain(base::team_id team, regional_total& total);
     [[nodiscard]] double own_admitted(base::team_id team) const;
 
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -6,6 +6,7 @@
 #include "chicorylink/fleet/crash_report.hpp"
 #include "chicorylink/fleet/limited_regions.hpp"
 #include "chicorylink/fleet/next_step.hpp"
+#include "chicorylink/fleet/quota_credit.hpp"
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_after_delay.hpp"
 #include "chicorylink/fleet/roster.hpp"
@@ -14,6 +15,7 @@
 #include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/resolution.hpp"
 #include "chicorylink/front/upstream_call.hpp"
+#include "chicorylink/scheduling/quota_admission.hpp"
 
 #include <memory>
 #include <optional>
@@ -22,6 +24,10 @@
 #include <utility>
 #include <vector>
 
+namespace chicorylink::base {
+class log_line;
+} // namespace chicorylink::base
+
 namespace chicorylink::front {
 
 class caller_connection;
@@ -143,7 +149,12 @@
     void send_to_peer(const fleet::region_decision& decision, const std::string& ip,
                       base::time_point now);
     void send(std::string bytes, base::milliseconds connect_timeout, base::time_point now);
+    /// @brief What the request asks of its team's quota; its team is known.
+    [[nodiscard]] scheduling::quota_demand quota_demand() const;
     void charge_quota(base::time_point now);
+    /// @brief Gives the team back what a refused request was charged here, unless it may have run.
+    void refund_quota(base::time_point now);
+    void log_quota(base::log_line& line, int status, base::time_point now) const;
     /// @brief Whether an earlier attempt used the same address.
     [[nodiscard]] bool was_sent_to(const std::string& address) const;
 
@@ -298,6 +309,9 @@
     /// Whether the log tells that the stream waits for a target.
     bool m_wait_logged = false;
     bool m_charged = false;
+    /// What the request cost at this VM, for a refund.
+    fleet::quota_charge m_quota_charge;
+    std::uint64_t m_refunded_units = 0;
     bool m_response_begun = false;
     bool m_reading_paused = false;
     bool m_is_finished = false;
--- a/src/chicorylink/fleet/fleet_quota.cpp
+++ b/src/chicorylink/fleet/fleet_quota.cpp
@@ -27,6 +27,25 @@
     return base::id_of<base::team_id>(configured_team.name.text());
 }
 
+/// Sets the id of a team's share apart from the ids of teams.
+constexpr std::uint64_t share_salt = 0x7368'6172'6500'0001;
+
+base::team_id share_id_of(const team& configured_team)
+{
+    return base::team_id{base::hash_pair(id_of_team(configured_team).value(), share_salt)};
+}
+
+quota share_limit(const quota& limit)
+{
+    return {scheduling::share_rate(limit.per_second),
+            scheduling::share_capacity(limit.per_second, limit.burst), limit.in_tokens, 0};
+}
+
+std::uint64_t whole_units(const scheduling::quota_demand& demand)
+{
+    return static_cast<std::uint64_t>(demand.units);
+}
+
 } // namespace
 
 void fleet_quota::refill(base::time_point now)
@@ -45,18 +64,29 @@
     refill(now);
     std::unordered_map<base::team_id, bucket> next;
     for (const auto& configured_team : teams) {
+        const auto& limit = configured_team.limit;
         const auto id = id_of_team(configured_team);
-        const auto known = m_buckets.find(id);
-        bucket entry{configured_team.limit, configured_team.limit.burst, 0};
-        if (known != m_buckets.end()) {
-            entry.admitted = known->second.admitted;
-            entry.balance = std::min(known->second.balance, configured_team.limit.burst);
+        next.emplace(id, make_bucket(id, limit));
+        if (limit.per_second > 0) {
+            const auto share_id = share_id_of(configured_team);
+            next.emplace(share_id, make_bucket(share_id, share_limit(limit)));
         }
-        next.emplace(id, entry);
     }
     m_buckets = std::move(next);
 }
 
+fleet_quota::bucket fleet_quota::make_bucket(base::team_id id, const quota& limit) const
+{
+    const auto known = m_buckets.find(id);
+    bucket entry{limit, limit.burst, 0, {}};
+    if (known != m_buckets.end()) {
+        entry = known->second;
+        entry.limit = limit;
+        entry.balance = std::min(entry.balance, limit.burst);
+    }
+    return entry;
+}
+
 void fleet_quota::set_fleet(std::size_t known, std::size_t live, base::time_point now)
 {
     refill(now);
@@ -130,34 +160,94 @@
     });
 }
 
-bool fleet_quota::has_room(const team& caller_team, base::time_point now)
+fleet_quota::bucket* fleet_quota::limited_bucket(const team& caller_team)
 {
-    refill(now);
     const auto entry = m_buckets.find(id_of_team(caller_team));
-    return entry == m_buckets.end() || entry->second.limit.per_second <= 0 ||
-           entry->second.balance > 0;
+    return entry == m_buckets.end() || entry->second.limit.per_second <= 0 ? nullptr
+                                                                           : &entry->second;
 }
 
-void fleet_quota::charge(const team& caller_team, std::uint64_t units, base::time_point now)
+scheduling::quota_state fleet_quota::state_of(const team& caller_team, const bucket& entry) const
+{
+    const auto share = m_buckets.find(share_id_of(caller_team));
+    return {entry.balance, share == m_buckets.end() ? 0 : share->second.balance,
+            entry.limit.burst * m_live_fraction, entry.limit.per_second * m_live_fraction};
+}
+
+std::optional<scheduling::quota_state> fleet_quota::state_of(const team& caller_team,
+                                                             base::time_point now)
 {
     refill(now);
-    const auto entry = m_buckets.find(id_of_team(caller_team));
-    if (entry != m_buckets.end()) {
-        entry->second.balance -= static_cast<double>(units);
-        entry->second.admitted += units;
+    const auto* entry = limited_bucket(caller_team);
+    return entry == nullptr ? std::nullopt : std::optional{state_of(caller_team, *entry)};
+}
+
+bool fleet_quota::has_room(const team& caller_team, base::time_point now,
+                           const scheduling::quota_demand& demand)
+{
+    refill(now);
+    const auto* entry = limited_bucket(caller_team);
+    if (entry == nullptr) {
+        return true;
     }
+    const auto units = whole_units(demand);
+    const bool is_covered = units > 0 && entry->credit.available(now) >= units;
+    return is_covered || scheduling::choose_quota_path(state_of(caller_team, *entry), demand) !=
+                             scheduling::quota_path::none;
+}
+
+quota_charge fleet_quota::hold_credit(const team& caller_team,
+                                      const scheduling::quota_demand& demand, base::time_point now)
+{
+    auto* entry = limited_bucket(caller_team);
+    return entry == nullptr ? quota_charge{} : entry->credit.take(whole_units(demand), now);
 }
 
-base::milliseconds fleet_quota::time_until_room(const team& caller_team, base::time_point now)
+quota_charge fleet_quota::charge(const team& caller_team, const scheduling::quota_demand& demand,
+                                 const quota_charge& held, base::time_point now)
 {
     refill(now);
-    const auto entry = m_buckets.find(id_of_team(caller_team));
-    if (entry == m_buckets.end() || entry->second.balance > 0) {
-        return min_wait;
+    auto* entry = limited_bucket(caller_team);
+    auto charged = held;
+    if (entry == nullptr) {
+        return charged;
     }
-    const double rate = std::max(1.0, entry->second.limit.per_second * m_live_fraction);
-    const double wait_ms = std::ceil(-entry->second.balance / rate * 1000);
-    return std::max(min_wait, base::milliseconds{static_cast<std::int64_t>(wait_ms)});
+    const auto units = whole_units(demand);
+    charged.from_balance = units - std::min(units, held.from_credit);
+    charged.charged_at = now;
+    const auto state = state_of(caller_team, *entry);
+    // Between the decision and the charge, another request may have taken what was left. The share
+    // then pays, so that it owes what less urgent requests overdrew.
+    const bool is_free =
+        scheduling::is_preferred(demand, state.burst) ||
+        scheduling::choose_quota_path(state, demand) == scheduling::quota_path::balance;
+    const auto share = m_buckets.find(share_id_of(caller_team));
+    if (!is_free && share != m_buckets.end()) {
+        share->second.balance -= static_cast<double>(charged.from_balance);
+        share->second.admitted += charged.from_balance;
+    }
+    entry->balance -= static_cast<double>(charged.from_balance);
+    entry->admitted += charged.from_balance;
+    return charged;
+}
+
+void fleet_quota::charge(const team& caller_team, std::uint64_t units, base::time_point now)
+{
+    (void)charge(caller_team, {static_cast<double>(units), 0}, {}, now);
+}
+
+std::uint64_t fleet_quota::refund(const team& caller_team, const quota_charge& charge,
+                                  base::time_point now)
+{
+    auto* entry = limited_bucket(caller_team);
+    return entry == nullptr ? 0 : entry->credit.refund(charge, now);
+}
+
+base::milliseconds fleet_quota::time_until_room(const team& caller_team, base::time_point now,
+                                                const scheduling::quota_demand& demand)
+{
+    const auto state = state_of(caller_team, now);
+    return state ? std::max(min_wait, scheduling::time_until_admitted(*state, demand)) : min_wait;
 }
 
 std::vector<team_usage> fleet_quota::own_usage() const
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -242,6 +242,7 @@
         reply.retry_after = std::nullopt;
     }
     const bool ran = m_history.runs > 0;
+    refund_quota(now);
     finish(ran ? "failed" : "refused", reply.status, reply.reason, now);
     caller->refuse(reply, ran ? outcome_unknown : outcome_not_run);
 }
@@ -354,6 +355,7 @@
         line.add("longest_wait_ms", longest_wait(make_region_request(now)).count());
         line.add("is_return", m_is_caller_retry);
     }
+    log_quota(line, status, now);
     line.add("attempts", m_history.sends).add("total_ms", ms_since(now));
     if (m_response_begun) {
         line.add("first_ms", ms_since(m_response_begun_at));
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -39,17 +39,6 @@
     return std::nullopt;
 }
 
-std::optional<refusal> exchange::check_quota(base::time_point now)
-{
-    if (m_request.is_charged_elsewhere() || m_resolved.team == nullptr || m_charged ||
-        m_core.quota.has_room(*m_resolved.team, now)) {
-        return std::nullopt;
-    }
-    return refusal{too_many_requests_status, "quota",
-                   retry_delay(m_core.quota.time_until_room(*m_resolved.team, now),
-                               fleet::retry_jitter::queue)};
-}
-
 fleet::region_request exchange::make_region_request(base::time_point now) const
 {
     return {m_resolved.service->is_engine,
@@ -197,8 +186,7 @@
     choice.start = answer.start;
     choice.unread_tokens = answer.unread_tokens;
     choice.is_paced = answer.is_paced;
-    const auto* holder =
-        answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
+    const auto* holder = answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
     if (holder != nullptr && holder->entry.service == target->entry.service) {
         choice.prefix_holder = holder->entry.name;
         choice.prefix_holder_address = holder->entry.address;
@@ -305,18 +293,6 @@
          local_connect_timeout, now);
 }
 
-void exchange::charge_quota(base::time_point now)
-{
-    if (!m_charged && !m_request.is_charged_elsewhere() && m_resolved.team != nullptr) {
-        std::optional<std::uint64_t> tokens;
-        if (m_prompt) {
-            tokens = std::uint64_t{m_prompt->prompt_tokens} + m_prompt->answer_tokens;
-        }
-        m_core.quota.charge(*m_resolved.team, fleet::units_of(m_resolved.team->limit, tokens), now);
-    }
-    m_charged = true;
-}
-
 bool exchange::was_sent_to(const std::string& address) const
 {
     return std::find(m_attempted_addresses.begin(), m_attempted_addresses.end(), address) !=
