scheduling, fleet, front: expected times follow the speed of each target

Cause: targets of a service were taken for equally fast at all times. Engines at 0.6 of the usual speed got as much work as those at 1.6, and interference at an engine was not heeded.

Change: scheduling/target_speed keeps a factor for each target: what its load header states in the fourth figure (500 ms, 0.25 to 4), and, for engines, a low quantile of measured to expected times to the first event, relative to the median of the service. VMs report both to the coordinator in PlacementMessage.paces. Plain targets without a response count as the median of their service, and a new run forgets. expected_wait holds what placement knew of waits.

Not measured under load with processes.

--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -37,6 +37,8 @@
 
 struct PlacementSurvival;
 
+struct PlacementPace;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -341,6 +343,53 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementSurvival, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementPace FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t target_;
+  int64_t started_ms_;
+  uint32_t took_ms_;
+  uint16_t percent_;
+  uint16_t age_ms_;
+
+ public:
+  PlacementPace()
+      : number_(0),
+        target_(0),
+        started_ms_(0),
+        took_ms_(0),
+        percent_(0),
+        age_ms_(0) {
+  }
+  PlacementPace(uint64_t _number, uint64_t _target, int64_t _started_ms, uint32_t _took_ms, uint16_t _percent, uint16_t _age_ms)
+      : number_(flatbuffers::EndianScalar(_number)),
+        target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        took_ms_(flatbuffers::EndianScalar(_took_ms)),
+        percent_(flatbuffers::EndianScalar(_percent)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  uint32_t took_ms() const {
+    return flatbuffers::EndianScalar(took_ms_);
+  }
+  uint16_t percent() const {
+    return flatbuffers::EndianScalar(percent_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementPace, 32);
+
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -565,7 +614,8 @@
     VT_SURVIVALS = 18,
     VT_REQUEST_CRASHES = 20,
     VT_REQUEST_SURVIVALS = 22,
-    VT_TRANSFERS = 24
+    VT_TRANSFERS = 24,
+    VT_PACES = 26
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -600,6 +650,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *> *transfers() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *> *>(VT_TRANSFERS);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *> *paces() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *> *>(VT_PACES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -624,6 +677,8 @@
            verifier.VerifyVector(request_survivals()) &&
            VerifyOffset(verifier, VT_TRANSFERS) &&
            verifier.VerifyVector(transfers()) &&
+           VerifyOffset(verifier, VT_PACES) &&
+           verifier.VerifyVector(paces()) &&
            verifier.EndTable();
   }
 };
@@ -665,6 +720,9 @@
   void add_transfers(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers) {
     fbb_.AddOffset(PlacementMessage::VT_TRANSFERS, transfers);
   }
+  void add_paces(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces) {
+    fbb_.AddOffset(PlacementMessage::VT_PACES, paces);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -688,9 +746,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> request_crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTransfer *>> transfers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_paces(paces);
   builder_.add_transfers(transfers);
   builder_.add_request_survivals(request_survivals);
   builder_.add_request_crashes(request_crashes);
@@ -716,7 +776,8 @@
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *survivals = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementCrash> *request_crashes = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementTransfer> *transfers = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementTransfer> *transfers = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementPace> *paces = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
@@ -727,6 +788,7 @@
   auto request_crashes__ = request_crashes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementCrash>(*request_crashes) : 0;
   auto request_survivals__ = request_survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*request_survivals) : 0;
   auto transfers__ = transfers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementTransfer>(*transfers) : 0;
+  auto paces__ = paces ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementPace>(*paces) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -739,7 +801,8 @@
       survivals__,
       request_crashes__,
       request_survivals__,
-      transfers__);
+      transfers__,
+      paces__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement.hpp
+++ b/include/chicorylink/fleet/placement.hpp
@@ -68,6 +68,8 @@
     bool is_repeat = false;
     /// Whether the coordinator counted the request toward the rate that the target states.
     bool is_paced = false;
+    /// Factor of the target's times, contained in the expected ones.
+    double time_factor = 1;
     /// Another target from whose cache this one fetches the rest of the prompt; may be empty.
     target_name prefix_holder;
     std::string prefix_holder_address;
--- a/include/chicorylink/fleet/placement_coordinator.hpp
+++ b/include/chicorylink/fleet/placement_coordinator.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace chicorylink::fleet {
 
@@ -33,6 +34,12 @@
     void apply_note(target_pool& pool, const std::string& sender, const placement_note& note,
                     base::time_point now);
 
+    /// @brief Compares the time that a reserved request took to begin with the expected one. Comes
+    /// before the note of the begin.
+    /// @return Targets that have become noticeably slow, or are no longer.
+    std::vector<speed_change> apply_start(target_pool& pool, const std::string& sender,
+                                          const target_pace& start, base::time_point now);
+
     /// @brief Releases all places of a VM that is gone.
     void release_all(target_pool& pool, const std::string& sender);
 
@@ -54,6 +61,10 @@
         base::time_point made_at{};
         /// When the response is expected to begin.
         base::time_point due_at{};
+        /// The expected start, and what the target stated about its times.
+        scheduling::measured_start expected;
+        /// Whether the time of its start may be compared with the expected one.
+        bool is_speed_sample = false;
     };
     using reservation_map = std::map<std::pair<std::string, std::uint64_t>, reservation>;
 
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -10,6 +10,7 @@
 #include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
+#include "chicorylink/fleet/target_pace.hpp"
 
 #include <cstdint>
 #include <limits>
@@ -83,6 +84,8 @@
     std::vector<limit_report> limits;
     /// Crashes and survivals that the sender saw.
     crash_reports crashes;
+    /// What the sender saw of the speed of targets.
+    std::vector<target_pace> paces;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -5,7 +5,9 @@
 #include "chicorylink/fleet/configuration.hpp"
 #include "chicorylink/fleet/published_state.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
+#include "chicorylink/fleet/speed_change.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
+#include "chicorylink/fleet/target_pace.hpp"
 #include "chicorylink/fleet/tracked_target.hpp"
 
 #include <cstdint>
@@ -88,6 +90,15 @@
     void on_load(const target_name& name, std::uint32_t running, std::uint32_t waiting,
                  base::time_point now);
 
+    /// @brief Records what a target stated about its times to this VM or to another one.
+    /// @return Whether it is newer than what was known, and valid.
+    bool on_time_stated(const target_pace& statement, base::time_point now);
+
+    /// @brief Learns from the time that a reserved request took to begin.
+    /// @param ratio Of the measured time to the expected one; see `scheduling::start_ratio`.
+    std::vector<speed_change> on_start_measured(const target_name& name, double ratio,
+                                                base::time_point now);
+
     /// @brief A response stated that its target is leaving. Returns whether that was unknown.
     bool on_leaving(const target_name& name, base::time_point now);
 
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -8,6 +8,7 @@
 #include "chicorylink/fleet/target_entry.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_pushback.hpp"
+#include "chicorylink/scheduling/target_speed.hpp"
 
 #include <array>
 #include <cstddef>
@@ -91,6 +92,8 @@
     base::time_point last_bytes_at{};
     /// Smoothed time to a complete response of a plain service, in milliseconds.
     double response_ms = 0;
+    /// What the target stated about its times; what was learned of them, only at the coordinator.
+    scheduling::target_speed speed;
     prompt_cache cache;
     /// Prompt tokens per millisecond that it can fetch from another engine's cache; 0 if it can't.
     double fetch_tokens_per_ms = 0;
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -171,6 +171,9 @@
     /// @brief Adds what an attempt holds to the count of all requests.
     void count_held(attempt& from);
     void read_load(const message_head& head, base::time_point now);
+    /// @brief Records what a target stated about its times.
+    /// @param percent 100 means as usual.
+    void note_stated_time(double percent, base::time_point now);
     /// @brief Applies what the target's response says about itself: that it is leaving, or that
     /// it must get no requests for some time.
     void read_notices(const message_head& head, base::time_point now);
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -52,7 +52,11 @@
     void request_placement(fleet::placement_query query, handler on_result, base::time_point now);
 
     /// @brief Reports that the response to the request at a place has started.
-    void report_started(const reserved_place& place, base::time_point now);
+    /// @param took From sending the request to the first event.
+    void report_started(const reserved_place& place, base::milliseconds took, base::time_point now);
+
+    /// @brief Reports to the coordinator what a target stated about its times.
+    void queue_statement(const fleet::target_pace& statement, base::time_point now);
 
     /// @brief Reports that the request at a place has ended.
     /// @param outcome None when the attempt says nothing about the target.
@@ -82,6 +86,8 @@
         std::vector<fleet::placement_note> unsent;
         /// Notes of the last message, which are sent a second time.
         std::vector<fleet::placement_note> to_resend;
+        /// How long the requests took whose begin is among the unsent notes.
+        std::vector<fleet::target_pace> starts;
     };
 
     /// What a target said, to send with the next messages.
@@ -95,7 +101,13 @@
     /// @brief Whether the address belongs to a known VM of this region.
     [[nodiscard]] bool is_region_member(const std::string& ip) const;
     void expire_queries(base::time_point now);
-    void send_notes();
+    void send_notes(base::time_point now);
+    /// @brief Moves what targets stated into a message, with its age.
+    void take_statements(fleet::placement_message& message, base::time_point now);
+    void apply_paces(const fleet::placement_message& message, const std::string& sender,
+                     base::time_point now);
+    void apply_start(const std::string& sender, const fleet::target_pace& start,
+                     base::time_point now);
     void send_notices(base::time_point now);
 
     base::result<void> handle_message(std::span<const std::uint8_t> bytes,
@@ -116,6 +128,8 @@
     std::map<std::string, outgoing_notes> m_notes;
     std::vector<outgoing<fleet::target_notice>> m_notices;
     std::vector<outgoing<fleet::limit_report>> m_limits;
+    /// The newest statement of each target about its times that the coordinator doesn't know yet.
+    std::vector<outgoing<fleet::target_pace>> m_statements;
     /// Coordinators that didn't answer, and until when they are not queried.
     std::map<std::string, base::time_point> m_silent_until;
 };
--- a/src/chicorylink/fleet/placement.cpp
+++ b/src/chicorylink/fleet/placement.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/fleet/placement.hpp"
 
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/fleet/expected_wait.hpp"
 #include "chicorylink/scheduling/prefix_transfer.hpp"
 
 #include <algorithm>
@@ -10,15 +11,6 @@
 namespace chicorylink::fleet {
 namespace {
 
-/// Additional time of one batch step per running request.
-constexpr double step_ms_per_request = 0.25;
-
-/// Delay for each earlier request that has no slot of the engine yet.
-constexpr double engine_slot_wait_ms = 60.0;
-
-/// Assumed response time of a plain service before its first response.
-constexpr double default_response_ms = 30.0;
-
 /// Cost of an expected failure: the failed attempt and its retry.
 constexpr double failure_cost_ms = 300.0;
 
@@ -29,46 +21,6 @@
 /// Urgency for which the wait is reported to other regions: that of a team of middle rank.
 constexpr std::uint8_t typical_urgency = 4;
 
-/// Load at a target ahead of a new request.
-struct queued_work {
-    std::uint64_t in_flight = 0;
-    std::uint64_t unread_tokens = 0;
-    /// How late the first waiting request is.
-    base::milliseconds overdue{0};
-};
-
-queued_work reported_work(const tracked_target& target, base::time_point now)
-{
-    return {total_in_flight(target, now), total_unread_tokens(target, now)};
-}
-
-queued_work reserved_work(const tracked_target& target, std::uint8_t urgency, base::time_point now)
-{
-    queued_work work{target.reserved.in_flight, reserved_tokens_before(target, urgency)};
-    if (target.reserved.first_due) {
-        // A request that others overtake may be late at a healthy target.
-        const auto due = std::max(*target.reserved.first_due, target.reserved.begun_at);
-        work.overdue = std::max(base::milliseconds{0},
-                                std::chrono::duration_cast<base::milliseconds>(now - due));
-    }
-    return work;
-}
-
-double wait_ms(const tracked_target& target, const queued_work& work)
-{
-    const auto running = static_cast<double>(work.in_flight);
-    const auto slots = static_cast<double>(std::max(target.entry.slots, 1U));
-    const double excess = std::max(0.0, running + 1 - slots);
-    if (target.is_engine) {
-        // A late target is slower than expected or gone; it may stay so for as long again.
-        return static_cast<double>(work.overdue.count()) +
-               static_cast<double>(work.unread_tokens) / default_prompt_tokens_per_ms +
-               running * step_ms_per_request + excess * engine_slot_wait_ms;
-    }
-    const double request_ms = target.response_ms > 0 ? target.response_ms : default_response_ms;
-    return excess / slots * request_ms;
-}
-
 std::uint32_t cached_tokens(const tracked_target& target, const prompt& request_prompt,
                             bool may_be_cached, base::time_point now)
 {
@@ -196,11 +148,13 @@
 struct selection_context {
     const tracked_target* home = nullptr;
     prefix_holder holder;
+    /// Response time of targets of a plain service that have not been measured.
+    double usual_response_ms = default_response_ms;
 };
 
 /// Plans how a target gets a prompt: by reading, or partly by a transfer.
 scheduling::prefix_plan plan_prompt(const tracked_target& target, const prompt& request_prompt,
-                                    const selection_context& context, double wait,
+                                    const selection_context& context, double wait, double factor,
                                     base::time_point now)
 {
     scheduling::prefix_request request;
@@ -213,8 +167,8 @@
         const auto free_at = std::max({holder->link_free_at, target.link_free_at, now});
         request.link_wait_ms = std::chrono::duration<double, std::milli>(free_at - now).count();
     }
-    return scheduling::plan_prefix(request,
-                                   {default_prompt_tokens_per_ms, target.fetch_tokens_per_ms});
+    return scheduling::plan_prefix(
+        request, {default_prompt_tokens_per_ms / factor, target.fetch_tokens_per_ms});
 }
 
 placement_choice score(const candidate& option, const placement_request& request,
@@ -224,14 +178,17 @@
     placement_choice choice;
     choice.target = target.entry.name;
     choice.address = target.entry.address;
-    const double wait =
-        wait_ms(target, request.by_coordinator ? reserved_work(target, request.urgency, now)
-                                               : reported_work(target, now));
+    const double factor = scheduling::time_factor(target.speed, now);
+    choice.time_factor = factor;
+    const double wait = wait_ms(target,
+                                request.by_coordinator ? reserved_work(target, request.urgency, now)
+                                                       : reported_work(target, now),
+                                context.usual_response_ms, factor);
     double start = wait;
     if (request.engine_prompt != nullptr && target.is_engine) {
-        const auto plan = plan_prompt(target, *request.engine_prompt, context, wait, now);
+        const auto plan = plan_prompt(target, *request.engine_prompt, context, wait, factor, now);
         choice.unread_tokens = plan.unread_tokens;
-        start = first_token_ms + plan.ready_ms;
+        start = factor * first_token_ms + plan.ready_ms;
         if (plan.is_fetched) {
             choice.prefix_holder = context.holder.target->entry.name;
             choice.prefix_holder_address = context.holder.target->entry.address;
@@ -241,10 +198,11 @@
         const auto reread =
             reread_tokens(request.engine_prompt->prompt_tokens,
                           shared_tokens(*request.engine_prompt), choice.unread_tokens);
-        choice.cost += reread_factor * static_cast<double>(reread) / default_prompt_tokens_per_ms;
+        choice.cost +=
+            reread_factor * factor * static_cast<double>(reread) / default_prompt_tokens_per_ms;
     }
     else {
-        start += target.response_ms > 0 ? target.response_ms : default_response_ms;
+        start += factor * undisturbed_response_ms(target, context.usual_response_ms);
     }
     choice.cost += start + target.health.failure_rate * failure_cost_ms;
     if (request.data_center.value() != 0 && request.data_center != target.data_center) {
@@ -297,6 +255,9 @@
     if (request.engine_prompt != nullptr) {
         context.holder = find_holder(candidates, *request.engine_prompt, now);
     }
+    else {
+        context.usual_response_ms = usual_response_ms(pool, request.service);
+    }
     const auto usable = filter(candidates, [&](const tracked_target& target) {
         return may_receive(target, request.by_coordinator, now) &&
                (!request.may_use || request.may_use(target));
@@ -349,11 +310,13 @@
     service_outlook outlook;
     outlook.service = base::hash_name(service.text());
     std::vector<double> waits;
+    const double response_ms = usual_response_ms(pool, service);
     for (const auto& [name, target] : pool.targets()) {
         if (is_usable(target, service, now)) {
-            waits.push_back(wait_ms(target, by_coordinator
-                                                ? reserved_work(target, typical_urgency, now)
-                                                : reported_work(target, now)));
+            waits.push_back(wait_ms(target,
+                                    by_coordinator ? reserved_work(target, typical_urgency, now)
+                                                   : reported_work(target, now),
+                                    response_ms, scheduling::time_factor(target.speed, now)));
         }
     }
     outlook.usable_targets = static_cast<std::uint32_t>(waits.size());
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -96,6 +96,19 @@
     return note;
 }
 
+std::vector<codec::PlacementPace> to_wire(const std::vector<target_pace>& paces)
+{
+    std::vector<codec::PlacementPace> list;
+    list.reserve(paces.size());
+    for (const auto& pace : paces) {
+        constexpr std::int64_t max_age_ms = std::numeric_limits<std::uint16_t>::max();
+        const auto age_ms = std::clamp<std::int64_t>(pace.age.count(), 0, max_age_ms);
+        list.emplace_back(pace.number, pace.target.value(), pace.started_ms, to_wire_ms(pace.took),
+                          pace.percent, static_cast<std::uint16_t>(age_ms));
+    }
+    return list;
+}
+
 } // namespace
 
 std::vector<std::uint8_t> encode(const placement_message& message)
@@ -135,10 +148,11 @@
     const auto request_crashes = write_crashes<codec::PlacementCrash>(to, request, reports.crashes);
     const auto request_survivals =
         write_survivals<codec::PlacementSurvival>(to, request, reports.survivals);
+    const auto paces = to.CreateVectorOfStructs(to_wire(message.paces));
     codec::FinishPlacementMessageBuffer(
         to, codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices,
                                           limits, crashes, survivals, request_crashes,
-                                          request_survivals, transfers));
+                                          request_survivals, transfers, paces));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
@@ -199,6 +213,13 @@
             message.notes.push_back(read_note(*note));
         }
     }
+    if (from->paces() != nullptr) {
+        for (const auto* pace : *from->paces()) {
+            message.paces.push_back({pace->number(), base::milliseconds{pace->took_ms()},
+                                     base::target_id{pace->target()}, pace->started_ms(),
+                                     pace->percent(), base::milliseconds{pace->age_ms()}});
+        }
+    }
     message.notices = read_notices(from->notices());
     message.limits = read_limits(from->limits());
     constexpr auto part = crash_subject_kind::prompt_part;
--- a/src/chicorylink/fleet/placement_coordinator.cpp
+++ b/src/chicorylink/fleet/placement_coordinator.cpp
@@ -18,6 +18,15 @@
 /// A coordinator without queries for this time has lost its role, or its region has no requests.
 constexpr base::milliseconds active_time{2'000};
 
+/// The expected start of a request at usual speed.
+scheduling::measured_start expected_start(const placement_choice& choice)
+{
+    scheduling::measured_start expected;
+    expected.expected_ms = static_cast<double>(choice.start.count()) / choice.time_factor;
+    expected.expected_wait_ms = static_cast<double>(choice.wait.count()) / choice.time_factor;
+    return expected;
+}
+
 } // namespace
 
 placement_answer placement_coordinator::place(target_pool& pool, const std::string& sender,
@@ -73,9 +82,15 @@
             pool.on_transfer(choice->target, choice->prefix_holder, now + choice->transfer);
             answer.prefix_holder = base::id_of<base::target_id>(choice->prefix_holder.text());
         }
-        m_reservations.insert_or_assign({sender, query.number},
-                                        reservation{choice->target, choice->unread_tokens, false,
-                                                    urgency, now, now + choice->start});
+        reservation place{choice->target,     choice->unread_tokens, false, urgency, now,
+                          now + choice->start};
+        const auto& target = *pool.find(choice->target);
+        place.expected = expected_start(*choice);
+        place.expected.stated_before = scheduling::stated_factor(target.speed, now);
+        // The time of a transfer depends on two links, and that of a plain service's response is
+        // learned for each target anyway.
+        place.is_speed_sample = target.is_engine && choice->prefix_holder.empty();
+        m_reservations.insert_or_assign({sender, query.number}, std::move(place));
     }
     return answer;
 }
@@ -103,6 +118,26 @@
     m_reservations.erase(found);
 }
 
+std::vector<speed_change> placement_coordinator::apply_start(target_pool& pool,
+                                                             const std::string& sender,
+                                                             const target_pace& start,
+                                                             base::time_point now)
+{
+    const auto found = m_reservations.find({sender, start.number});
+    if (found == m_reservations.end() || found->second.tokens_released) {
+        return {};
+    }
+    auto& place = found->second;
+    const auto* target = pool.find(place.target);
+    if (target == nullptr || !std::exchange(place.is_speed_sample, false)) {
+        return {};
+    }
+    place.expected.measured_ms = static_cast<double>(start.took.count());
+    place.expected.stated_after = scheduling::stated_factor(target->speed, now);
+    const auto ratio = scheduling::start_ratio(place.expected);
+    return ratio ? pool.on_start_measured(place.target, *ratio, now) : std::vector<speed_change>{};
+}
+
 void placement_coordinator::release_unread_tokens(target_pool& pool, reservation& place)
 {
     if (!std::exchange(place.tokens_released, true)) {
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -17,6 +17,8 @@
         target.cache.clear();
         target.link_free_at = {};
         target.load = {};
+        target.speed = {};
+        target.response_ms = 0;
     }
     if (target.pushback.started_ms != entry.started_ms) {
         target.pushback = {};
@@ -236,7 +238,8 @@
         return false;
     }
     if (outcome == target_outcome::answered && !target->is_engine) {
-        const auto measured = static_cast<double>(took.count());
+        const double stated = scheduling::stated_factor(target->speed, now).value_or(1);
+        const double measured = static_cast<double>(took.count()) / stated;
         target->response_ms =
             target->response_ms <= 0
                 ? measured
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -229,7 +229,9 @@
         m_core.pool.on_begun(m_attempt->target, m_attempt->unread_tokens, now);
         m_attempt->unread_tokens = 0;
         if (m_attempt->place) {
-            m_core.placements->report_started(*m_attempt->place, now);
+            const auto took =
+                std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
+            m_core.placements->report_started(*m_attempt->place, took, now);
         }
         begin_response(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
--- a/src/chicorylink/front/exchange_notices.cpp
+++ b/src/chicorylink/front/exchange_notices.cpp
@@ -5,6 +5,8 @@
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
+#include <algorithm>
+
 // The part of `exchange` that reads what a target's response says about the target itself.
 
 namespace chicorylink::front {
@@ -13,6 +15,9 @@
 /// Bytes of a header value that are logged.
 constexpr std::size_t max_logged_bytes = 64;
 
+/// Larger statements about a target's times are passed on as this.
+constexpr double max_stated_percent = 10'000;
+
 } // namespace
 
 void exchange::read_load(const message_head& head, base::time_point now)
@@ -21,12 +26,37 @@
     if (text == nullptr || m_attempt->target.empty()) {
         return;
     }
-    // `RUNNING,WAITING,SLOTS`: the first two have the format of token counts.
+    // `RUNNING,WAITING,SLOTS[,TIME]`: the first two have the format of token counts.
     const auto second_comma = text->find(',', text->find(',') + 1);
     const auto load = fleet::parse_token_counts(std::string_view{*text}.substr(0, second_comma));
     if (load) {
         m_core.pool.on_load(m_attempt->target, load->prompt_tokens, load->answer_tokens, now);
     }
+    const auto third_comma =
+        second_comma == std::string::npos ? second_comma : text->find(',', second_comma + 1);
+    // A misdirected request was answered by another target than the one it was sent to.
+    if (third_comma != std::string::npos && head.status != misdirected_status) {
+        const auto fourth = std::string_view{*text}.substr(third_comma + 1);
+        if (const auto percent = parse_plain_number(fourth.substr(0, fourth.find(',')))) {
+            note_stated_time(*percent, now);
+        }
+    }
+}
+
+void exchange::note_stated_time(double percent, base::time_point now)
+{
+    const auto* target = m_core.pool.find(m_attempt->target);
+    if (target == nullptr || percent <= 0) {
+        return;
+    }
+    fleet::target_pace statement;
+    statement.target = target->id;
+    statement.started_ms = target->entry.started_ms;
+    // The bounds in force are narrower; these keep a number within its field of the message.
+    statement.percent = static_cast<std::uint16_t>(std::clamp(percent, 1.0, max_stated_percent));
+    if (m_core.pool.on_time_stated(statement, now)) {
+        m_core.placements->queue_statement(statement, now);
+    }
 }
 
 void exchange::read_notices(const message_head& head, base::time_point now)
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -26,6 +26,12 @@
 /// far longer.
 constexpr base::milliseconds coordinator_lookup_interval{25};
 
+/// Bounds each kind of speed report in a message, to 2 KB.
+constexpr std::size_t max_paces_per_message = 64;
+
+/// What targets stated is sent without notes after this time, a tenth of its validity.
+constexpr base::milliseconds max_statement_delay{50};
+
 /// How often each notice of a target is sent, since datagrams get lost.
 constexpr int sends_per_notice = 2;
 
@@ -111,6 +117,7 @@
         apply_limit_report(m_core, report, sender, false, base::boot_now());
     }
     apply_crash_reports(m_core, message.crashes, false, base::milliseconds{0}, base::boot_now());
+    apply_paces(message, sender, base::boot_now());
     for (const auto& note : message.notes) {
         m_core.coordinator.apply_note(m_core.pool, sender, note, base::boot_now());
     }
@@ -155,8 +162,48 @@
     pending.on_result({answer, pending.coordinator_ip, "desk"});
 }
 
-void placement_link::report_started(const reserved_place& place, base::time_point now)
+void placement_link::apply_paces(const fleet::placement_message& message, const std::string& sender,
+                                 base::time_point now)
+{
+    // A start is compared with what its target has stated meanwhile.
+    for (const auto& pace : message.paces) {
+        if (pace.number == 0) {
+            m_core.counters.add(m_core.pool.on_time_stated(pace, now)
+                                    ? "target_times_stated_total"
+                                    : "target_times_ignored_total");
+        }
+    }
+    for (const auto& pace : message.paces) {
+        if (pace.number != 0) {
+            apply_start(sender, pace, now);
+        }
+    }
+}
+
+void placement_link::apply_start(const std::string& sender, const fleet::target_pace& start,
+                                 base::time_point now)
 {
+    for (const auto& change : m_core.coordinator.apply_start(m_core.pool, sender, start, now)) {
+        write_log(m_core, log_event(m_core, change.is_slow ? "target_slow" : "target_slow_ended")
+                              .add("target", change.target.text())
+                              .add("factor", change.factor));
+        m_core.counters.add("target_speed_changes_total");
+    }
+}
+
+void placement_link::report_started(const reserved_place& place, base::milliseconds took,
+                                    base::time_point now)
+{
+    fleet::target_pace start;
+    start.number = place.number;
+    start.took = took;
+    if (place.coordinator_ip == m_core.settings.self.ip) {
+        apply_start(place.coordinator_ip, start, now);
+    }
+    else if (auto& starts = m_notes[place.coordinator_ip].starts;
+             starts.size() < max_paces_per_message) {
+        starts.push_back(start);
+    }
     queue_note(place, {place.number, fleet::placement_event::begun, std::nullopt, {}}, now);
 }
 
@@ -190,12 +237,19 @@
     replace_queued(m_limits, report, now);
 }
 
+void placement_link::queue_statement(const fleet::target_pace& statement, base::time_point now)
+{
+    if (coordinator_ip(now) != m_core.settings.self.ip) {
+        replace_queued(m_statements, statement, now);
+    }
+}
+
 void placement_link::tick(base::time_point now)
 {
     // Answers that have arrived are handled before queries time out, however late they are read.
     m_datagrams.receive_pending();
     expire_queries(now);
-    send_notes();
+    send_notes(now);
     send_notices(now);
     m_core.coordinator.tick(m_core.pool, now);
 }
@@ -220,7 +274,23 @@
     }
 }
 
-void placement_link::send_notes()
+void placement_link::take_statements(fleet::placement_message& message, base::time_point now)
+{
+    // The newest ones are at the end.
+    const auto count = std::min(m_statements.size(), max_paces_per_message);
+    const auto first = m_statements.end() - static_cast<std::ptrdiff_t>(count);
+    for (auto queued = first; queued != m_statements.end(); ++queued) {
+        message.paces.push_back(queued->content);
+        message.paces.back().age +=
+            std::chrono::duration_cast<base::milliseconds>(now - queued->queued_at);
+    }
+    m_statements.erase(first, m_statements.end());
+    std::erase_if(m_statements, [&](const auto& queued) {
+        return now - queued.queued_at > scheduling::max_statement_age;
+    });
+}
+
+void placement_link::send_notes(base::time_point now)
 {
     for (auto entry = m_notes.begin(); entry != m_notes.end();) {
         auto& notes = entry->second;
@@ -232,9 +302,20 @@
         notes.to_resend.assign(notes.unsent.begin(), end);
         notes.unsent.erase(notes.unsent.begin(), end);
         message.notes.insert(message.notes.end(), notes.to_resend.begin(), notes.to_resend.end());
+        message.paces = std::exchange(notes.starts, {});
+        if (entry->first == coordinator_ip(now)) {
+            take_statements(message, now);
+        }
         m_datagrams.send(fleet::encode(message), endpoint_of(entry->first));
         entry = notes.to_resend.empty() ? m_notes.erase(entry) : std::next(entry);
     }
+    if (!m_statements.empty() && now - m_statements.front().queued_at >= max_statement_delay &&
+        coordinator_ip(now) != m_core.settings.self.ip) {
+        fleet::placement_message message;
+        message.run = m_core.settings.self.run;
+        take_statements(message, now);
+        m_datagrams.send(fleet::encode(message), endpoint_of(coordinator_ip(now)));
+    }
 }
 
 void placement_link::send_notices(base::time_point now)
