--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -39,6 +39,8 @@
 
 struct PlacementSurvival;
 
+struct PlacementPace;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -383,6 +385,53 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementSurvival, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) PlacementPace FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t target_;
+  int64_t started_ms_;
+  uint32_t took_ms_;
+  uint16_t percent_;
+  uint16_t age_ms_;
+
+ public:
+  PlacementPace()
+      : number_(0),
+        target_(0),
+        started_ms_(0),
+        took_ms_(0),
+        percent_(0),
+        age_ms_(0) {
+  }
+  PlacementPace(uint64_t _number, uint64_t _target, int64_t _started_ms, uint32_t _took_ms, uint16_t _percent, uint16_t _age_ms)
+      : number_(flatbuffers::EndianScalar(_number)),
+        target_(flatbuffers::EndianScalar(_target)),
+        started_ms_(flatbuffers::EndianScalar(_started_ms)),
+        took_ms_(flatbuffers::EndianScalar(_took_ms)),
+        percent_(flatbuffers::EndianScalar(_percent)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  int64_t started_ms() const {
+    return flatbuffers::EndianScalar(started_ms_);
+  }
+  uint32_t took_ms() const {
+    return flatbuffers::EndianScalar(took_ms_);
+  }
+  uint16_t percent() const {
+    return flatbuffers::EndianScalar(percent_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(PlacementPace, 32);
+
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -632,7 +681,8 @@
     VT_REQUEST_CRASHES = 20,
     VT_REQUEST_SURVIVALS = 22,
     VT_DETAILS = 24,
-    VT_TOKENS = 26
+    VT_TOKENS = 26,
+    VT_PACES = 28
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -670,6 +720,9 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *> *tokens() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *> *>(VT_TOKENS);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *> *paces() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *> *>(VT_PACES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -696,6 +749,8 @@
            verifier.VerifyVector(details()) &&
            VerifyOffset(verifier, VT_TOKENS) &&
            verifier.VerifyVector(tokens()) &&
+           VerifyOffset(verifier, VT_PACES) &&
+           verifier.VerifyVector(paces()) &&
            verifier.EndTable();
   }
 };
@@ -740,6 +795,9 @@
   void add_tokens(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *>> tokens) {
     fbb_.AddOffset(PlacementMessage::VT_TOKENS, tokens);
   }
+  void add_paces(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces) {
+    fbb_.AddOffset(PlacementMessage::VT_PACES, paces);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -764,9 +822,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementCrash *>> request_crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementDetail *>> details = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *>> tokens = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *>> tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_paces(paces);
   builder_.add_tokens(tokens);
   builder_.add_details(details);
   builder_.add_request_survivals(request_survivals);
@@ -794,7 +854,8 @@
     const std::vector<chicorylink::fleet::codec::PlacementCrash> *request_crashes = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementDetail> *details = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementTokens> *tokens = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementTokens> *tokens = nullptr,
+    const std::vector<chicorylink::fleet::codec::PlacementPace> *paces = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
@@ -806,6 +867,7 @@
   auto request_survivals__ = request_survivals ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementSurvival>(*request_survivals) : 0;
   auto details__ = details ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementDetail>(*details) : 0;
   auto tokens__ = tokens ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementTokens>(*tokens) : 0;
+  auto paces__ = paces ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementPace>(*paces) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -819,7 +881,8 @@
       request_crashes__,
       request_survivals__,
       details__,
-      tokens__);
+      tokens__,
+      paces__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -10,6 +10,7 @@
 #include "chicorylink/fleet/region_digest.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
+#include "chicorylink/fleet/target_pace.hpp"
 
 #include <cstdint>
 #include <limits>
@@ -96,6 +97,8 @@
     /// Crashes and survivals that the sender saw.
     crash_reports crashes;
     std::vector<stream_tokens> tokens;
+    /// What the sender saw of the speed of targets.
+    std::vector<target_pace> paces;
 };
 
 } // namespace chicorylink::fleet
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -19,6 +19,8 @@
         target.prefill = {};
         target.pace = {};
         target.load = {};
+        target.speed = {};
+        target.response_ms = 0;
     }
     if (target.pushback.started_ms != entry.started_ms) {
         target.pushback = {};
@@ -147,7 +149,9 @@
         target->reserved.unread_tokens.at(urgency) += unread;
         ++target->reserved.unread_requests.at(urgency);
         if (target->is_engine) {
-            scheduling::serve(target->prefill, default_prompt_tokens_per_ms, now);
+            const double speed =
+                default_prompt_tokens_per_ms / scheduling::time_factor(target->speed, now);
+            scheduling::serve(target->prefill, speed, now);
             scheduling::place(target->prefill, unread, urgency);
         }
         if (request_prompt != nullptr) {
@@ -259,7 +263,8 @@
         return false;
     }
     if (outcome == target_outcome::answered && !target->is_engine) {
-        const auto measured = static_cast<double>(took.count());
+        const double stated = scheduling::stated_factor(target->speed, now).value_or(1);
+        const double measured = static_cast<double>(took.count()) / stated;
         target->response_ms =
             target->response_ms <= 0
                 ? measured
