scheduling, fleet: a short quota keeps its bound for teams with a burst of one second

Cause: the bound was simulated for a burst of five seconds' rate only.

Change: the share is a part of the balance that urgent requests leave alone, in place of an overdraft; what they may overdraw after a long prompt that cost more than the share had is a twentieth of the burst. A VM pauses after a request that is not preferred, so that the VMs don't all use the same balance before they hear of each other. A VM that got only urgent requests for 5 s keeps nothing for others.

--- a/include/chicorylink/fleet/fleet_quota.hpp
+++ b/include/chicorylink/fleet/fleet_quota.hpp
@@ -96,6 +96,13 @@
         double balance = 0;
         std::uint64_t admitted = 0;
         quota_credit credit;
+        /// When a request that is not preferred last asked; the share saves up for such requests.
+        std::optional<base::time_point> share_wanted_at;
+        /// From when on this VM may admit another request that is not preferred.
+        base::time_point opens_at{};
+        /// What this VM and all others admitted lately, with exponentially decreasing weight.
+        double own_recent = 0;
+        double others_recent = 0;
     };
     /// The last totals from one process or delegate, from which differences are computed.
     struct reporter {
@@ -123,6 +130,12 @@
     [[nodiscard]] scheduling::quota_state state_of(const team& caller_team,
                                                    const bucket& entry) const;
     void drain(base::team_id team, regional_total& total);
+    /// @brief Charges a request that is not preferred to the share, if it pays, and sets the pause
+    /// after it.
+    void charge_share(const team& caller_team, bucket& entry, scheduling::quota_path path,
+                      double rate, const quota_charge& charged);
+    /// @brief This VM's part of what a team was admitted lately.
+    [[nodiscard]] double own_fraction(const bucket& entry) const;
     [[nodiscard]] double own_admitted(base::team_id team) const;
 
     region_name m_region;
@@ -131,6 +144,7 @@
     std::map<region_name, region_state> m_regions;
     base::time_point m_updated_at;
     double m_live_fraction = 1;
+    std::size_t m_live_vms = 1;
 };
 
 /// @brief Cost of a request in the units of a quota.
--- a/src/chicorylink/fleet/fleet_quota.cpp
+++ b/src/chicorylink/fleet/fleet_quota.cpp
@@ -27,6 +27,16 @@
     return base::id_of<base::team_id>(configured_team.name.text());
 }
 
+/// Time over which the parts of the VMs in a team's use are averaged.
+constexpr double recent_seconds = 5;
+
+/// Longest time for which a VM leaves a team's balance to the others after one request.
+constexpr base::milliseconds max_pause{10'000};
+
+/// A team that sends only urgent requests has its whole burst for them: nothing is kept for other
+/// requests when this VM has got none for this time.
+constexpr base::milliseconds share_unwanted_after{5000};
+
 /// Sets the id of a team's share apart from the ids of teams.
 constexpr std::uint64_t share_salt = 0x7368'6172'6500'0001;
 
@@ -52,10 +62,13 @@
 {
     const double elapsed = seconds_between(m_updated_at, now);
     m_updated_at = std::max(m_updated_at, now);
+    const double kept = std::exp(-elapsed / recent_seconds);
     for (auto& [id, entry] : m_buckets) {
         const double limit = entry.limit.burst * m_live_fraction;
         const double refilled = entry.limit.per_second * m_live_fraction * elapsed;
         entry.balance = std::min(limit, entry.balance + refilled);
+        entry.own_recent *= kept;
+        entry.others_recent *= kept;
     }
 }
 
@@ -78,7 +91,9 @@
 fleet_quota::bucket fleet_quota::make_bucket(base::team_id id, const quota& limit) const
 {
     const auto known = m_buckets.find(id);
-    bucket entry{limit, limit.burst, 0, {}};
+    bucket entry;
+    entry.limit = limit;
+    entry.balance = limit.burst;
     if (known != m_buckets.end()) {
         entry = known->second;
         entry.limit = limit;
@@ -90,6 +105,7 @@
 void fleet_quota::set_fleet(std::size_t known, std::size_t live, base::time_point now)
 {
     refill(now);
+    m_live_vms = std::max<std::size_t>(1, live);
     m_live_fraction = known == 0 ? 1.0 : static_cast<double>(live) / static_cast<double>(known);
 }
 
@@ -105,6 +121,7 @@
     const auto entry = m_buckets.find(team);
     if (entry != m_buckets.end() && newest > total.drained) {
         entry->second.balance -= newest - total.drained;
+        entry->second.others_recent += newest - total.drained;
     }
     total.drained = std::max(total.drained, newest);
 }
@@ -170,8 +187,15 @@
 scheduling::quota_state fleet_quota::state_of(const team& caller_team, const bucket& entry) const
 {
     const auto share = m_buckets.find(share_id_of(caller_team));
-    return {entry.balance, share == m_buckets.end() ? 0 : share->second.balance,
-            entry.limit.burst * m_live_fraction, entry.limit.per_second * m_live_fraction};
+    scheduling::quota_state state{entry.balance, 0, entry.limit.burst * m_live_fraction,
+                                  entry.limit.per_second * m_live_fraction};
+    if (share != m_buckets.end()) {
+        const bool is_wanted =
+            entry.share_wanted_at && m_updated_at - *entry.share_wanted_at < share_unwanted_after;
+        state.opens_in = seconds_between(m_updated_at, entry.opens_at);
+        state.share = is_wanted ? share->second.balance : std::min(0.0, share->second.balance);
+    }
+    return state;
 }
 
 std::optional<scheduling::quota_state> fleet_quota::state_of(const team& caller_team,
@@ -186,10 +210,13 @@
                            const scheduling::quota_demand& demand)
 {
     refill(now);
-    const auto* entry = limited_bucket(caller_team);
+    auto* entry = limited_bucket(caller_team);
     if (entry == nullptr) {
         return true;
     }
+    if (!scheduling::is_preferred(demand, entry->limit.burst * m_live_fraction)) {
+        entry->share_wanted_at = now;
+    }
     const auto units = whole_units(demand);
     const bool is_covered = units > 0 && entry->credit.available(now) >= units;
     return is_covered || scheduling::choose_quota_path(state_of(caller_team, *entry), demand) !=
@@ -203,6 +230,30 @@
     return entry == nullptr ? quota_charge{} : entry->credit.take(whole_units(demand), now);
 }
 
+void fleet_quota::charge_share(const team& caller_team, bucket& entry, scheduling::quota_path path,
+                               double rate, const quota_charge& charged)
+{
+    const auto units = charged.from_balance;
+    const auto share = m_buckets.find(share_id_of(caller_team));
+    // Between the decision and the charge, another request may have taken what was left. The share
+    // then pays, so that it owes what less urgent requests overdrew.
+    if (path != scheduling::quota_path::balance && share != m_buckets.end()) {
+        path = scheduling::quota_path::share;
+        share->second.balance -= static_cast<double>(units);
+        share->second.admitted += units;
+    }
+    const std::chrono::duration<double> pause{
+        scheduling::pause_after(path, static_cast<double>(units), rate, own_fraction(entry))};
+    entry.opens_at =
+        charged.charged_at + std::min(max_pause, std::chrono::ceil<base::milliseconds>(pause));
+}
+
+double fleet_quota::own_fraction(const bucket& entry) const
+{
+    const double all = entry.own_recent + entry.others_recent;
+    return std::max(all > 0 ? entry.own_recent / all : 1.0, 1.0 / static_cast<double>(m_live_vms));
+}
+
 quota_charge fleet_quota::charge(const team& caller_team, const scheduling::quota_demand& demand,
                                  const quota_charge& held, base::time_point now)
 {
@@ -216,18 +267,13 @@
     charged.from_balance = units - std::min(units, held.from_credit);
     charged.charged_at = now;
     const auto state = state_of(caller_team, *entry);
-    // Between the decision and the charge, another request may have taken what was left. The share
-    // then pays, so that it owes what less urgent requests overdrew.
-    const bool is_free =
-        scheduling::is_preferred(demand, state.burst) ||
-        scheduling::choose_quota_path(state, demand) == scheduling::quota_path::balance;
-    const auto share = m_buckets.find(share_id_of(caller_team));
-    if (!is_free && share != m_buckets.end()) {
-        share->second.balance -= static_cast<double>(charged.from_balance);
-        share->second.admitted += charged.from_balance;
+    if (!scheduling::is_preferred(demand, state.burst)) {
+        const auto path = scheduling::choose_quota_path(state, demand);
+        charge_share(caller_team, *entry, path, state.per_second, charged);
     }
     entry->balance -= static_cast<double>(charged.from_balance);
     entry->admitted += charged.from_balance;
+    entry->own_recent += static_cast<double>(charged.from_balance);
     return charged;
 }
 
--- a/src/chicorylink/scheduling/quota_admission.cpp
+++ b/src/chicorylink/scheduling/quota_admission.cpp
@@ -11,6 +11,14 @@
 /// Longest time that is told; a quota with a rate near zero has room in the far future only.
 constexpr double max_wait_seconds = 3600;
 
+/// The parts of the rate that the VMs may use between two reports add up to this, since the
+/// requests of a short time are not spread as those of the last seconds were. The levels bound what
+/// they use.
+constexpr double overbooking = 2;
+
+/// From this fraction of the burst on, the balance covers what is admitted until reports arrive.
+constexpr double plenty_fraction = 0.5;
+
 /// Largest fraction of the burst that a request needs beyond the reserve; one that costs more would
 /// never find its units in the bucket.
 constexpr double max_need_fraction = 0.5;
@@ -20,22 +28,11 @@
     return state.burst * quota_reserve_fraction;
 }
 
-/// What the share has paid and its refill has not brought back yet.
-double share_used(const quota_state& state)
+/// The balance above which preferred requests pass, for a given share.
+double preferred_level(const quota_state& state)
 {
-    return std::max(0.0, share_capacity(state.per_second, state.burst) - state.share);
-}
-
-/// What preferred requests may overdraw: what the others took from the balance by the share.
-double preferred_overdraft(const quota_state& state)
-{
-    return std::min(share_used(state), reserve_of(state));
-}
-
-/// What the others may overdraw: what the share has saved up.
-double share_savings(const quota_state& state)
-{
-    return std::clamp(state.share, 0.0, reserve_of(state));
+    return std::clamp(state.share, -state.burst * quota_overdraft_fraction,
+                      share_capacity(state.per_second, state.burst));
 }
 
 /// The balance from which a request that is not preferred passes without using the share.
@@ -44,28 +41,31 @@
     return reserve_of(state) + std::min(demand.units, max_need_fraction * state.burst);
 }
 
-/// Seconds until a preferred request passes. While the share is refilled, its part of the refill
-/// reduces what may be overdrawn.
+/// Seconds until a preferred request passes. The level rises while the share is refilled.
 double preferred_wait(const quota_state& state)
 {
     const double rate = state.per_second;
-    const double overdraft = preferred_overdraft(state);
-    const double needed = std::max(0.0, -(state.balance + overdraft));
-    // What the share used beyond the reserve comes back first and leaves the overdraft as it is.
-    const double at_limit = (share_used(state) - overdraft) / share_rate(rate);
-    if (needed <= at_limit * rate) {
-        return needed / rate;
+    const double refill = share_rate(rate);
+    const double lowest = -state.burst * quota_overdraft_fraction;
+    const double capacity = share_capacity(rate, state.burst);
+    const double at_lowest = (lowest - state.balance) / rate;
+    if (state.share + refill * at_lowest <= lowest) {
+        return at_lowest;
     }
-    const double later = at_limit + (needed - at_limit * rate) / (rate - share_rate(rate));
-    return std::min(later, -state.balance / rate);
+    const double while_refilled = (state.share - state.balance) / (rate - refill);
+    return state.share + refill * while_refilled <= capacity ? while_refilled
+                                                             : (capacity - state.balance) / rate;
 }
 
 double other_wait(const quota_state& state, const quota_demand& demand)
 {
     const double to_free = (free_level(state, demand) - state.balance) / state.per_second;
-    const double to_share = std::max(0.0, -state.share / share_rate(state.per_second));
-    const double to_balance = -(state.balance + share_savings(state)) / state.per_second;
-    return std::max(0.0, std::min(to_free, std::max(to_share, to_balance)));
+    const double to_share = -state.share / share_rate(state.per_second);
+    const double to_balance = -state.balance / state.per_second;
+    const double to_plenty = (state.burst * plenty_fraction - state.balance) / state.per_second;
+    const double free_wait = std::max(to_free, std::min(state.opens_in, to_plenty));
+    const double share_wait = std::max({to_share, to_balance, state.opens_in});
+    return std::max(0.0, std::min(free_wait, share_wait));
 }
 
 } // namespace
@@ -80,6 +80,12 @@
     return std::min(share_rate(per_second) * quota_share_seconds, burst * quota_reserve_fraction);
 }
 
+double pause_after(quota_path path, double units, double per_second, double own_fraction)
+{
+    const double rate = path == quota_path::share ? share_rate(per_second) : per_second;
+    return units / (rate * own_fraction * overbooking);
+}
+
 bool is_preferred(const quota_demand& demand, double burst)
 {
     // A quota that counts requests has no large ones, however small its burst is.
@@ -90,14 +96,15 @@
 quota_path choose_quota_path(const quota_state& state, const quota_demand& demand)
 {
     if (is_preferred(demand, state.burst)) {
-        return state.balance + preferred_overdraft(state) > 0 ? quota_path::balance
-                                                              : quota_path::none;
+        return state.balance > preferred_level(state) ? quota_path::balance : quota_path::none;
     }
-    if (state.balance >= free_level(state, demand)) {
+    const bool is_paused = state.opens_in > 0;
+    if (state.balance >= free_level(state, demand) &&
+        (!is_paused || state.balance >= state.burst * plenty_fraction)) {
         return quota_path::balance;
     }
-    return state.share > 0 && state.balance + share_savings(state) > 0 ? quota_path::share
-                                                                       : quota_path::none;
+    return state.share > 0 && state.balance > 0 && !is_paused ? quota_path::share
+                                                              : quota_path::none;
 }
 
 base::milliseconds time_until_admitted(const quota_state& state, const quota_demand& demand)
