scheduling, fleet, front: Retry-After of an overloaded service reserves a time

Cause: 5,358 of 6,567 refusals for an excessive wait were of callers that came back as told. They were told when the queue would be short if nobody came; many got the same time, and new callers were there before them.

Change: scheduling::return_slots counts the returns of a service in slots of 100 ms and gives the first slot with capacity left, at the rate at which this VM's requests begin at the region's targets (scheduling::begin_meter). New requests count the returns that are due within their longest wait as additional wait in this region; returns don't, and an idle target takes any request. Without a measured rate the delay is as before.

--- a/include/chicorylink/fleet/region_choice.hpp
+++ b/include/chicorylink/fleet/region_choice.hpp
@@ -43,6 +43,9 @@
     /// Whether an attempt in another region was refused or failed: the request is not sent to its
     /// home region for the cached parts again.
     bool remote_attempt_failed = false;
+    /// How much longer the request waits in this region than a target's queue tells, because
+    /// refused callers return before it.
+    base::milliseconds reserved_wait{0};
 };
 
 /// @brief Where a request goes: to a target of this region, to another region, or nowhere.
@@ -81,6 +84,7 @@
 
 /// @brief Limits within which a request stays in this region.
 struct local_limits {
+    /// What `longest_wait` leaves beside the reserved wait. A target that is idle always does.
     base::milliseconds wait{0};
     /// Unlimited when no other region can serve the request in time.
     base::milliseconds start{0};
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -16,6 +16,7 @@
 #include "chicorylink/front/resolution.hpp"
 #include "chicorylink/front/upstream_call.hpp"
 #include "chicorylink/scheduling/quota_admission.hpp"
+#include "chicorylink/scheduling/return_slots.hpp"
 
 #include <memory>
 #include <optional>
@@ -149,6 +150,20 @@
     void send_to_peer(const fleet::region_decision& decision, const std::string& ip,
                       base::time_point now);
     void send(std::string bytes, base::milliseconds connect_timeout, base::time_point now);
+
+    // Callers that return after a refusal.
+    /// @brief How much longer a new request waits because callers return before it.
+    [[nodiscard]] base::milliseconds reserved_wait(const fleet::region_request& request,
+                                                   base::time_point now) const;
+    /// @brief When a caller that would wait too long should return; reserves that time.
+    /// @param excess By how much the wait exceeds the longest one.
+    [[nodiscard]] base::milliseconds delay_until_return(base::milliseconds excess,
+                                                        base::time_point now);
+    /// @brief Counts a response that has begun toward the rate at which targets begin requests.
+    void note_begun(int status);
+    void log_return(base::log_line& line, base::time_point now) const;
+
+    // The team's quota.
     /// @brief What the request asks of its team's quota; its team is known.
     [[nodiscard]] scheduling::quota_demand quota_demand() const;
     void charge_quota(base::time_point now);
@@ -301,6 +316,8 @@
     base::time_point m_response_begun_at{};
     /// The shortest expected wait in any region; set if it was too long.
     std::optional<base::milliseconds> m_shortest_wait;
+    /// When the refused caller was told to return, if the rate of its service is known.
+    std::optional<scheduling::return_time> m_return;
     bool m_is_caller_retry = false;
     /// Whether the silence of the current target was reported to the pool.
     bool m_silence_reported = false;
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -15,6 +15,7 @@
 #include "chicorylink/fleet/retry_detector.hpp"
 #include "chicorylink/fleet/return_schedule.hpp"
 #include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/fleet/service_returns.hpp"
 #include "chicorylink/fleet/target_pacer.hpp"
 #include "chicorylink/fleet/target_pool.hpp"
 #include "chicorylink/front/connection_pool.hpp"
@@ -56,7 +57,10 @@
     fleet::limit_watch limits;
     /// For requests to other regions in which all targets of the service state a limit.
     fleet::region_pacer region_pacer;
+    /// For callers that targets with a limited rate have no room for.
     fleet::return_schedule returns;
+    /// For callers that would wait too long.
+    fleet::service_returns reserved_returns;
     fleet::remote_sends remote_traffic;
     fleet::region_digests remote_digests;
     fleet::retry_detector caller_retries;
--- a/src/chicorylink/fleet/region_choice.cpp
+++ b/src/chicorylink/fleet/region_choice.cpp
@@ -151,14 +151,16 @@
 local_limits local_limits_for(const std::vector<remote_region>& others,
                               const region_request& request)
 {
-    local_limits limits{longest_wait(request), base::milliseconds::max()};
+    const auto longest = longest_wait(request);
+    local_limits limits{std::max(base::milliseconds{0}, longest - request.reserved_wait),
+                        base::milliseconds::max()};
     const auto best = earliest_start(others, request);
     if (best.destination != nullptr &&
-        best.destination->wait + best.destination->round_trip <= limits.wait) {
+        best.destination->wait + best.destination->round_trip <= longest) {
         limits.start = std::max(fraction_of(request.latency_objective, local_start_fraction),
                                 best.start + remote_margin);
     }
-    if (prefers_remote_home(others, request, limits.wait)) {
+    if (prefers_remote_home(others, request, longest)) {
         limits.reread_tokens = static_cast<std::uint32_t>(
             reread_fraction * static_cast<double>(request.shared_tokens));
     }
@@ -185,7 +187,7 @@
     }
     const auto best = earliest_start(others, request);
     if (best.destination != nullptr &&
-        best.destination->wait + best.destination->round_trip <= limits.wait) {
+        best.destination->wait + best.destination->round_trip <= longest_wait(request)) {
         return remote_decision(best, request);
     }
     if (fits_locally) {
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -350,11 +350,7 @@
             line.add("prefix_holder", m_attempt->prefix_holder.text());
         }
     }
-    if (m_shortest_wait) {
-        line.add("shortest_wait_ms", m_shortest_wait->count());
-        line.add("longest_wait_ms", longest_wait(make_region_request(now)).count());
-        line.add("is_return", m_is_caller_retry);
-    }
+    log_return(line, now);
     log_quota(line, status, now);
     line.add("attempts", m_history.sends).add("total_ms", ms_since(now));
     if (m_response_begun) {
@@ -364,6 +360,9 @@
     }
     write_log(m_core, line);
     m_core.counters.add(fmt::format("requests_total{{outcome=\"{}\"}}", outcome));
+    if (m_is_caller_retry && !m_request.from_peer()) {
+        m_core.counters.add(fmt::format("caller_returns_total{{outcome=\"{}\"}}", outcome));
+    }
     m_core.counters.observe("request_ms", static_cast<double>(ms_since(now)));
 }
 
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -249,6 +249,7 @@
     remove_fields(fields, outcome_field);
     m_response_begun = true;
     m_begun_status = head.status;
+    note_begun(head.status);
     m_begun_media_type = media_type(head.fields);
     m_caller->begin_response(head.status, head.reason, fields, length);
 }
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -41,16 +41,18 @@
 
 fleet::region_request exchange::make_region_request(base::time_point now) const
 {
-    return {m_resolved.service->is_engine,
-            m_prompt ? m_prompt->prompt_tokens : 0,
-            m_prompt ? fleet::shared_tokens(*m_prompt) : 0,
-            m_prompt ? m_prompt->session : base::hash_name(m_request.id),
-            m_resolved.route->latency_objective,
-            time_left(now),
-            m_is_caller_retry,
-            m_core.settings.self.region,
-            fleet::usable_targets(m_core.pool, m_resolved.service->name, now),
-            !m_tried_peers.empty()};
+    fleet::region_request request{m_resolved.service->is_engine,
+                                  m_prompt ? m_prompt->prompt_tokens : 0,
+                                  m_prompt ? fleet::shared_tokens(*m_prompt) : 0,
+                                  m_prompt ? m_prompt->session : base::hash_name(m_request.id),
+                                  m_resolved.route->latency_objective,
+                                  time_left(now),
+                                  m_is_caller_retry,
+                                  m_core.settings.self.region,
+                                  fleet::usable_targets(m_core.pool, m_resolved.service->name, now),
+                                  !m_tried_peers.empty()};
+    request.reserved_wait = reserved_wait(request, now);
+    return request;
 }
 
 bool exchange::may_use(const fleet::tracked_target& target,
@@ -222,6 +224,10 @@
     }
     if (has_targets) {
         m_shortest_wait = decision.wait;
+        const auto request = make_region_request(now);
+        if (request.reserved_wait.count() > 0 && decision.wait <= longest_wait(request)) {
+            m_core.counters.add("refusals_before_returns_total");
+        }
     }
     auto targets_wait = has_targets ? std::nullopt : wait_for_targets(now);
     if (!has_targets && !targets_wait) {
@@ -233,11 +239,14 @@
                now);
         return;
     }
-    refuse({unavailable_status, has_targets ? "too_much_waiting" : "no_target",
-            retry_delay(has_targets ? decision.wait - longest_wait(make_region_request(now))
-                                    : fleet::not_ready_retry_after,
-                        fleet::retry_jitter::queue)},
-           now);
+    if (!has_targets) {
+        refuse({unavailable_status, "no_target",
+                retry_delay(fleet::not_ready_retry_after, fleet::retry_jitter::queue)},
+               now);
+        return;
+    }
+    const auto excess = decision.wait - longest_wait(make_region_request(now));
+    refuse({unavailable_status, "too_much_waiting", delay_until_return(excess, now)}, now);
 }
 
 void exchange::note_paced(const fleet::placement_choice& choice, base::time_point now)
