--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -103,6 +103,8 @@
     double fetch_tokens_per_ms = 0;
     /// When the transfers that this VM placed on the engine's link end.
     base::time_point link_free_at{};
+    /// Output tokens that an event of its streams holds; 0 if unknown.
+    std::uint32_t tokens_per_event = 0;
     /// Prompts that this VM placed at the engine as coordinator.
     scheduling::prefill_budget prefill;
     /// Tokens of running streams of all VMs of the region, if this VM is the coordinator.
--- a/src/chicorylink/fleet/expected_wait.cpp
+++ b/src/chicorylink/fleet/expected_wait.cpp
@@ -75,7 +75,7 @@
     const double factor = scheduling::time_factor(target.speed, now);
     const double queued =
         wait_ms(target, reserved_work(target, urgency, now), usual_response_ms, factor);
-    if (!target.is_engine) {
+    if (target.tokens_per_event == 0) {
         return queued;
     }
     return std::max(queued, scheduling::wait_ms(target.prefill, urgency,
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -108,6 +108,7 @@
         target.cold_time = service == nullptr ? base::milliseconds{0} : service->cold_time;
         target.cache.set_capacity(service == nullptr ? 0 : service->memory_tokens);
         target.fetch_tokens_per_ms = service == nullptr ? 0 : service->fetch_tokens_per_ms;
+        target.tokens_per_event = service == nullptr ? 0 : service->tokens_per_event;
         const bool evacuated = state.is_evacuated(entry.data_center);
         if (target.evacuated && !evacuated && service != nullptr) {
             // Its targets may have become cold while they got no requests.
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -269,129 +269,125 @@
     }
     for (const auto& entry : message.tokens) {
         m_core.pool.on_tokens(entry.target, entry.tokens, entry.elapsed, now);
-        void placement_link::queue_statement(const fleet::target_pace& statement,
-                                             base::time_point now)
-        {
-            if (coordinator_ip(now) != m_core.settings.self.ip) {
-                replace_queued(m_statements, statement, now);
-            }
-        }
+    }
+}
 
-        void placement_link::tick(base::time_point now)
-        {
-            // Answers that have arrived are handled before queries time out, however late they are
-            // read.
-            m_datagrams.receive_pending();
-            expire_queries(now);
-            send_notes(now);
-            send_notices(now);
-            send_tokens(now);
-            m_core.coordinator.tick(m_core.pool, now);
-        }
+void placement_link::queue_statement(const fleet::target_pace& statement, base::time_point now)
+{
+    if (coordinator_ip(now) != m_core.settings.self.ip) {
+        replace_queued(m_statements, statement, now);
+    }
+}
 
-        void placement_link::expire_queries(base::time_point now)
-        {
-            std::vector<std::pair<std::uint64_t, pending_query>> unanswered;
-            for (auto entry = m_pending_queries.begin(); entry != m_pending_queries.end();) {
-                if (now - entry->second.sent_at < query_timeout) {
-                    ++entry;
-                    continue;
-                }
-                unanswered.emplace_back(entry->first, std::move(entry->second));
-                entry = m_pending_queries.erase(entry);
-            }
-            for (auto& [number, pending] : unanswered) {
-                m_silent_until[pending.coordinator_ip] = now + silent_coordinator_pause;
-                m_core.counters.add("placements_unanswered_total");
-                // The coordinator may have reserved a place even though its answer didn't arrive.
-                report_ended({pending.coordinator_ip, number}, std::nullopt, {}, now);
-                pending.on_result({std::nullopt, pending.coordinator_ip, "desk_is_silent"});
-            }
-        }
+void placement_link::tick(base::time_point now)
+{
+    // Answers that have arrived are handled before queries time out, however late they are
+    // read.
+    m_datagrams.receive_pending();
+    expire_queries(now);
+    send_notes(now);
+    send_notices(now);
+    send_tokens(now);
+    m_core.coordinator.tick(m_core.pool, now);
+}
 
-        void placement_link::take_statements(fleet::placement_message & message,
-                                             base::time_point now)
-        {
-            // The newest ones are at the end.
-            const auto count = std::min(m_statements.size(), max_paces_per_message);
-            const auto first = m_statements.end() - static_cast<std::ptrdiff_t>(count);
-            for (auto queued = first; queued != m_statements.end(); ++queued) {
-                message.paces.push_back(queued->content);
-                message.paces.back().age +=
-                    std::chrono::duration_cast<base::milliseconds>(now - queued->queued_at);
-            }
-            m_statements.erase(first, m_statements.end());
-            std::erase_if(m_statements, [&](const auto& queued) {
-                return now - queued.queued_at > scheduling::max_statement_age;
-            });
+void placement_link::expire_queries(base::time_point now)
+{
+    std::vector<std::pair<std::uint64_t, pending_query>> unanswered;
+    for (auto entry = m_pending_queries.begin(); entry != m_pending_queries.end();) {
+        if (now - entry->second.sent_at < query_timeout) {
+            ++entry;
+            continue;
         }
+        unanswered.emplace_back(entry->first, std::move(entry->second));
+        entry = m_pending_queries.erase(entry);
+    }
+    for (auto& [number, pending] : unanswered) {
+        m_silent_until[pending.coordinator_ip] = now + silent_coordinator_pause;
+        m_core.counters.add("placements_unanswered_total");
+        // The coordinator may have reserved a place even though its answer didn't arrive.
+        report_ended({pending.coordinator_ip, number}, std::nullopt, {}, now);
+        pending.on_result({std::nullopt, pending.coordinator_ip, "desk_is_silent"});
+    }
+}
 
-        void placement_link::send_notes(base::time_point now)
-        {
-            for (auto entry = m_notes.begin(); entry != m_notes.end();) {
-                auto& notes = entry->second;
-                fleet::placement_message message;
-                message.run = m_core.settings.self.run;
-                message.notes = std::move(notes.to_resend);
-                const auto count = std::min(notes.unsent.size(), max_notes_per_message);
-                const auto end = notes.unsent.begin() + static_cast<std::ptrdiff_t>(count);
-                notes.to_resend.assign(notes.unsent.begin(), end);
-                notes.unsent.erase(notes.unsent.begin(), end);
-                message.notes.insert(message.notes.end(), notes.to_resend.begin(),
-                                     notes.to_resend.end());
-                message.paces = std::exchange(notes.starts, {});
-                if (entry->first == coordinator_ip(now)) {
-                    take_statements(message, now);
-                }
-                m_datagrams.send(fleet::encode(message), endpoint_of(entry->first));
-                entry = notes.to_resend.empty() ? m_notes.erase(entry) : std::next(entry);
-            }
-            if (!m_statements.empty() &&
-                now - m_statements.front().queued_at >= max_statement_delay &&
-                coordinator_ip(now) != m_core.settings.self.ip) {
-                fleet::placement_message message;
-                message.run = m_core.settings.self.run;
-                take_statements(message, now);
-                m_datagrams.send(fleet::encode(message), endpoint_of(coordinator_ip(now)));
-            }
+void placement_link::take_statements(fleet::placement_message& message, base::time_point now)
+{
+    // The newest ones are at the end.
+    const auto count = std::min(m_statements.size(), max_paces_per_message);
+    const auto first = m_statements.end() - static_cast<std::ptrdiff_t>(count);
+    for (auto queued = first; queued != m_statements.end(); ++queued) {
+        message.paces.push_back(queued->content);
+        message.paces.back().age +=
+            std::chrono::duration_cast<base::milliseconds>(now - queued->queued_at);
+    }
+    m_statements.erase(first, m_statements.end());
+    std::erase_if(m_statements, [&](const auto& queued) {
+        return now - queued.queued_at > scheduling::max_statement_age;
+    });
+}
+
+void placement_link::send_notes(base::time_point now)
+{
+    for (auto entry = m_notes.begin(); entry != m_notes.end();) {
+        auto& notes = entry->second;
+        fleet::placement_message message;
+        message.run = m_core.settings.self.run;
+        message.notes = std::move(notes.to_resend);
+        const auto count = std::min(notes.unsent.size(), max_notes_per_message);
+        const auto end = notes.unsent.begin() + static_cast<std::ptrdiff_t>(count);
+        notes.to_resend.assign(notes.unsent.begin(), end);
+        notes.unsent.erase(notes.unsent.begin(), end);
+        message.notes.insert(message.notes.end(), notes.to_resend.begin(), notes.to_resend.end());
+        message.paces = std::exchange(notes.starts, {});
+        if (entry->first == coordinator_ip(now)) {
+            take_statements(message, now);
         }
+        m_datagrams.send(fleet::encode(message), endpoint_of(entry->first));
+        entry = notes.to_resend.empty() ? m_notes.erase(entry) : std::next(entry);
+    }
+    if (!m_statements.empty() && now - m_statements.front().queued_at >= max_statement_delay &&
+        coordinator_ip(now) != m_core.settings.self.ip) {
+        fleet::placement_message message;
+        message.run = m_core.settings.self.run;
+        take_statements(message, now);
+        m_datagrams.send(fleet::encode(message), endpoint_of(coordinator_ip(now)));
+    }
+}
 
-        void placement_link::send_notices(base::time_point now)
-        {
-            auto crashes = m_core.quarantine.take_own(now);
-            if (m_notices.empty() && m_limits.empty() && crashes.empty()) {
-                return;
-            }
-            const auto since = [&](base::time_point then) {
-                return std::chrono::duration_cast<base::milliseconds>(now - then);
-            };
-            const auto is_sent = [](const auto& queued) {
-                return queued.times_sent >= sends_per_notice;
-            };
-            fleet::placement_message message;
-            message.run = m_core.settings.self.run;
-            message.crashes = std::move(crashes);
-            for (auto& queued : m_notices) {
-                auto notice = queued.content;
-                notice.wait =
-                    std::max(base::milliseconds{0}, notice.wait - since(queued.queued_at));
-                message.notices.push_back(notice);
-                ++queued.times_sent;
-            }
-            for (auto& queued : m_limits) {
-                auto report = queued.content;
-                report.age += since(queued.queued_at);
-                message.limits.push_back(report);
-                ++queued.times_sent;
-            }
-            std::erase_if(m_notices, is_sent);
-            std::erase_if(m_limits, is_sent);
-            const auto bytes = fleet::encode(message);
-            for (const auto& ip : m_core.members.delegates_of(m_core.settings.self.region, now)) {
-                if (ip != m_core.settings.self.ip) {
-                    m_datagrams.send(bytes, endpoint_of(ip));
-                }
-            }
+void placement_link::send_notices(base::time_point now)
+{
+    auto crashes = m_core.quarantine.take_own(now);
+    if (m_notices.empty() && m_limits.empty() && crashes.empty()) {
+        return;
+    }
+    const auto since = [&](base::time_point then) {
+        return std::chrono::duration_cast<base::milliseconds>(now - then);
+    };
+    const auto is_sent = [](const auto& queued) { return queued.times_sent >= sends_per_notice; };
+    fleet::placement_message message;
+    message.run = m_core.settings.self.run;
+    message.crashes = std::move(crashes);
+    for (auto& queued : m_notices) {
+        auto notice = queued.content;
+        notice.wait = std::max(base::milliseconds{0}, notice.wait - since(queued.queued_at));
+        message.notices.push_back(notice);
+        ++queued.times_sent;
+    }
+    for (auto& queued : m_limits) {
+        auto report = queued.content;
+        report.age += since(queued.queued_at);
+        message.limits.push_back(report);
+        ++queued.times_sent;
+    }
+    std::erase_if(m_notices, is_sent);
+    std::erase_if(m_limits, is_sent);
+    const auto bytes = fleet::encode(message);
+    for (const auto& ip : m_core.members.delegates_of(m_core.settings.self.region, now)) {
+        if (ip != m_core.settings.self.ip) {
+            m_datagrams.send(bytes, endpoint_of(ip));
         }
+    }
+}
 
-    } // namespace chicorylink::front
+} // namespace chicorylink::front
