scheduling, fleet, front: targets that start or return get a growing number of requests

Cause: a target that has just started or returned looks idle, and drew the next requests of its region before it was known how long it takes for them.

Change: the coordinator limits the requests in progress there to scheduling::start_window. It begins with a sixteenth of the slots, grows with each response that begins in time, halves at once with a late one or a failure, and ends at the target's slots or after 10 s. If all usable targets are limited, the one that is filled least is used.

Not measured with processes.

--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -9,11 +9,13 @@
 #include "chicorylink/fleet/target_notice.hpp"
 #include "chicorylink/fleet/target_pace.hpp"
 #include "chicorylink/fleet/tracked_target.hpp"
+#include "chicorylink/fleet/window_event.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace chicorylink::fleet {
@@ -99,6 +101,19 @@
     std::vector<speed_change> on_start_measured(const target_name& name, double ratio,
                                                 base::time_point now);
 
+    /// @brief A reserved request's response began in time.
+    void on_reserved_in_time(const target_name& name, base::time_point now);
+
+    /// @brief A reserved request failed, or its response is late.
+    void on_reserved_late(const target_name& name, base::time_point sent_at, base::time_point now);
+
+    /// @brief Begins the start windows of targets that have become warm, and ends those whose time
+    /// is up.
+    void update_windows(base::time_point now);
+
+    /// @brief Changes of start windows since the last call.
+    [[nodiscard]] std::vector<window_event> take_window_events();
+
     /// @brief A response stated that its target is leaving. Returns whether that was unknown.
     bool on_leaving(const target_name& name, base::time_point now);
 
@@ -157,10 +172,22 @@
 
 private:
     [[nodiscard]] tracked_target* find_mutable(const target_name& name);
+    void update_entry(tracked_target& target, const target_entry& entry, bool is_new,
+                      base::time_point now);
+    void readmit_target(tracked_target& target, base::time_point now);
+    void update_load(tracked_target& target, const target_use& report, base::time_point now);
+    void begin_window(tracked_target& target, std::string_view cause, base::time_point now);
+    void add_window_event(const tracked_target& target, window_event::kind change,
+                          std::string_view cause, base::time_point now);
+    void note_window_change(const tracked_target& target, scheduling::window_change change,
+                            base::time_point now);
     void keep_pushbacks(const std::map<target_name, tracked_target>& next, base::time_point now);
 
     std::map<target_name, tracked_target> m_targets;
     std::map<base::target_id, target_name> m_names;
+    /// When this VM first knew any target of its region.
+    std::optional<base::time_point> m_first_targets_at;
+    std::vector<window_event> m_window_events;
     /// Pushback of runs whose entries are gone at present; they may come back.
     std::map<base::target_id, target_pushback> m_departed_pushbacks;
 };
--- a/include/chicorylink/fleet/tracked_target.hpp
+++ b/include/chicorylink/fleet/tracked_target.hpp
@@ -8,6 +8,7 @@
 #include "chicorylink/fleet/target_entry.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_pushback.hpp"
+#include "chicorylink/scheduling/start_window.hpp"
 #include "chicorylink/scheduling/target_speed.hpp"
 
 #include <array>
@@ -94,6 +95,10 @@
     double response_ms = 0;
     /// What the target stated about its times; what was learned of them, only at the coordinator.
     scheduling::target_speed speed;
+    /// Limit on reserved requests while the target is starting or returning.
+    scheduling::start_window window;
+    /// Whether it may have been cold when the windows were last updated.
+    bool was_cold = false;
     prompt_cache cache;
     /// Prompt tokens per millisecond that it can fetch from another engine's cache; 0 if it can't.
     double fetch_tokens_per_ms = 0;
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -102,6 +102,8 @@
     [[nodiscard]] bool is_region_member(const std::string& ip) const;
     void expire_queries(base::time_point now);
     void send_notes(base::time_point now);
+    /// @brief Logs and counts the changes of start windows.
+    void log_windows(base::time_point now);
     /// @brief Moves what targets stated into a message, with its age.
     void take_statements(fleet::placement_message& message, base::time_point now);
     void apply_paces(const fleet::placement_message& message, const std::string& sender,
@@ -130,6 +132,9 @@
     std::vector<outgoing<fleet::limit_report>> m_limits;
     /// The newest statement of each target about its times that the coordinator doesn't know yet.
     std::vector<outgoing<fleet::target_pace>> m_statements;
+    /// What the counters contain of the coordinator's.
+    std::uint64_t m_counted_held_back = 0;
+    std::uint64_t m_counted_beyond = 0;
     /// Coordinators that didn't answer, and until when they are not queried.
     std::map<std::string, base::time_point> m_silent_until;
 };
--- a/src/chicorylink/fleet/placement_coordinator.cpp
+++ b/src/chicorylink/fleet/placement_coordinator.cpp
@@ -18,6 +18,11 @@
 /// A coordinator without queries for this time has lost its role, or its region has no requests.
 constexpr base::milliseconds active_time{2'000};
 
+double ms_between(base::time_point from, base::time_point until)
+{
+    return std::chrono::duration<double, std::milli>(until - from).count();
+}
+
 /// The expected start of a request at usual speed.
 scheduling::measured_start expected_start(const placement_choice& choice)
 {
@@ -47,7 +52,7 @@
     request.by_coordinator = true;
     request.urgency = urgency;
     request.data_center = query.data_center;
-    request.may_use = [&](const tracked_target& target) {
+    const auto may_use = [&](const tracked_target& target) {
         const auto limit = limit_at(target.pushback.limit, now);
         // Requests for a target that may be cold are divided among the VMs in another way.
         return !may_be_cold(target, now) &&
@@ -57,7 +62,7 @@
     };
     placement_answer answer;
     answer.number = query.number;
-    const auto choice = choose_target(pool, request, now);
+    const auto choice = choose(pool, request, may_use, now);
     if (!choice) {
         return answer;
     }
@@ -103,6 +108,9 @@
         return;
     }
     auto& place = found->second;
+    if (note.outcome) {
+        rate_end(pool, place, note, now);
+    }
     if (note.event == placement_event::begun) {
         pool.on_reserved_begun(place.target, now);
         release_unread_tokens(pool, place);
@@ -129,15 +137,110 @@
     }
     auto& place = found->second;
     const auto* target = pool.find(place.target);
+    place.expected.measured_ms = static_cast<double>(start.took.count());
+    if (target != nullptr && target->is_engine) {
+        rate(pool, place, !scheduling::is_late(place.expected.measured_ms, due_ms(place)), now);
+    }
     if (target == nullptr || !std::exchange(place.is_speed_sample, false)) {
         return {};
     }
-    place.expected.measured_ms = static_cast<double>(start.took.count());
     place.expected.stated_after = scheduling::stated_factor(target->speed, now);
     const auto ratio = scheduling::start_ratio(place.expected);
     return ratio ? pool.on_start_measured(place.target, *ratio, now) : std::vector<speed_change>{};
 }
 
+void placement_coordinator::apply_own_note(target_pool& pool, const std::string& self,
+                                           const placement_note& note, base::time_point now)
+{
+    const auto found = m_reservations.find({self, note.number});
+    if (found != m_reservations.end() && note.outcome) {
+        rate_end(pool, found->second, note, now);
+    }
+    auto without_outcome = note;
+    without_outcome.outcome = std::nullopt;
+    apply_note(pool, self, without_outcome, now);
+}
+
+std::optional<placement_choice> placement_coordinator::choose(const target_pool& pool,
+                                                              placement_request request,
+                                                              const target_check& may_use,
+                                                              base::time_point now)
+{
+    const auto is_held_back = [](const tracked_target& target) {
+        return scheduling::is_filled(target.window, target.reserved.in_flight);
+    };
+    std::optional<double> least_fill;
+    request.may_use = [&](const tracked_target& target) {
+        if (!may_use(target)) {
+            return false;
+        }
+        if (is_held_back(target) && !is_ejected(target.health, now)) {
+            const auto fill = scheduling::fill_of(target.window, target.reserved.in_flight);
+            least_fill = std::min(least_fill.value_or(fill), fill);
+            return false;
+        }
+        return true;
+    };
+    auto choice = choose_target(pool, request, now);
+    if (!least_fill) {
+        return choice;
+    }
+    ++m_held_back;
+    if (choice) {
+        const auto& chosen = *pool.find(choice->target);
+        if (!is_ejected(chosen.health, now) && !pushes_back(chosen.pushback, now)) {
+            return choice;
+        }
+    }
+    // A refusal, or a target that failed or asked for a wait, is worse than one beyond its window.
+    request.may_use = [&](const tracked_target& target) {
+        return may_use(target) && is_held_back(target) &&
+               scheduling::fill_of(target.window, target.reserved.in_flight) <= *least_fill;
+    };
+    if (auto beyond = choose_target(pool, request, now)) {
+        ++m_beyond_windows;
+        return beyond;
+    }
+    return choice;
+}
+
+double placement_coordinator::due_ms(const reservation& place)
+{
+    return ms_between(place.made_at, place.due_at);
+}
+
+void placement_coordinator::rate(target_pool& pool, reservation& place, bool is_good,
+                                 base::time_point now)
+{
+    if (std::exchange(place.is_rated, true)) {
+        return;
+    }
+    if (is_good) {
+        pool.on_reserved_in_time(place.target, now);
+    }
+    else {
+        pool.on_reserved_late(place.target, place.made_at, now);
+    }
+}
+
+void placement_coordinator::rate_end(target_pool& pool, reservation& place,
+                                     const placement_note& note, base::time_point now)
+{
+    const auto* target = pool.find(place.target);
+    if (target == nullptr) {
+        return;
+    }
+    if (*note.outcome != target_outcome::answered) {
+        // A failure counts even if the response began in time.
+        place.is_rated = false;
+        rate(pool, place, false, now);
+        return;
+    }
+    // The expected time of an engine's request ends with its first event, which was rated.
+    const auto took = static_cast<double>(note.took.count());
+    rate(pool, place, target->is_engine || !scheduling::is_late(took, due_ms(place)), now);
+}
+
 void placement_coordinator::release_unread_tokens(target_pool& pool, reservation& place)
 {
     if (!std::exchange(place.tokens_released, true)) {
@@ -178,6 +281,10 @@
         if (now - place.made_at > max_unread_time) {
             release_unread_tokens(pool, place);
         }
+        if (!place.is_rated && !place.tokens_released &&
+            scheduling::is_late(ms_between(place.made_at, now), due_ms(place))) {
+            rate(pool, place, false, now);
+        }
         if (!place.tokens_released) {
             const auto [due, is_first] = first_due.try_emplace(place.target, place.due_at);
             due->second = std::min(due->second, place.due_at);
@@ -185,6 +292,7 @@
         ++entry;
     }
     pool.set_first_due(first_due);
+    pool.update_windows(now);
 }
 
 bool placement_coordinator::is_active(base::time_point now) const
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -9,9 +9,37 @@
 /// Weight of the newest sample in a target's smoothed values.
 constexpr double newest_sample_weight = 0.1;
 
-void update_entry(tracked_target& target, const target_entry& entry, base::time_point now)
+/// The list of targets is complete this long after the first of them: a VM reads it at its start.
+constexpr base::milliseconds list_settling_time{5000};
+
+/// An older load report is not passed on; the next response brings a newer one.
+constexpr base::milliseconds max_load_age{1000};
+
+bool is_recent(const reported_load& load, base::time_point now)
 {
-    if (target.entry.started_ms != entry.started_ms) {
+    return now - load.reported_at <= max_load_age;
+}
+
+target_use with_load(const tracked_target& target, std::uint32_t in_flight, std::uint32_t unread,
+                     base::time_point now)
+{
+    target_use use{target.id, in_flight, unread, 0, 0, max_load_age * 2};
+    if (is_recent(target.load, now)) {
+        use.running = target.load.running;
+        use.waiting = target.load.waiting;
+        use.load_age =
+            std::chrono::duration_cast<base::milliseconds>(now - target.load.reported_at);
+    }
+    return use;
+}
+
+} // namespace
+
+void target_pool::update_entry(tracked_target& target, const target_entry& entry, bool is_new,
+                               base::time_point now)
+{
+    const bool is_new_run = target.entry.started_ms != entry.started_ms;
+    if (is_new_run) {
         // A new run under the same name has an empty cache and no history.
         target.health = {};
         target.cache.clear();
@@ -31,41 +59,31 @@
         target.displaced = false;
     }
     target.entry = entry;
-}
-
-/// An older load report is not passed on; the next response brings a newer one.
-constexpr base::milliseconds max_load_age{1000};
-
-bool is_recent(const reported_load& load, base::time_point now)
-{
-    return now - load.reported_at <= max_load_age;
-}
-
-target_use with_load(const tracked_target& target, std::uint32_t in_flight, std::uint32_t unread,
-                     base::time_point now)
-{
-    target_use use{target.id, in_flight, unread, 0, 0, max_load_age * 2};
-    if (is_recent(target.load, now)) {
-        use.running = target.load.running;
-        use.waiting = target.load.waiting;
-        use.load_age =
-            std::chrono::duration_cast<base::milliseconds>(now - target.load.reported_at);
+    if (is_new) {
+        // Targets of the list that this VM read at its own start have been serving.
+        if (m_first_targets_at && now - *m_first_targets_at > list_settling_time) {
+            begin_window(target, "added", now);
+        }
+    }
+    else if (is_new_run) {
+        begin_window(target, "restarted", now);
     }
-    return use;
 }
 
 /// Ends the ejection of a target that answers again; it may have restarted while it was
 /// unreachable, and then counts as cold.
-void readmit_target(tracked_target& target, base::time_point now)
+void target_pool::readmit_target(tracked_target& target, base::time_point now)
 {
     if (target.health.may_have_restarted) {
         target.cold_until = std::max(target.cold_until, now + target.cold_time);
     }
     readmit(target.health);
+    begin_window(target, "readmitted", now);
 }
 
 /// Keeps the newest load that the target reported to any VM.
-void update_load(tracked_target& target, const target_use& report, base::time_point now)
+void target_pool::update_load(tracked_target& target, const target_use& report,
+                              base::time_point now)
 {
     const auto reported_at = now - report.load_age;
     if (report.load_age <= max_load_age && is_on_probation(target.health) &&
@@ -78,8 +96,6 @@
     }
 }
 
-} // namespace
-
 void target_pool::sync(const published_state& state, const region_name& region,
                        const std::map<data_center_name, region_name>& region_of,
                        base::time_point now)
@@ -112,7 +128,8 @@
             target.cold_until = std::max(target.cold_until, now + service->cold_time);
         }
         target.evacuated = evacuated;
-        update_entry(target, entry, now);
+        update_entry(target, entry, known == m_targets.end(), now);
+        m_first_targets_at = m_first_targets_at.value_or(now);
         m_names.emplace(target.id, name);
         next.emplace(name, std::move(target));
     }
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -220,8 +220,7 @@
     const auto& self = m_core.settings.self;
     if (place.coordinator_ip == self.ip) {
         // The pool already has the outcome of this VM's own attempt.
-        note.outcome = std::nullopt;
-        m_core.coordinator.apply_note(m_core.pool, self.ip, note, now);
+        m_core.coordinator.apply_own_note(m_core.pool, self.ip, note, now);
         return;
     }
     m_notes[place.coordinator_ip].unsent.push_back(note);
@@ -252,6 +251,35 @@
     send_notes(now);
     send_notices(now);
     m_core.coordinator.tick(m_core.pool, now);
+    log_windows(now);
+}
+
+void placement_link::log_windows(base::time_point now)
+{
+    using kind = fleet::window_event::kind;
+    const bool decides = is_coordinator(now);
+    for (const auto& event : m_core.pool.take_window_events()) {
+        // The windows of other VMs are without effect until they become the coordinator.
+        if (!decides) {
+            continue;
+        }
+        if (event.change == kind::shrunk) {
+            m_core.counters.add("start_windows_shrunk_total");
+            continue;
+        }
+        const bool is_begun = event.change == kind::begun;
+        m_core.counters.add(is_begun ? "start_windows_begun_total" : "start_windows_ended_total");
+        write_log(m_core, log_event(m_core, is_begun ? "start_window_begun" : "start_window_ended")
+                              .add("target", event.target.text())
+                              .add("cause", event.cause)
+                              .add("requests", event.size)
+                              .add("lasted_ms", event.lasted.count()));
+    }
+    const auto count = [&](std::string_view name, std::uint64_t total, std::uint64_t& counted) {
+        m_core.counters.add(name, total - std::exchange(counted, total));
+    };
+    count("start_windows_held_back_total", m_core.coordinator.held_back(), m_counted_held_back);
+    count("start_windows_exceeded_total", m_core.coordinator.beyond_windows(), m_counted_beyond);
 }
 
 void placement_link::expire_queries(base::time_point now)
