front, fleet: the load header is parsed by a function of its own; a stricter test of slow start

Cause: the fourth figure was read within the exchange, where nothing tested it. The test of a slow fresh engine passed without the window as well, since the other engines were idle.

The fresh engine is now added among engines with a second of prompts to read.

--- a/src/chicorylink/fleet/start_window_placement_test.cpp
+++ b/src/chicorylink/fleet/start_window_placement_test.cpp
@@ -24,23 +24,24 @@
     return pool.find(target_name{name})->window;
 }
 
-// Guards against a fresh engine whose first requests take long and that is flooded, as it looks
-// idle, and against one that is left idle.
+// Guards against a fresh engine among busy ones that is flooded, as it looks idle, and whose first
+// requests take long, and against one that is left idle.
 TEST(start_window_placement, a_slow_fresh_engine_is_neither_flooded_nor_idle)
 {
     engine_simulation engines(8);
     engines.factor = [](const std::string& name, double now) {
-        return name == "e0" && now > 10'000 && now < 14'000 ? 8.0 : 1.0;
+        return name == "e8" && now < 14'000 ? 8.0 : 1.0;
     };
-    (void)engines.run(1000, 10'000, requests_per_second, prompt_tokens);
-    engines.targets().publish_run("e0", "engine", 5, engine_simulation::time(10'000));
-    auto sums = engines.run(10'000, 13'000, requests_per_second, prompt_tokens);
-    EXPECT_LE(sums.most_in_progress["e0"], 6U);
-    EXPECT_GE(sums.placed["e0"], 5);
+    // Each engine has a second of prompts to read then.
+    (void)engines.run(1000, 10'000, 185, prompt_tokens);
+    engines.targets().publish("e8", "engine", false, engine_simulation::time(10'000));
+    auto sums = engines.run(10'000, 13'000, 150, prompt_tokens);
+    EXPECT_LE(sums.most_in_progress["e8"], 6U);
+    EXPECT_GE(sums.placed["e8"], 5);
     EXPECT_EQ(sums.refused, 0);
-    (void)engines.run(13'000, 18'000, requests_per_second, prompt_tokens);
-    sums = engines.run(18'000, 23'000, requests_per_second, prompt_tokens);
-    EXPECT_NEAR(sums.placed["e0"], 5 * requests_per_second / 8, 25);
+    (void)engines.run(13'000, 22'000, requests_per_second, prompt_tokens);
+    sums = engines.run(22'000, 27'000, requests_per_second, prompt_tokens);
+    EXPECT_NEAR(sums.placed["e8"], 5 * requests_per_second / 9, 25);
 }
 
 TEST(start_window_placement, a_healthy_fresh_engine_reaches_its_share_within_seconds)
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -197,8 +197,7 @@
     choice.start = answer.start;
     choice.unread_tokens = answer.unread_tokens;
     choice.is_paced = answer.is_paced;
-    const auto* holder =
-        answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
+    const auto* holder = answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
     if (holder != nullptr && holder->entry.service == target->entry.service) {
         choice.prefix_holder = holder->entry.name;
         choice.prefix_holder_address = holder->entry.address;
--- a/src/chicorylink/front/exchange_notices.cpp
+++ b/src/chicorylink/front/exchange_notices.cpp
@@ -1,6 +1,7 @@
 #include "chicorylink/base/ids.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/load_field.hpp"
 #include "chicorylink/front/plain_number.hpp"
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
@@ -26,27 +27,21 @@
     if (text == nullptr || m_attempt->target.empty()) {
         return;
     }
-    // `RUNNING,WAITING,SLOTS[,TIME]`: the first two have the format of token counts.
-    const auto second_comma = text->find(',', text->find(',') + 1);
-    const auto load = fleet::parse_token_counts(std::string_view{*text}.substr(0, second_comma));
-    if (load) {
-        m_core.pool.on_load(m_attempt->target, load->prompt_tokens, load->answer_tokens, now);
+    const auto load = parse_load_field(*text);
+    if (!load) {
+        return;
     }
-    const auto third_comma =
-        second_comma == std::string::npos ? second_comma : text->find(',', second_comma + 1);
+    m_core.pool.on_load(m_attempt->target, load->running, load->waiting, now);
     // A misdirected request was answered by another target than the one it was sent to.
-    if (third_comma != std::string::npos && head.status != misdirected_status) {
-        const auto fourth = std::string_view{*text}.substr(third_comma + 1);
-        if (const auto percent = parse_plain_number(fourth.substr(0, fourth.find(',')))) {
-            note_stated_time(*percent, now);
-        }
+    if (load->time_percent && head.status != misdirected_status) {
+        note_stated_time(*load->time_percent, now);
     }
 }
 
 void exchange::note_stated_time(double percent, base::time_point now)
 {
     const auto* target = m_core.pool.find(m_attempt->target);
-    if (target == nullptr || percent <= 0) {
+    if (target == nullptr) {
         return;
     }
     fleet::target_pace statement;
