fleet: a fresh target is compared with what is usual for its service

Cause: where all engines take more than three times as long as the program assumes, every response of a fresh one counted as late, and its window stayed at its beginning until its time was up.

Change: the time by which a response is due is multiplied by the usual ratio of the service, if that is above 1.

--- a/include/chicorylink/fleet/placement_coordinator.hpp
+++ b/include/chicorylink/fleet/placement_coordinator.hpp
@@ -91,8 +91,9 @@
                                                          placement_request request,
                                                          const target_check& may_use,
                                                          base::time_point now);
-    /// @brief Milliseconds from the reservation to the expected begin of the response.
-    [[nodiscard]] static double due_ms(const reservation& place);
+    /// @brief Milliseconds from the reservation to the begin of the response, as is usual for the
+    /// service: if all of its targets take longer than expected, none of them is late.
+    [[nodiscard]] static double due_ms(const target_pool& pool, const reservation& place);
     /// @brief Counts a response, or its absence, toward the window of its target.
     static void rate(target_pool& pool, reservation& place, bool is_good, base::time_point now);
     static void rate_end(target_pool& pool, reservation& place, const placement_note& note,
--- a/include/chicorylink/fleet/target_pool.hpp
+++ b/include/chicorylink/fleet/target_pool.hpp
@@ -101,6 +101,10 @@
     std::vector<speed_change> on_start_measured(const target_name& name, double ratio,
                                                 base::time_point now);
 
+    /// @brief The ratio of measured to expected times to the first event that is usual for a
+    /// service; 1 while it is unknown.
+    [[nodiscard]] double usual_start_ratio(const service_name& service) const;
+
     /// @brief A reserved request's response began in time.
     void on_reserved_in_time(const target_name& name, base::time_point now);
 
@@ -187,6 +191,7 @@
     std::map<base::target_id, target_name> m_names;
     /// When this VM first knew any target of its region.
     std::optional<base::time_point> m_first_targets_at;
+    std::map<service_name, double> m_usual_start_ratios;
     std::vector<window_event> m_window_events;
     /// Pushback of runs whose entries are gone at present; they may come back.
     std::map<base::target_id, target_pushback> m_departed_pushbacks;
--- a/src/chicorylink/fleet/placement_coordinator.cpp
+++ b/src/chicorylink/fleet/placement_coordinator.cpp
@@ -139,7 +139,8 @@
     const auto* target = pool.find(place.target);
     place.expected.measured_ms = static_cast<double>(start.took.count());
     if (target != nullptr && target->is_engine) {
-        rate(pool, place, !scheduling::is_late(place.expected.measured_ms, due_ms(place)), now);
+        rate(pool, place, !scheduling::is_late(place.expected.measured_ms, due_ms(pool, place)),
+             now);
     }
     if (target == nullptr || !std::exchange(place.is_speed_sample, false)) {
         return {};
@@ -204,9 +205,12 @@
     return choice;
 }
 
-double placement_coordinator::due_ms(const reservation& place)
+double placement_coordinator::due_ms(const target_pool& pool, const reservation& place)
 {
-    return ms_between(place.made_at, place.due_at);
+    const double expected_ms = ms_between(place.made_at, place.due_at);
+    const auto* target = pool.find(place.target);
+    const double usual = target == nullptr ? 1 : pool.usual_start_ratio(target->entry.service);
+    return expected_ms * std::max(1.0, usual);
 }
 
 void placement_coordinator::rate(target_pool& pool, reservation& place, bool is_good,
@@ -238,7 +242,7 @@
     }
     // The expected time of an engine's request ends with its first event, which was rated.
     const auto took = static_cast<double>(note.took.count());
-    rate(pool, place, target->is_engine || !scheduling::is_late(took, due_ms(place)), now);
+    rate(pool, place, target->is_engine || !scheduling::is_late(took, due_ms(pool, place)), now);
 }
 
 void placement_coordinator::release_unread_tokens(target_pool& pool, reservation& place)
@@ -282,7 +286,7 @@
             release_unread_tokens(pool, place);
         }
         if (!place.is_rated && !place.tokens_released &&
-            scheduling::is_late(ms_between(place.made_at, now), due_ms(place))) {
+            scheduling::is_late(ms_between(place.made_at, now), due_ms(pool, place))) {
             rate(pool, place, false, now);
         }
         if (!place.tokens_released) {
--- a/src/chicorylink/fleet/start_window_placement_test.cpp
+++ b/src/chicorylink/fleet/start_window_placement_test.cpp
@@ -56,6 +56,17 @@
     EXPECT_EQ(sums.refused, 0);
 }
 
+// Guards against fresh engines that stay small as all engines take longer than the program assumes.
+TEST(start_window_placement, a_fresh_engine_is_compared_with_its_service)
+{
+    engine_simulation engines(8);
+    engines.factor = [](const auto&, double) { return 4.5; };
+    (void)engines.run(1000, 20'000, 20, prompt_tokens);
+    engines.targets().publish_run("e0", "engine", 5, engine_simulation::time(20'000));
+    (void)engines.run(20'000, 25'000, 20, prompt_tokens);
+    EXPECT_GE(window_of(engines.pool(), "e0").size, 10);
+}
+
 // A target that keeps a request waiting shrinks before the request's response comes or fails.
 TEST(start_window_placement, a_target_that_gets_slower_shrinks_at_once)
 {
--- a/src/chicorylink/fleet/target_pool_speed.cpp
+++ b/src/chicorylink/fleet/target_pool_speed.cpp
@@ -34,10 +34,17 @@
         }
     }
     const double usual = scheduling::usual_ratio(std::move(low_ratios));
+    m_usual_start_ratios[measured->entry.service] = usual;
     if (scheduling::update_learned(measured->speed, usual, now)) {
         changes.push_back({name, measured->speed.is_slow, measured->speed.learned});
     }
     return changes;
 }
 
+double target_pool::usual_start_ratio(const service_name& service) const
+{
+    const auto found = m_usual_start_ratios.find(service);
+    return found == m_usual_start_ratios.end() ? 1 : found->second;
+}
+
 } // namespace chicorylink::fleet
