front: the bytes of all unfinished and waiting requests are bounded

Cause: each request decided for itself; a body was held up to three times (body, serialized copy, send buffer), and nothing counted the sum. Beside it, bytes that arrived between two pipelined requests were parsed before those already read.

Change: request_memory counts unfinished requests, bodies, serialized copies and pipelined bytes in the whole process. Above a high watermark reading pauses, and the largest unfinished requests are refused with 503 and Retry-After. The serialized request is moved into the send buffer, and a body is freed when it can't be sent again. Connections have places by memory and descriptors, and a failed accept is repeated after 50 ms. Framing of a chunked body is bounded by its content. Pipelined bytes stay in order.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -4,9 +4,11 @@
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/configuration.hpp"
+#include "chicorylink/front/held_bytes.hpp"
 #include "chicorylink/front/message_parser.hpp"
 #include "chicorylink/front/resolution.hpp"
 #include "chicorylink/front/tcp_channel.hpp"
+#include "chicorylink/front/unfinished_request.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -24,7 +26,7 @@
 enum class connection_side { caller, peer };
 
 /// @brief Why this VM closes a connection that has no response under way.
-enum class close_cause { idle, incomplete_request, process_exit };
+enum class close_cause { idle, incomplete_request, process_exit, too_many_connections };
 
 /// @brief A connection opened by a caller or another VM; serves its requests one at a time.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
@@ -63,9 +65,19 @@
     /// response not fully sent.
     [[nodiscard]] bool is_busy(base::time_point now) const;
 
+    /// @brief Since when the connection has been open, or its first request unfinished; none after
+    /// the first request.
+    [[nodiscard]] std::optional<base::time_point> unused_since() const;
+
     /// @brief Handles the bytes that have arrived without waiting for the event loop.
     void read_arrived();
 
+    /// @brief Refuses the unfinished request, which has not run, because requests hold too much.
+    void shed(std::string_view cause, base::time_point now);
+
+    /// @brief Reads on after a pause because requests held too much, if the request still fits.
+    void resume(base::time_point now);
+
     [[nodiscard]] const std::shared_ptr<tcp_channel>& channel() const { return m_channel; }
 
     /// @brief Closes the connection at once; a running request is canceled. Logged if a request may
@@ -76,6 +88,11 @@
 
 private:
     void on_data(std::string_view bytes);
+    void parse(std::string_view bytes);
+    /// @brief Reads on behind pipelined requests, if they leave room.
+    void resume_after_pipelined();
+    /// @brief Counts the unfinished request, and pauses reading if requests hold too much.
+    void count_unfinished(base::time_point now);
     void on_end(channel_end end);
     void on_sent();
     void begin_request();
@@ -100,6 +117,8 @@
     std::size_t m_partial_bytes = 0;
     /// Bytes received while a request is served; the start of the next request.
     std::string m_pipelined;
+    held_bytes m_held_pipelined;
+    unfinished_request m_unfinished;
     /// When the first byte of the current request arrived, or when the connection became idle.
     base::time_point m_timeout_start{};
     bool m_has_received_request = false;
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -143,6 +143,8 @@
     void send_to_peer(const fleet::region_decision& decision, const std::string& ip,
                       base::time_point now);
     void send(std::string bytes, base::milliseconds connect_timeout, base::time_point now);
+    /// @brief Frees the body of a request that will not be sent again.
+    void drop_request_body();
     void charge_quota(base::time_point now);
     /// @brief Whether an earlier attempt used the same address.
     [[nodiscard]] bool was_sent_to(const std::string& address) const;
@@ -262,6 +264,8 @@
     front_core& m_core;
     caller_connection* m_caller;
     incoming_request m_request;
+    /// Counts the request's head and body.
+    held_bytes m_held_request;
     std::optional<fleet::prompt> m_prompt;
     /// The same for all requests that repeat this one; 0 until the route is known.
     std::uint64_t m_fingerprint = 0;
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/line_buffer.hpp"
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/metrics.hpp"
+#include "chicorylink/fleet/configuration.hpp"
 #include "chicorylink/fleet/crash_quarantine.hpp"
 #include "chicorylink/fleet/fleet_quota.hpp"
 #include "chicorylink/fleet/limit_watch.hpp"
@@ -22,6 +23,7 @@
 #include "chicorylink/front/front_settings.hpp"
 #include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/platform_protocol.hpp"
+#include "chicorylink/front/request_relief.hpp"
 
 #include <functional>
 #include <optional>
@@ -33,6 +35,7 @@
 namespace chicorylink::front {
 
 class exchange;
+class request_memory;
 class response_buffers;
 
 /// @brief State that the parts of one daemon share. Used on the event loop's thread only.
@@ -65,7 +68,11 @@
     connection_pool connections;
     /// Shared with connections that outlive this object.
     std::shared_ptr<response_buffers> response_bytes;
+    std::shared_ptr<request_memory> request_bytes;
+    request_readers readers;
     field_inventory target_fields;
+    /// Descriptors that the process may open.
+    std::size_t descriptor_limit;
     /// None until the daemon has opened its listeners.
     std::optional<placement_link> placements;
     /// Requests that are in progress.
@@ -96,6 +103,12 @@
 /// @brief When a VM that was told to stop ends the requests in progress; none for other VMs.
 [[nodiscard]] std::optional<base::time_point> end_of_requests(const front_core& core);
 
+/// @brief The limits of the configuration in force, or the usual ones without a configuration.
+[[nodiscard]] fleet::caller_limits limits_of(const front_core& core);
+
+/// @brief Most connections that callers may have open, and as many that other VMs may.
+[[nodiscard]] std::size_t max_connections(const front_core& core);
+
 /// @brief Whether the configuration was confirmed as the newest one recently enough that no
 /// withdrawn key is accepted beyond the withdrawal bound.
 [[nodiscard]] bool keys_are_fresh(const front_core& core, base::time_point now);
--- a/include/chicorylink/front/held_bytes.hpp
+++ b/include/chicorylink/front/held_bytes.hpp
@@ -6,12 +6,12 @@
 
 namespace chicorylink::front {
 
-class response_buffers;
+class byte_account;
 
 /// @brief The bytes that one buffer adds to the count of all; none after its end.
 class held_bytes {
 public:
-    explicit held_bytes(std::shared_ptr<response_buffers> all);
+    explicit held_bytes(std::shared_ptr<byte_account> all);
     ~held_bytes();
     held_bytes(const held_bytes&) = delete;
     held_bytes& operator=(const held_bytes&) = delete;
@@ -22,7 +22,7 @@
     void set(std::size_t bytes);
 
 private:
-    std::shared_ptr<response_buffers> m_all;
+    std::shared_ptr<byte_account> m_all;
     std::size_t m_bytes = 0;
 };
 
--- a/include/chicorylink/front/message_parser.hpp
+++ b/include/chicorylink/front/message_parser.hpp
@@ -45,6 +45,12 @@
     [[nodiscard]] parse_problem problem() const { return m_problem; }
     [[nodiscard]] const message_head& head() const { return m_head; }
 
+    /// @brief Bytes that were fed and not taken: of an unfinished head or line, and of the body.
+    [[nodiscard]] std::size_t held() const
+    {
+        return m_buffer.capacity() + m_body.size() + m_head_bytes;
+    }
+
     /// @brief Moves out the body bytes decoded since the last call.
     [[nodiscard]] std::string take_body();
 
@@ -58,6 +64,7 @@
 
     bool prepare_head();
     void parse_buffered();
+    [[nodiscard]] bool has_too_much_framing() const;
     void fail(parse_problem problem);
 
     std::unique_ptr<impl> m_impl;
@@ -66,6 +73,11 @@
     message_head m_head;
     std::size_t m_header_limit;
     std::size_t m_blank_bytes = 0;
+    /// Bytes of the head, which is kept in `m_head`.
+    std::size_t m_head_bytes = 0;
+    /// Bytes of chunk sizes, chunk extensions and trailers.
+    std::uint64_t m_framing_bytes = 0;
+    std::uint64_t m_body_bytes = 0;
     bool m_is_request;
     bool m_has_begun = false;
     bool m_has_head = false;
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace chicorylink::front {
 
@@ -43,6 +44,12 @@
 
 private:
     void accept();
+    /// @brief Accepts again after a failure, such as a lack of descriptors that would last.
+    void accept_later();
+    /// @brief Closes the connection that has been without a request for longest, if all places are
+    /// taken.
+    /// @return False if there is none to close.
+    bool make_room(base::time_point now);
     void add_connection(boost::asio::ip::tcp::socket socket);
     void on_closed(const caller_connection* key);
     /// @brief The connections; handling one may remove it from `m_connections`.
@@ -50,7 +57,9 @@
 
     front_core& m_core;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_accept_timer;
     connection_side m_side;
+    bool m_is_full_logged = false;
     std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
     /// Closed connections that are still sending the rest of their last response.
     std::vector<std::weak_ptr<tcp_channel>> m_closing;
--- a/include/chicorylink/front/response_buffers.hpp
+++ b/include/chicorylink/front/response_buffers.hpp
@@ -1,13 +1,15 @@
 #ifndef CHICORYLINK_FRONT_RESPONSE_BUFFERS_HPP
 #define CHICORYLINK_FRONT_RESPONSE_BUFFERS_HPP
 
+#include "chicorylink/front/byte_account.hpp"
+
 #include <cstddef>
 
 namespace chicorylink::front {
 
 /// @brief Counts the bytes of responses that this VM holds for callers, over all requests, and says
 /// how many of them one request may hold.
-class response_buffers {
+class response_buffers : public byte_account {
 public:
     /// Bytes that one request may hold before reading from its target pauses.
     static constexpr std::size_t usual_allowance = 256UL * 1024;
@@ -17,8 +19,8 @@
     /// @param memory_bytes Memory that the process may use.
     explicit response_buffers(std::size_t memory_bytes);
 
-    void add(std::size_t bytes);
-    void remove(std::size_t bytes);
+    void add(std::size_t bytes) override;
+    void remove(std::size_t bytes) override;
 
     /// @brief Bytes that one request may hold now.
     [[nodiscard]] std::size_t allowance() const;
--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -36,6 +36,8 @@
         std::function<void(channel_end)> on_end;
         /// Called when all queued bytes have been sent.
         std::function<void()> on_sent;
+        /// Most bytes of the next read; without, as many as the read buffer takes.
+        std::function<std::size_t()> read_allowance{};
     };
 
     /// @param socket A connected socket; the constructor makes it non-blocking.
@@ -56,6 +58,8 @@
 
     /// @brief Queues bytes and sends at once as many as the socket accepts.
     void send(std::string_view bytes);
+    /// @brief The same without a copy if nothing is queued.
+    void send_owned(std::string bytes);
 
     /// @brief Adds the queued bytes to a count of all responses.
     void count_unsent(std::shared_ptr<response_buffers> all);
--- a/include/chicorylink/front/upstream_call.hpp
+++ b/include/chicorylink/front/upstream_call.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/front/connection_pool.hpp"
+#include "chicorylink/front/held_bytes.hpp"
 #include "chicorylink/front/message_parser.hpp"
 
 #include <functional>
@@ -32,6 +33,8 @@
     /// Whether a connection must not be reused. When a request is sent to the same address again,
     /// a late copy of the first response would be indistinguishable from the new one.
     bool force_new_connection = false;
+    /// Counts the bytes until they are sent; may be null.
+    std::shared_ptr<byte_account> account;
 };
 
 /// @brief One request to a target or a peer, and its response.
@@ -84,6 +87,8 @@
     bool skip_unrelated_response();
     void finish();
     void fail(std::string detail);
+    /// @brief Frees the serialized request, which is not needed after the end of the call.
+    void drop_request();
     void reset_parser();
 
     connection_pool& m_pool;
@@ -93,6 +98,8 @@
     std::unique_ptr<message_parser> m_parser;
     /// Bytes of interim responses and of responses to other requests.
     std::size_t m_skipped_bytes = 0;
+    /// Counts the serialized request until it is sent; null without an account.
+    std::unique_ptr<held_bytes> m_held;
     bool m_is_reused = false;
     /// False after a response to another request arrived on the connection.
     bool m_is_reusable = true;
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -1,9 +1,11 @@
 #include "chicorylink/front/caller_connection.hpp"
 
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/base/ids.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
+#include "chicorylink/front/request_memory.hpp"
 #include "chicorylink/front/retry_after.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
@@ -16,8 +18,8 @@
 namespace chicorylink::front {
 namespace {
 
-/// Bytes of following requests that are buffered while one is served; reading pauses beyond that.
-constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
+/// Ends a chunked body without trailers.
+constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 /// How long idle connections between VMs are kept; sent to peers in `Keep-Alive`.
 constexpr base::milliseconds peer_idle_timeout{30'000};
@@ -30,11 +32,6 @@
 /// the timeout as well.
 constexpr base::milliseconds idle_margin{500};
 
-fleet::caller_limits limits_of(const front_core& core)
-{
-    return core.state.config() ? core.state.config()->limits() : fleet::caller_limits{};
-}
-
 std::string_view to_string(close_cause cause)
 {
     switch (cause) {
@@ -44,6 +41,8 @@
         return "incomplete_request";
     case close_cause::process_exit:
         return "process_exit";
+    case close_cause::too_many_connections:
+        return "too_many_connections";
     }
     return "unknown";
 }
@@ -63,12 +62,16 @@
 
 caller_connection::caller_connection(front_core& core, std::shared_ptr<tcp_channel> channel,
                                      connection_side side)
-    : m_core(core), m_channel(std::move(channel)), m_side(side)
+    : m_core(core), m_channel(std::move(channel)), m_side(side),
+      m_held_pipelined(core.request_bytes), m_unfinished(core.request_bytes)
 {
     reset_parser();
 }
 
-caller_connection::~caller_connection() = default;
+caller_connection::~caller_connection()
+{
+    m_core.readers.connections.erase(m_unfinished.key());
+}
 
 void caller_connection::reset_parser()
 {
@@ -85,29 +88,11 @@
 {
     m_on_closed = std::move(on_closed);
     m_timeout_start = base::boot_now();
+    m_core.readers.connections.emplace(m_unfinished.key(), weak_from_this());
     m_channel->start({[self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
                       [self = shared_from_this()](channel_end end) { self->on_end(end); },
-                      [self = shared_from_this()] { self->on_sent(); }});
-}
-
-void caller_connection::on_data(std::string_view bytes)
-{
-    if (m_exchange) {
-        m_pipelined.append(bytes);
-        if (m_pipelined.size() > max_pipelined_bytes) {
-            m_channel->pause_reading();
-        }
-        return;
-    }
-    if (!m_parser->has_begun()) {
-        m_timeout_start = base::boot_now();
-        if (m_limits != limits_of(m_core)) {
-            reset_parser();
-        }
-    }
-    m_partial_bytes += bytes.size();
-    m_parser->feed(bytes);
-    begin_request();
+                      [self = shared_from_this()] { self->on_sent(); },
+                      [all = m_core.request_bytes] { return all->read_allowance(); }});
 }
 
 void caller_connection::begin_request()
@@ -124,6 +109,7 @@
     incoming.body = m_parser->take_body();
     incoming.arrived_at = base::boot_now();
     m_pipelined = m_parser->take_remaining();
+    m_held_pipelined.set(m_pipelined.size());
     m_has_received_request = true;
     m_close_after_response = !incoming.head.keep_alive;
     if (const auto* id = find_field(incoming.head.fields, m_core.protocol.names.request_id)) {
@@ -208,7 +194,7 @@
 void caller_connection::end_response()
 {
     if (m_is_chunked) {
-        m_channel->send("0\r\n\r\n");
+        m_channel->send(last_chunk);
     }
     next_request();
 }
@@ -228,6 +214,10 @@
     if (m_exchange && !m_exchange->request_id().empty()) {
         fields.push_back({m_core.protocol.names.request_id, m_exchange->request_id()});
     }
+    else if (const auto* id = find_field(m_parser->head().fields, m_core.protocol.names.request_id);
+             m_parser->has_head() && id != nullptr) {
+        fields.push_back({m_core.protocol.names.request_id, *id});
+    }
     if (cause.retry_after) {
         const double seconds = static_cast<double>(cause.retry_after->count()) / 1000;
         fields.push_back({std::string{retry_after_field}, fmt::format("{:.3f}", seconds)});
@@ -251,16 +241,17 @@
         return;
     }
     reset_parser();
-    const auto pipelined = std::exchange(m_pipelined, {});
-    if (pipelined.empty()) {
+    if (m_pipelined.empty()) {
         m_channel->resume_reading();
         return;
     }
     // Posted to the loop, so that pipelined requests don't recurse.
-    boost::asio::post(m_core.loop, [self = shared_from_this(), pipelined] {
+    boost::asio::post(m_core.loop, [self = shared_from_this()] {
         if (!self->m_is_closed) {
-            self->m_channel->resume_reading();
-            self->on_data(pipelined);
+            const auto pipelined = std::exchange(self->m_pipelined, {});
+            self->m_held_pipelined.set(0);
+            self->parse(pipelined);
+            self->resume_after_pipelined();
         }
     });
 }
@@ -333,8 +324,8 @@
 bool caller_connection::is_busy(base::time_point now) const
 {
     const bool is_new = !m_has_received_request && now - m_timeout_start < first_request_window;
-    return is_new || m_exchange || m_parser->has_begun() || m_channel->unsent() > 0 ||
-           m_channel->unread() > 0;
+    return is_new || m_exchange || m_parser->has_begun() || !m_pipelined.empty() ||
+           m_channel->unsent() > 0 || m_channel->unread() > 0;
 }
 
 void caller_connection::read_arrived()
@@ -345,7 +336,8 @@
 
 void caller_connection::tick(base::time_point now)
 {
-    if (m_exchange || m_is_closed) {
+    // A paused request ends by the count of all requests.
+    if (m_exchange || m_is_closed || m_unfinished.is_paused()) {
         return;
     }
     // A shorter time of a new configuration starts with the next request or idle period.
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -6,6 +6,7 @@
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/request_fingerprint.hpp"
+#include "chicorylink/front/request_memory.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
@@ -24,11 +25,22 @@
 /// Deadline until the route is known; longer than any step before that takes.
 constexpr base::milliseconds initial_timeout{2000};
 
+std::size_t bytes_of(const incoming_request& request)
+{
+    auto bytes = request.head.target.size() + request.body.size();
+    for (const auto& field : request.head.fields) {
+        bytes += field.name.size() + field.value.size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 exchange::exchange(front_core& core, caller_connection& caller, incoming_request request)
-    : m_core(core), m_caller(&caller), m_request(std::move(request))
+    : m_core(core), m_caller(&caller), m_request(std::move(request)),
+      m_held_request(core.request_bytes)
 {
+    m_held_request.set(bytes_of(m_request));
     m_history.from_peer = m_request.from_peer();
     m_core.exchanges.insert(this);
 }
@@ -113,6 +125,12 @@
     return !m_attempt || m_attempt->ended ? nullptr : m_attempt->call.get();
 }
 
+void exchange::drop_request_body()
+{
+    m_request.body = {};
+    m_held_request.set(bytes_of(m_request));
+}
+
 void exchange::release(attempt& ended, base::time_point now)
 {
     if (ended.target.empty() || std::exchange(ended.released, true)) {
@@ -319,6 +337,7 @@
         release(*m_attempt, now);
     }
     m_core.exchanges.erase(this);
+    drop_request_body();
     const auto ms_since = [&](base::time_point then) {
         return std::chrono::duration_cast<base::milliseconds>(then - m_request.arrived_at).count();
     };
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -250,6 +250,9 @@
     m_response_begun = true;
     m_begun_status = head.status;
     m_begun_media_type = media_type(head.fields);
+    if (!is_stream()) {
+        drop_request_body();
+    }
     m_caller->begin_response(head.status, head.reason, fields, length);
 }
 
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -3,6 +3,7 @@
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/request_bytes.hpp"
+#include "chicorylink/front/request_memory.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
@@ -197,8 +198,7 @@
     choice.start = answer.start;
     choice.unread_tokens = answer.unread_tokens;
     choice.is_paced = answer.is_paced;
-    const auto* holder =
-        answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
+    const auto* holder = answer.prefix_holder ? m_core.pool.find(*answer.prefix_holder) : nullptr;
     if (holder != nullptr && holder->entry.service == target->entry.service) {
         choice.prefix_holder = holder->entry.name;
         choice.prefix_holder_address = holder->entry.address;
@@ -343,6 +343,7 @@
     request.request_id = m_request.id;
     request.request_id_field = m_core.protocol.names.request_id;
     request.connect_timeout = std::min(connect_timeout, time_left(now));
+    request.account = m_core.request_bytes;
     request.force_new_connection = number > 1 && was_sent_to(m_attempt->address);
     m_attempted_addresses.push_back(m_attempt->address);
     m_attempt->number = number;
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -1,9 +1,12 @@
 #include "chicorylink/front/front_core.hpp"
 
+#include "chicorylink/front/request_memory.hpp"
 #include "chicorylink/front/response_buffers.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <utility>
 
@@ -20,6 +23,20 @@
 /// Requests in progress are ended this long before the platform would kill the process.
 constexpr base::milliseconds exit_margin{400};
 
+/// One connection is allowed for so much of the process's memory: 3,840 with 120 MB. A connection
+/// without a request takes a few KB, so that all of them leave room for requests.
+constexpr std::size_t memory_per_connection = 32UL * 1024;
+
+/// Half of the descriptors are left to targets, other VMs and the store.
+constexpr std::size_t descriptors_per_connection = 2;
+
+std::size_t descriptor_limit_of_process()
+{
+    rlimit limit{};
+    constexpr std::size_t usual_limit = 1024;
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usual_limit;
+}
+
 } // namespace
 
 front_core::front_core(boost::asio::io_context& event_loop, front_settings initial_settings,
@@ -30,8 +47,20 @@
       quota(settings.self.region, now), retries(settings.bounds.retries, settings.start, now),
       pacer(now + fleet::designation_delay), connections(event_loop),
       response_bytes(std::make_shared<response_buffers>(settings.memory_bytes)),
-      target_fields(platform.names)
+      request_bytes(std::make_shared<request_memory>(settings.memory_bytes)),
+      target_fields(platform.names), descriptor_limit(descriptor_limit_of_process())
+{
+}
+
+fleet::caller_limits limits_of(const front_core& core)
+{
+    return core.state.config() ? core.state.config()->limits() : fleet::caller_limits{};
+}
+
+std::size_t max_connections(const front_core& core)
 {
+    return std::min(core.settings.memory_bytes / memory_per_connection,
+                    core.descriptor_limit / descriptors_per_connection);
 }
 
 std::set<fleet::region_name> region_names(const front_settings& settings)
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -294,6 +294,7 @@
         // After a pause, responses that have arrived are read before any request times out.
         tick_exchanges(now);
     }
+    relieve_request_memory(m_core, now);
     m_core.placements->tick(now);
     m_gossip->tick(now);
     m_reader->tick(now);
--- a/src/chicorylink/front/held_bytes.cpp
+++ b/src/chicorylink/front/held_bytes.cpp
@@ -1,12 +1,12 @@
 #include "chicorylink/front/held_bytes.hpp"
 
-#include "chicorylink/front/response_buffers.hpp"
+#include "chicorylink/front/byte_account.hpp"
 
 #include <utility>
 
 namespace chicorylink::front {
 
-held_bytes::held_bytes(std::shared_ptr<response_buffers> all) : m_all(std::move(all)) {}
+held_bytes::held_bytes(std::shared_ptr<byte_account> all) : m_all(std::move(all)) {}
 
 held_bytes::~held_bytes()
 {
--- a/src/chicorylink/front/message_parser.cpp
+++ b/src/chicorylink/front/message_parser.cpp
@@ -21,6 +21,13 @@
 /// blank line. More than this is malformed.
 constexpr std::size_t max_blank_bytes = 16;
 
+/// Capacity of a buffer that is kept although it holds little.
+constexpr std::size_t max_kept_capacity = 16UL * 1024;
+
+/// Bytes of chunk sizes and extensions for each byte of a body. A chunk of one byte takes five;
+/// more is sent only to keep the parser busy.
+constexpr std::uint64_t max_framing_per_body_byte = 8;
+
 std::string to_string(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -168,6 +175,7 @@
         fail(parse_problem::header_too_large);
         return false;
     }
+    m_head_bytes = end + end_of_head.size();
     const auto head = std::string_view{m_buffer}.substr(0, end);
     // Beast joins folded lines; other parsers treat them as separate lines.
     if (head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos) {
@@ -195,6 +203,7 @@
 void message_parser::parse_buffered()
 {
     std::size_t consumed = 0;
+    const auto body_before = m_body.size();
     while (consumed < m_buffer.size() && !m_impl->is_done()) {
         error_code problem;
         const auto parsed = m_impl->put(std::string_view{m_buffer}.substr(consumed), problem);
@@ -211,8 +220,17 @@
     }
     m_buffer.erase(0, consumed);
     free_if_empty(m_buffer);
+    if (m_is_request && m_buffer.capacity() > max_kept_capacity &&
+        m_buffer.size() < max_kept_capacity / 2) {
+        // Many connections may wait with the beginning of a line.
+        m_buffer.shrink_to_fit();
+    }
+    const auto body = m_body.size() - body_before;
+    m_body_bytes += body;
+    m_framing_bytes += consumed - body;
     if (!m_has_head && m_impl->has_head()) {
         m_has_head = true;
+        m_framing_bytes -= m_head_bytes;
         m_impl->copy_framing(m_head);
         const bool has_transfer_encoding =
             find_field(m_head.fields, "Transfer-Encoding") != nullptr;
@@ -223,11 +241,17 @@
     }
     m_is_complete = m_impl->is_done();
     // The rest is an incomplete chunk-size or trailer line, which may never end.
-    if (!m_is_complete && m_buffer.size() > m_header_limit) {
+    if (!m_is_complete && (m_buffer.size() > m_header_limit || has_too_much_framing())) {
         fail(parse_problem::malformed);
     }
 }
 
+bool message_parser::has_too_much_framing() const
+{
+    return m_is_request &&
+           m_framing_bytes > max_framing_per_body_byte * m_body_bytes + 2 * m_header_limit;
+}
+
 void message_parser::feed_eof()
 {
     if (m_is_complete || m_problem != parse_problem::none) {
--- a/src/chicorylink/front/message_parser_test.cpp
+++ b/src/chicorylink/front/message_parser_test.cpp
@@ -46,6 +46,36 @@
     EXPECT_EQ(parser.take_body(), "abcde");
 }
 
+// Guards against bodies whose chunk extensions keep the parser busy without end.
+TEST(message_parser, rejects_framing_that_outweighs_the_body)
+{
+    message_parser parser(message_kind::request, head_limit, 100'000);
+    parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto chunk = "1;x=" + std::string(1000, 'y') + "\r\nz\r\n";
+    int fed = 0;
+    while (parser.problem() == parse_problem::none && fed < 100) {
+        parser.feed(chunk);
+        ++fed;
+    }
+    EXPECT_EQ(parser.problem(), parse_problem::malformed);
+    EXPECT_LT(fed, 10);
+}
+
+// The same limit must not meet a body in chunks of one byte.
+TEST(message_parser, joins_a_body_in_chunks_of_one_byte)
+{
+    message_parser parser(message_kind::request, head_limit, 100'000);
+    parser.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int count = 0; count < 100'000; ++count) {
+        parser.feed("1\r\ny\r\n");
+    }
+    EXPECT_EQ(parser.problem(), parse_problem::none);
+    EXPECT_GE(parser.held(), 100'000U);
+    parser.feed("0\r\n\r\n");
+    EXPECT_TRUE(parser.is_complete());
+    EXPECT_EQ(parser.take_body().size(), 100'000U);
+}
+
 TEST(message_parser, rejects_malformed_and_ambiguous_requests)
 {
     EXPECT_EQ(problem_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
--- a/src/chicorylink/front/request_bytes.cpp
+++ b/src/chicorylink/front/request_bytes.cpp
@@ -12,7 +12,6 @@
 std::string serialize(const incoming_request& request, const header_fields& fields)
 {
     std::string bytes;
-    bytes.reserve(request.body.size() + 1024);
     bytes.append(request.head.method)
         .append(" ")
         .append(request.head.target)
@@ -22,7 +21,10 @@
     if (has_body) {
         append_field(bytes, "Content-Length", std::to_string(request.body.size()));
     }
-    bytes.append("\r\n").append(request.body);
+    bytes.append("\r\n");
+    // Exactly, so that a large body takes no more than its size.
+    bytes.reserve(bytes.size() + request.body.size());
+    bytes.append(request.body);
     return bytes;
 }
 
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -4,14 +4,21 @@
 #include "chicorylink/front/front_core.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
 namespace chicorylink::front {
+namespace {
+
+/// Time until the next accept after a failure. A lack of descriptors lasts until a connection ends.
+constexpr base::milliseconds accept_retry_interval{50};
+
+} // namespace
 
 request_listener::request_listener(front_core& core, boost::asio::ip::tcp::acceptor acceptor,
                                    connection_side side)
-    : m_core(core), m_acceptor(std::move(acceptor)), m_side(side)
+    : m_core(core), m_acceptor(std::move(acceptor)), m_accept_timer(core.loop), m_side(side)
 {
     accept();
 }
@@ -45,14 +52,56 @@
         }
         if (problem) {
             write_log(m_core, log_event(m_core, "accept_failed").add("reason", problem.message()));
+            m_core.counters.add("accept_failures_total");
+            accept_later();
+            return;
         }
-        else {
+        if (make_room(base::boot_now())) {
             add_connection(std::move(socket));
         }
         accept();
     });
 }
 
+void request_listener::accept_later()
+{
+    m_accept_timer.expires_after(accept_retry_interval);
+    m_accept_timer.async_wait([this](boost::system::error_code stopped) {
+        if (!stopped && m_acceptor.is_open()) {
+            accept();
+        }
+    });
+}
+
+bool request_listener::make_room(base::time_point now)
+{
+    if (m_connections.size() < max_connections(m_core)) {
+        return true;
+    }
+    std::shared_ptr<caller_connection> oldest;
+    std::optional<base::time_point> since;
+    for (const auto& [key, connection] : m_connections) {
+        const auto unused = connection->unused_since();
+        if (unused && (!since || *unused < *since)) {
+            oldest = connection;
+            since = unused;
+        }
+    }
+    if (!std::exchange(m_is_full_logged, true)) {
+        write_log(m_core, log_event(m_core, "connections_full")
+                              .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                              .add("connections", std::uint64_t{m_connections.size()})
+                              .add("has_unused", oldest != nullptr));
+    }
+    if (!oldest) {
+        m_core.counters.add("connections_refused_total");
+        return false;
+    }
+    m_core.counters.add("unused_connections_closed_total");
+    oldest->close(close_cause::too_many_connections, now);
+    return true;
+}
+
 void request_listener::add_connection(boost::asio::ip::tcp::socket socket)
 {
     auto channel = std::make_shared<tcp_channel>(std::move(socket));
@@ -118,6 +167,13 @@
     for (const auto& connection : snapshot()) {
         connection->tick(now);
     }
+    // Logged again only after a tenth of the places was free.
+    if (m_is_full_logged && m_connections.size() < max_connections(m_core) / 10 * 9) {
+        m_is_full_logged = false;
+        write_log(m_core, log_event(m_core, "connections_freed")
+                              .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                              .add("connections", std::uint64_t{m_connections.size()}));
+    }
 }
 
 void request_listener::read_arrived()
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorylink/front/free_if_empty.hpp"
 #include "chicorylink/front/held_bytes.hpp"
+#include "chicorylink/front/response_buffers.hpp"
 
 #include <array>
 #include <netinet/tcp.h>
@@ -130,7 +131,8 @@
     }
     error_code problem;
     auto& buffer = read_buffer();
-    const auto count = m_socket.read_some(boost::asio::buffer(buffer), problem);
+    const auto allowed = m_handlers.read_allowance ? m_handlers.read_allowance() : buffer.size();
+    const auto count = m_socket.read_some(boost::asio::buffer(buffer, allowed), problem);
     if (problem == boost::asio::error::would_block) {
         wait_readable();
         return;
@@ -184,6 +186,18 @@
     }
 }
 
+void tcp_channel::send_owned(std::string bytes)
+{
+    if (!m_send_buffer.empty()) {
+        send(std::string_view{bytes});
+        return;
+    }
+    if (m_socket.is_open() && !m_closing) {
+        m_send_buffer = std::move(bytes);
+        write_some();
+    }
+}
+
 void tcp_channel::write_some()
 {
     error_code problem;
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -62,6 +62,10 @@
 upstream_call::upstream_call(connection_pool& pool, upstream_request request)
     : m_pool(pool), m_request(std::move(request))
 {
+    if (m_request.account) {
+        m_held = std::make_unique<held_bytes>(m_request.account);
+        m_held->set(m_request.bytes.size());
+    }
 }
 
 void upstream_call::reset_parser()
@@ -104,9 +108,13 @@
     m_channel = std::move(channel);
     m_channel->start({[self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
                       [self = shared_from_this()](channel_end end) { self->on_channel_end(end); },
+                      [self = shared_from_this()] { self->m_held = nullptr; },
                       {}});
     m_sent = true;
-    m_channel->send(m_request.bytes);
+    m_channel->send_owned(std::exchange(m_request.bytes, {}));
+    if (m_channel->unsent() == 0) {
+        m_held = nullptr;
+    }
 }
 
 void upstream_call::on_data(std::string_view bytes)
@@ -214,6 +222,7 @@
 void upstream_call::finish()
 {
     m_is_finished = true;
+    drop_request();
     const auto& head = m_parser->head();
     const bool clean =
         m_is_reusable && m_parser->take_remaining().empty() && m_channel->unsent() == 0;
@@ -254,6 +263,7 @@
 void upstream_call::fail(std::string detail)
 {
     m_is_finished = true;
+    drop_request();
     if (const auto channel = std::exchange(m_channel, nullptr)) {
         channel->close();
         m_pool.note_closed(m_request.address);
@@ -267,6 +277,7 @@
 void upstream_call::cancel()
 {
     m_is_finished = true;
+    drop_request();
     m_handlers = {};
     if (const auto channel = std::exchange(m_channel, nullptr)) {
         channel->abort();
@@ -274,6 +285,12 @@
     }
 }
 
+void upstream_call::drop_request()
+{
+    m_request.bytes = {};
+    m_held = nullptr;
+}
+
 void upstream_call::discard()
 {
     m_handlers = {};
