front: a client of the status addresses that does not read is cut off

Cause: responses to pipelined requests for readiness, directory and metrics were queued without bound for a client that sends and never reads.

Change: beyond 64 KB of unread responses the connection is reset. Found by reading; no test of its own.

--- a/src/chicorylink/front/status_server.cpp
+++ b/src/chicorylink/front/status_server.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t max_head_bytes = 8UL * 1024;
 constexpr std::uint64_t max_body_bytes = 4UL * 1024;
 
+/// A client that sends requests and does not read this many bytes of the responses is cut off.
+constexpr std::size_t max_unsent_bytes = 64UL * 1024;
+
 /// A connection without a request for this long is closed. Callers send one about every second.
 constexpr base::milliseconds idle_timeout{20'000};
 
@@ -85,6 +88,11 @@
     while (client->parser->is_complete()) {
         const auto head = client->parser->head();
         const auto rest = client->parser->take_remaining();
+        if (client->channel->unsent() > max_unsent_bytes) {
+            client->channel->abort();
+            m_sessions.erase(client.get());
+            return;
+        }
         client->channel->send(to_bytes(m_respond(head), head.keep_alive));
         if (!head.keep_alive) {
             client->channel->close_after_sent();
