front: the events of one read are sent to the caller at once

Cause: each event of a stream was sent by a system call of its own; 200 streams of events of 9 bytes kept the process busy and requests of other callers timed out.

Change: the events of one read are collected and sent together, also those before an event that ends the attempt.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -158,6 +158,8 @@
     void on_response_end(std::uint32_t number);
     void on_failure(std::uint32_t number, const upstream_failure& failure);
     void on_event(attempt& from, const base::sse_event& event, base::time_point now);
+    /// @brief Sends the events of one read to the caller at once: each send is a system call.
+    void send_events();
     [[nodiscard]] bool is_silent_attempt(std::uint32_t number) const
     {
         return m_silent_attempt && m_silent_attempt->number == number;
@@ -284,6 +286,8 @@
     /// The shortest retry delay that a VM of another region sent.
     std::optional<base::milliseconds> m_peer_retry_after;
     std::string m_last_event_id;
+    /// Events that were read and not sent to the caller yet; empty between two reads.
+    std::string m_unsent_events;
     /// When the caller was sent the last event.
     base::time_point m_last_event_at{};
     /// When to look again for a target of a stream that has begun and has none.
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -3,6 +3,7 @@
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
+#include "chicorylink/front/free_if_empty.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/response_buffers.hpp"
 #include "chicorylink/front/retry_after.hpp"
@@ -170,6 +171,7 @@
     from.events.feed(piece);
     while (const auto event = from.events.next()) {
         if (!comes_behind_last(from, *event)) {
+            send_events();
             reject_body(number, "the continuation does not follow the last event", now);
             return;
         }
@@ -178,6 +180,7 @@
         }
         on_event(from, *event, now);
     }
+    send_events();
     count_held(from);
     const auto allowance = m_core.response_bytes->allowance();
     if (from.events.overflowed() || from.events.unread() > allowance) {
@@ -211,7 +214,7 @@
     if (event.is_comment) {
         // Comments only keep the connection open; they are no progress and don't begin a response.
         if (from.has_event) {
-            m_caller->send_body(event.bytes);
+            m_unsent_events.append(event.bytes);
         }
         else {
             from.buffered_body.append(event.bytes);
@@ -234,14 +237,23 @@
         begin_response(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
     }
-    m_caller->send_body(std::exchange(m_attempt->buffered_body, {}));
-    m_caller->send_body(event.bytes);
+    m_unsent_events.append(std::exchange(m_attempt->buffered_body, {}));
+    m_unsent_events.append(event.bytes);
     m_history.can_continue = !event.id.empty();
     if (!event.id.empty()) {
         m_last_event_id = event.id;
     }
 }
 
+void exchange::send_events()
+{
+    if (m_caller != nullptr) {
+        m_caller->send_body(m_unsent_events);
+    }
+    m_unsent_events.clear();
+    free_if_empty(m_unsent_events);
+}
+
 void exchange::begin_response(const message_head& head, std::optional<std::uint64_t> length)
 {
     auto fields = head.fields;
