front: waiting connections are accepted in batches

Cause: one connection was accepted in a round of the event loop. Beside streams that send without end a round takes long, and each caller waited a round for each caller before it.

Change: up to 64 waiting connections are accepted at once.

--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -4,6 +4,7 @@
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/front/caller_connection.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +45,9 @@
 
 private:
     void accept();
+    /// @brief Accepts connections that wait already.
+    /// @return How many.
+    std::uint64_t accept_waiting(std::uint64_t most);
     /// @brief Accepts again after a failure, such as a lack of descriptors that would last.
     void accept_later();
     /// @brief Closes the connection that has been without a request for longest, if all places are
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -11,6 +11,10 @@
 namespace chicorylink::front {
 namespace {
 
+/// Connections that are accepted before others are served. With one at a time, callers would wait
+/// a round of the event loop for each caller before them.
+constexpr std::uint64_t max_accepted_at_once = 64;
+
 /// Time until the next accept after a failure. A lack of descriptors lasts until a connection ends.
 constexpr base::milliseconds accept_retry_interval{50};
 
@@ -59,10 +63,30 @@
         if (make_room(base::boot_now())) {
             add_connection(std::move(socket));
         }
+        accept_waiting(max_accepted_at_once);
         accept();
     });
 }
 
+std::uint64_t request_listener::accept_waiting(std::uint64_t most)
+{
+    std::uint64_t accepted = 0;
+    boost::system::error_code problem;
+    m_acceptor.non_blocking(true, problem);
+    while (!problem && accepted < most) {
+        boost::asio::ip::tcp::socket socket(m_core.loop);
+        m_acceptor.accept(socket, problem);
+        if (problem) {
+            break;
+        }
+        ++accepted;
+        if (make_room(base::boot_now())) {
+            add_connection(std::move(socket));
+        }
+    }
+    return accepted;
+}
+
 void request_listener::accept_later()
 {
     m_accept_timer.expires_after(accept_retry_interval);
