--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -170,6 +170,8 @@
     // The team's quota.
     /// @brief What the request asks of its team's quota; its team is known.
     [[nodiscard]] scheduling::quota_demand quota_demand() const;
+    /// @brief Frees the body of a request that will not be sent again.
+    void drop_request_body();
     void charge_quota(base::time_point now);
     /// @brief Gives the team back what a refused request was charged here, unless it may have run.
     void refund_quota(base::time_point now);
@@ -188,6 +190,8 @@
     void on_event(attempt& from, const base::sse_event& event, base::time_point now);
     /// @brief Records how long a stream waited for the tokens of an event.
     void note_tokens(attempt& from, base::time_point now);
+    /// @brief Sends the events of one read to the caller at once: each send is a system call.
+    void send_events();
     [[nodiscard]] bool is_silent_attempt(std::uint32_t number) const
     {
         return m_silent_attempt && m_silent_attempt->number == number;
@@ -297,6 +301,8 @@
     front_core& m_core;
     caller_connection* m_caller;
     incoming_request m_request;
+    /// Counts the request's head and body.
+    held_bytes m_held_request;
     std::optional<fleet::prompt> m_prompt;
     /// The same for all requests that repeat this one; 0 until the route is known.
     std::uint64_t m_fingerprint = 0;
@@ -317,6 +323,8 @@
     /// The expected end of a stream that was refused because of it.
     std::optional<base::milliseconds> m_expected_end;
     std::string m_last_event_id;
+    /// Events that were read and not sent to the caller yet; empty between two reads.
+    std::string m_unsent_events;
     /// When the caller was sent the last event.
     base::time_point m_last_event_at{};
     /// When to look again for a target of a stream that has begun and has none.
--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -44,7 +44,6 @@
         target.health = {};
         target.cache.clear();
         target.link_free_at = {};
-        target.link_free_at = {};
         target.prefill = {};
         target.pace = {};
         target.load = {};
