scheduling: a target's low ratio is kept with its samples

Cause: each begin of a request sorted the samples of all targets of the service, on VMs that may have a tenth of a processor.

Change: the quantile is computed once per sample, for its target; the median reads the kept ones.

Measured: scheduling_test 16, front_test 62 pass; fleet_test 261 of 262, crash_fleet.broken_connections_ban_no_part fails as before. The processor time was not measured.

--- a/include/chicorylink/scheduling/target_speed.hpp
+++ b/include/chicorylink/scheduling/target_speed.hpp
@@ -51,6 +51,10 @@
     /// The newest samples, as a ring; `next_sample` is overwritten next.
     std::array<speed_sample, max_speed_samples> samples{};
     std::size_t next_sample = 0;
+    /// The low quantile of the samples that were valid when the last one was taken, and their
+    /// number.
+    double low = 0;
+    std::size_t valid_samples = 0;
     /// Times at this target relative to those of its service, learned from the samples; and when
     /// the last of them was taken.
     double learned = 1;
--- a/src/chicorylink/scheduling/target_speed.cpp
+++ b/src/chicorylink/scheduling/target_speed.cpp
@@ -73,43 +73,39 @@
     return std::clamp(ratio, 1 / max_ratio, max_ratio);
 }
 
-void add_sample(target_speed& speed, double ratio, base::time_point now)
+namespace {
+
+double low_quantile_of(std::array<double, max_speed_samples>& ratios, std::size_t count)
 {
-    speed.samples.at(speed.next_sample) = {ratio, now};
-    speed.next_sample = (speed.next_sample + 1) % max_speed_samples;
-    speed.learned_at = now;
+    const auto rank = static_cast<std::ptrdiff_t>(low_quantile * static_cast<double>(count - 1));
+    const auto end = ratios.begin() + static_cast<std::ptrdiff_t>(count);
+    std::nth_element(ratios.begin(), ratios.begin() + rank, end);
+    return *(ratios.begin() + rank);
 }
 
-namespace {
+} // namespace
 
-std::vector<double> valid_ratios(const target_speed& speed, base::time_point now)
+void add_sample(target_speed& speed, double ratio, base::time_point now)
 {
-    std::vector<double> ratios;
+    speed.samples.at(speed.next_sample) = {ratio, now};
+    speed.next_sample = (speed.next_sample + 1) % max_speed_samples;
+    speed.learned_at = now;
+    std::array<double, max_speed_samples> ratios{};
+    speed.valid_samples = 0;
     for (const auto& sample : speed.samples) {
         if (sample.ratio > 0 && now - sample.measured_at <= max_speed_sample_age) {
-            ratios.push_back(sample.ratio);
+            ratios.at(speed.valid_samples++) = sample.ratio;
         }
     }
-    return ratios;
+    speed.low = speed.valid_samples == 0 ? 0 : low_quantile_of(ratios, speed.valid_samples);
 }
 
-double low_quantile_of(std::vector<double> ratios)
-{
-    const auto rank =
-        static_cast<std::ptrdiff_t>(low_quantile * static_cast<double>(ratios.size() - 1));
-    std::nth_element(ratios.begin(), ratios.begin() + rank, ratios.end());
-    return *(ratios.begin() + rank);
-}
-
-} // namespace
-
 std::optional<double> low_ratio(const target_speed& speed, base::time_point now)
 {
-    auto ratios = valid_ratios(speed, now);
-    if (ratios.size() < min_speed_samples) {
+    if (speed.valid_samples < min_speed_samples || now - speed.learned_at > max_speed_sample_age) {
         return std::nullopt;
     }
-    return low_quantile_of(std::move(ratios));
+    return speed.low;
 }
 
 double usual_ratio(std::vector<double> low_ratios)
@@ -126,11 +122,11 @@
 
 bool update_learned(target_speed& speed, double usual, base::time_point now)
 {
-    auto ratios = valid_ratios(speed, now);
     speed.learned = 1;
-    if (ratios.size() >= min_speed_samples && usual > 0) {
-        const auto count = static_cast<double>(ratios.size());
-        const double relative = low_quantile_of(std::move(ratios)) / usual;
+    const auto low = low_ratio(speed, now);
+    if (low && usual > 0) {
+        const auto count = static_cast<double>(speed.valid_samples);
+        const double relative = *low / usual;
         const double shrunk = std::pow(relative, count / (count + prior_samples));
         const bool is_usual = std::max(shrunk, 1 / shrunk) < 1 + speed_dead_band;
         speed.learned = is_usual ? 1 : clamped(shrunk);
