fleet: the test of disturbed engines fails if their statements are not heeded

Cause: its bound, a tenth of all requests, was also met without the stated factor, since late responses alone send requests elsewhere.

Change: the bound is 0.045 of all requests.

The target_speed and start_window tests of fleet_test pass (18).

--- a/src/chicorylink/fleet/target_speed_placement_test.cpp
+++ b/src/chicorylink/fleet/target_speed_placement_test.cpp
@@ -78,8 +78,8 @@
             all += count;
         }
     }
-    // The full share of 3 of 20 engines is 0.15.
-    EXPECT_LT(disturbed, 0.1 * all);
+    // The full share of 3 of 20 engines is 0.15; late responses alone reduce it to 0.06.
+    EXPECT_LT(disturbed, 0.045 * all);
     for (int number = 0; number < 20; ++number) {
         const auto name = fmt::format("e{}", number);
         EXPECT_EQ(engines.factor_of(name, 37'000), 1) << name;
