front: collected events share one buffer

Change: the events of one read and the chunk made of them are built in buffers that all streams share, because the loop has one thread.

--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -286,8 +286,6 @@
     /// The shortest retry delay that a VM of another region sent.
     std::optional<base::milliseconds> m_peer_retry_after;
     std::string m_last_event_id;
-    /// Events that were read and not sent to the caller yet; empty between two reads.
-    std::string m_unsent_events;
     /// When the caller was sent the last event.
     base::time_point m_last_event_at{};
     /// When to look again for a target of a stream that has begun and has none.
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -184,7 +185,11 @@
         return;
     }
     if (m_is_chunked) {
-        m_channel->send(fmt::format("{:x}\r\n{}\r\n", piece.size(), piece));
+        // Kept between calls, because copies of 64 KB fragment the heap beside the send buffers.
+        static std::string chunk;
+        chunk.clear();
+        fmt::format_to(std::back_inserter(chunk), "{:x}\r\n{}\r\n", piece.size(), piece);
+        m_channel->send(chunk);
     }
     else {
         m_channel->send(piece);
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -3,7 +3,6 @@
 #include "chicorylink/front/caller_connection.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
-#include "chicorylink/front/free_if_empty.hpp"
 #include "chicorylink/front/front_core.hpp"
 #include "chicorylink/front/response_buffers.hpp"
 #include "chicorylink/front/retry_after.hpp"
@@ -27,6 +26,14 @@
            status == too_many_requests_status || status == unavailable_status;
 }
 
+/// The events of the current read that are not sent yet. Shared by all streams, because the loop
+/// has one thread: buffers of their own, of 64 KB each, fragment the heap beside the send buffers.
+std::string& unsent_events()
+{
+    static std::string events;
+    return events;
+}
+
 } // namespace
 
 bool exchange::is_target_response(const message_head& head) const
@@ -168,6 +175,7 @@
         pause_for_slow_caller();
         return;
     }
+    unsent_events().clear();
     from.events.feed(piece);
     while (const auto event = from.events.next()) {
         if (!comes_behind_last(from, *event)) {
@@ -214,7 +222,7 @@
     if (event.is_comment) {
         // Comments only keep the connection open; they are no progress and don't begin a response.
         if (from.has_event) {
-            m_unsent_events.append(event.bytes);
+            unsent_events().append(event.bytes);
         }
         else {
             from.buffered_body.append(event.bytes);
@@ -237,8 +245,8 @@
         begin_response(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
     }
-    m_unsent_events.append(std::exchange(m_attempt->buffered_body, {}));
-    m_unsent_events.append(event.bytes);
+    unsent_events().append(std::exchange(m_attempt->buffered_body, {}));
+    unsent_events().append(event.bytes);
     m_history.can_continue = !event.id.empty();
     if (!event.id.empty()) {
         m_last_event_id = event.id;
@@ -247,11 +255,11 @@
 
 void exchange::send_events()
 {
+    auto& events = unsent_events();
     if (m_caller != nullptr) {
-        m_caller->send_body(m_unsent_events);
+        m_caller->send_body(events);
     }
-    m_unsent_events.clear();
-    free_if_empty(m_unsent_events);
+    events.clear();
 }
 
 void exchange::begin_response(const message_head& head, std::optional<std::uint64_t> length)
