--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -323,8 +323,6 @@
     /// The expected end of a stream that was refused because of it.
     std::optional<base::milliseconds> m_expected_end;
     std::string m_last_event_id;
-    /// Events that were read and not sent to the caller yet; empty between two reads.
-    std::string m_unsent_events;
     /// When the caller was sent the last event.
     base::time_point m_last_event_at{};
     /// When to look again for a target of a stream that has begun and has none.
