process_tests: a request refused for want of memory says when to retry and has not run

Cause: the suite checked bounds only, not that the answer of a refused request is true.

Change: 60 callers send bodies of 4 MB at once to a process with 96 MB; each refusal has a Retry-After, and no target saw its request.

--- a/process_tests/request_memory_test.cpp
+++ b/process_tests/request_memory_test.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -282,6 +283,37 @@
         idle_callers, [](int /*number*/) { return crowd_message{}; }, max_descriptors_of_places);
 }
 
+// Guards against a refusal for want of memory that does not say when to retry, or whose request
+// reached a target.
+TEST_F(request_memory, a_refused_request_has_not_run)
+{
+    start_with_slow_target();
+    std::vector<std::thread> callers;
+    std::vector<reply> replies(body_senders);
+    for (int number = 0; number < body_senders; ++number) {
+        callers.emplace_back([this, number, &replies] {
+            auto outgoing = front_fleet::request(m_ip, "/unsafe/x", fmt::format("id-{}", number));
+            outgoing.body = std::string(max_body_bytes, 'y');
+            replies.at(number) = perform(outgoing);
+        });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    int refused = 0;
+    for (int number = 0; number < body_senders; ++number) {
+        const auto& answer = replies.at(number);
+        if (answer.status == 503 && answer.body.find("request_memory") != std::string::npos) {
+            ++refused;
+            EXPECT_FALSE(answer.header("retry-after").empty());
+            EXPECT_EQ(m_targets.back()->request_count(fmt::format("id-{}", number)), 0);
+        }
+    }
+    EXPECT_GT(refused, 0);
+    fmt::print("refused {} of {}\n", refused, body_senders);
+    expect_within_bounds();
+}
+
 // A single request within the limits is served in calm, also with the largest body and head.
 TEST_F(request_memory, a_single_request_within_the_limits_is_served)
 {
