--- a/src/chicorylink/fleet/target_pool.cpp
+++ b/src/chicorylink/fleet/target_pool.cpp
@@ -178,25 +178,6 @@
     }
 }
 
-void target_pool::on_tokens(base::target_id id, std::uint32_t tokens, base::milliseconds elapsed,
-                            base::time_point now)
-{
-    const auto name = m_names.find(id);
-    if (auto* target = name == m_names.end() ? nullptr : find_mutable(name->second)) {
-        scheduling::note_tokens(target->pace, tokens, static_cast<double>(elapsed.count()), now);
-    }
-}
-
-void target_pool::on_transfer(const target_name& to, const target_name& from,
-                              base::time_point ends_at)
-{
-    for (const auto& name : {to, from}) {
-        if (auto* target = find_mutable(name)) {
-            target->link_free_at = std::max(target->link_free_at, ends_at);
-        }
-    }
-}
-
 void target_pool::on_reserved_begun(const target_name& name, base::time_point now)
 {
     if (auto* target = find_mutable(name)) {
--- a/src/chicorylink/fleet/target_pool_speed.cpp
+++ b/src/chicorylink/fleet/target_pool_speed.cpp
@@ -47,4 +47,23 @@
     return found == m_usual_start_ratios.end() ? 1 : found->second;
 }
 
+void target_pool::on_tokens(base::target_id id, std::uint32_t tokens, base::milliseconds elapsed,
+                            base::time_point now)
+{
+    const auto name = m_names.find(id);
+    if (auto* target = name == m_names.end() ? nullptr : find_mutable(name->second)) {
+        scheduling::note_tokens(target->pace, tokens, static_cast<double>(elapsed.count()), now);
+    }
+}
+
+void target_pool::on_transfer(const target_name& to, const target_name& from,
+                              base::time_point ends_at)
+{
+    for (const auto& name : {to, from}) {
+        if (auto* target = find_mutable(name)) {
+            target->link_free_at = std::max(target->link_free_at, ends_at);
+        }
+    }
+}
+
 } // namespace chicorylink::fleet
