--- a/src/chicorylink/scheduling/prefill_budget_test.cpp
+++ b/src/chicorylink/scheduling/prefill_budget_test.cpp
@@ -8,8 +8,8 @@
 using base::milliseconds;
 
 constexpr double tokens_per_ms = 60;
-constexpr std::uint8_t short_question = 0;
-constexpr std::uint8_t long_review = 2;
+constexpr std::uint8_t urgent = 0;
+constexpr std::uint8_t less_urgent = 2;
 
 base::time_point at(int ms)
 {
@@ -39,7 +39,7 @@
 TEST(prefill_budget, a_peak_leaves_time_for_the_tokens_of_streams)
 {
     constexpr double longest_wait_ms = 500;
-    const double read = read_ms(6'000, long_review, longest_wait_ms);
+    const double read = read_ms(6'000, less_urgent, longest_wait_ms);
     EXPECT_LT(read, 10'000 * 0.9 + 2 * longest_wait_ms);
     EXPECT_GT(read, 10'000 * 0.8);
 }
@@ -49,9 +49,9 @@
 {
     prefill_budget budget;
     for (int now = 0; now < 10'000; now += 100) {
-        EXPECT_LT(wait_ms(budget, long_review, tokens_per_ms, at(now)), 1);
+        EXPECT_LT(wait_ms(budget, less_urgent, tokens_per_ms, at(now)), 1);
         serve(budget, tokens_per_ms, at(now));
-        place(budget, 4'000, long_review);
+        place(budget, 4'000, less_urgent);
     }
 }
 
@@ -60,22 +60,22 @@
 {
     prefill_budget budget;
     for (int number = 0; number < 10; ++number) {
-        place(budget, 12'000, long_review);
+        place(budget, 12'000, less_urgent);
     }
-    EXPECT_LT(wait_ms(budget, short_question, tokens_per_ms, at(0)), 1);
-    place(budget, 2'400, short_question);
-    EXPECT_GT(wait_ms(budget, long_review, tokens_per_ms, at(0)), 1'500);
-    EXPECT_LT(wait_ms(budget, short_question, tokens_per_ms, at(1'000)), 1);
+    EXPECT_LT(wait_ms(budget, urgent, tokens_per_ms, at(0)), 1);
+    place(budget, 2'400, urgent);
+    EXPECT_GT(wait_ms(budget, less_urgent, tokens_per_ms, at(0)), 1'500);
+    EXPECT_LT(wait_ms(budget, urgent, tokens_per_ms, at(1'000)), 1);
 }
 
 // Guards against callers that are refused because of others that have left.
 TEST(prefill_budget, prompts_that_were_never_read_are_taken_back)
 {
     prefill_budget budget;
-    place(budget, 60'000, long_review);
-    EXPECT_GT(wait_ms(budget, long_review, tokens_per_ms, at(0)), 500);
-    cancel(budget, 60'000, long_review);
-    EXPECT_LT(wait_ms(budget, long_review, tokens_per_ms, at(0)), 1);
+    place(budget, 60'000, less_urgent);
+    EXPECT_GT(wait_ms(budget, less_urgent, tokens_per_ms, at(0)), 500);
+    cancel(budget, 60'000, less_urgent);
+    EXPECT_LT(wait_ms(budget, less_urgent, tokens_per_ms, at(0)), 1);
 }
 
 // Guards against a clock of another VM or a late call that would give tokens back.
@@ -83,10 +83,10 @@
 {
     prefill_budget budget;
     serve(budget, tokens_per_ms, at(1'000));
-    place(budget, 60'000, long_review);
-    const double before = wait_ms(budget, long_review, tokens_per_ms, at(1'000));
+    place(budget, 60'000, less_urgent);
+    const double before = wait_ms(budget, less_urgent, tokens_per_ms, at(1'000));
     serve(budget, tokens_per_ms, at(500));
-    EXPECT_DOUBLE_EQ(wait_ms(budget, long_review, tokens_per_ms, at(1'000)), before);
+    EXPECT_DOUBLE_EQ(wait_ms(budget, less_urgent, tokens_per_ms, at(1'000)), before);
 }
 
 } // namespace
