--- a/process_tests/request_memory_test.cpp
+++ b/process_tests/request_memory_test.cpp
@@ -289,6 +289,7 @@
 {
     start_with_slow_target();
     std::vector<std::thread> callers;
+    callers.reserve(body_senders);
     std::vector<reply> replies(body_senders);
     for (int number = 0; number < body_senders; ++number) {
         callers.emplace_back([this, number, &replies] {
