front: a report of tokens leaves no target out for good

Cause: a report has 256 targets at most; the others were dropped, and with the order of the map these were always the same ones.

Change: targets that don't fit stay for the next report, which begins behind the last one that was sent.

No deployment in service has so many targets a region.

--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -144,6 +144,7 @@
     /// Tokens of running streams since the last report, by target.
     std::map<base::target_id, token_sum> m_tokens;
     base::time_point m_tokens_sent_at{};
+    base::target_id m_last_token_target{};
     /// The newest statement of each target about its times that the coordinator doesn't know yet.
     std::vector<outgoing<fleet::target_pace>> m_statements;
     /// What the counters contain of the coordinator's.
--- a/src/chicorylink/front/placement_link_speed.cpp
+++ b/src/chicorylink/front/placement_link_speed.cpp
@@ -64,12 +64,17 @@
     m_tokens_sent_at = now;
     fleet::placement_message message;
     message.run = m_core.settings.self.run;
-    for (const auto& [target, sum] : std::exchange(m_tokens, {})) {
-        if (message.tokens.size() == max_tokens_per_message) {
-            break;
+    // Begins behind the last target of the report before, so that none is left out for good.
+    auto next = m_tokens.upper_bound(m_last_token_target);
+    while (!m_tokens.empty() && message.tokens.size() < max_tokens_per_message) {
+        if (next == m_tokens.end()) {
+            next = m_tokens.begin();
         }
+        const auto& [target, sum] = *next;
         message.tokens.push_back(
             {target, sum.tokens, std::chrono::duration_cast<base::milliseconds>(sum.elapsed)});
+        m_last_token_target = target;
+        next = m_tokens.erase(next);
     }
     const auto& ip = coordinator_ip(now);
     if (ip != m_core.settings.self.ip) {
