--- a/review/support-2/servers.py
+++ b/review/support-2/servers.py
@@ -131,8 +131,9 @@
         return request_id, result, kept
 
 
-async def traffic(client, path, until, results):
+async def traffic(client, path, until, results, delay=0.0):
     """Sends one request after the other and collects (request id, result, kept)."""
+    await asyncio.sleep(delay)
     while now() < until:
         results.append(await client.send(path))
         if isinstance(results[-1][1], str):
