process_tests: targets in one of two regions, shared by suites

Cause: the suite of truncated heads has a fixture that the tests of broken responses need, too, and scripted targets read the whole request before their script runs, so no test can respond to a request that is still being written.

Change: the fixture stands in support/two_region_targets; body_reading::none makes a scripted target respond behind the head. No test is changed.

--- a/process_tests/support/scripted_target.cpp
+++ b/process_tests/support/scripted_target.cpp
@@ -1,5 +1,6 @@
 #include "scripted_target.hpp"
 
+#include <array>
 #include <numeric>
 #include <poll.h>
 
@@ -49,6 +50,14 @@
     (void)pause(limit);
 }
 
+bool scripted_target::http_exchange::read_some()
+{
+    std::array<char, 16UL * 1024> buffer{};
+    error_code problem;
+    m_socket.read_some(boost::asio::buffer(buffer), problem);
+    return !problem;
+}
+
 void scripted_target::http_exchange::reset()
 {
     error_code ignored;
@@ -85,8 +94,9 @@
     return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
 
-scripted_target::scripted_target(script respond, const std::string& ip, unsigned short port)
-    : m_respond(std::move(respond)),
+scripted_target::scripted_target(script respond, const std::string& ip, unsigned short port,
+                                 body_reading reading)
+    : m_respond(std::move(respond)), m_reading(reading),
       m_acceptor(m_io_context, {boost::asio::ip::make_address(ip), port}),
       m_address(fmt::format("{}:{}", ip, m_acceptor.local_endpoint().port())),
       m_accepting([this] { accept(); })
@@ -152,7 +162,8 @@
         const auto head = buffer.substr(0, size);
         buffer.erase(0, size);
         const auto length = field_of(head, "Content-Length");
-        const auto body = length.empty() ? 0 : std::stoul(length);
+        const bool has_body = !length.empty() && m_reading == body_reading::whole;
+        const auto body = has_body ? std::stoul(length) : 0;
         if (buffer.size() < body) {
             boost::asio::read(socket, boost::asio::dynamic_buffer(buffer),
                               boost::asio::transfer_exactly(body - buffer.size()), problem);
@@ -166,7 +177,7 @@
             const std::lock_guard lock(m_mutex);
             ++m_request_counts[exchange.id()];
         }
-        if (!m_respond(exchange)) {
+        if (!m_respond(exchange) || m_reading == body_reading::none) {
             error_code ignored;
             socket.shutdown(tcp::socket::shutdown_both, ignored);
             return;
--- a/process_tests/support/scripted_target.hpp
+++ b/process_tests/support/scripted_target.hpp
@@ -2,6 +2,7 @@
 #define CHICORYLINK_PROCESS_TESTS_SUPPORT_SCRIPTED_TARGET_HPP
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -36,6 +37,9 @@
         /// @brief Ends the direction to the peer and waits until the peer closes the connection.
         void half_close(std::chrono::milliseconds limit);
 
+        /// @brief Reads some bytes of a body that was not read; false at the connection's end.
+        bool read_some();
+
         /// @brief Resets the connection, which then can't be used any more.
         void reset();
 
@@ -62,9 +66,16 @@
     /// Responds to one request; returning false closes the connection.
     using script = std::function<bool(http_exchange&)>;
 
+    /// How much of a request's body is read before its script runs.
+    enum class body_reading : std::uint8_t {
+        whole,
+        /// Nothing behind the head; each connection serves one request.
+        none,
+    };
+
     /// @param port The port to listen at; 0 takes a free one.
     explicit scripted_target(script respond, const std::string& ip = "127.0.0.1",
-                             unsigned short port = 0);
+                             unsigned short port = 0, body_reading reading = body_reading::whole);
     ~scripted_target();
     scripted_target(const scripted_target&) = delete;
     scripted_target& operator=(const scripted_target&) = delete;
@@ -82,6 +93,7 @@
     void serve(boost::asio::ip::tcp::socket& socket);
 
     script m_respond;
+    body_reading m_reading;
     boost::asio::io_context m_io_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_address;
--- a/process_tests/truncated_head_test.cpp
+++ b/process_tests/truncated_head_test.cpp
@@ -1,17 +1,11 @@
 // Checks what a caller gets when a target stops within the head of its response and the connection
 // ends, through the VM of the target's region and through a VM of another region.
 
-#include "front_fleet.hpp"
-#include "http_call.hpp"
-#include "scripted_target.hpp"
-#include "suite.hpp"
+#include "two_region_targets.hpp"
 
 #include <atomic>
 #include <chrono>
 #include <cstdint>
-#include <map>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,21 +20,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using http_exchange = scripted_target::http_exchange;
-using script = scripted_target::script;
 
 constexpr const char* west_vm = "127.0.15.1";
 constexpr const char* east_vm = "127.0.15.2";
 
 constexpr std::string_view end_of_head = "\r\n\r\n";
-constexpr std::string_view whole_body = "the whole body of the target's response";
 constexpr const char* event_stream = "Content-Type: text/event-stream\r\n";
 constexpr const char* in_chunks = "Transfer-Encoding: chunked\r\n";
 constexpr const char* last_chunk = "0\r\n\r\n";
 constexpr const char* interim = "HTTP/1.1 102 Processing\r\nX-Queue: 4\r\n\r\n";
 
-/// More than the failures of any test.
-constexpr int many_targets = 50;
-
 /// How a target ends a connection.
 enum class ending : std::uint8_t { close, half_close, reset };
 
@@ -97,86 +86,9 @@
     return status == 503 || status == 429 || status == 421 || status == 408;
 }
 
-/// A VM in each of two regions, and the targets in the region of the first.
-class truncated_head : public testing::Test {
+class truncated_head : public two_region_targets {
 protected:
-    /// @param targets The number of targets; those that failed are avoided while there are others.
-    void start(int targets)
-    {
-        m_fleet.publish_config(1, {"secret"});
-        for (int number = 1; number <= targets; ++number) {
-            m_targets.push_back(std::make_unique<scripted_target>(
-                [this](http_exchange& exchange) { return chosen(exchange)(exchange); }));
-            m_fleet.publish_target(fmt::format("i-{}", number), m_targets.back()->address(),
-                                   "west-a");
-        }
-        m_fleet.start(west_vm, "west");
-        m_fleet.start(east_vm, "east");
-        for (const auto* ip : {west_vm, east_vm}) {
-            ASSERT_TRUE(wait_until([ip] { return front_fleet::is_ready(ip); }, seconds{10}));
-        }
-        ASSERT_TRUE(wait_until(
-            [this] { return send(east_vm, "/safe/x", serve_whole(), serve_whole()).status == 200; },
-            seconds{5}));
-    }
-
-    /// @param first What the first request with its id gets at the targets.
-    /// @param next What each repeat gets.
-    /// @return What the caller of a VM got.
-    reply send(const std::string& ip, const std::string& path, script first, script next)
-    {
-        m_last_id = fmt::format("id-{}", ++m_requests);
-        {
-            const std::lock_guard lock(m_mutex);
-            m_first = std::move(first);
-            m_next = std::move(next);
-        }
-        return perform(front_fleet::request(ip, path, m_last_id));
-    }
-
-    /// Gets a success from the only target, so that it is not avoided for its failures, and keeps
-    /// the connection to it or closes it.
-    void succeed(const std::string& ip, bool keep)
-    {
-        const auto serve = [keep](http_exchange& exchange) {
-            return exchange.send(exchange.response("ok", keep ? "" : "Connection: close\r\n"));
-        };
-        ASSERT_EQ(send(ip, "/unsafe/x", serve, serve).body, "ok");
-    }
-
-    [[nodiscard]] static script serve_whole()
-    {
-        return [](http_exchange& exchange) {
-            return exchange.send(exchange.response(std::string{whole_body}));
-        };
-    }
-
-    /// The number of requests that the targets got for the latest caller.
-    [[nodiscard]] int sends() const
-    {
-        int sum = 0;
-        for (const auto& target : m_targets) {
-            sum += target->request_count(m_last_id);
-        }
-        return sum;
-    }
-
-    front_fleet m_fleet{binaries(), "chicorylink_truncated_head"};
-    std::vector<std::unique_ptr<scripted_target>> m_targets;
-
-private:
-    script chosen(const http_exchange& exchange)
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_turns[exchange.id()]++ == 0 ? m_first : m_next;
-    }
-
-    std::mutex m_mutex;
-    script m_first;
-    script m_next;
-    std::map<std::string, int> m_turns;
-    int m_requests = 0;
-    std::string m_last_id;
+    truncated_head() : two_region_targets("chicorylink_truncated_head", west_vm, east_vm) {}
 };
 
 /// A size for each part of a head in which it can break off, and some between them.
