front: a response with a status below 100 fails its call

Callers of a target that sent a response with the status 000 waited until their deadline and got 504, or got the response that the target sent behind it on the connection as that to their request.

Cause: Beast takes any three digits for a status, and upstream_call skips each response with a status below 200 as an interim one, behind which the final response follows. The store's reader took it for a response whose status is its own mark for none, and asked for the same one again.

Change: message_parser fails on a status below 100, as on any other start line that is malformed. Targets, VMs of other regions, the store and copies of its content are all read by it; a request that may run again is repeated, another one gets 502 at once. Statuses from 600 stay server errors.

--- a/include/chicorylink/front/message_parser.hpp
+++ b/include/chicorylink/front/message_parser.hpp
@@ -20,7 +20,8 @@
 /// @brief Incremental parser for one HTTP/1.1 message.
 ///
 /// Strict where two parsers could disagree on where a message ends: duplicate lengths, a length
-/// together with chunked encoding, folded lines and spaces before a colon are malformed.
+/// together with chunked encoding, folded lines and field names with blanks or control bytes are
+/// malformed. So is a response with a status below 100.
 class message_parser {
 public:
     /// @param header_limit Maximum bytes of the head, and of a line between two chunks.
--- a/src/chicorylink/front/http_get_client_test.cpp
+++ b/src/chicorylink/front/http_get_client_test.cpp
@@ -160,6 +160,19 @@
     EXPECT_TRUE(result.is_unreadable);
 }
 
+// Guards against a response that is none being taken for one, or being asked for again and again.
+TEST_F(http_get_client_test, a_response_with_a_broken_head_is_unreadable)
+{
+    for (const auto* start : {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+                              "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n"}) {
+        const auto result = read({fmt::format("{}Content-Length: 4\r\n\r\nbody", start)});
+        EXPECT_EQ(result.status, 0) << start;
+        EXPECT_EQ(result.body, "") << start;
+        EXPECT_TRUE(result.is_unreadable) << start;
+        EXPECT_EQ(result.problem, "the answer is not HTTP or is too large") << start;
+    }
+}
+
 // Guards against the rest of a second response being taken for the response to the next request.
 TEST_F(http_get_client_test, bytes_behind_a_response_close_the_connection)
 {
--- a/src/chicorylink/front/message_parser.cpp
+++ b/src/chicorylink/front/message_parser.cpp
@@ -21,6 +21,9 @@
 /// blank line. More than this is malformed.
 constexpr std::size_t max_blank_bytes = 16;
 
+/// The first status of a response; Beast takes any three digits.
+constexpr int first_status = 100;
+
 /// Capacity of a buffer that is kept although it holds little.
 constexpr std::size_t max_kept_capacity = 16UL * 1024;
 
@@ -96,8 +99,12 @@
         m_head.target = to_string(target);
     }
     void on_response_impl(int status, boost::beast::string_view reason, int /*version*/,
-                          error_code& /*problem*/) override
+                          error_code& problem) override
     {
+        if (status < first_status) {
+            problem = http::error::bad_status;
+            return;
+        }
         m_head.status = status;
         m_head.reason = to_string(reason);
     }
--- a/src/chicorylink/front/message_parser_test.cpp
+++ b/src/chicorylink/front/message_parser_test.cpp
@@ -1,6 +1,10 @@
 #include "chicorylink/base/sse_parser.hpp"
 #include "chicorylink/front/message_parser.hpp"
 
+#include <string>
+#include <string_view>
+
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace chicorylink::front {
@@ -148,6 +152,36 @@
     EXPECT_EQ(parser.take_body(), "abc");
 }
 
+parse_problem problem_of_response(std::string_view response)
+{
+    message_parser parser(message_kind::response, head_limit, std::nullopt);
+    parser.feed(response);
+    return parser.problem();
+}
+
+// Guards against a status that is none being taken for that of an interim response, behind which
+// the caller would wait for another one.
+TEST(message_parser, rejects_a_status_below_those_of_responses)
+{
+    for (const auto* status :
+         {"000", "001", "099", "00", "0", "-10", "+20", "2000", "20", "", "2x0"}) {
+        for (const auto* reason : {" OK", " ", ""}) {
+            for (const auto* rest :
+                 {"", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"}) {
+                EXPECT_EQ(problem_of_response(
+                              fmt::format("HTTP/1.1 {}{}\r\n{}\r\n", status, reason, rest)),
+                          parse_problem::malformed)
+                    << status << reason << rest;
+            }
+        }
+    }
+    for (const auto* status : {"100", "200", "204", "304", "404", "599"}) {
+        EXPECT_EQ(problem_of_response(fmt::format("HTTP/1.1 {} OK\r\n\r\n", status)),
+                  parse_problem::none)
+            << status;
+    }
+}
+
 TEST(message_parser, early_end_is_truncated)
 {
     message_parser by_length(message_kind::response, head_limit, std::nullopt);
--- a/src/chicorylink/front/upstream_call_test.cpp
+++ b/src/chicorylink/front/upstream_call_test.cpp
@@ -180,6 +180,24 @@
     EXPECT_EQ(m_pool.open_count(server.address()), 0U);
 }
 
+// Guards against a status that is none being skipped like that of an interim response: the call
+// would take what comes behind it for its response, or wait until its deadline.
+TEST_F(upstream_call_test, response_without_a_status_fails_call)
+{
+    for (const auto* rest : {"", "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"}) {
+        test_server server(m_loop);
+        server.respond(
+            fmt::format("HTTP/1.1 000 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nnone{}", rest),
+            false);
+        const auto result = call(server.address());
+        ASSERT_TRUE(result.failure);
+        EXPECT_TRUE(result.failure->may_have_arrived);
+        EXPECT_EQ(result.failure->detail, "the answer is not HTTP");
+        EXPECT_EQ(result.status, 0);
+        EXPECT_EQ(m_pool.open_count(server.address()), 0U);
+    }
+}
+
 // Guards against the fields of a late duplicate that begins within the head of the next response.
 TEST_F(upstream_call_test, response_that_names_two_requests_fails_call)
 {
