front: show that field names with blanks or control bytes are refused

A test of all bytes in a field name of a head and of trailers, and one of what callers of the VM of the targets' region and of another one get. Both passed before any change: Beast takes only tokens for names, and folded lines were refused already.

--- a/process_tests/broken_response_test.cpp
+++ b/process_tests/broken_response_test.cpp
@@ -1,11 +1,12 @@
-// Checks what a caller gets for responses of targets that are broken in their status, through the
-// VM of the targets' region and through a VM of another.
+// Checks what a caller gets for responses of targets that are broken in their status or in the
+// names of their fields, through the VM of the targets' region and through a VM of another.
 
 #include "two_region_targets.hpp"
 
 #include <chrono>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -38,6 +39,7 @@
             const auto result = send(ip, "/unsafe/x", send_broken, serve_whole());
             EXPECT_EQ(result.status, 502);
             EXPECT_TRUE(result.complete);
+            EXPECT_EQ(result.header("bad name"), "");
             EXPECT_EQ(result.body.find("broken"), std::string::npos);
             EXPECT_EQ(sends(), 1);
             EXPECT_LT(std::chrono::steady_clock::now() - begin, max_time_to_fail);
@@ -63,5 +65,17 @@
     }
 }
 
+// Guards against a line of a head that the VM and the caller may read differently.
+TEST_F(broken_response, with_a_field_name_that_is_no_token_reaches_no_caller)
+{
+    start(many_targets);
+    for (const auto* line : {"Bad Name: x\r\n", "Content-Length : 3\r\n", "Bad\x01Name: x\r\n",
+                             "Content-Length\x0b: 3\r\n", "\x7f: x\r\n"}) {
+        SCOPED_TRACE(line);
+        expect_refused(
+            [line](const http_exchange& exchange) { return exchange.response("broken", line); });
+    }
+}
+
 } // namespace
 } // namespace chicorylink::process_tests
--- a/src/chicorylink/front/message_parser_test.cpp
+++ b/src/chicorylink/front/message_parser_test.cpp
@@ -182,6 +182,42 @@
     }
 }
 
+// Guards against a line of a head that one parser takes for a field and another one doesn't, such
+// as a length behind a control byte.
+TEST(message_parser, rejects_a_field_name_that_is_no_token)
+{
+    constexpr std::string_view separators = "\"(),/;<=>?@[\\]{}";
+    constexpr int byte_values = 256;
+    constexpr int delete_byte = 127;
+    const std::string name = "Content-Length";
+    for (int value = 0; value < byte_values; ++value) {
+        const auto byte = static_cast<char>(value);
+        const bool is_token = value > ' ' && value < delete_byte && byte != ':' &&
+                              separators.find(byte) == std::string_view::npos;
+        if (byte == ':') {
+            continue;
+        }
+        for (const std::size_t at : {std::size_t{0}, std::size_t{7}, name.size()}) {
+            auto field = name + ": 2\r\n";
+            field.insert(at, 1, byte);
+            SCOPED_TRACE(fmt::format("byte {} at {}", value, at));
+            const auto expected = is_token ? parse_problem::none : parse_problem::malformed;
+            EXPECT_EQ(problem_of_response("HTTP/1.1 200 OK\r\n" + field + "\r\nok"), expected);
+            EXPECT_EQ(problem_of_response("HTTP/1.1 200 OK\r\nX: y\r\n" + field + "\r\nok"),
+                      expected);
+            EXPECT_EQ(problem_of_response("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                          "2\r\nok\r\n0\r\n" +
+                                          field + "\r\n"),
+                      expected);
+        }
+    }
+    for (const auto* line : {": y", " : y", "no colon", "X", "X: y\nZ: y", "X: y\rZ: y"}) {
+        EXPECT_EQ(problem_of_response(fmt::format("HTTP/1.1 200 OK\r\n{}\r\n\r\n", line)),
+                  parse_problem::malformed)
+            << line;
+    }
+}
+
 TEST(message_parser, early_end_is_truncated)
 {
     message_parser by_length(message_kind::response, head_limit, std::nullopt);
