front: a response without a length is not ended by a reset

Callers got a part of a body as a complete response when a target responded to a long request before it had read it, with a 200 without a length, and reset the connection while the request was still being written. A stream that broke off so was passed on as one that had ended.

Cause: the reset is reported once. If the write of the request meets it first, the write fails with ECONNRESET and takes the error off the socket; the read that is due in the same turn of the loop then sees an ordinary end, which ends a body without a length, before the failed write is handled. In the other order of events the opposite was lost: a failed write ended the connection before bytes that had arrived were read, a whole response among them.

Change: tcp_channel remembers a failed write, so that an end behind it is that of a broken connection. A failed write with EPIPE is a reset behind the remote end's close, which TCP has delivered whole: the response has ended in the ordinary way. A connection with a failed write is not kept. Those of callers end at once, as before.

--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -38,6 +38,9 @@
         std::function<void()> on_sent;
         /// Most bytes of the next read; without, as many as the read buffer takes.
         std::function<std::size_t()> read_allowance{};
+        /// Whether bytes that arrived before a failed write are still read, as a response may
+        /// precede the end of its request. Otherwise a failed write ends the connection at once.
+        bool reads_after_failed_write = false;
     };
 
     /// @param socket A connected socket; the constructor makes it non-blocking.
@@ -82,6 +85,9 @@
 
     [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
 
+    /// @brief Whether further bytes can be sent.
+    [[nodiscard]] bool is_writable() const { return is_open() && !m_closing; }
+
     /// @brief Number of bytes that have arrived and are not read yet.
     [[nodiscard]] std::size_t unread() const;
 
@@ -92,6 +98,7 @@
     void wait_readable();
     void on_readable();
     void write_some();
+    void on_failed_write(const boost::system::error_code& problem);
     void update_count();
     void wait_writable();
     void end(channel_end reason);
@@ -107,6 +114,8 @@
     bool m_reading_paused = false;
     bool m_closing = false;
     bool m_lingering = false;
+    /// Set by a failed write, which takes the error off the socket: a later read sees only an end.
+    bool m_is_broken = false;
 };
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -138,7 +138,8 @@
         return;
     }
     if (problem) {
-        end(problem == boost::asio::error::eof ? channel_end::closed : channel_end::broken);
+        const bool is_closed = problem == boost::asio::error::eof && !m_is_broken;
+        end(is_closed ? channel_end::closed : channel_end::broken);
         return;
     }
     if (m_lingering) {
@@ -203,15 +204,7 @@
     error_code problem;
     const auto count = m_socket.write_some(boost::asio::buffer(m_send_buffer), problem);
     if (problem && problem != boost::asio::error::would_block) {
-        // The error is reported from the loop, because the code that sends is still running.
-        m_send_buffer.clear();
-        update_count();
-        m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
-            if (self->m_socket.is_open()) {
-                self->end(channel_end::broken);
-            }
-        });
-        m_closing = true;
+        on_failed_write(problem);
         return;
     }
     m_send_buffer.erase(0, count);
@@ -226,6 +219,25 @@
     }
 }
 
+void tcp_channel::on_failed_write(const error_code& problem)
+{
+    m_send_buffer.clear();
+    update_count();
+    m_closing = true;
+    // A reset behind the remote end's close is reported as a broken pipe; all bytes have arrived.
+    m_is_broken = problem != boost::asio::error::broken_pipe;
+    if (m_handlers.reads_after_failed_write) {
+        wait_readable();
+        return;
+    }
+    // The end is reported from the loop, because the code that sends is still running.
+    m_socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code) {
+        if (self->m_socket.is_open()) {
+            self->end(channel_end::broken);
+        }
+    });
+}
+
 void tcp_channel::wait_writable()
 {
     m_waiting_write = true;
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -109,7 +109,8 @@
     m_channel->start({[self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
                       [self = shared_from_this()](channel_end end) { self->on_channel_end(end); },
                       [self = shared_from_this()] { self->m_held = nullptr; },
-                      {}});
+                      {},
+                      true});
     m_sent = true;
     m_channel->send_owned(std::exchange(m_request.bytes, {}));
     if (m_channel->unsent() == 0) {
@@ -227,7 +228,7 @@
     const bool clean =
         m_is_reusable && m_parser->take_remaining().empty() && m_channel->unsent() == 0;
     const auto channel = std::exchange(m_channel, nullptr);
-    if (channel->is_open() && head.keep_alive && clean) {
+    if (channel->is_writable() && head.keep_alive && clean) {
         m_pool.put_idle(m_request.address, channel, idle_timeout_of(head.fields), base::boot_now());
     }
     else {
