platform: a whole response of a known length outlasts a reset behind it

Callers of chicorylinkd got 502 target_failed in place of a response when a target sent it whole before it had read the request, and then reset the connection.

Cause: libcurl goes on sending behind a whole response. The send that meets the reset fails the call with CURLE_SEND_ERROR, although all bytes have been delivered.

Change: such a call is complete if as many bytes were delivered as the response announced.

Open: libcurl doesn't tell whether it has read the last chunk, nor what had arrived behind its last read.

--- a/src/chicorylink/platform/http_client_test.cpp
+++ b/src/chicorylink/platform/http_client_test.cpp
@@ -106,6 +106,8 @@
 constexpr std::size_t upload_bytes = 8UL * 1024 * 1024;
 /// Fits into the receive buffer of a connection that nobody reads.
 constexpr std::size_t body_bytes = 40'000;
+/// Arrives in one read.
+constexpr std::size_t small_body_bytes = 4'000;
 /// The order in which a connection's end and its bytes are seen differs between tries.
 constexpr int tries = 120;
 
@@ -165,6 +167,51 @@
     }
 }
 
+/// Calls a server that sends a response and resets the connection while the request is still being
+/// written.
+outcome call_with_reset_behind(const std::string& response, int number)
+{
+    return call_with_upload(
+        [&](http_test_server::socket& peer) {
+            http_test_server::send(peer, response);
+            std::this_thread::sleep_for(milliseconds{number % 4});
+            http_test_server::reset(peer);
+        },
+        number % 2 == 0);
+}
+
+// Guards against a whole response that is lost, because the server resets the connection behind it.
+TEST(http_client, early_response_of_a_known_length_is_complete_before_a_reset)
+{
+    const std::string body(small_body_bytes, 'y');
+    const auto response =
+        fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+    for (int number = 0; number < tries; ++number) {
+        SCOPED_TRACE(number);
+        const auto result = call_with_reset_behind(response, number);
+        ASSERT_EQ(result.end.kind, http_end_kind::complete) << result.end.detail;
+        EXPECT_EQ(result.status, 200);
+        EXPECT_TRUE(result.body == body) << result.body.size() << " bytes";
+        const auto part = call_with_reset_behind(response.substr(0, response.size() - 1), number);
+        ASSERT_EQ(part.end.kind, http_end_kind::broken);
+    }
+}
+
+// Guards against the same where the last chunk says that the response is whole.
+TEST(http_client, early_response_in_chunks_is_complete_before_a_reset)
+{
+    const std::string body(small_body_bytes, 'y');
+    const auto response =
+        fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+                    body.size(), body);
+    for (int number = 0; number < tries; ++number) {
+        SCOPED_TRACE(number);
+        const auto result = call_with_reset_behind(response, number);
+        ASSERT_EQ(result.end.kind, http_end_kind::complete) << result.end.detail;
+        EXPECT_TRUE(result.body == body) << result.body.size() << " bytes";
+    }
+}
+
 TEST(http_client, post_without_content_type_is_not_sent_as_form)
 {
     const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
--- a/src/chicorylink/platform/http_transfer.cpp
+++ b/src/chicorylink/platform/http_transfer.cpp
@@ -97,6 +97,7 @@
     if (transfer.m_handlers.on_data && !transfer.m_handlers.on_data(piece)) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    transfer.m_body_bytes += static_cast<curl_off_t>(piece.size());
     return piece.size();
 }
 
@@ -117,9 +118,18 @@
     return CURL_PREREQFUNC_OK;
 }
 
+bool http_transfer::has_whole_response(CURLcode code) const
+{
+    curl_off_t length = -1;
+    curl_easy_getinfo(m_handle, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    // A server may reset the connection behind a response that it sent before it read the request.
+    const bool is_whole = code == CURLE_OK || (code == CURLE_SEND_ERROR && m_body_bytes == length);
+    return is_whole && m_head.is_complete();
+}
+
 http_end_kind http_transfer::end_kind(CURLcode code) const
 {
-    if (code == CURLE_OK && m_head.is_complete()) {
+    if (has_whole_response(code)) {
         return http_end_kind::complete;
     }
     if (m_stopped) {
--- a/src/chicorylink/platform/http_transfer.hpp
+++ b/src/chicorylink/platform/http_transfer.hpp
@@ -40,6 +40,7 @@
     void set_options();
     /// @brief Returns false when the head is malformed and the call must be aborted.
     [[nodiscard]] bool read_head(std::string_view line);
+    [[nodiscard]] bool has_whole_response(CURLcode code) const;
     [[nodiscard]] http_end_kind end_kind(CURLcode code) const;
 
     transfer_id m_id;
@@ -48,6 +49,7 @@
     CURL* m_handle;
     curl_slist* m_header_lines = nullptr;
     head_reader m_head;
+    curl_off_t m_body_bytes = 0;
     bool m_possibly_sent = false;
     bool m_stopped = false;
 };
