chicorylink, chicorylink-load: a head that is malformed is no response

Operators saw the body behind a head with a blank or a control byte in a field name as the daemon's response, and chicorylink-load counted such calls as complete.

Cause: both take what libcurl passes on, as the daemon did.

Change: both read heads with head_reader. chicorylink says that the head is malformed and ends with the exit code of a daemon that can't be reached; chicorylink-load counts the call as one without an answer.

--- a/include/chicorylink/platform/head_reader.hpp
+++ b/include/chicorylink/platform/head_reader.hpp
@@ -3,6 +3,7 @@
 
 #include "chicorylink/platform/header_list.hpp"
 
+#include <cstddef>
 #include <string_view>
 
 namespace chicorylink::platform {
@@ -41,6 +42,9 @@
     bool m_is_malformed = false;
 };
 
+/// @brief A header callback of libcurl that passes each line to the `head_reader` it is given.
+std::size_t read_head_line(char* data, std::size_t size, std::size_t count, void* reader);
+
 } // namespace chicorylink::platform
 
 #endif // CHICORYLINK_PLATFORM_HEAD_READER_HPP
--- a/programs/chicorylink-load/load_test.cpp
+++ b/programs/chicorylink-load/load_test.cpp
@@ -1,4 +1,6 @@
+#include "chicorylink/platform/http_test_server.hpp"
 #include "plan.hpp"
+#include "runner.hpp"
 #include "stream_reader.hpp"
 #include "summary.hpp"
 
@@ -46,6 +48,26 @@
     EXPECT_FALSE(accepted(load_plan));
 }
 
+// Guards against a response whose head parsers read differently being counted as a served call.
+TEST(runner, a_response_with_a_broken_head_is_no_response)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const auto& [head, is_sound] :
+         {std::pair{ok, true}, std::pair{ok + "Bad Name: x\r\n", false},
+          std::pair{ok + '\0' + "X: y\r\n", false},
+          std::pair{std::string{"HTTP/1.1 000 OK\r\n"}, false}}) {
+        platform::http_test_server server(
+            platform::respond(head + "Content-Length: 14\r\n\r\ndata: [DONE]\n\n"));
+        plan load_plan{.addresses = {server.address()}};
+        load_plan.calls = 1;
+        summary result;
+        run(load_plan, result);
+        EXPECT_EQ(result.complete(), is_sound ? 1U : 0U) << head;
+        EXPECT_EQ(result.truncated(), 0U) << head;
+        EXPECT_EQ(result.to_json()["by_status"].value(is_sound ? "200" : "0", 0), 1) << head;
+    }
+}
+
 TEST(stream_reader, counts_tokens_whatever_the_cuts)
 {
     const std::string text = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\r\n\r\n"
--- a/programs/chicorylink-load/runner.cpp
+++ b/programs/chicorylink-load/runner.cpp
@@ -1,5 +1,6 @@
 #include "runner.hpp"
 
+#include "chicorylink/platform/head_reader.hpp"
 #include "stream_reader.hpp"
 #include "summary.hpp"
 
@@ -22,6 +23,7 @@
 struct open_call {
     base::time_point planned{};
     base::time_point first_token{};
+    platform::head_reader head;
     stream_reader reader;
     std::string body;
     std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers{nullptr,
@@ -91,6 +93,8 @@
                          static_cast<curl_off_t>(call->body.size()));
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call->body.c_str());
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call->headers.get());
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &platform::read_head_line);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &call->head);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_bytes);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, call.get());
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
@@ -124,8 +128,10 @@
         const auto found = m_calls.find(handle);
         const auto& call = *found->second;
         call_outcome outcome;
-        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &outcome.status);
-        outcome.complete = succeeded && call.reader.complete();
+        if (call.head.is_complete()) {
+            outcome.status = call.head.status();
+        }
+        outcome.complete = succeeded && call.head.is_complete() && call.reader.complete();
         outcome.tokens = call.reader.tokens();
         outcome.total_time = clock::now() - call.planned;
         outcome.first_token =
--- a/programs/chicorylink/command_line_test.cpp
+++ b/programs/chicorylink/command_line_test.cpp
@@ -1,4 +1,5 @@
 #include "chicorylink/base/secret.hpp"
+#include "chicorylink/platform/http_test_server.hpp"
 #include "programs/chicorylink/command_line.hpp"
 #include "stand_ins/http_server.hpp"
 
@@ -154,6 +155,24 @@
     unsetenv("CHICORYLINK_DAEMON");
 }
 
+// Guards against a response whose head parsers read differently being shown as the daemon's.
+TEST_F(command_line_test, a_response_with_a_broken_head_is_no_response)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const auto& head : {std::string{"HTTP/1.1 000 OK\r\n"}, ok + "Bad Name: x\r\n",
+                             ok + "Bad\x01Name: x\r\n", ok + '\0' + "X: y\r\n"}) {
+        platform::http_test_server server(
+            platform::respond(head + "Content-Length: 15\r\n\r\n{\"vm\":\"broken\"}"));
+        const auto result = run({"status", "--daemon", server.address()});
+        EXPECT_EQ(result.code, exit_code::daemon_unreachable) << head;
+        EXPECT_EQ(result.out, "") << head;
+        EXPECT_NE(result.err, "") << head;
+    }
+    platform::http_test_server server(
+        platform::respond(ok + "Content-Length: 14\r\n\r\n{\"vm\":\"sound\"}"));
+    EXPECT_EQ(run({"status", "--daemon", server.address()}).code, exit_code::success);
+}
+
 TEST_F(command_line_test, an_unreachable_daemon_has_its_own_exit_code)
 {
     std::string address;
--- a/programs/chicorylink/http_client.cpp
+++ b/programs/chicorylink/http_client.cpp
@@ -1,5 +1,7 @@
 #include "programs/chicorylink/http_client.hpp"
 
+#include "chicorylink/platform/head_reader.hpp"
+
 #include <array>
 #include <cstddef>
 #include <memory>
@@ -31,6 +33,7 @@
     http_result result;
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(),
                                                                      &curl_easy_cleanup);
+    platform::head_reader head;
     std::array<char, CURL_ERROR_SIZE> failure{};
     curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle.get(), CURLOPT_PROTOCOLS_STR, "http,https");
@@ -39,6 +42,8 @@
     curl_easy_setopt(handle.get(), CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
     curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, call_timeout_ms);
     curl_easy_setopt(handle.get(), CURLOPT_ERRORBUFFER, failure.data());
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, &platform::read_head_line);
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &head);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &append_body);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &result.body);
     if (method == "POST") {
@@ -46,6 +51,10 @@
         curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDSIZE, 0L);
     }
     const auto outcome = curl_easy_perform(handle.get());
+    if (head.is_malformed() || (outcome == CURLE_OK && !head.is_complete())) {
+        result.failure = "the head of the response is malformed";
+        return result;
+    }
     if (outcome != CURLE_OK) {
         result.failure = failure[0] != '\0' ? failure.data() : curl_easy_strerror(outcome);
         return result;
--- a/src/chicorylink/platform/head_reader.cpp
+++ b/src/chicorylink/platform/head_reader.cpp
@@ -90,4 +90,10 @@
     return m_is_complete;
 }
 
+std::size_t read_head_line(char* data, std::size_t size, std::size_t count, void* reader)
+{
+    // A count below the line's length makes libcurl abort the call.
+    return static_cast<head_reader*>(reader)->add_line({data, size * count}) ? size * count : 0;
+}
+
 } // namespace chicorylink::platform
--- a/src/chicorylink/platform/http_test_server.hpp
+++ b/src/chicorylink/platform/http_test_server.hpp
@@ -39,10 +39,11 @@
     http_test_server(http_test_server&&) = delete;
     http_test_server& operator=(http_test_server&&) = delete;
 
-    [[nodiscard]] std::string url()
+    [[nodiscard]] std::string address() const
     {
-        return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()) + "/";
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
+    [[nodiscard]] std::string url() const { return "http://" + address() + "/"; }
 
     /// @brief The head of the request; valid after the call has ended.
     [[nodiscard]] const std::string& received() const { return m_received; }
