--- a/src/chicorylink/platform/http_client_test.cpp
+++ b/src/chicorylink/platform/http_client_test.cpp
@@ -1,17 +1,19 @@
 #include "chicorylink/platform/http_test_server.hpp"
 
-#include <array>
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 
-#include <boost/asio/buffer.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace chicorylink::platform {
 namespace {
 
+using std::chrono::milliseconds;
+
 TEST(http_client, complete_response_is_delivered)
 {
     const auto result = call_with_response("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
@@ -111,8 +113,6 @@
 /// The order in which a connection's end and its bytes are seen differs between tries.
 constexpr int tries = 120;
 
-using std::chrono::milliseconds;
-
 /// Calls a server that responds while the request is still being written.
 outcome call_with_upload(http_test_server::script respond, bool is_retryable)
 {
