front: a close that a reset follows is no end of a response

Callers got a part of a body as the whole also where the target's process ended just after it had read what had arrived of a long request: its kernel closes the connection first and answers the next bytes with a reset.

Cause: a close was taken at once for the end of a body without a length, also while the request was on its way, and a write that failed with EPIPE counted as one behind an ordinary close. Whether a process ended or closed in order can only be seen by what it does with the next bytes.

Change: a close of the remote end while bytes are queued or unacknowledged is reported when they are acknowledged, or when no reset has come for 500 ms; a reset before that breaks the connection. Each failed write breaks it. A connection on which a response came before the request had arrived is not kept: one that its target was about to close took the next request, which may run once only, with it (502).

Two tests of sound responses reset the connection behind their close; on the wire that is what a process does that ends. They read the request to its end now, and that_ends_with_a_close_and_a_reset_fails expects the opposite for the old form.

The tests of broken_response now cover routes of each kind, reused connections, interim heads, bodies of a megabyte, and three ways in which a connection ends.

--- a/include/chicorylink/front/tcp_channel.hpp
+++ b/include/chicorylink/front/tcp_channel.hpp
@@ -38,9 +38,11 @@
         std::function<void()> on_sent;
         /// Most bytes of the next read; without, as many as the read buffer takes.
         std::function<std::size_t()> read_allowance{};
-        /// Whether bytes that arrived before a failed write are still read, as a response may
-        /// precede the end of its request. Otherwise a failed write ends the connection at once.
-        bool reads_after_failed_write = false;
+        /// Whether what arrives may be whole before all is sent, as a response to a request. Bytes
+        /// that arrived before a failed write are read then, and a close of the remote end while it
+        /// is still being sent to is `broken` if a reset follows. Otherwise a failed write ends the
+        /// connection at once.
+        bool may_receive_early = false;
     };
 
     /// @param socket A connected socket; the constructor makes it non-blocking.
@@ -85,6 +87,9 @@
 
     [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
 
+    /// @brief Whether bytes are queued or on their way that the remote end has not acknowledged.
+    [[nodiscard]] bool has_unacknowledged();
+
     /// @brief Whether further bytes can be sent.
     [[nodiscard]] bool is_writable() const { return is_open() && !m_closing; }
 
@@ -98,9 +103,12 @@
     void wait_readable();
     void on_readable();
     void write_some();
-    void on_failed_write(const boost::system::error_code& problem);
+    void on_failed_write();
     void update_count();
     void wait_writable();
+    /// Ends the channel as closed when all bytes are acknowledged or no reset comes for some time,
+    /// and as broken if one does.
+    void confirm_close(int checks_left);
     void end(channel_end reason);
     void begin_linger();
 
--- a/process_tests/support/scripted_target.cpp
+++ b/process_tests/support/scripted_target.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::string_view end_of_head = "\r\n\r\n";
 
+/// Bytes of a body that every target reads.
+constexpr std::size_t max_short_body = 64UL * 1024;
+
 std::string field_of(const std::string& head, const std::string& name)
 {
     const auto begin = head.find("\r\n" + name + ": ");
@@ -50,12 +53,20 @@
     (void)pause(limit);
 }
 
-bool scripted_target::http_exchange::read_some()
+std::size_t scripted_target::http_exchange::read_some()
 {
     std::array<char, 16UL * 1024> buffer{};
     error_code problem;
-    m_socket.read_some(boost::asio::buffer(buffer), problem);
-    return !problem;
+    return m_socket.read_some(boost::asio::buffer(buffer), problem);
+}
+
+void scripted_target::http_exchange::read_arrived(std::size_t max_bytes)
+{
+    error_code problem;
+    std::size_t count = 0;
+    while (count < max_bytes && m_socket.available(problem) > 0) {
+        count += read_some();
+    }
 }
 
 void scripted_target::http_exchange::reset()
@@ -65,6 +76,12 @@
     m_socket.close(ignored);
 }
 
+void scripted_target::http_exchange::close()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
 std::string scripted_target::http_exchange::header(const std::string& name) const
 {
     return field_of(m_head, name);
@@ -162,8 +179,9 @@
         const auto head = buffer.substr(0, size);
         buffer.erase(0, size);
         const auto length = field_of(head, "Content-Length");
-        const bool has_body = !length.empty() && m_reading == body_reading::whole;
-        const auto body = has_body ? std::stoul(length) : 0;
+        const auto announced = length.empty() ? 0 : std::stoul(length);
+        const bool is_read = m_reading == body_reading::whole || announced <= max_short_body;
+        const auto body = is_read ? announced : 0;
         if (buffer.size() < body) {
             boost::asio::read(socket, boost::asio::dynamic_buffer(buffer),
                               boost::asio::transfer_exactly(body - buffer.size()), problem);
@@ -177,7 +195,7 @@
             const std::lock_guard lock(m_mutex);
             ++m_request_counts[exchange.id()];
         }
-        if (!m_respond(exchange) || m_reading == body_reading::none) {
+        if (!m_respond(exchange) || !is_read) {
             error_code ignored;
             socket.shutdown(tcp::socket::shutdown_both, ignored);
             return;
--- a/process_tests/support/scripted_target.hpp
+++ b/process_tests/support/scripted_target.hpp
@@ -37,12 +37,20 @@
         /// @brief Ends the direction to the peer and waits until the peer closes the connection.
         void half_close(std::chrono::milliseconds limit);
 
-        /// @brief Reads some bytes of a body that was not read; false at the connection's end.
-        bool read_some();
+        /// @brief Reads some bytes of a body that was not read.
+        /// @return Their number; zero at the connection's end.
+        std::size_t read_some();
+
+        /// @brief Reads what has arrived of such a body, about `max_bytes` at most.
+        void read_arrived(std::size_t max_bytes);
 
         /// @brief Resets the connection, which then can't be used any more.
         void reset();
 
+        /// @brief Closes the connection as the end of a process does: with a reset if bytes are
+        /// unread, else in the ordinary way, and with a reset for further bytes.
+        void close();
+
         [[nodiscard]] std::string header(const std::string& name) const;
         [[nodiscard]] std::string id() const { return header("X-Chicorylink-Request-Id"); }
         [[nodiscard]] std::string path() const;
@@ -69,8 +77,8 @@
     /// How much of a request's body is read before its script runs.
     enum class body_reading : std::uint8_t {
         whole,
-        /// Nothing behind the head; each connection serves one request.
-        none,
+        /// Nothing of a long one, whose connection ends behind the response.
+        only_short,
     };
 
     /// @param port The port to listen at; 0 takes a free one.
--- a/src/chicorylink/front/tcp_channel.cpp
+++ b/src/chicorylink/front/tcp_channel.cpp
@@ -5,7 +5,9 @@
 #include "chicorylink/front/response_buffers.hpp"
 
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -24,6 +26,11 @@
 /// How long to wait for the remote end to close after the last byte was sent.
 constexpr base::milliseconds linger_timeout{1000};
 
+/// A process that is gone answers further bytes with a reset, within a round trip to the farthest
+/// region and some retransmissions. One that only stopped sending goes on reading.
+constexpr base::milliseconds close_check_interval{5};
+constexpr int max_close_checks = 100;
+
 /// A connection to a machine that is gone ends after this time, by unacknowledged data or by
 /// keepalive probes. The kernel's default timeouts are minutes.
 constexpr int user_timeout_ms = 4000;
@@ -138,8 +145,12 @@
         return;
     }
     if (problem) {
-        const bool is_closed = problem == boost::asio::error::eof && !m_is_broken;
-        end(is_closed ? channel_end::closed : channel_end::broken);
+        if (problem == boost::asio::error::eof && !m_is_broken) {
+            confirm_close(m_handlers.may_receive_early ? max_close_checks : 0);
+        }
+        else {
+            end(channel_end::broken);
+        }
         return;
     }
     if (m_lingering) {
@@ -204,7 +215,7 @@
     error_code problem;
     const auto count = m_socket.write_some(boost::asio::buffer(m_send_buffer), problem);
     if (problem && problem != boost::asio::error::would_block) {
-        on_failed_write(problem);
+        on_failed_write();
         return;
     }
     m_send_buffer.erase(0, count);
@@ -219,14 +230,13 @@
     }
 }
 
-void tcp_channel::on_failed_write(const error_code& problem)
+void tcp_channel::on_failed_write()
 {
     m_send_buffer.clear();
     update_count();
     m_closing = true;
-    // A reset behind the remote end's close is reported as a broken pipe; all bytes have arrived.
-    m_is_broken = problem != boost::asio::error::broken_pipe;
-    if (m_handlers.reads_after_failed_write) {
+    m_is_broken = true;
+    if (m_handlers.may_receive_early) {
         wait_readable();
         return;
     }
@@ -254,6 +264,36 @@
     });
 }
 
+bool tcp_channel::has_unacknowledged()
+{
+    int count = 0;
+    // SIOCOUTQ: bytes in the kernel that the remote end has not acknowledged.
+    return !m_send_buffer.empty() ||
+           (::ioctl(m_socket.native_handle(), SIOCOUTQ, &count) == 0 && count > 0);
+}
+
+void tcp_channel::confirm_close(int checks_left)
+{
+    int pending = 0;
+    socklen_t size = sizeof(pending);
+    ::getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &pending, &size);
+    if (m_is_broken || pending != 0) {
+        end(channel_end::broken);
+        return;
+    }
+    if (checks_left == 0 || !has_unacknowledged()) {
+        end(channel_end::closed);
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_socket.get_executor());
+    timer->expires_after(close_check_interval);
+    timer->async_wait([self = shared_from_this(), timer, checks_left](error_code) {
+        if (self->m_socket.is_open()) {
+            self->confirm_close(checks_left - 1);
+        }
+    });
+}
+
 void tcp_channel::end(channel_end reason)
 {
     const auto on_end = std::move(m_handlers.on_end);
--- a/src/chicorylink/front/upstream_call.cpp
+++ b/src/chicorylink/front/upstream_call.cpp
@@ -225,8 +225,9 @@
     m_is_finished = true;
     drop_request();
     const auto& head = m_parser->head();
+    // A server that responds before it has the whole request may close the connection behind that.
     const bool clean =
-        m_is_reusable && m_parser->take_remaining().empty() && m_channel->unsent() == 0;
+        m_is_reusable && m_parser->take_remaining().empty() && !m_channel->has_unacknowledged();
     const auto channel = std::exchange(m_channel, nullptr);
     if (channel->is_writable() && head.keep_alive && clean) {
         m_pool.put_idle(m_request.address, channel, idle_timeout_of(head.fields), base::boot_now());
