platform: a close that a reset follows is no end of a response

Callers of chicorylinkd got a part of a body as the whole where the target's process ended just after it had read what had arrived of a long request: its kernel closes the connection first and answers the next bytes with a reset.

Cause: libcurl takes the close for the end of a body without a length at once, stops to send, and closes the socket, so that nobody sees the reset.

Change: closing_sockets keeps the sockets that libcurl closes. A call whose response ended with its connection is complete when the remote end has acknowledged all bytes, of which one more of the request is sent if libcurl had stopped, or when no reset has come for 500 ms. With a reset it is broken. TLS has an end of its own and isn't looked at.

The tests of heads cover interim ones, reused connections, plain and streamed completions.

--- a/process_tests/gateway_response_test.cpp
+++ b/process_tests/gateway_response_test.cpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -28,17 +29,18 @@
 constexpr std::size_t upload_bytes = 700UL * 1024;
 constexpr std::size_t body_bytes = 40'000;
 /// The order in which a connection's end and its bytes are seen differs between tries.
-constexpr int tries = 30;
+constexpr int tries = 60;
 
 bool send_whole(http_exchange& exchange)
 {
     return exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 }
 
-/// A VM in each of two regions and a scripted target in the first, which serves bookings.
-class booking_fleet {
+/// A VM in each of two regions and two scripted targets in the first, for bookings and
+/// for chat completions.
+class scripted_fleet {
 public:
-    booking_fleet()
+    scripted_fleet()
     {
         const auto version = m_fleet.publish(
             fmt::format("region north # test\n"
@@ -46,10 +48,14 @@
                         "link north south delay=55ms rate=140Mbit # test\n"
                         "team both regions=north,south rate=50000000/s burst=500000000 # test\n"
                         "route bookings kind=service idempotent=no deadline=5s # test\n"
-                        "key both {} # test\n"
-                        "target booking region=north address={} routes=bookings slots=16 # test\n",
-                        digest_of(both_key), m_target.address()));
-        m_fleet.control_platform("target", {{"name", "booking"}, {"state", "live"}});
+                        "route chat kind=model deadline=5s # test\n"
+                        "key both {0} # test\n"
+                        "target booking region=north address={1} routes=bookings slots=16 # test\n"
+                        "target engine region=north address={2} routes=chat slots=16 # test\n",
+                        digest_of(both_key), m_booking.address(), m_engine.address()));
+        for (const auto* name : {"booking", "engine"}) {
+            m_fleet.control_platform("target", {{"name", name}, {"state", "live"}});
+        }
         m_fleet.start_vm("vm-north-1", "north");
         m_fleet.start_vm("vm-south-1", "south");
         if (!m_fleet.wait_ready(version)) {
@@ -65,7 +71,7 @@
             m_respond = std::move(respond);
         }
         auto& at = m_fleet.at(vm_name);
-        auto body = fmt::format(R"({{"booking": {}, "text": ")", ++m_bookings);
+        auto body = fmt::format(R"({{"booking": {}, "text": ")", ++m_requests);
         body.append(size, 'x').append("\"}");
         reply result;
         // A VM of another region takes a moment to learn of the target.
@@ -77,7 +83,25 @@
         return result;
     }
 
-    /// The number of bookings that the target got.
+    /// Sends a chat completion to a VM, to which the target responds with a script.
+    reply send_chat(const std::string& vm_name, script respond, bool is_stream)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_respond = std::move(respond);
+        }
+        const auto request = chat_call(m_fleet.at(vm_name).url(chat_path), both_key, "chat",
+                                       fmt::format("prompt {}", ++m_requests), is_stream);
+        reply result;
+        const int before = m_served;
+        EXPECT_TRUE(wait_until([&] {
+            result = perform_when_admitted(request);
+            return m_served > before;
+        })) << result.body;
+        return result;
+    }
+
+    /// The number of requests that the targets got.
     [[nodiscard]] int served() const { return m_served; }
 
 private:
@@ -98,16 +122,17 @@
 
     std::mutex m_mutex;
     script m_respond;
-    int m_bookings = 0;
+    int m_requests = 0;
     std::atomic<int> m_served{0};
-    scripted_target m_target{[this](http_exchange& exchange) { return respond(exchange); },
-                             "127.0.0.1", 0, scripted_target::body_reading::only_short};
+    scripted_target m_booking{[this](http_exchange& exchange) { return respond(exchange); },
+                              "127.0.0.1", 0, scripted_target::body_reading::only_short};
+    scripted_target m_engine{[this](http_exchange& exchange) { return respond(exchange); }};
     fleet m_fleet{binaries(), log_folder("gateway_response")};
 };
 
 class gateway_response : public testing::Test {
 protected:
-    static void SetUpTestSuite() { s_fleet = std::make_unique<booking_fleet>(); }
+    static void SetUpTestSuite() { s_fleet = std::make_unique<scripted_fleet>(); }
     static void TearDownTestSuite() { s_fleet.reset(); }
 
     /// @param outcome What the caller learns of the run; a head shows that the request ran.
@@ -139,27 +164,70 @@
         }
     }
 
-    static std::unique_ptr<booking_fleet> s_fleet;
+    static std::unique_ptr<scripted_fleet> s_fleet;
 };
 
-std::unique_ptr<booking_fleet> gateway_response::s_fleet;
+std::unique_ptr<scripted_fleet> gateway_response::s_fleet;
 
-// Guards against a status that is none, or a line that parsers read differently, reaching a caller.
-TEST_F(gateway_response, with_a_broken_head_reaches_no_caller)
+/// Heads that are no response's, each before its body.
+std::vector<std::string> broken_heads()
 {
+    std::vector<std::string> heads;
     for (const auto* start :
          {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
           "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n", "HTTP/1.1 200 OK\r\nContent-Length\x0b: 3\r\n",
-          "HTTP/1.1 200 OK\r\nX: y\r\n\nZ: y\r\n"}) {
-        SCOPED_TRACE(start);
+          "HTTP/1.1 200 OK\r\nX: y\r\n\nZ: y\r\n",
+          "HTTP/1.1 102 Wait\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+        heads.push_back(fmt::format("{}Content-Length: {{}}\r\n", start));
+    }
+    heads.push_back(std::string{"HTTP/1.1 200 OK\r\n"} + '\0' + "X: y\r\n");
+    return heads;
+}
+
+std::string with_body(const std::string& head, const std::string& fields, const std::string& body)
+{
+    return fmt::format(fmt::runtime(head), body.size()) + fields + "\r\n" + body;
+}
+
+// Guards against a status that is none, or a line that parsers read differently, reaching a caller.
+TEST_F(gateway_response, with_a_broken_head_reaches_no_caller)
+{
+    for (const auto& head : broken_heads()) {
+        SCOPED_TRACE(head);
         expect_failure(
-            [start](http_exchange& exchange) {
-                return exchange.send(fmt::format("{}Content-Length: 6\r\n\r\nbroken", start));
+            [&](http_exchange& exchange) {
+                return exchange.send(with_body(head, "", "broken")) && false;
             },
             "unknown");
     }
-    const auto with_nul = std::string{"HTTP/1.1 200 OK\r\n"} + '\0' + "X: y\r\n\r\nbroken";
-    expect_failure([&](http_exchange& exchange) { return exchange.send(with_nul) && false; }, "unknown");
+}
+
+// Guards against the same in chat completions, plain and streamed.
+TEST_F(gateway_response, with_a_broken_head_is_no_completion)
+{
+    const std::string completion = R"({"choices":[{"message":{"content":"broken"}}]})";
+    const std::string events =
+        "data: {\"choices\":[{\"delta\":{\"content\":\"broken\"}}]}\n\ndata: [DONE]\n\n";
+    for (const auto& head : broken_heads()) {
+        for (const auto* vm_name : {"vm-north-1", "vm-south-1"}) {
+            for (const bool is_stream : {false, true}) {
+                SCOPED_TRACE(fmt::format("{} at {}, stream {}", head, vm_name, is_stream));
+                EXPECT_EQ(s_fleet->send_chat(vm_name, send_whole, false).status, 200);
+                const auto result = s_fleet->send_chat(
+                    vm_name,
+                    [&](http_exchange& exchange) {
+                        const auto bytes =
+                            is_stream
+                                ? with_body(head, "Content-Type: text/event-stream\r\n", events)
+                                : with_body(head, "", completion);
+                        return exchange.send(bytes) && false;
+                    },
+                    is_stream);
+                EXPECT_GE(result.status, 500);
+                EXPECT_EQ(result.body.find("broken"), std::string::npos) << result.body;
+            }
+        }
+    }
 }
 
 // Guards against a part of a body without a length being passed on as the whole.
@@ -171,7 +239,14 @@
             [number](http_exchange& exchange) {
                 exchange.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(body_bytes, 'y'));
                 std::this_thread::sleep_for(milliseconds{number % 4});
-                exchange.reset();
+                if (number % 3 == 0) {
+                    exchange.reset();
+                    return false;
+                }
+                if (number % 3 == 1) {
+                    exchange.read_arrived(upload_bytes / 2);
+                }
+                exchange.close();
                 return false;
             },
             "ran", upload_bytes);
@@ -209,6 +284,13 @@
                 return read_to_end(exchange);
             },
             body, upload_bytes);
+        expect_passed(
+            [&](http_exchange& exchange) {
+                exchange.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                              http_exchange::chunk(body) + "0\r\n\r\n");
+                return read_to_end(exchange);
+            },
+            body, upload_bytes);
     }
 }
 
--- a/src/chicorylink/platform/http_client.cpp
+++ b/src/chicorylink/platform/http_client.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/platform/http_client.hpp"
 
+#include "chicorylink/platform/closing_sockets.hpp"
 #include "chicorylink/platform/http_transfer.hpp"
 
 #include <atomic>
@@ -49,15 +50,21 @@
     void run();
     void apply(commands todo);
     void finish_done();
+    /// Ends the calls of which it is known by now how their connections ended.
+    void finish_confirmed();
     void cancel_now(transfer_id id);
     [[nodiscard]] commands take_commands();
 
+    /// Used by connections of `m_multi` until these are closed.
+    closing_sockets m_sockets;
     CURLM* m_multi;
     std::atomic<std::uint64_t> m_last_id{0};
     std::atomic<bool> m_stopping{false};
     std::mutex m_mutex;
     commands m_commands;
     std::unordered_map<transfer_id, std::unique_ptr<http_transfer>> m_running;
+    /// Calls in `m_running` whose responses ended with their connections.
+    std::vector<transfer_id> m_unconfirmed;
     std::thread m_thread;
 };
 
@@ -78,7 +85,8 @@
 transfer_id http_client::worker::start(http_request request, http_handlers handlers)
 {
     const transfer_id id{++m_last_id};
-    auto transfer = std::make_unique<http_transfer>(id, std::move(request), std::move(handlers));
+    auto transfer =
+        std::make_unique<http_transfer>(id, std::move(request), std::move(handlers), m_sockets);
     {
         const std::lock_guard lock(m_mutex);
         m_commands.started.push_back(std::move(transfer));
@@ -118,7 +126,10 @@
         int running = 0;
         curl_multi_perform(m_multi, &running);
         finish_done();
-        curl_multi_poll(m_multi, nullptr, 0, poll_timeout_ms, nullptr);
+        finish_confirmed();
+        const int timeout_ms =
+            m_unconfirmed.empty() ? poll_timeout_ms : closing_sockets::check_interval_ms;
+        curl_multi_poll(m_multi, nullptr, 0, timeout_ms, nullptr);
     }
     apply(take_commands());
     while (!m_running.empty()) {
@@ -165,12 +176,40 @@
         http_transfer* transfer = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
         const CURLcode code = message->data.result;
-        const auto node = m_running.extract(transfer->id());
         curl_multi_remove_handle(m_multi, transfer->handle());
+        if (transfer->ends_with_connection(code)) {
+            if (const auto next = transfer->next_byte()) {
+                m_sockets.probe(transfer->local_address(), *next);
+            }
+            m_unconfirmed.push_back(transfer->id());
+            continue;
+        }
+        const auto node = m_running.extract(transfer->id());
         transfer->finish(code);
     }
 }
 
+void http_client::worker::finish_confirmed()
+{
+    std::vector<std::string> pending;
+    for (const auto id : std::exchange(m_unconfirmed, {})) {
+        const auto found = m_running.find(id);
+        if (found == m_running.end()) {
+            // The call was cancelled meanwhile.
+            continue;
+        }
+        const auto state = m_sockets.check(found->second->local_address());
+        if (state == close_state::pending) {
+            pending.push_back(found->second->local_address());
+            m_unconfirmed.push_back(id);
+            continue;
+        }
+        const auto node = m_running.extract(found);
+        node.mapped()->finish(state == close_state::reset ? CURLE_RECV_ERROR : CURLE_OK);
+    }
+    m_sockets.close_others(pending);
+}
+
 http_client::http_client() : m_worker(std::make_unique<worker>()) {}
 
 http_client::~http_client() = default;
--- a/src/chicorylink/platform/http_client_test.cpp
+++ b/src/chicorylink/platform/http_client_test.cpp
@@ -125,6 +125,25 @@
     return call(request);
 }
 
+/// Sends the begin of a response without a length, and resets the connection in one of the ways in
+/// which that happens.
+void send_part(http_test_server::socket& peer, const std::string& part, int number)
+{
+    http_test_server::send(peer, "HTTP/1.1 200 OK\r\n\r\n" + part);
+    std::this_thread::sleep_for(milliseconds{number % 4});
+    for (int read = 0; read < number % 5; ++read) {
+        http_test_server::read_some(peer);
+    }
+    if (number % 3 == 0) {
+        http_test_server::reset(peer);
+        return;
+    }
+    if (number % 3 == 1) {
+        http_test_server::read_arrived(peer, upload_bytes / 2);
+    }
+    http_test_server::close(peer);
+}
+
 // Guards against a part of a body without a length being taken for the whole, because the server
 // reset the connection while the request was still being written.
 TEST(http_client, early_response_that_ends_with_a_reset_is_broken)
@@ -132,21 +151,74 @@
     const std::string part(body_bytes, 'y');
     for (int number = 0; number < tries; ++number) {
         SCOPED_TRACE(number);
-        const auto result = call_with_upload(
-            [&](http_test_server::socket& peer) {
-                http_test_server::send(peer, "HTTP/1.1 200 OK\r\n\r\n" + part);
-                std::this_thread::sleep_for(milliseconds{number % 4});
-                for (int read = 0; read < number % 5; ++read) {
-                    http_test_server::read_some(peer);
-                }
-                http_test_server::reset(peer);
-            },
-            number % 2 == 0);
+        const auto result =
+            call_with_upload([&](http_test_server::socket& peer) { send_part(peer, part, number); },
+                             number % 2 == 0);
         ASSERT_EQ(result.end.kind, http_end_kind::broken);
         EXPECT_TRUE(result.end.possibly_sent);
     }
 }
 
+/// Serves a first request and reads the head of a second one on the same connection.
+void serve_first(http_test_server::socket& peer)
+{
+    http_test_server::send(peer, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    boost::asio::streambuf buffer;
+    boost::system::error_code ignored;
+    boost::asio::read_until(peer, buffer, "\r\n\r\n", ignored);
+}
+
+// Guards against the same faults on a connection that is used again.
+TEST(http_client, broken_response_on_a_reused_connection_is_broken)
+{
+    const std::string part(body_bytes, 'y');
+    for (int number = 0; number < tries; ++number) {
+        SCOPED_TRACE(number);
+        http_client client;
+        http_test_server server([&](http_test_server::socket& peer) {
+            serve_first(peer);
+            if (number % 4 == 0) {
+                http_test_server::send(peer, "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nnone");
+            }
+            else if (number % 4 == 1) {
+                http_test_server::send(
+                    peer, "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 4\r\n\r\nnone");
+            }
+            else {
+                send_part(peer, part, number);
+            }
+        });
+        http_request request;
+        request.url = server.url();
+        ASSERT_EQ(call(client, request).body, "first");
+        request.method = "POST";
+        request.body = std::string(upload_bytes, 'x');
+        const auto result = call(client, request);
+        ASSERT_EQ(result.end.kind, http_end_kind::broken);
+        EXPECT_EQ(result.body.find("none"), std::string::npos);
+    }
+}
+
+// Guards against a call that waits for a server which stops reading the request behind its close.
+TEST(http_client, early_response_that_ends_with_a_close_needs_no_reader_of_the_request)
+{
+    constexpr std::chrono::seconds held_for{2};
+    http_test_server server([&](http_test_server::socket& peer) {
+        http_test_server::send(peer, "HTTP/1.1 200 OK\r\n\r\nok");
+        http_test_server::half_close(peer);
+        std::this_thread::sleep_for(held_for);
+    });
+    http_request request;
+    request.method = "POST";
+    request.body = std::string(upload_bytes, 'x');
+    request.url = server.url();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto result = call(request);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, held_for);
+    EXPECT_EQ(result.end.kind, http_end_kind::complete) << result.end.detail;
+    EXPECT_EQ(result.body, "ok");
+}
+
 // Guards against a check of resets that rejects a body that an ordinary close has ended.
 TEST(http_client, early_response_that_ends_with_a_close_is_complete)
 {
@@ -158,7 +230,7 @@
                 http_test_server::send(peer, "HTTP/1.1 200 OK\r\n\r\n" + body);
                 std::this_thread::sleep_for(milliseconds{number % 4});
                 http_test_server::half_close(peer);
-                while (http_test_server::read_some(peer)) {
+                while (http_test_server::read_some(peer) > 0) {
                 }
             },
             number % 2 == 0);
--- a/src/chicorylink/platform/http_test_server.hpp
+++ b/src/chicorylink/platform/http_test_server.hpp
@@ -54,13 +54,31 @@
         boost::asio::write(peer, boost::asio::buffer(bytes.data(), bytes.size()), ignored);
     }
 
-    /// @brief Reads some bytes of the request's body; false at the connection's end.
-    static bool read_some(socket& peer)
+    /// @brief Reads some bytes of the request's body.
+    /// @return Their number; zero at the connection's end.
+    static std::size_t read_some(socket& peer)
     {
         std::array<char, 16UL * 1024> buffer{};
         boost::system::error_code problem;
-        peer.read_some(boost::asio::buffer(buffer), problem);
-        return !problem;
+        return peer.read_some(boost::asio::buffer(buffer), problem);
+    }
+
+    /// @brief Reads what has arrived, about `max_bytes` at most.
+    static void read_arrived(socket& peer, std::size_t max_bytes)
+    {
+        boost::system::error_code problem;
+        std::size_t count = 0;
+        while (count < max_bytes && peer.available(problem) > 0) {
+            count += read_some(peer);
+        }
+    }
+
+    /// @brief Closes the connection as the end of a process does: with a reset if bytes are unread,
+    /// else in the ordinary way, and with a reset for further bytes.
+    static void close(socket& peer)
+    {
+        boost::system::error_code ignored;
+        peer.close(ignored);
     }
 
     static void half_close(socket& peer)
@@ -111,11 +129,10 @@
     http_end end;
 };
 
-inline outcome call(const http_request& request)
+inline outcome call(http_client& client, const http_request& request)
 {
     outcome result;
     std::promise<void> ended;
-    http_client client;
     http_handlers handlers;
     handlers.on_head = [&](int status, const header_list&) { result.status = status; };
     handlers.on_data = [&](std::string_view piece) {
@@ -131,6 +148,12 @@
     return result;
 }
 
+inline outcome call(const http_request& request)
+{
+    http_client client;
+    return call(client, request);
+}
+
 inline outcome call_with_response(const std::string& response)
 {
     http_test_server server(respond(response));
--- a/src/chicorylink/platform/http_transfer.cpp
+++ b/src/chicorylink/platform/http_transfer.cpp
@@ -1,11 +1,14 @@
 #include "chicorylink/platform/http_transfer.hpp"
 
 #include "chicorylink/base/text.hpp"
+#include "chicorylink/platform/closing_sockets.hpp"
 
 #include <algorithm>
 #include <cerrno>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace chicorylink::platform {
 namespace {
 
@@ -13,11 +16,14 @@
 
 } // namespace
 
-http_transfer::http_transfer(transfer_id id, http_request request, http_handlers handlers)
+http_transfer::http_transfer(transfer_id id, http_request request, http_handlers handlers,
+                             closing_sockets& sockets)
     : m_id(id), m_request(std::move(request)), m_handlers(std::move(handlers)),
       m_handle(curl_easy_init())
 {
     set_options();
+    curl_easy_setopt(m_handle, CURLOPT_CLOSESOCKETFUNCTION, &closing_sockets::on_close);
+    curl_easy_setopt(m_handle, CURLOPT_CLOSESOCKETDATA, &sockets);
 }
 
 http_transfer::~http_transfer()
@@ -101,10 +107,11 @@
     return piece.size();
 }
 
-int http_transfer::on_prerequest(void* self, char* /*remote*/, char* /*local*/, int /*remote_port*/,
-                                 int /*local_port*/)
+int http_transfer::on_prerequest(void* self, char* /*remote*/, char* local, int /*remote_port*/,
+                                 int local_port)
 {
     auto& transfer = *static_cast<http_transfer*>(self);
+    transfer.m_local_address = fmt::format("{}:{}", local, local_port);
     const bool is_resend = transfer.m_possibly_sent;
     if (is_resend && !transfer.m_request.retryable) {
         transfer.m_stopped = true;
@@ -118,6 +125,24 @@
     return CURL_PREREQFUNC_OK;
 }
 
+bool http_transfer::ends_with_connection(CURLcode code) const
+{
+    const auto& fields = m_head.fields();
+    const bool has_length = std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+        return field.first == "content-length" || field.first == "transfer-encoding";
+    });
+    // TLS has an end of its own.
+    return code == CURLE_OK && !has_length && m_request.url.starts_with("http://");
+}
+
+std::optional<char> http_transfer::next_byte() const
+{
+    curl_off_t sent = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_SIZE_UPLOAD_T, &sent);
+    const auto offset = static_cast<std::size_t>(sent);
+    return offset < m_request.body.size() ? std::optional{m_request.body[offset]} : std::nullopt;
+}
+
 bool http_transfer::has_whole_response(CURLcode code) const
 {
     curl_off_t length = -1;
--- a/src/chicorylink/platform/http_transfer.hpp
+++ b/src/chicorylink/platform/http_transfer.hpp
@@ -5,6 +5,7 @@
 #include "chicorylink/platform/http_client.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,10 +13,14 @@
 
 namespace chicorylink::platform {
 
+class closing_sockets;
+
 /// @brief One call in progress: the libcurl handle and what its callbacks need.
 class http_transfer {
 public:
-    http_transfer(transfer_id id, http_request request, http_handlers handlers);
+    /// @param sockets Takes the sockets that libcurl closes; outlives all connections.
+    http_transfer(transfer_id id, http_request request, http_handlers handlers,
+                  closing_sockets& sockets);
     ~http_transfer();
     http_transfer(const http_transfer&) = delete;
     http_transfer& operator=(const http_transfer&) = delete;
@@ -25,6 +30,15 @@
     [[nodiscard]] transfer_id id() const { return m_id; }
     [[nodiscard]] CURL* handle() const { return m_handle; }
 
+    /// @brief Whether only the remote end's close says that the response is whole.
+    [[nodiscard]] bool ends_with_connection(CURLcode code) const;
+
+    /// @brief The next byte of the body that was not sent; empty if there is none.
+    [[nodiscard]] std::optional<char> next_byte() const;
+
+    /// @brief The local address of the latest connection, `IP:port`.
+    [[nodiscard]] const std::string& local_address() const { return m_local_address; }
+
     /// @brief Reports the end of the call to its handlers.
     void finish(CURLcode code);
 
@@ -50,6 +64,7 @@
     curl_slist* m_header_lines = nullptr;
     head_reader m_head;
     curl_off_t m_body_bytes = 0;
+    std::string m_local_address;
     bool m_possibly_sent = false;
     bool m_stopped = false;
 };
