gateway: a fetched response that broke off has no body

A list of targets could be read from a response that broke off.

Cause: http_fetcher marks such a response with the status 0 but delivers what has arrived of its body, and the reader of that list does not ask for the status.

Change: a response with the status 0 has no body.

Evidence: http_fetcher.a_broken_response_has_no_status_and_no_body failed before, for each response that a reset broke off (100 of 100), and passes now.

--- a/src/chicorylink/gateway/http_fetcher.cpp
+++ b/src/chicorylink/gateway/http_fetcher.cpp
@@ -35,6 +35,10 @@
         if (end.kind != platform::http_end_kind::complete) {
             response->status = 0;
         }
+        if (response->status == 0) {
+            // Not every caller asks for the status.
+            response->body.clear();
+        }
         m_loop.post([response, done] { done(*response); });
     };
     platform::http_request request;
