--- a/programs/chicorylink-load/load_test.cpp
+++ b/programs/chicorylink-load/load_test.cpp
@@ -68,6 +68,24 @@
     }
 }
 
+// Guards against a stream without a length being counted as complete although its connection was
+// reset.
+TEST(runner, a_response_that_ends_with_a_reset_is_not_complete)
+{
+    constexpr int tries = 40;
+    for (int number = 0; number < tries; ++number) {
+        platform::http_test_server server([](platform::http_test_server::socket& peer) {
+            platform::http_test_server::send(peer, "HTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n");
+            platform::http_test_server::reset(peer);
+        });
+        plan load_plan{.addresses = {server.address()}};
+        load_plan.calls = 1;
+        summary result;
+        run(load_plan, result);
+        EXPECT_EQ(result.complete(), 0U) << number;
+    }
+}
+
 TEST(stream_reader, counts_tokens_whatever_the_cuts)
 {
     const std::string text = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\r\n\r\n"
--- a/programs/chicorylink/command_line_test.cpp
+++ b/programs/chicorylink/command_line_test.cpp
@@ -173,6 +173,27 @@
     EXPECT_EQ(run({"status", "--daemon", server.address()}).code, exit_code::success);
 }
 
+// Guards against a part of a response without a length being shown as the whole.
+TEST_F(command_line_test, a_response_that_ends_with_a_reset_is_no_response)
+{
+    constexpr int tries = 100;
+    for (int number = 0; number < tries; ++number) {
+        platform::http_test_server server([](platform::http_test_server::socket& peer) {
+            platform::http_test_server::send(peer, "HTTP/1.1 200 OK\r\n\r\n{\"vm\":\"broken\"}");
+            platform::http_test_server::reset(peer);
+        });
+        const auto* command = number % 2 == 0 ? "status" : "drain";
+        const auto result = run({command, "--daemon", server.address()});
+        EXPECT_EQ(result.code, exit_code::daemon_unreachable) << number;
+        EXPECT_EQ(result.out, "") << number;
+    }
+    for (const auto* length : {"", "Content-Length: 14\r\n"}) {
+        platform::http_test_server server(platform::respond(
+            fmt::format("HTTP/1.1 200 OK\r\n{}\r\n{{\"vm\":\"sound\"}}", length)));
+        EXPECT_EQ(run({"status", "--daemon", server.address()}).out, "vm:  sound\n");
+    }
+}
+
 TEST_F(command_line_test, an_unreachable_daemon_has_its_own_exit_code)
 {
     std::string address;
--- a/src/chicorylink/front/http_get_client_test.cpp
+++ b/src/chicorylink/front/http_get_client_test.cpp
@@ -56,6 +56,24 @@
         return get(client);
     }
 
+    /// Reads from a server on loopback that sends these bytes and resets the connection.
+    read_result read_reset(const std::string& bytes)
+    {
+        m_acceptor.async_accept([&](boost::system::error_code problem, tcp::socket socket) {
+            if (!problem) {
+                m_channel = std::make_shared<tcp_channel>(std::move(socket));
+                m_channel->start({[&](std::string_view) {
+                                      m_channel->send(bytes);
+                                      m_channel->abort();
+                                  },
+                                  {},
+                                  {}});
+            }
+        });
+        http_get_client client(m_loop, address());
+        return get(client);
+    }
+
     /// Reads two responses.
     /// @param first What a server sends for the requests on its first connection.
     /// @param second The same for another connection.
@@ -173,6 +191,19 @@
     }
 }
 
+// Guards against a part of a response being taken for the whole, because the connection was reset.
+TEST_F(http_get_client_test, a_response_that_ends_with_a_reset_fails)
+{
+    constexpr int tries = 100;
+    for (int number = 0; number < tries; ++number) {
+        for (const auto* length : {"", "Content-Length: 20\r\n"}) {
+            const auto result = read_reset(fmt::format("HTTP/1.1 200 OK\r\n{}\r\nbody", length));
+            ASSERT_EQ(result.status, 0) << number;
+            ASSERT_EQ(result.body, "") << number;
+        }
+    }
+}
+
 // Guards against the rest of a second response being taken for the response to the next request.
 TEST_F(http_get_client_test, bytes_behind_a_response_close_the_connection)
 {
