front: every connection is counted once when it ends, by cause and use

What callers saw: requests under planned work that ended without a byte of an answer. The logs could not tell a full VM from a listener that closes or a process that exits: a connection that was closed right after it was accepted left no line, and connections_full did not tell what the others were used for.

Change: caller_connection::use tells what would be lost if the connection closed now. connections_accepted_total, connections_ended_total and the line connection_counts hold the ends against the connections that were accepted; connections_full tells how many are idle, expected, arriving and serving. No decision changes.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -4,6 +4,9 @@
 #include "chicorylink/base/log_line.hpp"
 #include "chicorylink/base/units.hpp"
 #include "chicorylink/fleet/configuration.hpp"
+#include "chicorylink/front/connection_end.hpp"
+#include "chicorylink/front/connection_side.hpp"
+#include "chicorylink/front/connection_use.hpp"
 #include "chicorylink/front/held_bytes.hpp"
 #include "chicorylink/front/message_parser.hpp"
 #include "chicorylink/front/resolution.hpp"
@@ -22,12 +25,6 @@
 class exchange;
 struct front_core;
 
-/// @brief Who opened a connection to this VM.
-enum class connection_side { caller, peer };
-
-/// @brief Why this VM closes a connection that has no response under way.
-enum class close_cause { idle, incomplete_request, process_exit, too_many_connections };
-
 /// @brief A connection opened by a caller or another VM; serves its requests one at a time.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
@@ -60,10 +57,8 @@
     /// @brief Closes the connection when it is idle or its request is incomplete for too long.
     void tick(base::time_point now);
 
-    /// @brief Whether work would be lost if the process ended now: a request being served or
-    /// received, one expected on a new connection, one that has arrived and isn't read, or a
-    /// response not fully sent.
-    [[nodiscard]] bool is_busy(base::time_point now) const;
+    /// @brief What would be lost if the connection closed now.
+    [[nodiscard]] connection_use use(base::time_point now) const;
 
     /// @brief Since when the connection has been open, or its first request unfinished; none after
     /// the first request.
@@ -84,7 +79,7 @@
     /// be lost: bytes of one have arrived, or the limits have changed while the connection was
     /// idle.
     /// @return Whether bytes of a request had arrived.
-    bool close(close_cause cause, base::time_point now);
+    bool close(connection_end cause, base::time_point now);
 
 private:
     void on_data(std::string_view bytes);
@@ -99,7 +94,7 @@
     void reject_invalid_request();
     void next_request();
     [[nodiscard]] bool keeps_open() const;
-    void notify_closed();
+    void notify_closed(connection_end end, connection_use last_use);
     void reset_parser();
     [[nodiscard]] base::log_line describe(std::string_view cause, base::time_point now) const;
 
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -54,6 +54,7 @@
     /// taken.
     /// @return False if there is none to close.
     bool make_room(base::time_point now);
+    void log_full(base::time_point now);
     void add_connection(boost::asio::ip::tcp::socket socket);
     void on_closed(const caller_connection* key);
     /// @brief The connections; handling one may remove it from `m_connections`.
@@ -64,6 +65,7 @@
     boost::asio::steady_timer m_accept_timer;
     connection_side m_side;
     bool m_is_full_logged = false;
+    bool m_is_counted = false;
     std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
     /// Closed connections that are still sending the rest of their last response.
     std::vector<std::weak_ptr<tcp_channel>> m_closing;
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "chicorylink/base/boot_clock.hpp"
 #include "chicorylink/base/ids.hpp"
+#include "chicorylink/front/connection_counts.hpp"
 #include "chicorylink/front/exchange.hpp"
 #include "chicorylink/front/forward_fields.hpp"
 #include "chicorylink/front/front_core.hpp"
@@ -33,21 +34,6 @@
 /// the timeout as well.
 constexpr base::milliseconds idle_margin{500};
 
-std::string_view to_string(close_cause cause)
-{
-    switch (cause) {
-    case close_cause::idle:
-        return "idle";
-    case close_cause::incomplete_request:
-        return "incomplete_request";
-    case close_cause::process_exit:
-        return "process_exit";
-    case close_cause::too_many_connections:
-        return "too_many_connections";
-    }
-    return "unknown";
-}
-
 std::optional<base::config_version> forwarded_version(const message_head& head)
 {
     const auto* text = find_field(head.fields, forwarded_field);
@@ -89,6 +75,7 @@
 {
     m_on_closed = std::move(on_closed);
     m_timeout_start = base::boot_now();
+    count_accepted(m_core.counters, m_side);
     m_core.readers.connections.emplace(m_unfinished.key(), weak_from_this());
     m_channel->start({[self = shared_from_this()](std::string_view bytes) { self->on_data(bytes); },
                       [self = shared_from_this()](channel_end end) { self->on_end(end); },
@@ -208,7 +195,7 @@
 {
     m_exchange = nullptr;
     m_channel->abort();
-    notify_closed();
+    notify_closed(connection_end::cut, connection_use::serving);
 }
 
 void caller_connection::refuse(const refusal& cause, std::string_view outcome)
@@ -241,8 +228,9 @@
     m_exchange = nullptr;
     m_timeout_start = base::boot_now();
     if (m_close_after_response) {
+        const auto last_use = m_pipelined.empty() ? connection_use::idle : connection_use::arriving;
         m_channel->close_after_sent();
-        notify_closed();
+        notify_closed(connection_end::last_response, last_use);
         return;
     }
     reset_parser();
@@ -264,16 +252,18 @@
 void caller_connection::on_end(channel_end end)
 {
     const auto keep_alive = shared_from_this();
+    const auto now = base::boot_now();
+    const auto last_use = use(now);
     if (m_parser->has_begun() && !m_exchange) {
         m_core.counters.add("partial_requests_ended_total");
         if (end == channel_end::broken) {
-            write_log(m_core, describe("broken", base::boot_now()));
+            write_log(m_core, describe("broken", now));
         }
     }
     if (const auto current = std::exchange(m_exchange, nullptr)) {
-        current->on_caller_disconnected(base::boot_now());
+        current->on_caller_disconnected(now);
     }
-    notify_closed();
+    notify_closed(connection_end::remote, last_use);
 }
 
 void caller_connection::on_sent()
@@ -283,11 +273,12 @@
     }
 }
 
-void caller_connection::notify_closed()
+void caller_connection::notify_closed(connection_end end, connection_use last_use)
 {
     if (std::exchange(m_is_closed, true)) {
         return;
     }
+    count_ended(m_core.counters, m_side, end, last_use);
     if (const auto callback = std::exchange(m_on_closed, nullptr)) {
         callback();
     }
@@ -297,7 +288,8 @@
 {
     auto line = log_event(m_core, "connection_closed");
     line.add("cause", cause);
-    line.add("from", m_side == connection_side::peer ? "peer" : "caller");
+    line.add("from", to_string(m_side));
+    line.add("use", to_string(use(now)));
     line.add("is_first", !m_has_received_request).add("is_serving", m_exchange != nullptr);
     line.add("partial_bytes", std::uint64_t{m_partial_bytes});
     line.add("pipelined_bytes", std::uint64_t{m_pipelined.size()});
@@ -309,28 +301,34 @@
     return line;
 }
 
-bool caller_connection::close(close_cause cause, base::time_point now)
+bool caller_connection::close(connection_end cause, base::time_point now)
 {
     const auto keep_alive = shared_from_this();
+    const auto last_use = use(now);
     const bool has_bytes = m_parser->has_begun() || !m_pipelined.empty() || m_channel->unread() > 0;
     const bool has_new_limits =
-        cause == close_cause::idle && m_limits.idle_time != limits_of(m_core).idle_time;
+        cause == connection_end::idle && m_limits.idle_time != limits_of(m_core).idle_time;
     if (has_bytes || has_new_limits) {
         write_log(m_core, describe(to_string(cause), now));
     }
     if (const auto current = std::exchange(m_exchange, nullptr)) {
-        current->on_caller_disconnected(base::boot_now());
+        current->on_caller_disconnected(now);
     }
     m_channel->close();
-    notify_closed();
+    notify_closed(cause, last_use);
     return has_bytes;
 }
 
-bool caller_connection::is_busy(base::time_point now) const
+connection_use caller_connection::use(base::time_point now) const
 {
+    if (m_exchange || !m_pipelined.empty() || m_channel->unsent() > 0) {
+        return connection_use::serving;
+    }
+    if (m_parser->has_begun() || m_channel->unread() > 0) {
+        return connection_use::arriving;
+    }
     const bool is_new = !m_has_received_request && now - m_timeout_start < first_request_window;
-    return is_new || m_exchange || m_parser->has_begun() || !m_pipelined.empty() ||
-           m_channel->unsent() > 0 || m_channel->unread() > 0;
+    return is_new ? connection_use::expected : connection_use::idle;
 }
 
 void caller_connection::read_arrived()
@@ -368,7 +366,7 @@
     else {
         m_core.counters.add("idle_connections_closed_total");
     }
-    close(is_incomplete ? close_cause::incomplete_request : close_cause::idle, now);
+    close(is_incomplete ? connection_end::incomplete_request : connection_end::idle, now);
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/caller_connection_reading.cpp
+++ b/src/chicorylink/front/caller_connection_reading.cpp
@@ -95,7 +95,7 @@
         m_core,
         log_event(m_core, "request_shed")
             .add("cause", cause)
-            .add("from", m_side == connection_side::peer ? "peer" : "caller")
+            .add("from", to_string(m_side))
             .add("bytes", std::uint64_t{m_parser->held()})
             .add("waited_ms",
                  std::chrono::duration_cast<base::milliseconds>(now - m_timeout_start).count())
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -1,9 +1,11 @@
 #include "chicorylink/front/request_listener.hpp"
 
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/front/connection_counts.hpp"
 #include "chicorylink/front/front_core.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -37,14 +39,20 @@
     const auto connections = std::exchange(m_connections, {});
     std::uint64_t with_bytes = 0;
     for (const auto& [key, connection] : connections) {
-        with_bytes += connection->close(close_cause::process_exit, now) ? 1 : 0;
+        with_bytes += connection->close(connection_end::process_exit, now) ? 1 : 0;
     }
     if (!connections.empty()) {
         write_log(m_core, log_event(m_core, "connections_closed")
-                              .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                              .add("from", to_string(m_side))
                               .add("connections", std::uint64_t{connections.size()})
                               .add("with_unanswered_bytes", with_bytes));
     }
+    if (!std::exchange(m_is_counted, true)) {
+        auto line = log_event(m_core, "connection_counts");
+        line.add("from", to_string(m_side));
+        add_connection_counts(line, m_core.counters, m_side);
+        write_log(m_core, line);
+    }
 }
 
 void request_listener::accept()
@@ -112,20 +120,32 @@
         }
     }
     if (!std::exchange(m_is_full_logged, true)) {
-        write_log(m_core, log_event(m_core, "connections_full")
-                              .add("from", m_side == connection_side::peer ? "peer" : "caller")
-                              .add("connections", std::uint64_t{m_connections.size()})
-                              .add("has_unused", oldest != nullptr));
+        log_full(now);
     }
     if (!oldest) {
         m_core.counters.add("connections_refused_total");
         return false;
     }
     m_core.counters.add("unused_connections_closed_total");
-    oldest->close(close_cause::too_many_connections, now);
+    oldest->close(connection_end::too_many_connections, now);
     return true;
 }
 
+void request_listener::log_full(base::time_point now)
+{
+    std::map<connection_use, std::uint64_t> by_use;
+    for (const auto& [key, connection] : m_connections) {
+        ++by_use[connection->use(now)];
+    }
+    auto line = log_event(m_core, "connections_full");
+    line.add("from", to_string(m_side));
+    line.add("connections", std::uint64_t{m_connections.size()});
+    for (const auto use : all_connection_uses) {
+        line.add(to_string(use), by_use[use]);
+    }
+    write_log(m_core, line);
+}
+
 void request_listener::add_connection(boost::asio::ip::tcp::socket socket)
 {
     auto channel = std::make_shared<tcp_channel>(std::move(socket));
@@ -154,7 +174,7 @@
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     write_log(m_core, log_event(m_core, "listener_closed")
-                          .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                          .add("from", to_string(m_side))
                           .add("accepted_at_last", accepted)
                           .add("reason", problem.message()));
 }
@@ -178,8 +198,10 @@
             const auto channel = closing.lock();
             return channel && channel->is_open() && channel->unsent() > 0;
         });
-    return is_sending || std::any_of(m_connections.begin(), m_connections.end(),
-                                     [&](const auto& entry) { return entry.second->is_busy(now); });
+    return is_sending ||
+           std::any_of(m_connections.begin(), m_connections.end(), [&](const auto& entry) {
+               return entry.second->use(now) != connection_use::idle;
+           });
 }
 
 void request_listener::tick(base::time_point now)
@@ -195,7 +217,7 @@
     if (m_is_full_logged && m_connections.size() < max_connections(m_core) / 10 * 9) {
         m_is_full_logged = false;
         write_log(m_core, log_event(m_core, "connections_freed")
-                              .add("from", m_side == connection_side::peer ? "peer" : "caller")
+                              .add("from", to_string(m_side))
                               .add("connections", std::uint64_t{m_connections.size()}));
     }
 }
