front: idle connections give way, and what has no place is refused

What callers saw: when all places for connections were taken, a new connection was closed right after it was accepted, or another one whose first request was half read; neither got an answer or a refusal. It happens under planned work alone, when the callers of the VMs that stop or are removed come to the ones that are left.

Cause: only connections that had never had a whole request gave way. Connections that had served one and were idle held their places until their idle limit, and bytes of a request that had arrived did not count as use.

Change: the longest idle connection gives way, by caller_connection::use, the answer that the idle timer and the exit use. Without one, a request that has stalled for a second is refused; else the new caller is, with 503 and Retry-After, on a bounded number of connections beyond the places.

connection_places.*: three of four tests failed before; the fourth (a request that has arrived during a pause) passed before, too. All four pass. request_memory.*, connection_end.*, config_change.* pass.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -60,9 +60,25 @@
     /// @brief What would be lost if the connection closed now.
     [[nodiscard]] connection_use use(base::time_point now) const;
 
-    /// @brief Since when the connection has been open, or its first request unfinished; none after
-    /// the first request.
-    [[nodiscard]] std::optional<base::time_point> unused_since() const;
+    /// @brief Whether all requests that were read are answered, and the connection isn't so new
+    /// that its first one may be on its way. Bytes that have arrived may not be read yet.
+    [[nodiscard]] bool has_read_nothing(base::time_point now) const;
+
+    /// @brief Whether a request has been read in part.
+    [[nodiscard]] bool has_unfinished_request() const;
+
+    /// @brief When the first byte of the current request was read, or when the connection became
+    /// idle or was opened.
+    [[nodiscard]] base::time_point since() const { return m_timeout_start; }
+
+    /// @brief Refuses the first request and closes the connection behind it: all places are taken.
+    void refuse_first_request() { m_is_beyond_places = true; }
+
+    /// @brief Refuses the unfinished request, which has not run.
+    /// @param reason Sent to the caller.
+    /// @param cause For the log.
+    void refuse_unfinished(std::string_view reason, std::string_view cause,
+                           base::milliseconds retry_after, base::time_point now);
 
     /// @brief Handles the bytes that have arrived without waiting for the event loop.
     void read_arrived();
@@ -94,6 +110,9 @@
     void reject_invalid_request();
     void next_request();
     [[nodiscard]] bool keeps_open() const;
+    [[nodiscard]] bool is_serving() const;
+    /// @brief Whether the first request may be on its way.
+    [[nodiscard]] bool is_new(base::time_point now) const;
     void notify_closed(connection_end end, connection_use last_use);
     void reset_parser();
     [[nodiscard]] base::log_line describe(std::string_view cause, base::time_point now) const;
@@ -117,6 +136,7 @@
     /// When the first byte of the current request arrived, or when the connection became idle.
     base::time_point m_timeout_start{};
     bool m_has_received_request = false;
+    bool m_is_beyond_places = false;
     bool m_is_chunked = false;
     bool m_close_after_response = false;
     bool m_is_closed = false;
--- a/include/chicorylink/front/incoming_request.hpp
+++ b/include/chicorylink/front/incoming_request.hpp
@@ -23,6 +23,9 @@
     /// known is charged like a caller.
     bool from_known_vm = false;
 
+    /// Whether all places for connections are taken, so that the request is only refused.
+    bool is_beyond_places = false;
+
     [[nodiscard]] bool from_peer() const { return forwarder_version.has_value(); }
     [[nodiscard]] bool is_charged_elsewhere() const { return from_peer() && from_known_vm; }
 };
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -44,18 +45,26 @@
     [[nodiscard]] bool is_busy(base::time_point now) const;
 
 private:
+    /// What becomes of the next connection that waits to be accepted.
+    enum class admission { serve, refuse, wait };
+
     void accept();
-    /// @brief Accepts connections that wait already.
-    /// @return How many.
-    std::uint64_t accept_waiting(std::uint64_t most);
+    void accept_or_wait(base::time_point now);
+    /// @brief Accepts connections that have arrived.
+    /// @return False if the next one can't be taken now.
+    bool accept_waiting(base::time_point now);
     /// @brief Accepts again after a failure, such as a lack of descriptors that would last.
     void accept_later();
-    /// @brief Closes the connection that has been without a request for longest, if all places are
-    /// taken.
-    /// @return False if there is none to close.
+    [[nodiscard]] admission admit(base::time_point now);
+    /// @brief Ends the connection whose end costs its caller least.
+    /// @return False if each has a request that is served or still comes in.
     bool make_room(base::time_point now);
+    /// @brief The connection that has been idle for longest.
+    [[nodiscard]] std::shared_ptr<caller_connection> longest_idle(base::time_point now) const;
+    /// @brief The connection whose request has been incomplete for longest.
+    [[nodiscard]] std::shared_ptr<caller_connection> most_stalled(base::time_point now) const;
     void log_full(base::time_point now);
-    void add_connection(boost::asio::ip::tcp::socket socket);
+    void add_connection(boost::asio::ip::tcp::socket socket, admission admitted);
     void on_closed(const caller_connection* key);
     /// @brief The connections; handling one may remove it from `m_connections`.
     [[nodiscard]] std::vector<std::shared_ptr<caller_connection>> snapshot() const;
@@ -64,6 +73,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_accept_timer;
     connection_side m_side;
+    /// An accepted connection for which there is no room yet.
+    std::optional<boost::asio::ip::tcp::socket> m_next;
     bool m_is_full_logged = false;
     bool m_is_counted = false;
     std::unordered_map<const caller_connection*, std::shared_ptr<caller_connection>> m_connections;
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -99,7 +99,8 @@
     m_pipelined = m_parser->take_remaining();
     m_held_pipelined.set(m_pipelined.size());
     m_has_received_request = true;
-    m_close_after_response = !incoming.head.keep_alive;
+    m_close_after_response = !incoming.head.keep_alive || m_is_beyond_places;
+    incoming.is_beyond_places = m_is_beyond_places;
     if (const auto* id = find_field(incoming.head.fields, m_core.protocol.names.request_id)) {
         incoming.id = *id;
     }
@@ -319,16 +320,35 @@
     return has_bytes;
 }
 
+bool caller_connection::is_serving() const
+{
+    return m_exchange || !m_pipelined.empty() || m_channel->unsent() > 0;
+}
+
+bool caller_connection::is_new(base::time_point now) const
+{
+    return !m_has_received_request && now - m_timeout_start < first_request_window;
+}
+
+bool caller_connection::has_unfinished_request() const
+{
+    return !m_is_closed && !is_serving() && m_parser->has_begun();
+}
+
+bool caller_connection::has_read_nothing(base::time_point now) const
+{
+    return !m_is_closed && !is_serving() && !m_parser->has_begun() && !is_new(now);
+}
+
 connection_use caller_connection::use(base::time_point now) const
 {
-    if (m_exchange || !m_pipelined.empty() || m_channel->unsent() > 0) {
+    if (is_serving()) {
         return connection_use::serving;
     }
     if (m_parser->has_begun() || m_channel->unread() > 0) {
         return connection_use::arriving;
     }
-    const bool is_new = !m_has_received_request && now - m_timeout_start < first_request_window;
-    return is_new ? connection_use::expected : connection_use::idle;
+    return is_new(now) ? connection_use::expected : connection_use::idle;
 }
 
 void caller_connection::read_arrived()
--- a/src/chicorylink/front/caller_connection_reading.cpp
+++ b/src/chicorylink/front/caller_connection_reading.cpp
@@ -91,28 +91,25 @@
     const auto delay =
         fleet::retry_after_delay(request_memory::longest_pause, fleet::retry_jitter::queue,
                                  base::hash_pair(std::uint64_t(m_unfinished.key()), all.held()));
-    write_log(
-        m_core,
-        log_event(m_core, "request_shed")
-            .add("cause", cause)
-            .add("from", to_string(m_side))
-            .add("bytes", std::uint64_t{m_parser->held()})
-            .add("waited_ms",
-                 std::chrono::duration_cast<base::milliseconds>(now - m_timeout_start).count())
-            .add("held_bytes", std::uint64_t{all.held()})
-            .add("limit_bytes", std::uint64_t{all.limit()})
-            .add("retry_after_ms", delay.count()));
-    m_unfinished.set(0, now);
-    m_close_after_response = true;
-    refuse({unavailable_status, "request_memory", delay}, outcome_not_run);
+    refuse_unfinished("request_memory", cause, delay, now);
 }
 
-std::optional<base::time_point> caller_connection::unused_since() const
+void caller_connection::refuse_unfinished(std::string_view reason, std::string_view cause,
+                                          base::milliseconds retry_after, base::time_point now)
 {
-    if (m_has_received_request || m_exchange || m_is_closed) {
-        return std::nullopt;
-    }
-    return m_timeout_start;
+    const auto waited = std::chrono::duration_cast<base::milliseconds>(now - m_timeout_start);
+    const auto& all = *m_core.request_bytes;
+    write_log(m_core, log_event(m_core, "request_shed")
+                          .add("cause", cause)
+                          .add("from", to_string(m_side))
+                          .add("bytes", std::uint64_t{m_parser->held()})
+                          .add("waited_ms", waited.count())
+                          .add("held_bytes", std::uint64_t{all.held()})
+                          .add("limit_bytes", std::uint64_t{all.limit()})
+                          .add("retry_after_ms", retry_after.count()));
+    m_unfinished.set(0, now);
+    m_close_after_response = true;
+    refuse({unavailable_status, reason, retry_after}, outcome_not_run);
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -97,6 +97,12 @@
         refuse({unavailable_status, "leaving", fleet::min_retry_after}, now);
         return;
     }
+    if (m_request.is_beyond_places) {
+        refuse({unavailable_status, "too_many_connections",
+                retry_delay(fleet::not_ready_retry_after, fleet::retry_jitter::queue)},
+               now);
+        return;
+    }
     if (const auto refused = resolve_request(now)) {
         refuse(*refused, now);
         return;
