front: a leaving VM refuses late callers until it exits

What callers saw: three seconds after the signal the listener closed while callers still came. A connection whose handshake was complete at the caller and not yet here was reset together with the request on it; others were refused by the kernel without a time to return.

Cause: the stop took callers who had not been accepted for absent. They come for longer than three seconds when all VMs of their region leave, since the directory then lets them keep what they have.

Change: the listener stays open until nothing has come for 150 ms, or until the requests are ended; callers get 503 and Retry-After. The race at the close remains, where fewer callers meet it.

stop_end.a_caller_who_comes_*: both failed before and pass.

--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -84,6 +84,7 @@
     bool m_has_stopped_accepting = false;
     /// When there was last work that an exit would have cut off.
     base::time_point m_last_busy_at{};
+    base::time_point m_last_request_at{};
     base::time_point m_last_slow_tick_at{};
     base::time_point m_settings_read_at{};
     base::time_point m_started_at{};
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -31,9 +31,9 @@
     void tick(base::time_point now);
     [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
 
-    /// @brief Closes the listener: new callers are refused at once and go to another VM.
-    /// Connections that have arrived are served.
-    void stop_accepting();
+    /// @brief Closes the listener after the connections that have arrived were accepted.
+    /// @return How many these were.
+    std::uint64_t stop_accepting();
 
     /// @brief Reads what has arrived on all connections without waiting for the event loop.
     void read_arrived();
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -35,6 +35,10 @@
 /// still in the system's buffers arrive within that time.
 constexpr base::milliseconds quiet_time{150};
 
+/// Callers who still come are refused for this long after the last request has ended. They must not
+/// delay the restart of the VM further.
+constexpr base::milliseconds refusal_time{2000};
+
 /// How long the process stays at most after it has ended the requests in progress, until the last
 /// responses have left it.
 constexpr base::milliseconds flush_time{200};
@@ -373,17 +377,23 @@
     if (!m_core.leaving_since) {
         return false;
     }
-    if (accepts_new_requests(m_core, now)) {
-        m_last_busy_at = now;
+    if (accepts_new_requests(m_core, now) || !m_core.exchanges.empty()) {
+        m_last_request_at = now;
     }
-    else if (!std::exchange(m_has_stopped_accepting, true)) {
-        m_callers->stop_accepting();
-        m_peers->stop_accepting();
+    if (m_last_request_at == now || m_callers->is_busy(now) || m_peers->is_busy(now)) {
+        m_last_busy_at = now;
     }
-    if (!m_core.exchanges.empty() || m_callers->is_busy(now) || m_peers->is_busy(now)) {
+    const bool is_quiet = now - m_last_busy_at >= quiet_time;
+    const bool has_refused_long = now - m_last_request_at >= refusal_time;
+    // Until then callers who still come are refused and told to return: closing the listener resets
+    // connections whose caller has sent a request while the connection is being set up.
+    if ((is_quiet || has_refused_long || m_core.has_ended_requests) &&
+        !std::exchange(m_has_stopped_accepting, true) &&
+        m_callers->stop_accepting() + m_peers->stop_accepting() > 0) {
         m_last_busy_at = now;
+        return false;
     }
-    return now >= *end_of_requests(m_core) + flush_time || now - m_last_busy_at >= quiet_time;
+    return is_quiet || now >= *end_of_requests(m_core) + flush_time;
 }
 
 } // namespace chicorylink::front
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -218,7 +218,7 @@
     connection->start([this, key] { on_closed(key); });
 }
 
-void request_listener::stop_accepting()
+std::uint64_t request_listener::stop_accepting()
 {
     // Closing the listener resets the connections in its backlog, so they are accepted first.
     boost::system::error_code problem;
@@ -243,6 +243,7 @@
                           .add("from", to_string(m_side))
                           .add("accepted_at_last", accepted)
                           .add("reason", problem.message()));
+    return accepted;
 }
 
 void request_listener::on_closed(const caller_connection* key)
