front: the end of a stop refuses requests that are partly read

What callers saw: a request that was partly read when a stop ended its requests was closed without an answer at the exit.

Cause: the end of a stop looked at requests that were read whole; the others were taken for absent.

Change: they are refused with 503, as unfinished requests are for want of memory; those of which more arrives afterwards, too. They have not run.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -86,6 +86,9 @@
     /// @brief Refuses the unfinished request, which has not run, because requests hold too much.
     void shed(std::string_view cause, base::time_point now);
 
+    /// @brief Refuses the unfinished request when a stop has ended all requests.
+    void refuse_if_ending(base::time_point now);
+
     /// @brief Reads on after a pause because requests held too much, if the request still fits.
     void resume(base::time_point now);
 
--- a/include/chicorylink/front/request_listener.hpp
+++ b/include/chicorylink/front/request_listener.hpp
@@ -35,6 +35,9 @@
     /// @return How many these were.
     std::uint64_t stop_accepting();
 
+    /// @brief Refuses all requests that are not complete, because the process is about to exit.
+    void refuse_unfinished(base::time_point now);
+
     /// @brief Reads what has arrived on all connections without waiting for the event loop.
     void read_arrived();
 
--- a/src/chicorylink/front/caller_connection_reading.cpp
+++ b/src/chicorylink/front/caller_connection_reading.cpp
@@ -66,6 +66,10 @@
 {
     const auto held = m_parser->held();
     m_unfinished.set(held, now);
+    if (m_core.has_ended_requests) {
+        refuse_if_ending(now);
+        return;
+    }
     if (!m_core.request_bytes->may_read(held)) {
         m_channel->pause_reading();
         m_unfinished.note_paused(now);
@@ -94,6 +98,13 @@
     refuse_unfinished("request_memory", cause, delay, now);
 }
 
+void caller_connection::refuse_if_ending(base::time_point now)
+{
+    if (m_core.has_ended_requests && has_unfinished_request()) {
+        refuse_unfinished("stopping", "stopping", fleet::min_retry_after, now);
+    }
+}
+
 void caller_connection::refuse_unfinished(std::string_view reason, std::string_view cause,
                                           base::milliseconds retry_after, base::time_point now)
 {
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -280,6 +280,8 @@
     for (auto* active : std::vector<exchange*>(m_core.exchanges.begin(), m_core.exchanges.end())) {
         active->on_stop(now);
     }
+    m_callers->refuse_unfinished(now);
+    m_peers->refuse_unfinished(now);
 }
 
 void front_daemon::run_tick(base::time_point now)
--- a/src/chicorylink/front/request_listener.cpp
+++ b/src/chicorylink/front/request_listener.cpp
@@ -289,6 +289,13 @@
     }
 }
 
+void request_listener::refuse_unfinished(base::time_point now)
+{
+    for (const auto& connection : snapshot()) {
+        connection->refuse_if_ending(now);
+    }
+}
+
 void request_listener::read_arrived()
 {
     for (const auto& connection : snapshot()) {
