front: a request that is not complete in time gets 408

What callers saw: the connection was closed when a request was not complete within the configuration's time for it, which doesn't tell whether it ran.

Cause: the timer closed what it had no whole request of. Change: 408, which promises that it has not run, and a close behind it.

stop_end.a_request_that_is_not_complete_in_time_is_refused failed before and passes; config_change.* pass.

--- a/include/chicorylink/front/connection_end.hpp
+++ b/include/chicorylink/front/connection_end.hpp
@@ -16,20 +16,14 @@
     cut,
     /// It had no request for longer than the idle limit.
     idle,
-    /// Its request was not complete in time.
-    incomplete_request,
     /// It gave way to another connection.
     too_many_connections,
     process_exit,
 };
 
-inline constexpr std::array all_connection_ends{connection_end::remote,
-                                                connection_end::last_response,
-                                                connection_end::cut,
-                                                connection_end::idle,
-                                                connection_end::incomplete_request,
-                                                connection_end::too_many_connections,
-                                                connection_end::process_exit};
+inline constexpr std::array all_connection_ends{
+    connection_end::remote, connection_end::last_response,        connection_end::cut,
+    connection_end::idle,   connection_end::too_many_connections, connection_end::process_exit};
 
 [[nodiscard]] constexpr std::string_view to_string(connection_end end)
 {
@@ -42,8 +36,6 @@
         return "cut";
     case connection_end::idle:
         return "idle";
-    case connection_end::incomplete_request:
-        return "incomplete_request";
     case connection_end::too_many_connections:
         return "too_many_connections";
     case connection_end::process_exit:
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -376,17 +376,19 @@
     if (waited <= limit || m_channel->unread() > 0) {
         return;
     }
-    if (is_incomplete) {
-        m_core.counters.add("incomplete_requests_total");
-        write_log(m_core, log_event(m_core, "incomplete_request")
-                              .add("waited_ms",
-                                   std::chrono::duration_cast<base::milliseconds>(waited).count())
-                              .add("limit_ms", limit.count()));
-    }
-    else {
+    if (!is_incomplete) {
         m_core.counters.add("idle_connections_closed_total");
+        close(connection_end::idle, now);
+        return;
     }
-    close(is_incomplete ? connection_end::incomplete_request : connection_end::idle, now);
+    m_core.counters.add("incomplete_requests_total");
+    write_log(m_core,
+              log_event(m_core, "incomplete_request")
+                  .add("waited_ms", std::chrono::duration_cast<base::milliseconds>(waited).count())
+                  .add("limit_ms", limit.count()));
+    m_unfinished.set(0, now);
+    m_close_after_response = true;
+    refuse({request_timeout_status, "incomplete_request", std::nullopt}, outcome_not_run);
 }
 
 } // namespace chicorylink::front
