front: queries that have arrived are answered at the exit

What callers saw: directory, readiness and control queries that had arrived when the process exited were reset, which callers take for a failed VM.

Cause: the exit reads what has arrived on connections of callers and VMs, not on those of the status servers. Change: it accepts and answers there, too, and once more behind connections that the loop has accepted already.

--- a/include/chicorylink/front/status_server.hpp
+++ b/include/chicorylink/front/status_server.hpp
@@ -40,10 +40,14 @@
     /// @brief Closes idle connections.
     void tick(base::time_point now);
 
+    /// @brief Accepts and answers what has arrived without waiting for the event loop.
+    void answer_arrived(boost::asio::io_context& loop);
+
 private:
     struct session;
 
     void accept();
+    void add_session(boost::asio::ip::tcp::socket socket);
     void on_data(const std::shared_ptr<session>& client, std::string_view bytes);
     void respond_to_requests(const std::shared_ptr<session>& client);
 
--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -257,12 +257,20 @@
         run_guarded(m_core, "end_requests", [&] { end_requests(now); });
     }
     if (can_exit(now)) {
+        const auto answer_queries = [this] {
+            for (const auto& server : m_status_servers) {
+                server->answer_arrived(m_loop);
+            }
+        };
         run_guarded(m_core, "exit", [&] {
             m_callers->read_arrived();
             m_peers->read_arrived();
+            answer_queries();
         });
-        // Requests that were read behind others are handled by tasks posted before this one.
-        boost::asio::post(m_loop, [this, now] {
+        // Requests that were read behind others, and connections that the loop has accepted, are
+        // handled by tasks posted before this one.
+        boost::asio::post(m_loop, [this, now, answer_queries] {
+            run_guarded(m_core, "exit", answer_queries);
             m_callers->close_all(now);
             m_peers->close_all(now);
             m_loop.stop();
--- a/src/chicorylink/front/status_server.cpp
+++ b/src/chicorylink/front/status_server.cpp
@@ -58,22 +58,27 @@
 
 void status_server::accept()
 {
-    m_acceptor.async_accept([this](boost::system::error_code problem,
-                                   boost::asio::ip::tcp::socket socket) {
-        if (problem == boost::asio::error::operation_aborted) {
-            return;
-        }
-        if (!problem) {
-            auto entry = std::make_shared<session>();
-            entry->channel = std::make_shared<tcp_channel>(std::move(socket));
-            entry->last_used_at = base::boot_now();
-            m_sessions.emplace(entry.get(), entry);
-            entry->channel->start({[this, entry](std::string_view bytes) { on_data(entry, bytes); },
-                                   [this, entry](channel_end) { m_sessions.erase(entry.get()); },
-                                   {}});
-        }
-        accept();
-    });
+    m_acceptor.async_accept(
+        [this](boost::system::error_code problem, boost::asio::ip::tcp::socket socket) {
+            if (problem == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (!problem) {
+                add_session(std::move(socket));
+            }
+            accept();
+        });
+}
+
+void status_server::add_session(boost::asio::ip::tcp::socket socket)
+{
+    auto entry = std::make_shared<session>();
+    entry->channel = std::make_shared<tcp_channel>(std::move(socket));
+    entry->last_used_at = base::boot_now();
+    m_sessions.emplace(entry.get(), entry);
+    entry->channel->start({[this, entry](std::string_view bytes) { on_data(entry, bytes); },
+                           [this, entry](channel_end) { m_sessions.erase(entry.get()); },
+                           {}});
 }
 
 void status_server::on_data(const std::shared_ptr<session>& client, std::string_view bytes)
@@ -123,4 +128,24 @@
     }
 }
 
+void status_server::answer_arrived(boost::asio::io_context& loop)
+{
+    boost::system::error_code problem;
+    m_acceptor.non_blocking(true, problem);
+    while (!problem) {
+        boost::asio::ip::tcp::socket socket(loop);
+        m_acceptor.accept(socket, problem);
+        if (!problem) {
+            add_session(std::move(socket));
+        }
+    }
+    std::vector<std::shared_ptr<session>> sessions;
+    for (const auto& [key, entry] : m_sessions) {
+        sessions.push_back(entry);
+    }
+    for (const auto& entry : sessions) {
+        entry->channel->read_arrived();
+    }
+}
+
 } // namespace chicorylink::front
