front: a leaving VM tells callers to return when one serves again

What callers saw: when the last VM of a region leaves, it told the callers whom it refused to return after 150 ms.

Cause: the time to return took another VM for granted. Change: if this VM knows none of its region that takes requests, the time is that until its own exit.

--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -94,7 +94,7 @@
 {
     m_deadline = now + initial_timeout;
     if (!accepts_new_requests(m_core, now)) {
-        refuse({unavailable_status, "leaving", fleet::min_retry_after}, now);
+        refuse({unavailable_status, "leaving", delay_until_served_elsewhere(m_core, now)}, now);
         return;
     }
     if (m_request.is_beyond_places) {
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -1,5 +1,6 @@
 #include "chicorylink/front/front_core.hpp"
 
+#include "chicorylink/fleet/retry_after_delay.hpp"
 #include "chicorylink/front/request_memory.hpp"
 #include "chicorylink/front/response_buffers.hpp"
 
@@ -86,6 +87,20 @@
     return *core.leaving_since + core.settings.bounds.stop_time - exit_margin;
 }
 
+base::milliseconds delay_until_served_elsewhere(const front_core& core, base::time_point now)
+{
+    const auto& members = core.members.members();
+    const bool is_served = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        return entry.second.region == core.settings.self.region &&
+               fleet::roster::takes_requests(entry.second, now);
+    });
+    const auto ends_at = end_of_requests(core);
+    if (is_served || !ends_at || *ends_at <= now) {
+        return fleet::min_retry_after;
+    }
+    return std::chrono::duration_cast<base::milliseconds>(*ends_at - now) + fleet::min_retry_after;
+}
+
 bool keys_are_fresh(const front_core& core, base::time_point now)
 {
     const auto confirmed = core.state.confirmed_at();
