--- a/process_tests/forwarded_stop_test.cpp
+++ b/process_tests/forwarded_stop_test.cpp
@@ -260,6 +260,94 @@
     }
 }
 
+// Guards against a stream that is cut although the only VM of its region, and its target there, are
+// ready again at once: a VM through which an attempt has failed counts as tried for good.
+TEST_F(forwarded_stop, a_stream_goes_on_at_the_only_vm_of_its_region_after_its_target_broke_off)
+{
+    std::atomic<int> count{0};
+    start(
+        [&](http_exchange& exchange) {
+            if (count++ == 0) {
+                return send_stream_head(exchange) &&
+                       exchange.send(http_exchange::chunk(event(1))) && false;
+            }
+            return send_stream(exchange, 3, milliseconds{10});
+        },
+        false);
+    const auto result = perform(request("streaming", "id-1"));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.body, events(3));
+}
+
+// Guards against a stream that is cut although the VM of its region has room again at once: one
+// that has refused it in one moment counts as tried for good. The refusal comes behind a planned
+// stop.
+TEST_F(forwarded_stop, a_stream_goes_on_at_a_vm_that_refused_it_in_the_moment_of_its_start)
+{
+    std::atomic<bool> has_refused{false};
+    start(
+        [&](http_exchange& exchange) {
+            if (!exchange.header("Last-Event-Id").empty() && !has_refused.exchange(true)) {
+                return exchange.send(fmt::format(
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Chicorylink-Request-Id: {}\r\n"
+                    "X-Chicorylink-Not-Run: full\r\nContent-Length: 0\r\n\r\n",
+                    exchange.id()));
+            }
+            return send_stream(exchange, 50, milliseconds{200});
+        },
+        false);
+    reply result;
+    std::thread caller([&] { result = perform(request("streaming", "id-1")); });
+    EXPECT_TRUE(wait_until([&] { return m_target->request_count("id-1") == 1; }, seconds{2}));
+    m_fleet.at(west_vm).signal(SIGTERM);
+    EXPECT_EQ(m_fleet.at(west_vm).wait(grace), 0);
+    m_fleet.start(west_vm, "west");
+    caller.join();
+    EXPECT_TRUE(has_refused);
+    EXPECT_TRUE(result.complete);
+    EXPECT_EQ(result.body, events(50));
+}
+
+// Guards against streams that are cut at the end of another VM's stop because the VM that could go
+// on with them takes them for new ones: it refuses them since all of their tokens, most of which
+// their callers have, would not fit in the time that is left.
+TEST_F(forwarded_stop, a_vm_goes_on_with_a_stream_whose_whole_length_would_not_fit)
+{
+    constexpr int event_count = 50;
+    constexpr int stream_count = 6;
+    m_service["engine"] = {{"kvTokens", 500'000}, {"stride", 1}};
+    start(
+        [](http_exchange& exchange) {
+            return send_stream(exchange, event_count, milliseconds{200});
+        },
+        true);
+    std::array<reply, stream_count> results;
+    std::vector<std::thread> callers;
+    callers.reserve(stream_count);
+    for (int number = 0; number < stream_count; ++number) {
+        callers.emplace_back([&, number] {
+            auto outgoing = request("streaming", fmt::format("id-{}", number));
+            outgoing.headers.emplace_back("X-Chicorylink-Token-Count: 160,50");
+            outgoing.headers.emplace_back("X-Chicorylink-Length-Hint: 50");
+            results.at(number) = perform(outgoing);
+        });
+    }
+    EXPECT_TRUE(wait_until([&] { return m_target->request_count() == stream_count; }, seconds{2}));
+    std::this_thread::sleep_for(milliseconds{500});
+    m_fleet.at(west_vm).signal(SIGTERM);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(m_fleet.at(west_vm).wait(grace), 0);
+    // Some of them ran at the VM that was stopped.
+    EXPECT_GT(m_target->request_count(), 0);
+    for (int number = 0; number < stream_count; ++number) {
+        EXPECT_TRUE(results.at(number).complete) << number;
+        EXPECT_EQ(results.at(number).body, events(event_count)) << number;
+    }
+}
+
 // Guards against requests without an answer that have arrived at a VM and are not read when its
 // time to take requests, to end them or to exit has passed.
 TEST_F(forwarded_stop, requests_that_wait_in_the_sockets_of_a_vm_are_answered)
