front: all requests read on a connection are answered at the exit

What callers saw: requests that were read behind others on their connection got no answer when the process reached the last moment of its stop late, and the process could end by a signal.

Cause: the exit takes one further request of a connection into account and closes behind it; each further one is posted to the loop by the one before. The posted task held the connection, and was destroyed with the loop after the state that the connection's destructor uses.

Change: the exit parses all that was read on a connection before it closes it, and the posted task holds a weak reference. pipelined_stop.* failed before.

--- a/include/chicorylink/front/caller_connection.hpp
+++ b/include/chicorylink/front/caller_connection.hpp
@@ -103,6 +103,7 @@
 private:
     void on_data(std::string_view bytes);
     void parse(std::string_view bytes);
+    void parse_pipelined();
     /// @brief Reads on behind pipelined requests, if they leave room.
     void resume_after_pipelined();
     /// @brief Counts the unfinished request, and pauses reading if requests hold too much.
--- a/src/chicorylink/front/caller_connection.cpp
+++ b/src/chicorylink/front/caller_connection.cpp
@@ -240,11 +240,10 @@
         return;
     }
     // Posted to the loop, so that pipelined requests don't recurse.
-    boost::asio::post(m_core.loop, [self = shared_from_this()] {
-        if (!self->m_is_closed) {
-            const auto pipelined = std::exchange(self->m_pipelined, {});
-            self->m_held_pipelined.set(0);
-            self->parse(pipelined);
+    boost::asio::post(m_core.loop, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_is_closed && !self->m_exchange) {
+            self->parse_pipelined();
             self->resume_after_pipelined();
         }
     });
@@ -355,6 +354,9 @@
 {
     const auto keep_alive = shared_from_this();
     m_channel->read_arrived();
+    while (!m_is_closed && !m_exchange && !m_pipelined.empty()) {
+        parse_pipelined();
+    }
 }
 
 void caller_connection::tick(base::time_point now)
--- a/src/chicorylink/front/caller_connection_reading.cpp
+++ b/src/chicorylink/front/caller_connection_reading.cpp
@@ -52,6 +52,13 @@
     begin_request();
 }
 
+void caller_connection::parse_pipelined()
+{
+    const auto pipelined = std::exchange(m_pipelined, {});
+    m_held_pipelined.set(0);
+    parse(pipelined);
+}
+
 void caller_connection::resume_after_pipelined()
 {
     const bool has_too_much = m_pipelined.size() > max_pipelined_bytes ||
