front: a stream that goes on is not refused for its whole length

What callers saw: a stream that had broken off at the end of another VM's stop was refused by the VMs that could have gone on with it (ends_after_deadline), and was cut.

Cause: the VM that is asked to go on takes the stream for a new one, since its own history of the request is empty, and expects its whole output again.

Change: a request that names its last event counts as begun. forwarded_stop.a_vm_goes_on_with_a_stream_* failed before.

--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -123,7 +123,8 @@
 {
     // A stream that has begun goes on wherever it can: its caller has a part of it.
     if (!is_stream() || !m_prompt || m_prompt->output_tokens == 0 || m_history.arrivals > 0 ||
-        m_history.has_begun) {
+        m_history.has_begun ||
+        find_field(m_request.head.fields, m_core.protocol.names.last_event_id) != nullptr) {
         return std::nullopt;
     }
     return time_left(now);
