fleet, front, platform: the directory names regions that the host's routes allow

Cause: the directory did not read the host in the query, and took no notice of the routes' allowed regions. It now names the regions that most restricted routes of the host allow, among those with a ready VM, and all others only if none of these has any.

Evidence: directory.a_region_without_vms_gets_the_regions_of_its_hosts_routes named both VMs before and passes now. The line directory_redirected tells which regions are named for whom.

--- a/include/chicorylink/fleet/configuration.hpp
+++ b/include/chicorylink/fleet/configuration.hpp
@@ -45,6 +45,9 @@
     /// @brief Finds the host's route with the longest matching path prefix; null if there is none.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
+    /// @brief Whether any route has this host.
+    [[nodiscard]] bool has_host(std::string_view host) const;
+
     /// @brief Finds a service by name; null if there is none.
     [[nodiscard]] const service* find_service(const service_name& name) const;
 
--- a/include/chicorylink/front/front_daemon.hpp
+++ b/include/chicorylink/front/front_daemon.hpp
@@ -10,14 +10,23 @@
 #include "chicorylink/front/status_server.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+namespace chicorylink::fleet {
+
+struct directory_view;
+
+} // namespace chicorylink::fleet
+
 namespace chicorylink::front {
 
 /// @brief Loads the settings again; called on SIGHUP and periodically.
@@ -60,10 +69,10 @@
     [[nodiscard]] status_response respond_ready(const message_head& head) const;
     [[nodiscard]] status_response respond_directory(const message_head& head);
     [[nodiscard]] status_response respond_control(const message_head& head) const;
-    [[nodiscard]] std::vector<std::string> addresses_for(const directory_query& query) const;
-    /// @brief Addresses at which ready VMs take callers; of all regions when `region` is empty.
-    [[nodiscard]] std::vector<std::string> caller_addresses(const fleet::region_name& region,
-                                                            base::time_point now) const;
+    /// @brief The VMs that callers may be told of, this one first.
+    [[nodiscard]] fleet::directory_view view_for_callers(base::time_point now) const;
+    /// @brief Logs when callers of a region are sent to VMs of other regions, and when no more.
+    void log_redirect(const directory_query& query, const std::string& named);
 
     boost::asio::io_context m_loop;
     front_core m_core;
@@ -88,6 +97,8 @@
     base::time_point m_last_slow_tick_at{};
     base::time_point m_settings_read_at{};
     base::time_point m_started_at{};
+    /// The other regions that callers were last told of, by their region and host.
+    std::map<std::pair<fleet::region_name, std::string>, std::string> m_redirects;
 };
 
 } // namespace chicorylink::front
--- a/include/chicorylink/front/platform_protocol.hpp
+++ b/include/chicorylink/front/platform_protocol.hpp
@@ -31,6 +31,8 @@
 
 /// @brief A caller's query to the directory.
 struct directory_query {
+    /// The host that the caller sends requests for.
+    std::string host;
     fleet::region_name region;
     fleet::data_center_name data_center;
 };
--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -119,11 +119,12 @@
     return perform(outgoing).status == 200;
 }
 
-nlohmann::json front_fleet::directory(const std::string& ip, const std::string& region)
+nlohmann::json front_fleet::directory(const std::string& ip, const std::string& region,
+                                      const std::string& host)
 {
     call outgoing;
-    outgoing.url = fmt::format("http://{}:{}/resolve?name=h&region={}&zone={}-a", ip,
-                               directory_port, region, region);
+    outgoing.url = fmt::format("http://{}:{}/resolve?name={}&region={}&zone={}-a", ip,
+                               directory_port, host, region, region);
     const auto response = perform(outgoing);
     return response.status == 200 ? nlohmann::json::parse(response.body).at("addresses")
                                   : nlohmann::json::array();
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -71,7 +71,9 @@
     [[nodiscard]] static bool is_ready(const std::string& ip);
 
     /// @brief The VM addresses that a VM's directory lists for a region.
-    [[nodiscard]] static nlohmann::json directory(const std::string& ip, const std::string& region);
+    /// @param host As it stands in the query.
+    [[nodiscard]] static nlohmann::json directory(const std::string& ip, const std::string& region,
+                                                  const std::string& host = "h");
 
     /// @brief A request of a caller to the VM at an address.
     [[nodiscard]] static call request(const std::string& ip, const std::string& path,
--- a/src/chicorylink/fleet/configuration.cpp
+++ b/src/chicorylink/fleet/configuration.cpp
@@ -40,6 +40,11 @@
     return nullptr;
 }
 
+bool configuration::has_host(std::string_view host) const
+{
+    return m_routes_by_host.contains(host);
+}
+
 const service* configuration::find_service(const service_name& name) const
 {
     const auto found = std::find_if(m_services.begin(), m_services.end(),
--- a/src/chicorylink/front/front_daemon_status.cpp
+++ b/src/chicorylink/front/front_daemon_status.cpp
@@ -1,9 +1,12 @@
 #include "chicorylink/base/boot_clock.hpp"
+#include "chicorylink/fleet/directory_choice.hpp"
 #include "chicorylink/front/front_daemon.hpp"
 #include "chicorylink/front/item_copy.hpp"
 #include "chicorylink/front/status_codes.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -11,14 +14,6 @@
 // to VMs and operators on the control address.
 
 namespace chicorylink::front {
-namespace {
-
-/// For this long after its start, a VM sends no caller to another region, since it may not have
-/// heard from the VMs of the caller's region yet.
-constexpr base::milliseconds discovery_time{2500};
-
-} // namespace
-
 status_response front_daemon::respond_ready(const message_head& head) const
 {
     const auto state = readiness_of(m_core, base::boot_now());
@@ -29,42 +24,37 @@
             fmt::format("{}\n", to_string(state))};
 }
 
-std::vector<std::string> front_daemon::addresses_for(const directory_query& query) const
+fleet::directory_view front_daemon::view_for_callers(base::time_point now) const
 {
-    const auto now = base::boot_now();
-    auto addresses = caller_addresses(query.region, now);
-    if (!addresses.empty() || now - m_started_at < discovery_time) {
-        return addresses;
+    const auto& own = m_core.settings.callers_address;
+    const auto port = own.substr(own.rfind(':'));
+    fleet::directory_view view{{}, m_started_at};
+    view.vms.push_back(
+        {own, m_core.settings.self.region, readiness_of(m_core, now) == readiness::ready, false});
+    for (const auto& [ip, member] : m_core.members.members()) {
+        const bool leaving = member.state == fleet::member_state::leaving;
+        view.vms.push_back({ip + port, member.region, fleet::roster::takes_requests(member, now),
+                            leaving && fleet::roster::is_live(member, now)});
     }
-    // During a rolling restart of the region, callers keep the addresses that they have: those VMs
-    // are reachable again before VMs of another region would help.
-    const auto& members = m_core.members.members();
-    const bool restarting = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
-        const auto& member = entry.second;
-        return member.region == query.region && member.state == fleet::member_state::leaving &&
-               fleet::roster::is_live(member, now);
-    });
-    return restarting ? std::vector<std::string>{} : caller_addresses({}, now);
+    return view;
 }
 
-std::vector<std::string> front_daemon::caller_addresses(const fleet::region_name& region,
-                                                        base::time_point now) const
+void front_daemon::log_redirect(const directory_query& query, const std::string& named)
 {
-    const auto matches = [&](const fleet::region_name& member_region) {
-        return region.empty() || member_region == region;
-    };
-    const auto& own = m_core.settings.callers_address;
-    const auto port = own.substr(own.rfind(':'));
-    std::vector<std::string> addresses;
-    if (matches(m_core.settings.self.region) && readiness_of(m_core, now) == readiness::ready) {
-        addresses.push_back(own);
+    const auto known = region_names(m_core.settings);
+    const auto& config = m_core.state.config();
+    // Callers choose both names, and only what is known may take memory and log lines.
+    if (!known.contains(query.region) || !config || !config->has_host(query.host)) {
+        return;
     }
-    for (const auto& [ip, member] : m_core.members.members()) {
-        if (matches(member.region) && fleet::roster::takes_requests(member, now)) {
-            addresses.push_back(ip + port);
-        }
+    const auto redirected = named == query.region.text() ? std::string{} : named;
+    auto& logged = m_redirects[{query.region, query.host}];
+    if (std::exchange(logged, redirected) != redirected) {
+        write_log(m_core, log_event(m_core, "directory_redirected")
+                              .add("callers_region", query.region.text())
+                              .add("host", query.host)
+                              .add("named", redirected));
     }
-    return addresses;
 }
 
 status_response front_daemon::respond_directory(const message_head& head)
@@ -73,11 +63,19 @@
     if (!query) {
         return {not_found_status, "text/plain", "not found\n"};
     }
-    const auto addresses = addresses_for(*query);
-    if (addresses.empty()) {
+    const auto now = base::boot_now();
+    const auto& config = m_core.state.config();
+    const auto vms = fleet::choose_vms(
+        view_for_callers(now), query->region,
+        config ? fleet::restrictions_of(*config, query->host) : fleet::region_restrictions{}, now);
+    log_redirect(*query, fleet::regions_of(vms));
+    if (vms.empty()) {
         m_core.counters.add("directory_empty_total");
         return {unavailable_status, "text/plain", "no VM is ready\n"};
     }
+    std::vector<std::string> addresses;
+    std::transform(vms.begin(), vms.end(), std::back_inserter(addresses),
+                   [](const auto& vm) { return vm.address; });
     return {200, "application/json", m_core.protocol.directory_response(addresses, directory_ttl)};
 }
 
