process_tests: a stream goes on at another software version

What callers saw: with targets of two software versions in one service, streams whose target broke off, or that callers took up again, went on at a target of the other version.

Cause: the published version of a target is not read, so any target of the service continues any stream.

--- a/process_tests/support/front_fleet.cpp
+++ b/process_tests/support/front_fleet.cpp
@@ -60,11 +60,13 @@
 }
 
 void front_fleet::publish_target(const std::string& name, const std::string& address,
-                                 const std::string& zone, std::int64_t started_ms)
+                                 const std::string& zone, std::int64_t started_ms,
+                                 const std::string& version)
 {
     m_store.put("servers/" + name, nlohmann::json{{"service", "app"},
                                                   {"address", address},
                                                   {"zone", zone},
+                                                  {"version", version},
                                                   {"slots", 6},
                                                   {"state", "ready"},
                                                   {"coldLeftMs", 0},
--- a/process_tests/support/front_fleet.hpp
+++ b/process_tests/support/front_fleet.hpp
@@ -58,8 +58,10 @@
 
     /// @brief Publishes a target that is ready in data center `zone`.
     /// @param started_ms The start of its run, which tells runs of one name apart.
+    /// @param version The version of its software.
     void publish_target(const std::string& name, const std::string& address,
-                        const std::string& zone, std::int64_t started_ms = 1);
+                        const std::string& zone, std::int64_t started_ms = 1,
+                        const std::string& version = "v1");
 
     /// @brief Publishes routes `/safe/`, `/unsafe/`, `/stream/`, `/west/` and `/west-stream/`, of
     /// which the last two run in region `west` only, and one team with these keys. The last one has
