front: a stream goes on only at the software version that began it

What callers saw: streams held events from two software versions of a service, in one answer or over the tries of one caller; many at once after all VMs were killed during a release, or at a VM that was out of step while targets of a new version joined.

Cause: no VM knew the version of a target, nor at which one a stream had begun. What a VM doesn't know of a stream was taken for leave to continue it anywhere.

Now the published entry of a target has its version. The first event that a caller gets fixes the version of the answer: other targets are avoided, and other regions are asked for it by a header, which also tells the forwarding VM the version of the target that answers. The VM that passes the first event records the version for the id of the caller's request and tells it to three VMs of its region (all of them in a small one), chosen by rendezvous hashing, twice, since datagrams get lost. A VM that gets a take-up it has no record of asks these. Only if none knows the stream the published state counts: a service that has had a single version for 30 s, by a history without gaps, or whose targets are all older than a release takes. That state must be confirmed after the take-up arrived; a confirmed configuration doesn't show that the targets are all known, so heartbeats state since when the targets are confirmed. Otherwise the take-up is refused with 503 and Retry-After.

--- a/include/chicorylink/fleet/fleet_heartbeat_generated.h
+++ b/include/chicorylink/fleet/fleet_heartbeat_generated.h
@@ -696,7 +696,8 @@
     VT_DATA_CENTER = 38,
     VT_ITEMS_ERA = 40,
     VT_CONTACT_AGE_MS = 42,
-    VT_FAILED_READ_AGE_MS = 44
+    VT_FAILED_READ_AGE_MS = 44,
+    VT_TARGETS_AGE_MS = 46
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -761,6 +762,9 @@
   int64_t failed_read_age_ms() const {
     return GetField<int64_t>(VT_FAILED_READ_AGE_MS, -1LL);
   }
+  int64_t targets_age_ms() const {
+    return GetField<int64_t>(VT_TARGETS_AGE_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -791,6 +795,7 @@
            VerifyField<uint64_t>(verifier, VT_ITEMS_ERA, 8) &&
            VerifyField<int64_t>(verifier, VT_CONTACT_AGE_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_FAILED_READ_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_TARGETS_AGE_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -862,6 +867,9 @@
   void add_failed_read_age_ms(int64_t failed_read_age_ms) {
     fbb_.AddElement<int64_t>(Heartbeat::VT_FAILED_READ_AGE_MS, failed_read_age_ms, -1LL);
   }
+  void add_targets_age_ms(int64_t targets_age_ms) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_TARGETS_AGE_MS, targets_age_ms, -1LL);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -895,8 +903,10 @@
     uint32_t data_center = 0,
     uint64_t items_era = 0,
     int64_t contact_age_ms = -1LL,
-    int64_t failed_read_age_ms = -1LL) {
+    int64_t failed_read_age_ms = -1LL,
+    int64_t targets_age_ms = -1LL) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_targets_age_ms(targets_age_ms);
   builder_.add_failed_read_age_ms(failed_read_age_ms);
   builder_.add_contact_age_ms(contact_age_ms);
   builder_.add_items_era(items_era);
@@ -943,7 +953,8 @@
     uint32_t data_center = 0,
     uint64_t items_era = 0,
     int64_t contact_age_ms = -1LL,
-    int64_t failed_read_age_ms = -1LL) {
+    int64_t failed_read_age_ms = -1LL,
+    int64_t targets_age_ms = -1LL) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -972,7 +983,8 @@
       data_center,
       items_era,
       contact_age_ms,
-      failed_read_age_ms);
+      failed_read_age_ms,
+      targets_age_ms);
 }
 
 inline const chicorylink::fleet::codec::Heartbeat *GetHeartbeat(const void *buf) {
--- a/include/chicorylink/fleet/fleet_placement_generated.h
+++ b/include/chicorylink/fleet/fleet_placement_generated.h
@@ -41,6 +41,12 @@
 
 struct PlacementPace;
 
+struct StreamOrigin;
+
+struct OriginAsk;
+
+struct OriginAnswer;
+
 struct PlacementMessage;
 struct PlacementMessageBuilder;
 
@@ -432,6 +438,105 @@
 };
 FLATBUFFERS_STRUCT_END(PlacementPace, 32);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamOrigin FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t stream_;
+  uint64_t version_;
+  uint32_t stays_ms_;
+  int32_t padding0__;
+
+ public:
+  StreamOrigin()
+      : stream_(0),
+        version_(0),
+        stays_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  StreamOrigin(uint64_t _stream, uint64_t _version, uint32_t _stays_ms)
+      : stream_(flatbuffers::EndianScalar(_stream)),
+        version_(flatbuffers::EndianScalar(_version)),
+        stays_ms_(flatbuffers::EndianScalar(_stays_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint32_t stays_ms() const {
+    return flatbuffers::EndianScalar(stays_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StreamOrigin, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) OriginAsk FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t stream_;
+
+ public:
+  OriginAsk()
+      : number_(0),
+        stream_(0) {
+  }
+  OriginAsk(uint64_t _number, uint64_t _stream)
+      : number_(flatbuffers::EndianScalar(_number)),
+        stream_(flatbuffers::EndianScalar(_stream)) {
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+};
+FLATBUFFERS_STRUCT_END(OriginAsk, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) OriginAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t version_;
+  uint8_t known_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  OriginAnswer()
+      : number_(0),
+        version_(0),
+        known_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  OriginAnswer(uint64_t _number, uint64_t _version, bool _known)
+      : number_(flatbuffers::EndianScalar(_number)),
+        version_(flatbuffers::EndianScalar(_version)),
+        known_(flatbuffers::EndianScalar(static_cast<uint8_t>(_known))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  bool known() const {
+    return flatbuffers::EndianScalar(known_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(OriginAnswer, 24);
+
 struct PlacementAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementAskBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -682,7 +787,10 @@
     VT_REQUEST_SURVIVALS = 22,
     VT_DETAILS = 24,
     VT_TOKENS = 26,
-    VT_PACES = 28
+    VT_PACES = 28,
+    VT_ORIGINS = 30,
+    VT_ORIGIN_ASKS = 32,
+    VT_ORIGIN_ANSWERS = 34
   };
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
@@ -723,6 +831,15 @@
   const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *> *paces() const {
     return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *> *>(VT_PACES);
   }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::StreamOrigin *> *origins() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::StreamOrigin *> *>(VT_ORIGINS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::OriginAsk *> *origin_asks() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::OriginAsk *> *>(VT_ORIGIN_ASKS);
+  }
+  const flatbuffers::Vector<const chicorylink::fleet::codec::OriginAnswer *> *origin_answers() const {
+    return GetPointer<const flatbuffers::Vector<const chicorylink::fleet::codec::OriginAnswer *> *>(VT_ORIGIN_ANSWERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
@@ -751,6 +868,12 @@
            verifier.VerifyVector(tokens()) &&
            VerifyOffset(verifier, VT_PACES) &&
            verifier.VerifyVector(paces()) &&
+           VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) &&
+           VerifyOffset(verifier, VT_ORIGIN_ASKS) &&
+           verifier.VerifyVector(origin_asks()) &&
+           VerifyOffset(verifier, VT_ORIGIN_ANSWERS) &&
+           verifier.VerifyVector(origin_answers()) &&
            verifier.EndTable();
   }
 };
@@ -798,6 +921,15 @@
   void add_paces(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces) {
     fbb_.AddOffset(PlacementMessage::VT_PACES, paces);
   }
+  void add_origins(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::StreamOrigin *>> origins) {
+    fbb_.AddOffset(PlacementMessage::VT_ORIGINS, origins);
+  }
+  void add_origin_asks(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::OriginAsk *>> origin_asks) {
+    fbb_.AddOffset(PlacementMessage::VT_ORIGIN_ASKS, origin_asks);
+  }
+  void add_origin_answers(flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::OriginAnswer *>> origin_answers) {
+    fbb_.AddOffset(PlacementMessage::VT_ORIGIN_ANSWERS, origin_answers);
+  }
   explicit PlacementMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -823,9 +955,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementSurvival *>> request_survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementDetail *>> details = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementTokens *>> tokens = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::PlacementPace *>> paces = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::StreamOrigin *>> origins = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::OriginAsk *>> origin_asks = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chicorylink::fleet::codec::OriginAnswer *>> origin_answers = 0) {
   PlacementMessageBuilder builder_(_fbb);
   builder_.add_run(run);
+  builder_.add_origin_answers(origin_answers);
+  builder_.add_origin_asks(origin_asks);
+  builder_.add_origins(origins);
   builder_.add_paces(paces);
   builder_.add_tokens(tokens);
   builder_.add_details(details);
@@ -855,7 +993,10 @@
     const std::vector<chicorylink::fleet::codec::PlacementSurvival> *request_survivals = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementDetail> *details = nullptr,
     const std::vector<chicorylink::fleet::codec::PlacementTokens> *tokens = nullptr,
-    const std::vector<chicorylink::fleet::codec::PlacementPace> *paces = nullptr) {
+    const std::vector<chicorylink::fleet::codec::PlacementPace> *paces = nullptr,
+    const std::vector<chicorylink::fleet::codec::StreamOrigin> *origins = nullptr,
+    const std::vector<chicorylink::fleet::codec::OriginAsk> *origin_asks = nullptr,
+    const std::vector<chicorylink::fleet::codec::OriginAnswer> *origin_answers = nullptr) {
   auto asks__ = asks ? _fbb.CreateVector<flatbuffers::Offset<chicorylink::fleet::codec::PlacementAsk>>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementAnswer>(*answers) : 0;
   auto notes__ = notes ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementNote>(*notes) : 0;
@@ -868,6 +1009,9 @@
   auto details__ = details ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementDetail>(*details) : 0;
   auto tokens__ = tokens ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementTokens>(*tokens) : 0;
   auto paces__ = paces ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::PlacementPace>(*paces) : 0;
+  auto origins__ = origins ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::StreamOrigin>(*origins) : 0;
+  auto origin_asks__ = origin_asks ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::OriginAsk>(*origin_asks) : 0;
+  auto origin_answers__ = origin_answers ? _fbb.CreateVectorOfStructs<chicorylink::fleet::codec::OriginAnswer>(*origin_answers) : 0;
   return chicorylink::fleet::codec::CreatePlacementMessage(
       _fbb,
       run,
@@ -882,7 +1026,10 @@
       request_survivals__,
       details__,
       tokens__,
-      paces__);
+      paces__,
+      origins__,
+      origin_asks__,
+      origin_answers__);
 }
 
 inline const chicorylink::fleet::codec::PlacementMessage *GetPlacementMessage(const void *buf) {
--- a/include/chicorylink/fleet/heartbeat.hpp
+++ b/include/chicorylink/fleet/heartbeat.hpp
@@ -43,6 +43,8 @@
     store_revision items_revision;
     /// Time since the sender's configuration was last confirmed to be the newest one.
     std::optional<base::milliseconds> confirmed_age;
+    /// Time since the sender's targets were last confirmed to be all that the store lists.
+    std::optional<base::milliseconds> targets_age;
     /// Time since which the sender knows the store to answer without an outage.
     std::optional<base::milliseconds> contact_age;
     /// Time since the sender's last failed read of the store.
--- a/include/chicorylink/fleet/names.hpp
+++ b/include/chicorylink/fleet/names.hpp
@@ -12,6 +12,7 @@
 struct region_name_tag;
 struct data_center_name_tag;
 struct vm_name_tag;
+struct software_version_tag;
 
 using service_name = base::strong_name<service_name_tag>;
 using route_name = base::strong_name<route_name_tag>;
@@ -23,6 +24,9 @@
 /// Identifies one run of a target. Unlike an address, it is never reused by another target.
 using target_name = base::strong_name<target_name_tag>;
 
+/// Version of the software that a target runs. What two versions write doesn't fit together.
+using software_version = base::strong_name<software_version_tag>;
+
 } // namespace chicorylink::fleet
 
 #endif // CHICORYLINK_FLEET_NAMES_HPP
--- a/include/chicorylink/fleet/placement_message.hpp
+++ b/include/chicorylink/fleet/placement_message.hpp
@@ -8,6 +8,7 @@
 #include "chicorylink/fleet/prompt.hpp"
 #include "chicorylink/fleet/rate_limit.hpp"
 #include "chicorylink/fleet/region_digest.hpp"
+#include "chicorylink/fleet/stream_origin.hpp"
 #include "chicorylink/fleet/target_health.hpp"
 #include "chicorylink/fleet/target_notice.hpp"
 #include "chicorylink/fleet/target_pace.hpp"
@@ -99,6 +100,10 @@
     std::vector<stream_tokens> tokens;
     /// What the sender saw of the speed of targets.
     std::vector<target_pace> paces;
+    /// The versions that began streams, and questions and answers about them.
+    std::vector<stream_origin> origins;
+    std::vector<origin_query> origin_queries;
+    std::vector<origin_answer> origin_answers;
 };
 
 } // namespace chicorylink::fleet
--- a/include/chicorylink/fleet/published_state.hpp
+++ b/include/chicorylink/fleet/published_state.hpp
@@ -86,6 +86,10 @@
     /// Ignored at the start of an era, when a newer one may be lost and not yet written again.
     void confirm(base::time_point at, base::time_point now);
 
+    /// @brief Records that the targets here were all that the store listed at a given time. Ignored
+    /// at the start of an era, when some may be lost and not yet written again.
+    void confirm_targets(base::time_point at, base::time_point now);
+
     /// @brief Drops targets that did not publish again after an outage, and applies restored items
     /// that were not written again in time.
     std::vector<applied_change> tick(base::time_point now);
@@ -96,6 +100,13 @@
     /// @brief Latest time at which the configuration was confirmed to be the newest one.
     [[nodiscard]] std::optional<base::time_point> confirmed_at() const { return m_confirmed_at; }
 
+    /// @brief Latest time at which the targets here were all that the store listed; a configuration
+    /// is confirmed more often.
+    [[nodiscard]] std::optional<base::time_point> targets_confirmed_at() const
+    {
+        return m_targets_confirmed_at;
+    }
+
     /// @brief Store revision up to which this copy has every change; its number is zero before the
     /// first snapshot.
     [[nodiscard]] store_revision as_of() const { return m_as_of; }
@@ -170,6 +181,7 @@
     store_revision m_newest_item;
     std::uint64_t m_generation = 0;
     std::optional<base::time_point> m_confirmed_at;
+    std::optional<base::time_point> m_targets_confirmed_at;
     store_contact m_contact;
     std::optional<base::time_point> m_failed_read_at;
     /// First contact in the present era, and the store's revision then; zero in the first era.
--- a/include/chicorylink/fleet/target_entry.hpp
+++ b/include/chicorylink/fleet/target_entry.hpp
@@ -16,6 +16,8 @@
     /// `IP:port`. May be reused by another target after this one has ended.
     std::string address;
     data_center_name data_center;
+    /// Empty if it states none, which is a version of its own.
+    software_version version;
     /// Number of requests that it processes concurrently.
     std::uint32_t slots = 1;
     /// Whether it finishes its running requests and takes no new ones.
--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -10,6 +10,7 @@
 #include "chicorylink/fleet/region_choice.hpp"
 #include "chicorylink/fleet/retry_after_delay.hpp"
 #include "chicorylink/fleet/roster.hpp"
+#include "chicorylink/fleet/software_version.hpp"
 #include "chicorylink/front/held_bytes.hpp"
 #include "chicorylink/front/incoming_request.hpp"
 #include "chicorylink/front/placement_link.hpp"
@@ -33,6 +34,7 @@
 
 class caller_connection;
 struct front_core;
+struct known_version;
 
 /// @brief Handles one request from arrival to the end of its response, across all attempts.
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -100,6 +102,8 @@
         bool has_event = false;
         /// The target's run that the request was sent to.
         fleet::target_run run;
+        /// The software version of the target; none if it is unknown.
+        std::optional<fleet::version_hash> version;
         /// When the first event arrived, or the first bytes of a response that is no stream.
         std::optional<base::time_point> begun_at;
         /// When the last event of a stream arrived.
@@ -155,6 +159,25 @@
                       base::time_point now);
     void send(std::string bytes, base::milliseconds connect_timeout, base::time_point now);
 
+    // The software version of a stream.
+    /// @brief Finds the version of a stream that the caller takes up, and then dispatches it.
+    /// @return False if the request takes no stream up, or if its version is known already.
+    bool find_stream_version(base::time_point now);
+    void on_version(const known_version& found);
+    /// @brief Whether the stream may go on at a target.
+    [[nodiscard]] bool has_version(const fleet::target_entry& entry) const;
+    /// @brief Whether a region has a target at which the stream may go on.
+    [[nodiscard]] bool has_version_in(const fleet::region_name& region) const;
+    void note_sent_version();
+    /// @brief Reads the version of the target that answers another VM.
+    void read_version(const message_head& head);
+    /// @brief Tells a forwarding VM the version of the target.
+    void write_version(header_fields& fields) const;
+    /// @brief Whether the current attempt continues the stream at the version that began it.
+    [[nodiscard]] bool is_same_version() const;
+    /// @brief Records the version at the first event that the caller gets.
+    void note_stream_version(base::time_point now);
+
     // Callers that return after a refusal.
     /// @brief How much longer a new request waits because callers return before it.
     [[nodiscard]] base::milliseconds reserved_wait(const fleet::region_request& request,
@@ -323,6 +346,11 @@
     /// The expected end of a stream that was refused because of it.
     std::optional<base::milliseconds> m_expected_end;
     std::string m_last_event_id;
+    /// The version at which the stream goes on; none while any will do.
+    std::optional<fleet::version_hash> m_version;
+    /// The stream that the caller takes up.
+    fleet::stream_hash m_stream;
+    bool m_is_take_up = false;
     /// When the caller was sent the last event.
     base::time_point m_last_event_at{};
     /// When to look again for a target of a stream that has begun and has none.
--- a/include/chicorylink/front/forward_fields.hpp
+++ b/include/chicorylink/front/forward_fields.hpp
@@ -14,6 +14,10 @@
 inline constexpr std::string_view outcome_not_run = "not_run";
 inline constexpr std::string_view outcome_unknown = "unknown";
 
+/// Hash of the software version at which a stream must go on, in a forwarded request; of the target
+/// that answers, in a response to it.
+inline constexpr std::string_view stream_version_field = "Chicorylink-Stream-Version";
+
 } // namespace chicorylink::front
 
 #endif // CHICORYLINK_FRONT_FORWARD_FIELDS_HPP
--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -25,6 +25,7 @@
 #include "chicorylink/front/placement_link.hpp"
 #include "chicorylink/front/platform_protocol.hpp"
 #include "chicorylink/front/request_relief.hpp"
+#include "chicorylink/front/stream_versions.hpp"
 
 #include <functional>
 #include <optional>
@@ -79,6 +80,7 @@
     std::size_t descriptor_limit;
     /// None until the daemon has opened its listeners.
     std::optional<placement_link> placements;
+    stream_versions stream_origins;
     /// Requests that are in progress.
     std::set<exchange*> exchanges;
     /// When the process last resumed after a pause or a long delay of its event loop. Data that
--- a/include/chicorylink/front/header_names.hpp
+++ b/include/chicorylink/front/header_names.hpp
@@ -21,6 +21,8 @@
     std::string output_estimate;
     /// Id of the last event of a stream that the sender has received.
     std::string last_event_id;
+    /// Id of the request that brought the first event of a stream which a caller takes up again.
+    std::string resumed_request;
     /// A target's signature of its response; a response without it isn't from a target.
     std::string signature;
     /// The team that a request is run for; set by the gateway only.
--- a/include/chicorylink/front/placement_link.hpp
+++ b/include/chicorylink/front/placement_link.hpp
@@ -77,6 +77,9 @@
     /// @brief Times out unanswered queries, and sends queued notes and notices.
     void tick(base::time_point now);
 
+    /// @brief Sends a message to another VM of the region.
+    void send(const fleet::placement_message& message, const std::string& ip);
+
     /// @brief Whether this VM is the coordinator of its region and was queried recently.
     [[nodiscard]] bool is_coordinator(base::time_point now);
 
--- a/include/chicorylink/front/request_bytes.hpp
+++ b/include/chicorylink/front/request_bytes.hpp
@@ -2,10 +2,12 @@
 #define CHICORYLINK_FRONT_REQUEST_BYTES_HPP
 
 #include "chicorylink/base/units.hpp"
+#include "chicorylink/fleet/software_version.hpp"
 #include "chicorylink/front/header_names.hpp"
 #include "chicorylink/front/incoming_request.hpp"
 #include "chicorylink/front/resolution.hpp"
 
+#include <optional>
 #include <string>
 
 namespace chicorylink::front {
@@ -17,6 +19,8 @@
     std::string last_event_id;
     /// Address of the target from whose cache parts of the prompt are fetched; may be empty.
     std::string prefix_holder_address;
+    /// The software version at which a stream must go on.
+    std::optional<fleet::version_hash> stream_version = {};
 };
 
 /// @brief Serializes a request for a target: without the key, with team, deadline and expected
--- a/src/chicorylink/fleet/heartbeat_codec.cpp
+++ b/src/chicorylink/fleet/heartbeat_codec.cpp
@@ -210,7 +210,7 @@
         ms_or_none(message.confirmed_age), message.wants_digests, message.items_revision.number,
         usage, targets, digest_list, message.data_center.value(),
         message.items_revision.era.value(), ms_or_none(message.contact_age),
-        ms_or_none(message.failed_read_age));
+        ms_or_none(message.failed_read_age), ms_or_none(message.targets_age));
     codec::FinishHeartbeatBuffer(to, root);
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
@@ -237,6 +237,7 @@
     message.echo_held = base::milliseconds{from->echo_held_ms()};
     message.version = base::config_version{from->version()};
     message.confirmed_age = read_age(from->confirmed_age_ms());
+    message.targets_age = read_age(from->targets_age_ms());
     message.contact_age = read_age(from->contact_age_ms());
     message.failed_read_age = read_age(from->failed_read_age_ms());
     message.wants_digests = from->wants_digests();
--- a/src/chicorylink/fleet/placement_codec.cpp
+++ b/src/chicorylink/fleet/placement_codec.cpp
@@ -3,6 +3,7 @@
 #include "chicorylink/fleet/codec_crashes.hpp"
 #include "chicorylink/fleet/codec_notices.hpp"
 #include "chicorylink/fleet/codec_numbers.hpp"
+#include "chicorylink/fleet/codec_origins.hpp"
 #include "chicorylink/fleet/fleet_placement_generated.h"
 
 #include <algorithm>
@@ -162,10 +163,14 @@
     const auto request_survivals =
         write_survivals<codec::PlacementSurvival>(to, request, reports.survivals);
     const auto paces = to.CreateVectorOfStructs(to_wire(message.paces));
+    const auto origins = to.CreateVectorOfStructs(coded_origins(message));
+    const auto origin_asks = to.CreateVectorOfStructs(coded_origin_queries(message));
+    const auto origin_answers = to.CreateVectorOfStructs(coded_origin_answers(message));
     codec::FinishPlacementMessageBuffer(
         to, codec::CreatePlacementMessage(to, message.run.value(), queries, answers, notes, notices,
                                           limits, crashes, survivals, request_crashes,
-                                          request_survivals, details, tokens, paces));
+                                          request_survivals, details, tokens, paces, origins,
+                                          origin_asks, origin_answers));
     return {to.GetBufferPointer(), to.GetBufferPointer() + to.GetSize()};
 }
 
@@ -244,6 +249,7 @@
                                      pace->percent(), base::milliseconds{pace->age_ms()}});
         }
     }
+    read_origins(*from, message);
     message.notices = read_notices(from->notices());
     message.limits = read_limits(from->limits());
     constexpr auto part = crash_subject_kind::prompt_part;
--- a/src/chicorylink/fleet/published_state.cpp
+++ b/src/chicorylink/fleet/published_state.cpp
@@ -49,6 +49,13 @@
     }
 }
 
+void published_state::confirm_targets(base::time_point at, base::time_point now)
+{
+    if (now >= m_unconfirmed_until && (!m_targets_confirmed_at || at > *m_targets_confirmed_at)) {
+        m_targets_confirmed_at = at;
+    }
+}
+
 std::vector<applied_change>
 published_state::apply_changes(const std::vector<published_item>& items, store_revision as_of,
                                base::time_point confirmed_at, base::time_point now,
--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -123,7 +123,9 @@
         refuse(*refused, now);
         return;
     }
-    dispatch(now);
+    if (!find_stream_version(now)) {
+        dispatch(now);
+    }
 }
 
 upstream_call* exchange::running_call() const
@@ -369,6 +371,10 @@
         line.add("address", m_attempt->address);
         line.add("expected_wait_ms", m_attempt->expected_wait.count());
         line.add("placed_by", m_placed_by);
+        if (is_stream() && m_attempt->version) {
+            line.add("software_version",
+                     m_core.stream_origins.text_of(m_resolved.service->name, *m_attempt->version));
+        }
         if (m_prompt) {
             line.add("prompt_tokens", m_prompt->prompt_tokens);
             line.add("unread_tokens", m_attempt->unread_at_send);
--- a/src/chicorylink/front/exchange_answer.cpp
+++ b/src/chicorylink/front/exchange_answer.cpp
@@ -83,6 +83,7 @@
     m_core.pool.on_bytes_received(current.target, now);
     read_load(head, now);
     read_notices(head, now);
+    read_version(head);
     read_limit(head, now);
     const auto* peer_outcome =
         current.target.empty() ? find_field(head.fields, outcome_field) : nullptr;
@@ -123,6 +124,12 @@
                     "the target does not say that the request did not run", now);
         return;
     }
+    if (is_stream() && head.status < first_error_status && !is_same_version()) {
+        current.call->discard();
+        end_attempt(attempt_end::unknown, target_outcome::server_error,
+                    "the stream began at another version", now);
+        return;
+    }
     current.is_continuation = m_response_begun;
     if (current.is_continuation && !is_same_stream(head)) {
         current.call->discard();
@@ -246,12 +253,13 @@
                 std::chrono::duration_cast<base::milliseconds>(now - m_attempt->sent_at);
             m_core.placements->report_started(*m_attempt->place, took, now);
         }
+        note_stream_version(now);
         begin_response(m_attempt->head, std::nullopt);
         m_history.has_begun = true;
     }
     unsent_events().append(std::exchange(m_attempt->buffered_body, {}));
     unsent_events().append(event.bytes);
-    m_history.can_continue = !event.id.empty();
+    m_history.can_continue = !event.id.empty() && m_version.has_value();
     if (!event.id.empty()) {
         m_last_event_id = event.id;
     }
@@ -282,6 +290,7 @@
     auto fields = head.fields;
     remove_hop_by_hop_fields(fields);
     remove_fields(fields, outcome_field);
+    write_version(fields);
     m_response_begun = true;
     m_begun_status = head.status;
     note_begun(head.status);
--- a/src/chicorylink/front/exchange_dispatch.cpp
+++ b/src/chicorylink/front/exchange_dispatch.cpp
@@ -60,6 +60,9 @@
                        const std::vector<std::string>& region_ips, bool is_paced,
                        base::time_point now) const
 {
+    if (!has_version(target.entry)) {
+        return false;
+    }
     const auto& service = *m_resolved.service;
     const auto& name = target.entry.name;
     const auto rate =
@@ -112,7 +115,8 @@
                            m_tried_targets.end();
         const bool unusable = fleet::is_ejected(target.health, now) || target.pushback.leaving ||
                               fleet::must_back_off(target.pushback, now);
-        if (tried || (target.entry.service == m_resolved.service->name && unusable)) {
+        const bool is_wrong = unusable || !has_version(target.entry);
+        if (tried || (target.entry.service == m_resolved.service->name && is_wrong)) {
             query.avoided.push_back(target.id);
         }
     }
@@ -313,6 +317,7 @@
     m_silence_reported = false;
     m_tried_targets.push_back(choice.target);
     note_target_run();
+    note_sent_version();
     m_core.pool.on_sent(choice.target, m_prompt ? &*m_prompt : nullptr, choice.unread_tokens, now);
     note_paced(choice, now);
     m_attempt->prefix_holder = choice.prefix_holder;
@@ -320,7 +325,7 @@
         m_core.counters.add("prefix_transfers_total");
     }
     send(serialize_for_target(m_request, m_resolved, choice.target.text(),
-                              {time_left(now), m_last_event_id, choice.prefix_holder_address},
+                              {time_left(now), m_last_event_id, choice.prefix_holder_address, {}},
                               m_core.protocol.names),
          local_connect_timeout, now);
 }
--- a/src/chicorylink/front/exchange_regions.cpp
+++ b/src/chicorylink/front/exchange_regions.cpp
@@ -55,7 +55,7 @@
 
 bool exchange::may_leave_for(const fleet::region_name& region, base::time_point now) const
 {
-    return region != m_core.settings.self.region &&
+    return region != m_core.settings.self.region && has_version_in(region) &&
            fleet::may_run_in(*m_resolved.route, m_resolved.team, region) &&
            has_peer_in(region, now);
 }
@@ -137,10 +137,12 @@
     m_tried_peers.emplace_back(ip, m_core.members.members().at(ip).run);
     const auto one_way = decision.round_trip / 2;
     m_core.remote_traffic.note(decision.region, m_resolved.service->name, decision.tokens, now);
-    send(serialize_for_peer(
-             m_request, m_resolved,
-             {std::max(base::milliseconds{1}, time_left(now) - one_way), m_last_event_id, {}},
-             m_core.protocol.names),
+    send(serialize_for_peer(m_request, m_resolved,
+                            {std::max(base::milliseconds{1}, time_left(now) - one_way),
+                             m_last_event_id,
+                             {},
+                             m_version},
+                            m_core.protocol.names),
          remote_connect_timeout, now);
 }
 
--- a/src/chicorylink/front/front_core.cpp
+++ b/src/chicorylink/front/front_core.cpp
@@ -49,7 +49,8 @@
       pacer(now + fleet::designation_delay), connections(event_loop),
       response_bytes(std::make_shared<response_buffers>(settings.memory_bytes)),
       request_bytes(std::make_shared<request_memory>(settings.memory_bytes)),
-      target_fields(platform.names), descriptor_limit(descriptor_limit_of_process())
+      target_fields(platform.names), descriptor_limit(descriptor_limit_of_process()),
+      stream_origins(*this)
 {
 }
 
--- a/src/chicorylink/front/gossip.cpp
+++ b/src/chicorylink/front/gossip.cpp
@@ -184,6 +184,9 @@
     if (const auto confirmed = m_core.state.confirmed_at()) {
         message.confirmed_age = age_of(*confirmed);
     }
+    if (const auto confirmed = m_core.state.targets_confirmed_at()) {
+        message.targets_age = age_of(*confirmed);
+    }
     if (const auto& contact = m_core.state.contact().span()) {
         message.contact_age = age_of(contact->since);
     }
--- a/src/chicorylink/front/placement_link.cpp
+++ b/src/chicorylink/front/placement_link.cpp
@@ -76,6 +76,11 @@
     return {boost::asio::ip::make_address(ip, problem), m_core.settings.placement_port()};
 }
 
+void placement_link::send(const fleet::placement_message& message, const std::string& ip)
+{
+    m_datagrams.send(fleet::encode(message), endpoint_of(ip));
+}
+
 void placement_link::request_placement(fleet::placement_query query, handler on_result,
                                        base::time_point now)
 {
@@ -124,6 +129,7 @@
     for (const auto& entry : message.tokens) {
         m_core.pool.on_tokens(entry.target, entry.tokens, entry.elapsed, base::boot_now());
     }
+    m_core.stream_origins.receive(message, sender, base::boot_now());
     for (const auto& answer : message.answers) {
         handle_answer(answer, sender);
     }
@@ -226,6 +232,7 @@
     send_notes(now);
     send_notices(now);
     send_tokens(now);
+    m_core.stream_origins.tick(now);
     m_core.coordinator.tick(m_core.pool, now);
     log_windows(now);
 }
--- a/src/chicorylink/front/request_bytes.cpp
+++ b/src/chicorylink/front/request_bytes.cpp
@@ -36,6 +36,7 @@
     remove_fields(fields, "Expect");
     remove_fields(fields, forwarded_field);
     remove_fields(fields, outcome_field);
+    remove_fields(fields, stream_version_field);
     for (const auto& name : names.reserved) {
         remove_fields(fields, name);
     }
@@ -75,6 +76,10 @@
     auto fields = common_fields(request, details, names);
     fields.push_back(
         {std::string{forwarded_field}, std::to_string(resolved.config->version().value())});
+    if (details.stream_version) {
+        fields.push_back(
+            {std::string{stream_version_field}, std::to_string(details.stream_version->value())});
+    }
     return serialize(request, fields);
 }
 
--- a/src/chicorylink/front/state_reader.cpp
+++ b/src/chicorylink/front/state_reader.cpp
@@ -167,6 +167,9 @@
     report_changes(m_core.state.apply_snapshot(m_page_items, m_snapshot_as_of, m_snapshot_sent_at,
                                                base::boot_now()),
                    "store");
+    if (m_snapshot_as_of.era == m_core.state.as_of().era) {
+        m_core.state.confirm_targets(m_snapshot_sent_at, base::boot_now());
+    }
     m_watch_from = m_snapshot_as_of;
     watch_if_due();
 }
@@ -212,6 +215,7 @@
             report_changes(m_core.state.apply_changes(update.items, update.as_of, result.sent_at,
                                                       base::boot_now()),
                            "store");
+            m_core.state.confirm_targets(result.sent_at, base::boot_now());
             m_watch_from = std::max(m_watch_from, update.as_of);
             if (update.items.empty()) {
                 watch_if_due();
--- a/src/chicorylink/front/state_reader_copies.cpp
+++ b/src/chicorylink/front/state_reader_copies.cpp
@@ -48,6 +48,13 @@
         const base::time_point echoed{base::milliseconds{message.echo_ms}};
         m_core.state.confirm(echoed - *message.confirmed_age, base::boot_now());
     }
+    const auto complete_up_to = m_core.state.as_of();
+    if (message.targets_age && message.echo_ms > 0 && complete_up_to.number != 0 &&
+        message.items_revision.era == complete_up_to.era &&
+        message.items_revision <= complete_up_to) {
+        const base::time_point echoed{base::milliseconds{message.echo_ms}};
+        m_core.state.confirm_targets(echoed - *message.targets_age, base::boot_now());
+    }
     note_contact(message);
     const bool reads_store =
         (m_store.is_busy() || m_is_delayed) && !m_is_store_lost && m_watch_from.number != 0;
