--- a/include/chicorylink/front/exchange.hpp
+++ b/include/chicorylink/front/exchange.hpp
@@ -169,7 +169,8 @@
     /// @brief Whether a region has a target at which the stream may go on.
     [[nodiscard]] bool has_version_in(const fleet::region_name& region) const;
     void note_sent_version();
-    /// @brief Reads the version of the target that answers another VM.
+    /// @brief Reads the version of the target from the response of another VM, and checks that of a
+    /// target of this region.
     void read_version(const message_head& head);
     /// @brief Tells a forwarding VM the version of the target.
     void write_version(header_fields& fields) const;
--- a/src/chicorylink/front/exchange_versions.cpp
+++ b/src/chicorylink/front/exchange_versions.cpp
@@ -122,6 +122,15 @@
 {
     if (m_attempt->target.empty()) {
         m_attempt->version = stated_version(head.fields);
+        return;
+    }
+    const auto* target = m_core.pool.find(m_attempt->target);
+    const bool has_changed =
+        target != nullptr && (target->entry.started_ms != m_attempt->run.started_ms ||
+                              fleet::hash_of(target->entry.version) != m_attempt->version);
+    if (has_changed) {
+        // The target may have started again before the request reached it.
+        m_attempt->version.reset();
     }
 }
 
@@ -141,14 +150,6 @@
 
 void exchange::note_stream_version(base::time_point now)
 {
-    const auto* target = m_core.pool.find(m_attempt->target);
-    const bool has_changed =
-        target != nullptr && (target->entry.started_ms != m_attempt->run.started_ms ||
-                              fleet::hash_of(target->entry.version) != m_attempt->version);
-    if (has_changed) {
-        // The target may have started again before the request reached it.
-        m_attempt->version.reset();
-    }
     if (!m_version) {
         m_version = m_attempt->version;
     }
