--- a/process_tests/stream_version_test.cpp
+++ b/process_tests/stream_version_test.cpp
@@ -311,6 +311,7 @@
     serve(new_version, "east-a");
     start({first_vm, second_vm, third_vm}, "east");
     std::vector<reply> begun;
+    begun.reserve(stream_count);
     for (int number = 0; number < stream_count; ++number) {
         begun.push_back(begin_stream(first_vm, fmt::format("id-{}", number)));
     }
