fleet, front: versions of two services are never the same one

What callers could have seen: a configuration moves a route to another service while a stream is under way, and the stream goes on there, since both services name their version alike.

Cause: a version was told apart by its name alone. Change: the service belongs to the identity. A Resumes field without a value counts as missing, so that it names no stream.

--- a/include/chicorylink/fleet/software_version.hpp
+++ b/include/chicorylink/fleet/software_version.hpp
@@ -18,9 +18,12 @@
 /// Identifies a stream by the id of the caller's request that began it.
 using stream_hash = base::strong_id<stream_hash_tag>;
 
-[[nodiscard]] inline version_hash hash_of(const software_version& version)
+/// @brief Versions of different services are different, whatever their names.
+[[nodiscard]] inline version_hash hash_of(const service_name& service,
+                                          const software_version& version)
 {
-    return version_hash{base::hash_name(version.text())};
+    return version_hash{
+        base::hash_pair(base::hash_name(service.text()), base::hash_name(version.text()))};
 }
 
 [[nodiscard]] inline stream_hash hash_of_stream(std::string_view request_id)
--- a/src/chicorylink/fleet/version_history.cpp
+++ b/src/chicorylink/fleet/version_history.cpp
@@ -31,7 +31,7 @@
         }
     }
     for (const auto& [name, entry] : targets) {
-        auto& seen = m_seen[entry.service][hash_of(entry.version)];
+        auto& seen = m_seen[entry.service][hash_of(entry.service, entry.version)];
         seen.version = entry.version;
         seen.is_present = true;
     }
@@ -83,7 +83,7 @@
         if (entry.service != service) {
             continue;
         }
-        const auto version = hash_of(entry.version);
+        const auto version = hash_of(entry.service, entry.version);
         const bool is_young =
             now_ms - entry.started_ms < (longest_release + longest_stream).count();
         if (is_young || entry.started_ms <= 0 || only.value_or(version) != version) {
--- a/src/chicorylink/fleet/version_history_test.cpp
+++ b/src/chicorylink/fleet/version_history_test.cpp
@@ -45,9 +45,9 @@
     version_history history;
     EXPECT_EQ(history.only_version(app, at(seconds{5})), std::nullopt);
     note_until(history, published, 1, seconds{10}, seconds{50});
-    EXPECT_EQ(history.only_version(app, at(seconds{20})), hash_of(old_version));
+    EXPECT_EQ(history.only_version(app, at(seconds{20})), hash_of(app, old_version));
     EXPECT_EQ(history.only_version(app, at(seconds{9})), std::nullopt);
-    EXPECT_EQ(history.text_of(app, hash_of(old_version)), "v1");
+    EXPECT_EQ(history.text_of(app, hash_of(app, old_version)), "v1");
 }
 
 // Guards against the version of a stream being taken for the one that has replaced it since.
@@ -63,7 +63,7 @@
     note_until(history, published, 3, seconds{26}, seconds{70});
     EXPECT_EQ(history.only_version(app, at(seconds{20})), std::nullopt);
     EXPECT_EQ(history.only_version(app, at(seconds{26})), std::nullopt);
-    EXPECT_EQ(history.only_version(app, at(seconds{27})), hash_of(new_version));
+    EXPECT_EQ(history.only_version(app, at(seconds{27})), hash_of(app, new_version));
 }
 
 // Guards against a proof by a VM that was cut off or stood still while a version came and left.
@@ -75,7 +75,7 @@
     note_until(history, published, 1, seconds{10}, seconds{50});
     note_until(history, published, 1, seconds{54}, seconds{60});
     EXPECT_EQ(history.only_version(app, at(seconds{30})), std::nullopt);
-    EXPECT_EQ(history.only_version(app, at(seconds{54})), hash_of(old_version));
+    EXPECT_EQ(history.only_version(app, at(seconds{54})), hash_of(app, old_version));
 }
 
 TEST(version_history, targets_without_a_version_have_one_of_their_own)
@@ -94,7 +94,7 @@
     targets published;
     add(published, "i-1", old_version, 1);
     add(published, "i-2", old_version, now_ms - 150'000);
-    EXPECT_EQ(long_serving_version(published, app, seconds{30}, now_ms), hash_of(old_version));
+    EXPECT_EQ(long_serving_version(published, app, seconds{30}, now_ms), hash_of(app, old_version));
     add(published, "i-2", old_version, now_ms - 149'999);
     EXPECT_EQ(long_serving_version(published, app, seconds{30}, now_ms), std::nullopt);
     add(published, "i-2", new_version, 1);
--- a/src/chicorylink/front/exchange_versions.cpp
+++ b/src/chicorylink/front/exchange_versions.cpp
@@ -49,7 +49,8 @@
         }
     }
     const auto* resumed = find_field(m_request.head.fields, names.resumed_request);
-    m_stream = fleet::hash_of_stream(resumed == nullptr ? m_request.id : *resumed);
+    const bool names_stream = resumed != nullptr && !resumed->empty();
+    m_stream = fleet::hash_of_stream(names_stream ? *resumed : m_request.id);
     m_core.stream_origins.find(
         m_stream, m_resolved.service->name,
         [self = shared_from_this()](const known_version& found) { self->on_version(found); }, now);
@@ -93,7 +94,7 @@
 
 bool exchange::has_version(const fleet::target_entry& entry) const
 {
-    return !m_version || fleet::hash_of(entry.version) == *m_version;
+    return !m_version || fleet::hash_of(entry.service, entry.version) == *m_version;
 }
 
 bool exchange::has_version_in(const fleet::region_name& region) const
@@ -114,7 +115,7 @@
 void exchange::note_sent_version()
 {
     if (const auto* target = m_core.pool.find(m_attempt->target)) {
-        m_attempt->version = fleet::hash_of(target->entry.version);
+        m_attempt->version = fleet::hash_of(target->entry.service, target->entry.version);
     }
 }
 
@@ -126,8 +127,9 @@
     }
     const auto* target = m_core.pool.find(m_attempt->target);
     const bool has_changed =
-        target != nullptr && (target->entry.started_ms != m_attempt->run.started_ms ||
-                              fleet::hash_of(target->entry.version) != m_attempt->version);
+        target != nullptr &&
+        (target->entry.started_ms != m_attempt->run.started_ms ||
+         fleet::hash_of(target->entry.service, target->entry.version) != m_attempt->version);
     if (has_changed) {
         // The target may have started again before the request reached it.
         m_attempt->version.reset();
