front: the exit refuses what it reads only in part

What callers could have seen: a VM that is idle after its stop signal reads what has arrived and exits; a request of which only a part had arrived then was closed without an answer.

Cause: only the latest moment of a stop marked its requests as ended. Change: each exit does.

--- a/src/chicorylink/front/front_daemon.cpp
+++ b/src/chicorylink/front/front_daemon.cpp
@@ -263,6 +263,8 @@
             }
         };
         run_guarded(m_core, "exit", [&] {
+            // What is read only in part now is refused.
+            m_core.has_ended_requests = true;
             m_callers->read_arrived();
             m_peers->read_arrived();
             answer_queries();
