--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -94,7 +94,9 @@
 {
     m_deadline = now + initial_timeout;
     if (!accepts_new_requests(m_core, now)) {
-        refuse({unavailable_status, "leaving", delay_until_served_elsewhere(m_core, now)}, now);
+        refuse({unavailable_status, "leaving",
+                retry_delay(delay_until_served_elsewhere(m_core, now), fleet::retry_jitter::queue)},
+               now);
         return;
     }
     if (m_request.is_beyond_places) {
