--- a/src/chicorylink/front/exchange.cpp
+++ b/src/chicorylink/front/exchange.cpp
@@ -80,16 +80,6 @@
     return m_core.returns.next(service, rate / vm_count, time_left(now), now);
 }
 
-base::milliseconds exchange::retry_delay_after_rejection(base::time_point now)
-{
-    auto wait = wait_for_targets(now);
-    if (m_peer_retry_after) {
-        wait = std::min(wait.value_or(*m_peer_retry_after), *m_peer_retry_after);
-    }
-    return wait ? retry_delay(*wait, fleet::retry_jitter::requested_wait)
-                : retry_delay(fleet::min_retry_after, fleet::retry_jitter::queue);
-}
-
 void exchange::begin(base::time_point now)
 {
     m_deadline = now + initial_timeout;
--- a/src/chicorylink/front/exchange_returns.cpp
+++ b/src/chicorylink/front/exchange_returns.cpp
@@ -67,4 +67,14 @@
     }
 }
 
+base::milliseconds exchange::retry_delay_after_rejection(base::time_point now)
+{
+    auto wait = wait_for_targets(now);
+    if (m_peer_retry_after) {
+        wait = std::min(wait.value_or(*m_peer_retry_after), *m_peer_retry_after);
+    }
+    return wait ? retry_delay(*wait, fleet::retry_jitter::requested_wait)
+                : retry_delay(fleet::min_retry_after, fleet::retry_jitter::queue);
+}
+
 } // namespace chicorylink::front
