--- a/include/chicorylink/front/front_core.hpp
+++ b/include/chicorylink/front/front_core.hpp
@@ -109,8 +109,8 @@
 /// @brief When a VM that was told to stop ends the requests in progress; none for other VMs.
 [[nodiscard]] std::optional<base::time_point> end_of_requests(const front_core& core);
 
-/// @brief When a caller that a leaving VM refuses should return: at once if another VM of the region
-/// takes requests, else when this one has exited and may be back.
+/// @brief When a caller that a leaving VM refuses should return: at once if another VM of the
+/// region takes requests, else when this one has exited and may be back.
 [[nodiscard]] base::milliseconds delay_until_served_elsewhere(const front_core& core,
                                                               base::time_point now);
 
